--- /dev/null
+++ b/src/main/java/driftchute/Courier.java
@@ -0,0 +1,136 @@
+package driftchute;
+
+import java.util.List;
+
+/**
+ * What a courier's decisions are told and what they may ask for. A host (a courier process, or the bench's
+ * adapter) calls the inbound events in the order in which they happened, then {@link #decide} once, and
+ * carries out the {@link Actions} it was given meanwhile. All times are microseconds on one clock that only advances.
+ */
+public interface Courier {
+
+    /** What a repeat of a message does: nothing new, nothing new while the key is remembered, or harm. */
+    enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** How worth falls between the aim and the deadline. */
+    enum Fade { LINEAR, HALVING }
+
+    /** What an endpoint's weight tells of its destination's limit. */
+    enum Weights { NONE, NOMINAL, ROUGH }
+
+    /** How an attempt ended. */
+    enum Result {
+        DELIVERED, ERROR, REFUSED, TIMED_OUT, NO_CONNECTION, RESET, CANCELLED, NOT_SENT;
+
+        /** True if the message certainly had no effect, so that another attempt is harmless. */
+        public boolean neverRan() {
+            return this == REFUSED || this == NO_CONNECTION || this == NOT_SENT;
+        }
+
+        /** True if the destination answered, so that the attempt no longer runs. */
+        public boolean ended() {
+            return this == DELIVERED || this == ERROR;
+        }
+    }
+
+    /** An endpoint's state in the list; the list knows nothing of health. */
+    enum Condition { LISTED, DRAINING, GONE }
+
+    /** What an update of the list holds: changed entries, all, the last list known, or no news at all. */
+    enum Update { CHANGES, WHOLE, RESTORED, LOST }
+
+    /** A class of message. {@code zoneKeyed}: only endpoints of one zone drop each other's repeats. */
+    record MessageClass(String name, Effect effect, boolean zoneKeyed, boolean inTurn, double worth,
+                        double lateWorth, long aimUs, long deadlineUs, long keyWindowUs) { }
+
+    /** A tenant and the messages a second, over all couriers, that are worth their full worth. */
+    record Tenant(String name, double quotaPerSecond) { }
+
+    /** A kind of destination. */
+    record Kind(String name, boolean routesApart, int messagesPerCall) { }
+
+    /** The figures of the rules. */
+    record Guarantees(long mustAskUs, double coldFrom, long coldUs, double tipMultiple, long orderSettleUs) { }
+
+    /** What this courier may use. */
+    record Limits(int slots, int maxOpen, int mostAttempts, boolean mayCancel, long idleCloseUs, int multiplex,
+                  long maxRetryAfterUs) { }
+
+    /** Everything a courier is handed at its start. */
+    record Settings(int couriers, String zone, boolean listOnRequest, Weights weights, Fade fade,
+                    List<MessageClass> classes, List<Tenant> tenants, List<Kind> kinds, Guarantees guarantees,
+                    Limits limits) {
+        /** Refuses settings that contradict themselves, so that a host learns of it at its start. */
+        public Settings {
+            require(couriers >= 1, "a fleet has at least one courier, not " + couriers);
+            require(limits.slots() >= 1, "a courier needs at least one slot, not " + limits.slots());
+            require(limits.maxOpen() >= 1, "a store holds at least one message, not " + limits.maxOpen());
+            require(limits.mostAttempts() >= 1, "a message needs at least one attempt, not " + limits.mostAttempts());
+            require(guarantees.tipMultiple() > 0, "a tipping multiple is above 0, not " + guarantees.tipMultiple());
+            for (final MessageClass kind : classes) {
+                require(kind.aimUs() <= kind.deadlineUs(), kind.name() + ": its aim is later than its deadline");
+            }
+        }
+
+        private static void require(final boolean kept, final String problem) {
+            if (!kept) {
+                throw new IllegalArgumentException(problem);
+            }
+        }
+    }
+
+    /** An endpoint as the list names it; {@code kind} is an index into the settings, or -1. */
+    record Endpoint(long id, Condition condition, String zone, double weight, int kind, long destination) { }
+
+    /** A message taken; {@code messageClass} and {@code tenant} index the settings, tenant -1 if none. */
+    record Message(String id, int messageClass, int tenant, String key, long validUntilUs, long destination) { }
+
+    /** What a destination told of its limit: the share left, and calls a second (0: no limit). */
+    record Allowance(double shareLeft, double callsPerSecond) { }
+
+    /**
+     * The outcome of an attempt. {@code over}: the message has its final answer. {@code waitUs}: the wait told
+     * with a refusal, or 0. {@code allowance}: null if nothing was told.
+     */
+    record Outcome(String messageId, Result result, boolean over, long endpoint, long durationUs, long waitUs,
+                   Allowance allowance) { }
+
+    /** What a courier may ask of its host. */
+    interface Actions {
+        /** Calls an endpoint with a message. */
+        void send(String messageId, long endpoint, long timeoutUs);
+
+        /** Ends a message undelivered; its client may safely hand it in again. */
+        void refuse(String messageId, long retryAfterUs);
+
+        /** Ends a message as failed; nothing is promised. */
+        void fail(String messageId);
+
+        /** Stops waiting for an attempt. */
+        void cancel(String messageId, int attempt);
+
+        /** Closes this courier's idle connections to an endpoint, before the actions that follow. */
+        void closeIdle(long endpoint);
+
+        /** Asks for changes of the list from now on. */
+        void follow();
+
+        /** Asks for {@link Courier#decide} to be called again after a delay, if nothing calls it earlier. */
+        void wake(long delayUs);
+    }
+
+    /** The list changed, or could not be had. */
+    void onList(long nowUs, Update update, List<Endpoint> entries);
+
+    /** A message was taken. */
+    void onMessage(long nowUs, Message message);
+
+    /** An attempt ended. */
+    void onOutcome(long nowUs, Outcome outcome);
+
+    /** Nobody wants this message any more; it is owed no answer. */
+    void onExpired(long nowUs, String messageId);
+
+    /** All that happened by now has been told, or a wake-up fell due: act on it. */
+    void decide(long nowUs);
+}
--- /dev/null
+++ b/src/main/java/driftchute/bench/Fields.java
@@ -0,0 +1,96 @@
+package driftchute.bench;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** The name=value pairs of one line. Absent values read as their defaults; unknown names are never asked for. */
+final class Fields {
+    private final String tag;
+    private final Map<String, String> values;
+    private final long line;
+
+    private Fields(final String tag, final Map<String, String> values, final long line) {
+        this.tag = tag;
+        this.values = values;
+        this.line = line;
+    }
+
+    /** Splits a line at its tabs; a part without {@code =} is malformed. */
+    static Fields parse(final String text, final long line) {
+        int end = text.indexOf('\t');
+        final String tag = end < 0 ? text : text.substring(0, end);
+        final Map<String, String> values = new HashMap<>();
+        while (end >= 0) {
+            final int start = end + 1;
+            end = text.indexOf('\t', start);
+            final int stop = end < 0 ? text.length() : end;
+            final int equals = text.indexOf('=', start);
+            if (equals < 0 || equals >= stop) {
+                throw new MalformedLineException(line, "no '=' in '" + text.substring(start, stop) + "'");
+            }
+            values.put(text.substring(start, equals), text.substring(equals + 1, stop));
+        }
+        return new Fields(tag, values, line);
+    }
+
+    String tag() {
+        return tag;
+    }
+
+    String text(final String name, final String absent) {
+        return values.getOrDefault(name, absent);
+    }
+
+    String text(final String name) {
+        final String value = values.get(name);
+        if (value == null) {
+            throw malformed("'" + tag + "' lacks '" + name + "'");
+        }
+        return value;
+    }
+
+    long whole(final String name, final long absent) {
+        final String value = values.get(name);
+        if (value == null) {
+            return absent;
+        }
+        try {
+            return Long.parseLong(value);
+        } catch (final NumberFormatException e) {
+            throw malformed("'" + name + "' is no whole number: '" + value + "'");
+        }
+    }
+
+    long whole(final String name) {
+        text(name);
+        return whole(name, 0);
+    }
+
+    double number(final String name, final double absent) {
+        final String value = values.get(name);
+        return value == null ? absent : number(value);
+    }
+
+    double number(final String value) {
+        try {
+            return Double.parseDouble(value);
+        } catch (final NumberFormatException e) {
+            throw malformed("no number: '" + value + "'");
+        }
+    }
+
+    boolean flag(final String name) {
+        final String value = values.getOrDefault(name, "0");
+        return value.equals("1") || value.equals("true");
+    }
+
+    /** A list of plain values joined by commas; absent or empty is a list of none. */
+    String[] list(final String name) {
+        final String value = values.getOrDefault(name, "");
+        return value.isEmpty() ? new String[0] : value.split(",", -1);
+    }
+
+    MalformedLineException malformed(final String reason) {
+        return new MalformedLineException(line, reason);
+    }
+}
