--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -56,6 +56,8 @@
     /** A call is overdue after so many times what is expected (one in 150, by chance), and so long, us. */
     private static final double OVERDUE_TIMES = 5;
     private static final long OVERDUE_LEAST_US = SECOND_US;
+    /** A call begun before a stop has so many times what is expected left (chance cuts off one in seven). */
+    private static final double STOP_TIMES = 2;
     /** A time-out, in times what is expected, and at least so long, us: wide enough for a long tail. */
     private static final double TIMEOUT_TIMES = 8;
     private static final long TIMEOUT_LEAST_US = 2 * SECOND_US;
@@ -131,7 +133,7 @@
     private final TreeSet<Long> wakes = new TreeSet<>();
     private int callsOut, open;
     private double trustUs;
-    private long nowUs, nextStepUs;
+    private long nowUs, nextStepUs, stopUs = NEVER;
     private boolean subscribed;
     private long askAgainUs = NEVER, askBackOffUs = ASK_LEAST_US;
 
@@ -165,6 +167,27 @@
         }
     }
 
+    @Override
+    public void onResumed(final long now, final Message message, final Past past) {
+        onMessage(now, message);
+        final Job job = jobs.get(message.id());
+        job.attempts = past.attempts();
+        job.mayHaveRun = past.mayHaveRun();
+        if (job.mayHaveRun) {
+            job.firstRunUs = past.firstRunUs();
+            job.runZone = past.runZone();
+            if (job.line != null) {
+                job.line.restUntilUs = nowUs + settings.guarantees().orderSettleUs();
+            }
+        }
+    }
+
+    @Override
+    public void onStopping(final long now, final long atUs) {
+        nowUs = now;
+        stopUs = atUs;
+    }
+
     @Override
     public void onOutcome(final long now, final Outcome outcome) {
         nowUs = now;
@@ -276,7 +299,7 @@
         double bestUrgency = 0;
         final long lineUs = destination.lineUs();
         for (final Job job : destination.waiting) {
-            if (!inTurn(job) || node == null && choose(lane, job) == null
+            if (!inTurn(job) || !endsInTime(lane, job) || node == null && choose(lane, job) == null
                     || node != null && (!zoneAllows(job, node) || job.kind.effect() == Effect.UNSAFE)) {
                 continue;
             }
@@ -349,6 +372,12 @@
                 && (job.mayHaveRun || job.line.restUntilUs <= nowUs);
     }
 
+    /** False for a call that the end of this process would likely cut off: the next one may send it. */
+    private boolean endsInTime(final Lane lane, final Job job) {
+        return stopUs == NEVER || nowUs + (job.kind.effect() == Effect.UNSAFE
+                ? OVERDUE_TIMES : STOP_TIMES) * expectedUs(lane, job) < stopUs;
+    }
+
     /** Sends a message and, where calls are shared, those that wait with it. */
     private void send(final Job first, final Lane lane) {
         final Node node = choose(lane, first);
@@ -481,6 +510,8 @@
         final int kind = job.message.messageClass();
         final boolean first = lane.troubleFromUs == NEVER;
         lane.troubleFromUs = Math.min(lane.troubleFromUs, nowUs);
+        // A wait may stand in any answer, also one that delivers some of a call's messages.
+        lane.waitUntilUs = Math.max(lane.waitUntilUs, nowUs + outcome.waitUs());
         switch (outcome.result()) {
             case DELIVERED -> {
                 learn(lane, job, outcome.durationUs());
@@ -502,7 +533,6 @@
             case REFUSED -> {
                 lane.bad++;
                 lane.refused++;
-                lane.waitUntilUs = Math.max(lane.waitUntilUs, nowUs + outcome.waitUs());
                 final long fromUs = Math.max(nowUs, lane.waitUntilUs);
                 final long gapUs = patienceUs(lane, fromUs);
                 final boolean told = outcome.waitUs() > 0;
--- a/src/main/java/driftchute/Courier.java
+++ b/src/main/java/driftchute/Courier.java
@@ -85,12 +85,18 @@
     /** A message taken; {@code messageClass} and {@code tenant} index the settings, tenant -1 if none. */
     record Message(String id, int messageClass, int tenant, String key, long validUntilUs, long destination) { }
 
+    /**
+     * What became of a message before this process held it. {@code mayHaveRun}: an attempt may have had its effect,
+     * the first one at {@code firstRunUs} (on the clock of the events, perhaps before its start), in {@code runZone}.
+     */
+    record Past(int attempts, boolean mayHaveRun, long firstRunUs, String runZone) { }
+
     /** What a destination told of its limit: the share left, and calls a second (0: no limit). */
     record Allowance(double shareLeft, double callsPerSecond) { }
 
     /**
      * The outcome of an attempt. {@code over}: the message has its final answer. {@code waitUs}: the wait told
-     * with a refusal, or 0. {@code allowance}: null if nothing was told.
+     * with the answer, or 0. {@code allowance}: null if nothing was told.
      */
     record Outcome(String messageId, Result result, boolean over, long endpoint, long durationUs, long waitUs,
                    Allowance allowance) { }
@@ -125,6 +131,12 @@
     /** A message was taken. */
     void onMessage(long nowUs, Message message);
 
+    /** A message that an earlier process of this courier took is held again; in the order taken. */
+    void onResumed(long nowUs, Message message, Past past);
+
+    /** This process ends at {@code stopUs}: what it still holds then goes on in the next one. */
+    void onStopping(long nowUs, long stopUs);
+
     /** An attempt ended. */
     void onOutcome(long nowUs, Outcome outcome);
 
--- a/src/main/java/driftchute/bench/Fields.java
+++ b/src/main/java/driftchute/bench/Fields.java
@@ -3,21 +3,27 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** The name=value pairs of one line. Absent values read as their defaults; unknown names are never asked for. */
-final class Fields {
+/** Values by name, of one line or of a file of settings. Absent ones read as their defaults; unknown ones are never asked for. */
+public final class Fields {
     private final String tag;
     private final Map<String, String> values;
-    private final long line;
+    private final String source;
 
-    private Fields(final String tag, final Map<String, String> values, final long line) {
+    private Fields(final String tag, final Map<String, String> values, final String source) {
         this.tag = tag;
         this.values = values;
-        this.line = line;
+        this.source = source;
+    }
+
+    /** Values that come from elsewhere than the wire; {@code source} is named in what is said of a bad one. */
+    public static Fields of(final Map<String, String> values, final String source) {
+        return new Fields(source, values, source);
     }
 
     /** Splits a line at its tabs; a part without {@code =} is malformed. */
     static Fields parse(final String text, final long line) {
         int end = text.indexOf('\t');
+        final String source = "line " + line;
         final String tag = end < 0 ? text : text.substring(0, end);
         final Map<String, String> values = new HashMap<>();
         while (end >= 0) {
@@ -26,22 +32,24 @@
             final int stop = end < 0 ? text.length() : end;
             final int equals = text.indexOf('=', start);
             if (equals < 0 || equals >= stop) {
-                throw new MalformedLineException(line, "no '=' in '" + text.substring(start, stop) + "'");
+                throw new MalformedLineException(source, "no '=' in '" + text.substring(start, stop) + "'");
             }
             values.put(text.substring(start, equals), text.substring(equals + 1, stop));
         }
-        return new Fields(tag, values, line);
+        return new Fields(tag, values, source);
     }
 
     String tag() {
         return tag;
     }
 
-    String text(final String name, final String absent) {
+    /** The value as text, or what stands for its absence. */
+    public String text(final String name, final String absent) {
         return values.getOrDefault(name, absent);
     }
 
-    String text(final String name) {
+    /** The value as text; malformed without it. */
+    public String text(final String name) {
         final String value = values.get(name);
         if (value == null) {
             throw malformed("'" + tag + "' lacks '" + name + "'");
@@ -49,7 +57,8 @@
         return value;
     }
 
-    long whole(final String name, final long absent) {
+    /** The value as a whole number, or what stands for its absence. */
+    public long whole(final String name, final long absent) {
         final String value = values.get(name);
         if (value == null) {
             return absent;
@@ -61,7 +70,8 @@
         }
     }
 
-    long whole(final String name) {
+    /** The value as a whole number; malformed without it. */
+    public long whole(final String name) {
         text(name);
         return whole(name, 0);
     }
@@ -85,12 +95,13 @@
     }
 
     /** A list of plain values joined by commas; absent or empty is a list of none. */
-    String[] list(final String name) {
+    public String[] list(final String name) {
         final String value = values.getOrDefault(name, "");
         return value.isEmpty() ? new String[0] : value.split(",", -1);
     }
 
-    MalformedLineException malformed(final String reason) {
-        return new MalformedLineException(line, reason);
+    /** What to throw at a value that cannot be used. */
+    public MalformedLineException malformed(final String reason) {
+        return new MalformedLineException(source, reason);
     }
 }
--- a/src/main/java/driftchute/bench/MalformedLineException.java
+++ b/src/main/java/driftchute/bench/MalformedLineException.java
@@ -1,10 +1,10 @@
 package driftchute.bench;
 
-/** A line of the wire that cannot be read; its message names the line and the reason. */
-final class MalformedLineException extends RuntimeException {
+/** A line of the wire or a setting that cannot be read; its message names where it stands and the reason. */
+public final class MalformedLineException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    MalformedLineException(final long line, final String reason) {
-        super("line " + line + ": " + reason);
+    MalformedLineException(final String source, final String reason) {
+        super(source + ": " + reason);
     }
 }
--- a/src/main/java/driftchute/bench/SettingsReader.java
+++ b/src/main/java/driftchute/bench/SettingsReader.java
@@ -4,13 +4,14 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Reads the settings of an {@code enlist} line. Absent ones take the value that restricts nothing. */
-final class SettingsReader {
+/** Reads the settings of an {@code enlist} line or of a courier's configuration. Absent ones restrict nothing. */
+public final class SettingsReader {
     private static final long FOREVER_US = 3_600_000_000L;
 
     private SettingsReader() { }
 
-    static Courier.Settings read(final Fields fields) {
+    /** Reads all settings that the decisions ask for. */
+    public static Courier.Settings read(final Fields fields) {
         final Courier.Weights weights = switch (fields.text("weights", "none")) {
             case "nominal" -> Courier.Weights.NOMINAL;
             case "rough" -> Courier.Weights.ROUGH;
--- /dev/null
+++ b/src/main/java/driftchute/node/Journal.java
@@ -0,0 +1,282 @@
+package driftchute.node;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.CRC32C;
+
+/**
+ * The record of what this courier has taken on, in the folder that outlasts the process. A file of records, each with
+ * its length and CRC32C ahead; what a kill cut off at its end is dropped. When the file has grown to its bound, what is
+ * still owed is written to a new file that takes its place at once. Nothing is synced: the folder outlasts the process,
+ * and a machine that is lost loses the folder as well.
+ */
+final class Journal implements AutoCloseable {
+    private static final String FILE = "journal";
+    private static final String NEXT_FILE = "journal.next";
+    private static final int HEAD_BYTES = 2 * Integer.BYTES;
+    private static final int MOST_RECORD_BYTES = 1 << 17;
+    /** Share of the disk for one file: with the one that takes its place, four fifths are used at most. */
+    private static final double FILE_SHARE = 0.4;
+    /** Share of a file that messages may fill: the rest is for how they fare, which must always find room. */
+    private static final double TAKE_SHARE = 0.6;
+    /** Room that is reckoned for how a message fares, and its notice: attempts are few and short. */
+    private static final int FATE_BYTES = 256;
+
+    private static final byte TAKEN = 1;
+    private static final byte BEGUN = 2;
+    private static final byte SETTLED = 3;
+    private static final byte OWED = 4;
+    private static final byte OVER = 5;
+
+    private final Path folder;
+    private final long fileBytes;
+    private final Map<String, Held> live = new LinkedHashMap<>();
+    private FileChannel file;
+    private long size;
+    private long liveBytes;
+
+    private Journal(final Path folder, final long diskBytes) {
+        this.folder = folder;
+        this.fileBytes = (long) (FILE_SHARE * diskBytes);
+    }
+
+    /** Opens the journal of a folder, or begins it, and reads what the courier still owes. */
+    static Journal open(final Path folder, final long diskBytes) throws IOException {
+        final Journal journal = new Journal(folder, diskBytes);
+        Files.createDirectories(folder);
+        // A kill in the middle of a compaction leaves this; the old file is still the whole truth.
+        Files.deleteIfExists(folder.resolve(NEXT_FILE));
+        journal.file = FileChannel.open(folder.resolve(FILE), StandardOpenOption.CREATE, StandardOpenOption.READ,
+                StandardOpenOption.WRITE);
+        journal.load();
+        return journal;
+    }
+
+    /** What the courier owes an end or a notice, in the order taken. */
+    Collection<Held> live() {
+        return List.copyOf(live.values());
+    }
+
+    /** Records a message that is taken on; false, and nothing taken, if there is no room for it. */
+    boolean take(final Held held) {
+        final long bytes = bytes(held);
+        if (liveBytes + bytes > TAKE_SHARE * fileBytes || !append(taken(held))) {
+            return false;
+        }
+        live.put(held.id, held);
+        liveBytes += bytes;
+        return true;
+    }
+
+    /** Records an attempt, before its call's first byte; false if that failed, and then it may not be made. */
+    boolean begin(final Held held, final long wallUs, final String zone) {
+        if (!append(record(BEGUN, held.id, out -> {
+            out.writeLong(wallUs);
+            out.writeUTF(zone);
+        }))) {
+            return false;
+        }
+        held.begin(wallUs, zone);
+        return true;
+    }
+
+    /** Records the outcome of an attempt. */
+    void settle(final Held held, final boolean neverRan) {
+        held.settle(neverRan);
+        append(record(SETTLED, held.id, out -> out.writeBoolean(neverRan)));
+    }
+
+    /** Records that a message has ended and that only its notice is still owed. */
+    void owe(final Held held, final Held.Notice notice) {
+        held.owe(notice);
+        append(owed(held));
+    }
+
+    /** Records that nothing is owed for a message any more. */
+    void over(final Held held) {
+        if (live.remove(held.id) != null) {
+            liveBytes -= bytes(held);
+            append(record(OVER, held.id, out -> { }));
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        file.close();
+    }
+
+    private static long bytes(final Held held) {
+        return held.body.length + 2L * held.id.length() + FATE_BYTES;
+    }
+
+    // ---------------------------------------------------------------- writing
+
+    /** Writes the rest of a record. */
+    private interface Content {
+        void write(DataOutputStream out) throws IOException;
+    }
+
+    private static ByteBuffer record(final byte type, final String id, final Content content) {
+        final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeLong(0);
+            out.writeByte(type);
+            out.writeUTF(id);
+            content.write(out);
+        } catch (final IOException e) {
+            throw new IllegalStateException("writing to memory failed", e);
+        }
+        final ByteBuffer record = ByteBuffer.wrap(bytes.toByteArray());
+        final CRC32C crc = new CRC32C();
+        crc.update(record.array(), HEAD_BYTES, record.capacity() - HEAD_BYTES);
+        record.putInt(0, record.capacity() - HEAD_BYTES).putInt(Integer.BYTES, (int) crc.getValue());
+        return record;
+    }
+
+    /** A message with all that became of it, so that one record is enough after a compaction. */
+    private static ByteBuffer taken(final Held held) {
+        return record(TAKEN, held.id, out -> {
+            out.writeUTF(held.className);
+            out.writeBoolean(held.idempotencyKey != null);
+            out.writeUTF(held.idempotencyKey == null ? "" : held.idempotencyKey);
+            out.writeLong(held.destination);
+            out.writeLong(held.validUntilWallUs);
+            out.writeInt(held.body.length);
+            out.write(held.body);
+            out.writeInt(held.attempts() - (held.isOut() ? 1 : 0));
+            out.writeLong(held.firstRunWallUs());
+            out.writeUTF(held.runZone());
+        });
+    }
+
+    private static ByteBuffer owed(final Held held) {
+        return record(OWED, held.id, out -> {
+            out.writeBoolean(held.notice().failed());
+            out.writeLong(held.notice().againMs());
+        });
+    }
+
+    private boolean append(final ByteBuffer record) {
+        try {
+            if (size + record.capacity() > fileBytes) {
+                compact();
+            }
+            write(file, record, size);
+            size += record.capacity();
+            return true;
+        } catch (final IOException e) {
+            Log.info("journal: cannot write: " + e.getMessage());
+            return false;
+        }
+    }
+
+    private static void write(final FileChannel to, final ByteBuffer record, final long at) throws IOException {
+        long position = at;
+        while (record.hasRemaining()) {
+            position += to.write(record, position);
+        }
+    }
+
+    /** Writes what is owed to a new file and puts it in the place of the old one in one step. */
+    private void compact() throws IOException {
+        final Path next = folder.resolve(NEXT_FILE);
+        final FileChannel fresh = FileChannel.open(next, StandardOpenOption.CREATE,
+                StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.READ, StandardOpenOption.WRITE);
+        long written = 0;
+        try {
+            for (final Held held : live.values()) {
+                written = copy(fresh, taken(held), written);
+                if (held.isOut()) {
+                    written = copy(fresh, record(BEGUN, held.id, out -> {
+                        out.writeLong(held.outWallUs());
+                        out.writeUTF(held.outZone());
+                    }), written);
+                }
+                if (held.notice() != null) {
+                    written = copy(fresh, owed(held), written);
+                }
+            }
+            Files.move(next, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE);
+        } catch (final IOException e) {
+            fresh.close();
+            throw e;
+        }
+        file.close();
+        file = fresh;
+        size = written;
+    }
+
+    private static long copy(final FileChannel to, final ByteBuffer record, final long at) throws IOException {
+        write(to, record, at);
+        return at + record.capacity();
+    }
+
+    // ---------------------------------------------------------------- reading
+
+    private void load() throws IOException {
+        final ByteBuffer all = ByteBuffer.allocate((int) file.size());
+        while (all.hasRemaining() && file.read(all) >= 0) {
+            continue;
+        }
+        all.flip();
+        while (all.remaining() >= HEAD_BYTES) {
+            final int length = all.getInt(all.position());
+            final int start = all.position() + HEAD_BYTES;
+            if (length <= 0 || length > MOST_RECORD_BYTES || length > all.limit() - start) {
+                break;
+            }
+            final CRC32C crc = new CRC32C();
+            crc.update(all.array(), start, length);
+            if ((int) crc.getValue() != all.getInt(all.position() + Integer.BYTES)) {
+                break;
+            }
+            apply(new DataInputStream(new ByteArrayInputStream(all.array(), start, length)));
+            all.position(start + length);
+        }
+        size = all.position();
+        // A kill in the middle of a write leaves half a record; nothing was answered or sent on its strength.
+        if (size < file.size()) {
+            Log.info("journal: cut " + (file.size() - size) + " bytes of a torn tail at " + size);
+            file.truncate(size);
+        }
+        liveBytes = live.values().stream().mapToLong(Journal::bytes).sum();
+    }
+
+    private void apply(final DataInputStream in) throws IOException {
+        final byte type = in.readByte();
+        final String id = in.readUTF();
+        final Held held = live.get(id);
+        if (type == TAKEN) {
+            final String className = in.readUTF();
+            final boolean keyed = in.readBoolean();
+            final String key = in.readUTF();
+            final long destination = in.readLong();
+            final long validUntilWallUs = in.readLong();
+            final byte[] body = in.readNBytes(in.readInt());
+            final Held taken = new Held(id, className, keyed ? key : null, destination, validUntilWallUs, body);
+            taken.restore(in.readInt(), in.readLong(), in.readUTF());
+            live.put(id, taken);
+        } else if (held != null) {
+            switch (type) {
+                case BEGUN -> held.begin(in.readLong(), in.readUTF());
+                case SETTLED -> held.settle(in.readBoolean());
+                case OWED -> held.owe(new Held.Notice(in.readBoolean(), in.readLong()));
+                case OVER -> live.remove(id);
+                default -> Log.info("journal: unknown record " + type);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/node/Log.java
@@ -0,0 +1,16 @@
+package driftchute.node;
+
+/** Standard error is the courier's log. One line for each thing that an operator should know, none for a message. */
+final class Log {
+    private Log() { }
+
+    static void info(final String text) {
+        System.err.println(text);
+    }
+
+    /** Says what failed and why, with the trace: an unexpected exception is worth its lines. */
+    static void failure(final String what, final Throwable cause) {
+        System.err.println(what + ": " + cause);
+        cause.printStackTrace();
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/node/Main.java
@@ -0,0 +1,93 @@
+package driftchute.node;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/** Starts a real courier, and ends it in order when the platform asks for that. */
+public final class Main {
+    /** After SIGTERM new connections still come for up to 0.4 s. */
+    private static final long LISTEN_MS = 550;
+    /** When the process ends after SIGTERM: SIGKILL comes no sooner than 3.7 s after it. */
+    private static final long STOP_MS = 3100;
+    private static final long STOP_CHECK_MS = 20;
+    private static final long US_PER_MS = 1000;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Clock clock = new Clock();
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private final Journal journal;
+    private Host host;
+    private Intake intake;
+
+    private Main(final Journal journal) {
+        this.journal = journal;
+    }
+
+    /** Runs a courier with what the environment tells, until it is ended. */
+    public static void main(final String[] args) {
+        try {
+            start(System.getenv());
+        } catch (final Config.BadConfigException | IOException e) {
+            System.err.println("cannot start: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    private static void start(final Map<String, String> environment) throws Config.BadConfigException, IOException {
+        final Config config = Config.read(environment);
+        final Main main = new Main(Journal.open(config.state(), config.diskBytes()));
+        Runtime.getRuntime().addShutdownHook(new Thread(main::stop, "stop"));
+        main.loop.execute(() -> main.run(config));
+    }
+
+    /** Builds everything on the event loop, which owns it all from then on. */
+    private void run(final Config config) {
+        host = new Host(config, loop, clock, journal);
+        intake = new Intake(config, clock, host);
+        host.start();
+        intake.listen(group, loop).addListener(bound -> {
+            if (bound.isSuccess()) {
+                Log.info(config.name() + " is ready at " + config.listen());
+            } else {
+                System.err.println("cannot start: cannot listen on " + config.listen() + ": "
+                        + bound.cause().getMessage());
+                Runtime.getRuntime().halt(1);
+            }
+        });
+    }
+
+    /** On SIGTERM: goes on for a while, and leaves what is not done by then to the next process. */
+    private void stop() {
+        loop.execute(() -> {
+            if (intake == null) {
+                stopped.countDown();
+                return;
+            }
+            final long stopUs = clock.nowUs() + STOP_MS * US_PER_MS;
+            intake.drain();
+            host.stopping(stopUs);
+            loop.schedule(() -> {
+                intake.stopListening();
+                loop.scheduleWithFixedDelay(() -> {
+                    if (host.idle() || clock.nowUs() >= stopUs) {
+                        stopped.countDown();
+                    }
+                }, STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
+            }, LISTEN_MS, TimeUnit.MILLISECONDS);
+        });
+        try {
+            if (!stopped.await(STOP_MS + LISTEN_MS / 2, TimeUnit.MILLISECONDS)) {
+                Log.info("the event loop did not stop in time");
+            }
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/node/Notices.java
@@ -0,0 +1,197 @@
+package driftchute.node;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Tells the platform how messages ended that were taken on and not delivered: in batches, one under way at a time, and
+ * again until each is confirmed. A notice that is told twice does no harm; one that is not told loses a message.
+ */
+final class Notices {
+    private static final int BATCH = 200;
+    private static final int CONNECT_MS = 500;
+    private static final int ANSWER_MS = 1000;
+    private static final int BACK_OFF_LEAST_MS = 50;
+    private static final int BACK_OFF_MOST_MS = 1000;
+    private static final int CONFIRMED = 204;
+
+    private final InetSocketAddress address;
+    private final EventLoop loop;
+    private final Host host;
+    private final Map<String, Held> owed = new LinkedHashMap<>();
+    private Session session;
+    private List<Held> underWay = List.of();
+    private boolean paused;
+    private int backOffMs = BACK_OFF_LEAST_MS;
+
+    Notices(final InetSocketAddress address, final EventLoop loop, final Host host) {
+        this.address = address;
+        this.loop = loop;
+        this.host = host;
+    }
+
+    /** Adds a notice that the journal holds; it goes out at the end of the pass. */
+    void add(final Held held) {
+        owed.put(held.id, held);
+    }
+
+    boolean isEmpty() {
+        return owed.isEmpty();
+    }
+
+    /** Sends what is owed, unless a batch is under way already. */
+    void flush() {
+        if (owed.isEmpty() || !underWay.isEmpty() || paused) {
+            return;
+        }
+        underWay = owed.values().stream().limit(BATCH).toList();
+        if (session != null) {
+            session.write();
+            return;
+        }
+        final Session fresh = new Session();
+        session = fresh;
+        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(final Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(), fresh);
+                    }
+                }).connect(address).addListener(done -> {
+                    if (!done.isSuccess()) {
+                        fresh.ended();
+                    }
+                });
+    }
+
+    private static String line(final Held held) {
+        final ObjectNode line = JsonNodeFactory.instance.objectNode().put("id", held.id);
+        line.put("status", held.notice().failed() ? "undeliverable" : "deferred");
+        if (!held.notice().failed() && held.notice().againMs() > 0) {
+            line.put("again_ms", held.notice().againMs());
+        }
+        return line + "\n";
+    }
+
+    private void retryLater() {
+        underWay = List.of();
+        paused = true;
+        final long delayMs = ThreadLocalRandom.current().nextLong(backOffMs / 2, backOffMs);
+        backOffMs = Math.min(2 * backOffMs, BACK_OFF_MOST_MS);
+        loop.schedule(() -> {
+            paused = false;
+            flush();
+        }, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** One connection to the platform. */
+    private final class Session extends SimpleChannelInboundHandler<HttpObject> {
+        private ChannelHandlerContext context;
+        private HttpResponse head;
+        private long batch;
+
+        @Override
+        public void channelActive(final ChannelHandlerContext ctx) {
+            context = ctx;
+            write();
+        }
+
+        private void write() {
+            final StringBuilder text = new StringBuilder();
+            underWay.forEach(held -> text.append(line(held)));
+            final var body = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+            final var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/v1/outcomes", body);
+            request.headers().set(HttpHeaderNames.HOST, address.getHostString());
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            head = null;
+            final long sent = ++batch;
+            context.writeAndFlush(request);
+            loop.schedule(() -> {
+                if (batch == sent && !underWay.isEmpty() && session == this) {
+                    context.close();
+                }
+            }, ANSWER_MS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
+            if (part.decoderResult().isFailure()) {
+                ctx.close();
+                return;
+            }
+            if (part instanceof HttpResponse response) {
+                head = response;
+            }
+            if (part instanceof LastHttpContent && head != null) {
+                if (head.status().code() == CONFIRMED) {
+                    confirmed();
+                } else {
+                    Log.info("the platform answers notices with " + head.status());
+                    ctx.close();
+                }
+            }
+        }
+
+        private void confirmed() {
+            final List<Held> done = underWay;
+            underWay = List.of();
+            batch++;
+            backOffMs = BACK_OFF_LEAST_MS;
+            done.forEach(held -> owed.remove(held.id));
+            host.noticed(done);
+            if (!HttpUtil.isKeepAlive(head)) {
+                session = null;
+                context.close();
+            }
+            flush();
+        }
+
+        @Override
+        public void channelInactive(final ChannelHandlerContext ctx) {
+            ended();
+        }
+
+        private void ended() {
+            if (session == this) {
+                session = null;
+                if (!underWay.isEmpty()) {
+                    retryLater();
+                }
+            }
+        }
+
+        @Override
+        public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+            if (!(cause instanceof java.io.IOException)) {
+                Log.failure("connection for notices", cause);
+            }
+            ctx.close();
+        }
+    }
+}
