--- a/src/main/java/driftchute/node/Config.java
+++ b/src/main/java/driftchute/node/Config.java
@@ -53,12 +53,15 @@
         if (root == null || !root.isObject()) {
             throw new BadConfigException(SOURCE + ": not a JSON object");
         }
+        // Two name spaces: "discovery" is an address outside the settings, and a way of asking inside them.
         final Map<String, String> values = new HashMap<>();
         root.properties().forEach(entry -> {
-            if (!entry.getKey().equals("known")) {
-                flatten(entry.getKey().equals("settings") ? "" : entry.getKey(), entry.getValue(), values);
+            if (!entry.getKey().equals("known") && !entry.getKey().equals("settings")) {
+                flatten(entry.getKey(), entry.getValue(), values);
             }
         });
+        final Map<String, String> settingValues = new HashMap<>();
+        flatten("", root.path("settings"), settingValues);
         environment.forEach((variable, value) -> {
             switch (variable) {
                 case "PROXY_NAME" -> values.put("name", value);
@@ -69,12 +72,13 @@
             }
         });
         final Fields fields = Fields.of(values, SOURCE);
+        final Fields settings = Fields.of(settingValues, SOURCE);
         try {
             return new Config(fields.text("name", "courier"), address("listen", fields.text("listen")),
                     address("discovery", fields.text("discovery")), Path.of(fields.text("state")),
                     seed(fields.text("seed", "0")), (int) atLeastOne(fields, "limits.sockets", 1024),
                     atLeastOne(fields, "limits.disk_mb", 1) * BYTES_PER_MB, root.path("known"),
-                    SettingsReader.read(fields), atLeastOne(fields, "limits.connect_timeout", 1_000_000));
+                    SettingsReader.read(settings), atLeastOne(settings, "limits.connect_timeout", 1_000_000));
         } catch (final MalformedLineException e) {
             throw new BadConfigException(e.getMessage());
         } catch (final IllegalArgumentException e) {
@@ -96,7 +100,7 @@
             final StringBuilder joined = new StringBuilder();
             value.forEach(item -> joined.append(joined.isEmpty() ? "" : ",").append(item.asText()));
             into.put(path, joined.toString());
-        } else if (!value.isNull()) {
+        } else if (value.isValueNode() && !value.isNull()) {
             into.put(path, value.isNumber() && value.canConvertToExactIntegral()
                     ? value.bigIntegerValue().toString() : value.asText());
         }
@@ -118,12 +122,12 @@
         }
     }
 
-    /** An address with its port, both as figures: there is no DNS. */
+    /** An address with its port, both as figures: there is no DNS. Port 0 lets the system choose one to listen on. */
     static InetSocketAddress address(final String what, final String text) {
         final int colon = text.lastIndexOf(':');
         try {
             final int port = Integer.parseInt(text.substring(colon + 1));
-            if (colon > 0 && port > 0 && port <= MOST_PORT) {
+            if (colon > 0 && port >= 0 && port <= MOST_PORT) {
                 return new InetSocketAddress(text.substring(0, colon), port);
             }
         } catch (final NumberFormatException e) {
--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -93,6 +93,11 @@
         return bound;
     }
 
+    /** Where it listens in fact. */
+    String address() {
+        return listener.localAddress().toString().replaceFirst(".*/", "");
+    }
+
     /** From now on answers end their connections, and those on which nothing is asked are closed. */
     void drain() {
         draining = true;
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -54,7 +54,7 @@
         host.start();
         intake.listen(group, loop).addListener(bound -> {
             if (bound.isSuccess()) {
-                Log.info(config.name() + " is ready at " + config.listen());
+                Log.info(config.name() + " is ready at " + intake.address());
             } else {
                 System.err.println("cannot start: cannot listen on " + config.listen() + ": "
                         + bound.cause().getMessage());
--- /dev/null
+++ b/src/test/java/driftchute/node/JournalTest.java
@@ -0,0 +1,151 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import driftchute.Courier;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What outlasts the process, and what a kill in the middle of a write leaves of it. */
+final class JournalTest {
+    private static final long DISK_BYTES = 100_000;
+
+    @TempDir
+    private Path folder;
+
+    private static Held held(final String id, final int bytes) {
+        return new Held(id, "keyed", "key-" + id, 7, 5_000_000, new byte[bytes]);
+    }
+
+    private List<Held> reopened() throws IOException {
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            return List.copyOf(journal.live());
+        }
+    }
+
+    @Test
+    void keepsWhatIsOwedAndForgetsWhatIsOver() throws IOException {
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            final Held sent = new Held("sent", "keyed", "k", 7, 5_000_000, new byte[] {1, 2, 3});
+            final Held over = held("over", 3);
+            final Held ended = held("ended", 3);
+            Stream.of(sent, over, ended).forEach(one -> assertTrue(journal.take(one)));
+            assertTrue(journal.begin(sent, 1000, "a"));
+            journal.settle(sent, true);
+            assertTrue(journal.begin(sent, 2000, "b"));
+            journal.over(over);
+            journal.owe(ended, new Held.Notice(false, 700));
+        }
+        final List<Held> live = reopened();
+        assertEquals(List.of("sent", "ended"), live.stream().map(one -> one.id).toList());
+        final Held sent = live.get(0);
+        assertArrayEquals(new byte[] {1, 2, 3}, sent.body);
+        assertEquals("k", sent.idempotencyKey);
+        final Clock clock = new Clock();
+        final Courier.Past past = sent.past(clock);
+        assertEquals(2, past.attempts());
+        assertTrue(past.mayHaveRun(), "the attempt that was out may have run");
+        assertEquals("b", past.runZone());
+        assertEquals(2000, clock.toWallUs(past.firstRunUs()), 50_000, "the refused attempt before does not count");
+        assertEquals(new Held.Notice(false, 700), live.get(1).notice());
+    }
+
+    @Test
+    void aTornTailIsCutAndWhatStandsBeforeItIsKept() throws IOException {
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            assertTrue(journal.take(held("whole", 50)));
+            assertTrue(journal.take(held("torn", 50)));
+        }
+        final Path file = folder.resolve("journal");
+        final byte[] all = Files.readAllBytes(file);
+        for (int cut = 1; cut < 60; cut++) {
+            Files.write(file, Arrays.copyOf(all, all.length - cut));
+            assertEquals(List.of("whole"), reopened().stream().map(one -> one.id).toList());
+        }
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            assertTrue(journal.take(held("next", 50)));
+        }
+        assertEquals(List.of("whole", "next"), reopened().stream().map(one -> one.id).toList());
+    }
+
+    @Test
+    void aRecordThatDoesNotMatchItsSumIsTheEnd() throws IOException {
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            assertTrue(journal.take(held("whole", 50)));
+            assertTrue(journal.take(held("spoilt", 50)));
+        }
+        final Path file = folder.resolve("journal");
+        final byte[] all = Files.readAllBytes(file);
+        all[all.length - 30] ^= 1;
+        Files.write(file, all);
+        assertEquals(List.of("whole"), reopened().stream().map(one -> one.id).toList());
+    }
+
+    @Test
+    void staysInsideItsDiskHoweverLongItRuns() throws IOException {
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            final Held staying = held("staying", 500);
+            assertTrue(journal.take(staying));
+            assertTrue(journal.begin(staying, 3000, "a"));
+            for (int round = 0; round < 2000; round++) {
+                final Held passing = held("m" + round, 200);
+                assertTrue(journal.take(passing));
+                assertTrue(journal.begin(passing, round, "a"));
+                journal.settle(passing, false);
+                journal.over(passing);
+                assertTrue(used() < DISK_BYTES / 2, "used: " + used());
+            }
+        }
+        final List<Held> live = reopened();
+        assertEquals(List.of("staying"), live.stream().map(one -> one.id).toList());
+        assertTrue(live.get(0).isOut(), "a compaction keeps the attempt that is out");
+    }
+
+    @Test
+    void takesNothingOnWhenItIsFullButStillRecordsEnds() throws IOException {
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            int taken = 0;
+            while (taken < 1000 && journal.take(held("m" + taken, 1000))) {
+                taken++;
+            }
+            assertTrue(taken > 10 && taken < 100, "taken: " + taken);
+            for (final Held one : List.copyOf(journal.live())) {
+                for (int attempt = 0; attempt < 12; attempt++) {
+                    assertTrue(journal.begin(one, attempt, "a"), "room for how messages fare is kept");
+                    journal.settle(one, true);
+                }
+                journal.owe(one, new Held.Notice(true, 0));
+            }
+            assertFalse(journal.take(held("late", 1000)));
+            journal.over(journal.live().iterator().next());
+            assertTrue(journal.take(held("later", 1000)));
+            assertTrue(used() < DISK_BYTES, "used: " + used());
+        }
+    }
+
+    @Test
+    void anUnfinishedCompactionIsDropped() throws IOException {
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            assertTrue(journal.take(held("kept", 50)));
+        }
+        Files.write(folder.resolve("journal.next"), new byte[] {1, 2, 3}, StandardOpenOption.CREATE);
+        assertEquals(List.of("kept"), reopened().stream().map(one -> one.id).toList());
+        assertFalse(Files.exists(folder.resolve("journal.next")));
+    }
+
+    private long used() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.mapToLong(file -> file.toFile().length()).sum();
+        }
+    }
+}
