--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -44,7 +44,19 @@
         final Config config = Config.read(environment);
         final Main main = new Main(Journal.open(config.state(), config.diskBytes()));
         Runtime.getRuntime().addShutdownHook(new Thread(main::stop, "stop"));
-        main.loop.execute(() -> main.run(config));
+        main.loop.execute(() -> {
+            try {
+                main.run(config);
+            } catch (final IllegalArgumentException e) {
+                // On the loop's thread this would be swallowed, and a courier left that is never ready.
+                giveUp(e.getMessage());
+            }
+        });
+    }
+
+    private static void giveUp(final String reason) {
+        System.err.println("cannot start: " + reason);
+        Runtime.getRuntime().halt(1);
     }
 
     /** Builds everything on the event loop, which owns it all from then on. */
@@ -56,9 +68,7 @@
             if (bound.isSuccess()) {
                 Log.info(config.name() + " is ready at " + intake.address());
             } else {
-                System.err.println("cannot start: cannot listen on " + config.listen() + ": "
-                        + bound.cause().getMessage());
-                Runtime.getRuntime().halt(1);
+                giveUp("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
             }
         });
     }
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -557,4 +557,37 @@
             outstanding().forEach(id -> scene.end(id, Result.DELIVERED));
         }
     }
+
+    private static void resume(final Scene scene, final String id, final int kind, final Courier.Past past) {
+        scene.control.onResumed(scene.nowUs, new Courier.Message(id, kind, -1, null,
+                scene.nowUs + 16 * Scene.SECOND, Scene.DEST), past);
+        scene.control.decide(scene.nowUs);
+    }
+
+    @Test
+    void aResumedMessageKeepsWhatBecameOfItBefore() {
+        final Scene scene = Scene.withTwoEndpoints(Scene.settings());
+        resume(scene, "safe", 0, new Courier.Past(1, true, scene.nowUs - Scene.SECOND, "a"));
+        assertEquals(1, scene.count("safe"), "a safe one may go again");
+        resume(scene, "spent", 0, new Courier.Past(8, true, scene.nowUs - Scene.SECOND, "a"));
+        assertEquals(0, scene.count("spent"), "its attempts are used up");
+        resume(scene, "forgotten", 1, new Courier.Past(1, true, scene.nowUs - 6 * Scene.SECOND, "a"));
+        assertEquals(0, scene.count("forgotten"), "its key may be forgotten");
+        resume(scene, "unsafe", 2, new Courier.Past(1, true, scene.nowUs - Scene.SECOND, "a"));
+        assertEquals(0, scene.count("unsafe"), "it may have run");
+        assertEquals(List.of("unsafe"), scene.failed);
+        assertEquals(List.of("spent", "forgotten"), scene.refused);
+    }
+
+    @Test
+    void nothingIsBegunThatAStopWouldCutOff() {
+        final Scene scene = Scene.withTwoEndpoints(Scene.settings());
+        scene.control.onStopping(scene.nowUs, scene.nowUs + Scene.MS);
+        scene.take("late", 0);
+        assertEquals(0, scene.count("late"));
+        assertTrue(scene.refused.isEmpty() && scene.failed.isEmpty(), "the next process goes on with it");
+        scene.control.onStopping(scene.nowUs, scene.nowUs + 10 * Scene.SECOND);
+        scene.pass(Scene.SECOND);
+        assertEquals(1, scene.count("late"));
+    }
 }
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -444,4 +444,14 @@
         assertEquals(1, rig.log.size(), rig.log.toString());
         assertTrue(rig.log.get(0).contains("at least one message, not 0"), rig.log.toString());
     }
+
+    @Test
+    void aListThatCannotBeReadEndsTheStartToo() throws IOException, InterruptedException {
+        rig.hosts = Rig.host("e1", "nowhere", "Ready");
+        final Process process = rig.launch();
+        assertTrue(process.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(1, process.exitValue());
+        rig.await("its line", () -> !rig.log.isEmpty());
+        assertTrue(rig.log.get(0).contains("'dial' is no address: 'nowhere'"), rig.log.toString());
+    }
 }
