Tell the client when to come again after a refusal for want of time

Seen: Control.watch refused with no advice (finish(job, 0)), so a deferred notice carried no again_ms.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -691,7 +691,8 @@
             }
             for (final Job job : List.copyOf(destination.waiting)) {
                 if (nowUs >= endUs(job) || !maySend(job)) {
-                    finish(job, 0);
+                    // Given up: come again when the line that stands there now has gone, and no sooner.
+                    finish(job, Math.max(PAUSE_US, destination.lineUs()));
                 }
             }
         }
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -103,6 +103,7 @@
         rig.await("the key's window to pass", () -> System.nanoTime() - calledNs > TimeUnit.MILLISECONDS.toNanos(400));
         rig.start();
         rig.await("its notice", () -> rig.noticed("m1", "deferred"));
+        assertTrue(rig.noticed("m1", "again_ms"), "it tells when to come again: " + rig.notices);
         assertEquals(1, rig.first.requests.size());
     }
 
