Count a shared call's outcome once; let a destination that came back be served in shared calls

A trace of what Control believes, once a second on the sockets: destination 3, which takes 5 messages a call at 35 calls/s, was declared out after two refused calls, and then got one message a call for the 9 s of its ramp: 14 to 20 served a second with 200 waiting, while slots were free (5 to 9 of 16). At fault: judge() added REFUSED_WEIGHT, bad, failShare and badRun for each message, so a call of five that was turned away weighed five times (2 x 5 x 0.5 > OUT_WEIGHT); send() held calls to one message in RAMP; step() paced refusing lanes (spacing) and apartUs() by messages where the limit counts calls. Ruled out: too few slots (half were free), bad clients' messages (21 taken in 25 s), CPU (0.49 s of 0.5 at most in one second, 0.25 in the mean). Changed: what is counted in calls gets a message's part of its call; messages and calls served are two averages; a ramp may share calls and waits longer after one that weighed more (FURTHER_WEIGHT).

Tests: aSharedCallThatIsTurnedAwayIsOneRefusal, aDestinationThatCameBackIsServedInSharedCalls; both fail without it.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -83,6 +83,8 @@
     /** Messages a second: a limit where none is told (a default); least rate at which a line is reckoned. */
     private static final double UNTOLD_LIMIT = 1;
     private static final double LEAST_RATE = 0.25;
+    /** What each further message in a call weighs on a cold destination, in calls. A default. */
+    private static final double FURTHER_WEIGHT = 0.2;
     /** An endpoint that failed is left alone so long, us; after that its failures in a row count as calls. */
     private static final long AVOID_US = SECOND_US;
     /** Share by which gaps are drawn longer or shorter, so that couriers do not keep step. */
@@ -281,7 +283,8 @@
         final long guardUs = switch (lane.phase) {
             case WELL -> lane.lastSendUs + (long) (SECOND_US / rate);
             case OUT -> lane.calls.isEmpty() ? lane.nextTrialUs : NEVER;
-            case RAMP -> lane.lastSendUs + (long) (lane.rampSpanUs / tippingShare(nowUs - lane.rampFromUs));
+            case RAMP -> lane.lastSendUs + (long) (lane.rampSpanUs * lane.lastWeight
+                    / tippingShare(nowUs - lane.rampFromUs));
         };
         return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.pauseUntilUs));
     }
@@ -397,7 +400,7 @@
             lane.nextTrialUs = trialUs(lane);
         }
         Job job = first;
-        final boolean alone = lane.phase != Phase.WELL || first.kind.effect() == Effect.UNSAFE;
+        final boolean alone = lane.phase == Phase.OUT || first.kind.effect() == Effect.UNSAFE;
         while (job != null) {
             call.messages++;
             call.expectedUs = Math.max(call.expectedUs, (long) expectedUs(lane, job));
@@ -408,6 +411,8 @@
             final boolean full = alone || call.messages >= lane.kind.messagesPerCall();
             job = full ? null : pick(job.destination, lane, node);
         }
+        call.size = call.messages;
+        lane.lastWeight = 1 + FURTHER_WEIGHT * (call.size - 1);
     }
 
     /**
@@ -429,7 +434,7 @@
      * next use is near. Guards against refused connections at well endpoints; costs a handshake a call.
      */
     private void shareConnections(final Node node, final Call call) {
-        final double usesInReach = node.lane.rate * REUSE_CALLS * call.expectedUs / SECOND_US;
+        final double usesInReach = node.lane.callRate * REUSE_CALLS * call.expectedUs / SECOND_US;
         if (settings.couriers() > FEW_COURIERS && usesInReach < node.lane.nodes.size()) {
             node.connections = 0;
             actions.closeIdle(node.entry.id());
@@ -440,20 +445,22 @@
 
     /** Moves a lane's window by Table I. */
     private void step(final Lane lane) {
-        final int bad = lane.bad + overdue(lane);
-        final int read = lane.served + lane.errors + bad;
+        final double bad = lane.bad + overdue(lane);
+        final double read = lane.served + lane.errors + bad;
         if (lane.phase == Phase.WELL) {
-            lane.rate += Math.max(SAMPLE_WEIGHT, 1.0 / ++lane.steps) * (lane.served - lane.rate);
+            final double weight = Math.max(SAMPLE_WEIGHT, 1.0 / ++lane.steps);
+            lane.rate += weight * (lane.delivered - lane.rate);
+            lane.callRate += weight * (lane.served - lane.callRate);
         }
         if (read > 0) {
             double latency = 0;
-            if (lane.served > 0) {
-                final double mean = lane.ratioSum / lane.served;
-                final double trust = lane.served / (lane.served + LATENCY_PRIOR);
+            if (lane.delivered > 0) {
+                final double mean = lane.ratioSum / lane.delivered;
+                final double trust = lane.delivered / (lane.delivered + LATENCY_PRIOR);
                 latency = clamp(trust * (mean / lane.slowRatio - 1), 0, 1);
                 lane.slowRatio += SAMPLE_WEIGHT * trust * (mean - lane.slowRatio);
             }
-            double refusal = (double) bad / read;
+            double refusal = bad / read;
             if (lane.allowance != null && lane.allowance.callsPerSecond() > 0) {
                 refusal = Math.max(refusal, 1 - lane.allowance.shareLeft());
             }
@@ -464,10 +471,11 @@
             }
             lane.slow = latency > SLOW_INPUT || refusal > SLOW_INPUT;
         }
-        final double refusing = SPACING_LEAST + SPACING * Math.max(lane.served, lane.rate);
+        final double refusing = SPACING_LEAST + SPACING * Math.max(lane.served, lane.callRate);
         lane.spacing = lane.refused > 0 ? refusing : SPACING * lane.spacing;
         lane.peak = lane.calls.size();
-        lane.ratioSum = lane.refused = lane.served = lane.bad = lane.errors = 0;
+        lane.ratioSum = lane.refused = lane.delivered = 0;
+        lane.served = lane.bad = lane.errors = 0;
         lane.allowance = null;
     }
 
@@ -500,7 +508,10 @@
 
     // ---------------------------------------------------------------- health and return from outage
 
-    /** Reads one outcome: service times, the step's inputs, waits, health of the endpoint and the lane. */
+    /**
+     * Reads one outcome: service times, the step's inputs, waits, health of endpoint and lane. What is
+     * counted in calls gets a message's part of its call: five messages turned away together are one refusal.
+     */
     private void judge(final Node node, final Call call, final Job job, final Outcome outcome) {
         final Lane lane = node.lane;
         if (outcome.allowance() != null) {
@@ -508,6 +519,7 @@
             lane.told = lane.allowance.callsPerSecond();
         }
         final int kind = job.message.messageClass();
+        final double part = 1.0 / call.size;
         final boolean first = lane.troubleFromUs == NEVER;
         lane.troubleFromUs = Math.min(lane.troubleFromUs, nowUs);
         // A wait may stand in any answer, also one that delivers some of a call's messages.
@@ -515,13 +527,14 @@
         switch (outcome.result()) {
             case DELIVERED -> {
                 learn(lane, job, outcome.durationUs());
-                lane.served++;
+                lane.delivered++;
+                lane.served += part;
                 node.lastServedUs = nowUs;
                 node.badRun[kind] = 0;
                 node.avoidUntilUs[kind] = 0;
                 lane.badRun = 0;
                 lane.stretch = Math.max(1, lane.stretch - STRETCH * SAMPLE_WEIGHT);
-                lane.failShare -= FAIL_WEIGHT * lane.failShare;
+                lane.failShare -= part * FAIL_WEIGHT * lane.failShare;
                 if (lane.phase == Phase.OUT) {
                     lane.phase = Phase.RAMP;
                     lane.rampFromUs = nowUs;
@@ -531,36 +544,36 @@
                 lane.troubleFromUs = NEVER;
             }
             case REFUSED -> {
-                lane.bad++;
+                lane.bad += part;
                 lane.refused++;
                 final long fromUs = Math.max(nowUs, lane.waitUntilUs);
                 final long gapUs = patienceUs(lane, fromUs);
                 final boolean told = outcome.waitUs() > 0;
                 lane.pauseUntilUs = fromUs + (told ? (long) (random.nextDouble() * gapUs) : jitter(gapUs));
-                suspect(lane, outcome.waitUs() > LIMIT_WAIT_US ? OUT_WEIGHT : REFUSED_WEIGHT);
+                suspect(lane, outcome.waitUs() > LIMIT_WAIT_US ? OUT_WEIGHT : part * REFUSED_WEIGHT);
             }
             case ERROR -> {
-                lane.errors++;
-                lane.failShare += FAIL_WEIGHT * (1 - lane.failShare);
-                suspect(lane, ERROR_WEIGHT);
+                lane.errors += part;
+                lane.failShare += part * FAIL_WEIGHT * (1 - lane.failShare);
+                suspect(lane, part * ERROR_WEIGHT);
             }
             case TIMED_OUT, RESET, NO_CONNECTION, CANCELLED -> {
-                lane.bad++;
+                lane.bad += part;
                 if (outcome.result() == Result.TIMED_OUT || outcome.result() == Result.CANCELLED) {
                     lane.stretch = STRETCH;
                 }
                 if (first && call.idleUs > 0 && !call.calledOff && outcome.result() != Result.NO_CONNECTION) {
                     trustUs = Math.min(trustUs, call.idleUs / 2);
                 }
-                node.badRun[kind]++;
+                node.badRun[kind] += part;
                 if (node.lastServedUs < call.sentUs) {
                     Arrays.fill(node.avoidUntilUs, nowUs + jitter(AVOID_US));
                 }
                 node.avoidUntilUs[kind] = nowUs + jitter(AVOID_US);
-                node.connections = Math.max(0, node.connections - 1);
+                node.connections -= call.messages == 0 ? Math.min(1, node.connections) : 0;
                 if (outcome.result() != Result.NO_CONNECTION || node.lastServedUs <= call.sentUs) {
-                    lane.failShare += FAIL_WEIGHT * (1 - lane.failShare);
-                    suspect(lane, 1);
+                    lane.failShare += part * FAIL_WEIGHT * (1 - lane.failShare);
+                    suspect(lane, part);
                 }
             }
             case NOT_SENT -> lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
@@ -618,10 +631,10 @@
         return (long) Math.min(Math.max(PAUSE_US, atUs - lane.troubleFromUs), apartUs(lane));
     }
 
-    /** How far apart this courier's messages for a lane are, or calls at its even part of the limit. */
+    /** How far apart this courier's calls to a lane are, or calls at its even part of the limit. */
     private double apartUs(final Lane lane) {
         final double limit = lane.told > 0 ? lane.told : UNTOLD_LIMIT;
-        return SECOND_US / Math.max(lane.rate, limit / settings.couriers());
+        return SECOND_US / Math.max(lane.callRate, limit / settings.couriers());
     }
 
     /**
@@ -867,12 +880,16 @@
         private final List<Call> calls = new ArrayList<>();
         private double window;
         /** This step's counts and sum of latency ratios. */
-        private int peak, refused, served, bad, errors;
+        private int peak, refused, delivered;
+        /** Of these, in calls. */
+        private double served, bad, errors;
         private double ratioSum;
         private Allowance allowance;
-        /** Slow averages: steps seen, served a second, step means, service time against other lanes. */
+        /** Slow averages: steps seen, messages and calls served a second, step means, service time against other lanes. */
         private int steps, paceSamples;
-        private double rate, slowRatio = 1, pace = 1, stretch = 1;
+        private double rate, callRate, slowRatio = 1, pace = 1, stretch = 1;
+        /** What the last call weighs on a cold destination. */
+        private double lastWeight = 1;
         /** The limit told (0: none), and the sends allowed now, a second. */
         private double told, spacing = Double.POSITIVE_INFINITY;
         private boolean slow;
@@ -895,12 +912,12 @@
         private Condition condition;
         private int inFlight, connections;
         /** Failures in a row of each class, and until when that class goes elsewhere. */
-        private final int[] badRun;
+        private final double[] badRun;
         private final long[] avoidUntilUs;
         private long lastUseUs, lastSendUs, lastServedUs;
 
         private Node(final Endpoint entry, final Lane lane, final int classes) {
-            this.badRun = new int[classes];
+            this.badRun = new double[classes];
             this.avoidUntilUs = new long[classes];
             this.entry = entry;
             this.lane = lane;
@@ -910,7 +927,8 @@
     /** A call in flight, with one or more messages. */
     private static final class Call {
         private Node node;
-        private int messages;
+        /** Messages sent with it, and those without an outcome yet. */
+        private int size, messages;
         private long sentUs, expectedUs, idleUs;
         private boolean calledOff;
 
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -239,6 +239,46 @@
         assertTrue(scene.sent.size() - returned <= 3, "no rush at a cold destination");
     }
 
+    /** Seen on sockets: a refused call of five counted five times, and two of them passed for an outage. */
+    @Test
+    void aSharedCallThatIsTurnedAwayIsOneRefusal() {
+        final Scene shared = new Scene(Scene.settings(16, 5, false, false));
+        shared.list(Update.RESTORED, Scene.endpoint(1, DEST, "a"));
+        for (int index = 0; index < 7; index++) {
+            shared.take("m" + index, SAFE);
+        }
+        for (int round = 0; round < 3; round++) {
+            final List<String> out = shared.sent.stream().map(Scene.Sent::id).distinct()
+                    .filter(id -> shared.count(id) > shared.ended(id)).toList();
+            out.forEach(id -> shared.tell(id, Result.REFUSED, 100 * MS));
+            shared.control.decide(shared.nowUs);
+            shared.pass(1500 * MS);
+        }
+        final long lastUs = shared.sent.get(shared.sent.size() - 1).atUs();
+        assertEquals(5, shared.sent.stream().filter(send -> send.atUs() == lastUs).count(), "not a lone trial");
+    }
+
+    /** Seen on sockets: after a false outage a destination that takes five in a call got one for nine seconds. */
+    @Test
+    void aDestinationThatCameBackIsServedInSharedCalls() {
+        final Scene shared = new Scene(Scene.settings(16, 5, false, false));
+        shared.list(Update.RESTORED, Scene.endpoint(1, DEST, "a"));
+        for (int index = 0; index < 30; index++) {
+            shared.take("m" + index, SAFE, null, 60 * SECOND);
+        }
+        for (int step = 0; step < 200; step++) {
+            final boolean back = step >= 100;
+            for (final String id : shared.sent.stream().map(Scene.Sent::id).distinct()
+                    .filter(id -> shared.count(id) > shared.ended(id)).toList()) {
+                shared.end(id, back ? Result.DELIVERED : Result.NO_CONNECTION);
+            }
+            shared.pass(100 * MS);
+        }
+        final var calls = shared.sent.stream().filter(send -> send.atUs() > 18 * SECOND)
+                .collect(java.util.stream.Collectors.groupingBy(Scene.Sent::atUs, java.util.stream.Collectors.counting()));
+        assertTrue(calls.values().stream().anyMatch(count -> count == 5), calls.toString());
+    }
+
     @Test
     void anUnsafeMessageIsTheLastToBeRiskedOnATrial() {
         for (int index = 0; index < 4; index++) {
