Move to the discovery of a new configuration on SIGHUP

At fault: nobody handled the signal (Main), and addresses were fixed at the start (Discovery, Notices); Config let PROXY_DISCOVERY win over the file, and that is the old address then. Ruled out: asking the new address with the old version number, which means nothing there; it is asked for the whole list first, then watched from that list's number.

--- a/src/main/java/driftchute/node/Config.java
+++ b/src/main/java/driftchute/node/Config.java
@@ -66,7 +66,8 @@
             switch (variable) {
                 case "PROXY_NAME" -> values.put("name", value);
                 case "PROXY_LISTEN" -> values.put("listen", value);
-                case "PROXY_DISCOVERY" -> values.put("discovery", value);
+                // The file can be replaced while the process runs; the environment then still has the old address.
+                case "PROXY_DISCOVERY" -> values.putIfAbsent("discovery", value);
                 case "PROXY_STATE" -> values.put("state", value);
                 default -> { }
             }
--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -37,8 +37,12 @@
  * falls silent or says what cannot be read, the decisions are told that it is lost; they say when to ask again.
  */
 final class Discovery {
-    /** Three of the empty lines that say that the watch lives have not come. */
-    private static final int SILENT_MS = 6500;
+    /** Two of the empty lines that say that the watch lives have not come. */
+    private static final int SILENT_MS = 4500;
+    /** An answer waits its turn for two seconds at most. */
+    private static final int ANSWER_MS = 2500;
+    /** No version of the list is known that the one asked would understand. */
+    private static final long NONE = -1;
     private static final int CONNECT_MS = 1000;
     private static final int MOST_LINE_BYTES = 1 << 22;
     private static final int OK = 200;
@@ -50,6 +54,7 @@
     private final Map<String, Long> ids = new HashMap<>();
     private final Map<Long, Courier.Endpoint> entries = new HashMap<>();
     private long nextId = 1;
+    private InetSocketAddress address;
     private long seq;
     private Watch watch;
 
@@ -57,6 +62,7 @@
         this.config = config;
         this.loop = loop;
         this.host = host;
+        this.address = config.discovery();
     }
 
     /** Begins with the list as this courier last had it; it may be old. */
@@ -82,6 +88,24 @@
         if (watch != null) {
             return;
         }
+        open();
+    }
+
+    /** From now on the list is at another address, whose versions are numbered in their own way. */
+    void move(final InetSocketAddress next) {
+        if (next.equals(address)) {
+            return;
+        }
+        address = next;
+        seq = NONE;
+        final Watch old = watch;
+        open();
+        if (old != null) {
+            old.close();
+        }
+    }
+
+    private void open() {
         final Watch fresh = new Watch();
         watch = fresh;
         new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -89,10 +113,10 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
-                        channel.pipeline().addLast(new ReadTimeoutHandler(SILENT_MS, TimeUnit.MILLISECONDS),
+                        channel.pipeline().addLast(new ReadTimeoutHandler(ANSWER_MS, TimeUnit.MILLISECONDS),
                                 new HttpClientCodec(), fresh);
                     }
-                }).connect(config.discovery()).addListener(done -> {
+                }).connect(address).addListener(done -> {
                     if (!done.isSuccess()) {
                         fresh.lost();
                     }
@@ -152,21 +176,41 @@
                 node.path("block").asLong());
     }
 
-    /** One watch, until its connection ends. */
+    /** One watch, until its connection ends; before it the whole list, where no version is known. */
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private ChannelHandlerContext context;
+        private boolean asksWhole;
+        private boolean answered;
 
         @Override
         public void channelActive(final ChannelHandlerContext ctx) {
+            context = ctx;
+            if (watch == this) {
+                ask();
+            } else {
+                ctx.close();
+            }
+        }
+
+        private void ask() {
+            asksWhole = seq == NONE;
             final var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/discovery/hosts?watch=1&after=" + seq);
-            request.headers().set(HttpHeaderNames.HOST, config.discovery().getHostString());
-            ctx.writeAndFlush(request);
+                    asksWhole ? "/discovery/hosts" : "/discovery/hosts?watch=1&after=" + seq);
+            request.headers().set(HttpHeaderNames.HOST, address.getHostString());
+            context.writeAndFlush(request);
+        }
+
+        /** Its connection may still be coming up; then it ends as soon as it is. */
+        private void close() {
+            if (context != null) {
+                context.close();
+            }
         }
 
         @Override
         protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
-            if (part.decoderResult().isFailure()
+            if (watch != this || part.decoderResult().isFailure()
                     || part instanceof HttpResponse response && response.status().code() != OK) {
                 ctx.close();
                 return;
@@ -175,7 +219,7 @@
                 final byte[] bytes = new byte[content.content().readableBytes()];
                 content.content().readBytes(bytes);
                 for (final byte next : bytes) {
-                    if (next == '\n') {
+                    if (next == '\n' && !asksWhole) {
                         final String text = line.toString(StandardCharsets.UTF_8).trim();
                         line.reset();
                         if (!text.isEmpty()) {
@@ -186,8 +230,17 @@
                     }
                 }
             }
-            if (part instanceof LastHttpContent || line.size() > MOST_LINE_BYTES) {
+            if (part instanceof LastHttpContent && asksWhole) {
+                final String text = line.toString(StandardCharsets.UTF_8);
+                line.reset();
+                read(text);
+                ask();
+            } else if (part instanceof LastHttpContent || line.size() > MOST_LINE_BYTES) {
                 ctx.close();
+            } else if (part instanceof HttpContent && !asksWhole && !answered) {
+                answered = true;
+                ctx.pipeline().replace(ReadTimeoutHandler.class, null,
+                        new ReadTimeoutHandler(SILENT_MS, TimeUnit.MILLISECONDS));
             }
         }
 
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -318,6 +318,17 @@
         loop.schedule(this::touch, delayUs, TimeUnit.MICROSECONDS);
     }
 
+    // ---------------------------------------------------------------- a new configuration
+
+    /** Moves to the discovery of a new configuration at once; all else counts from the next start. */
+    void reload(final Config fresh) {
+        final boolean same = fresh.settings().equals(config.settings()) && fresh.listen().equals(config.listen());
+        Log.info("SIGHUP: discovery is at " + fresh.discovery()
+                + (same ? "" : "; what else is new in the configuration counts from the next start"));
+        discovery.move(fresh.discovery());
+        notices.move(fresh.discovery());
+    }
+
     // ---------------------------------------------------------------- the end of the process
 
     /** This process ends at that moment: nothing is begun that cannot end by then. */
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
-/** Starts a real courier, and ends it in order when the platform asks for that. */
+/** Starts a real courier, has it read its configuration again on SIGHUP, and ends it in order on SIGTERM. */
 public final class Main {
     /** After SIGTERM new connections still come for up to 0.4 s. */
     private static final long LISTEN_MS = 550;
@@ -22,31 +22,33 @@
     private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private final Journal journal;
+    private final Map<String, String> environment;
     private Host host;
     private Intake intake;
 
-    private Main(final Journal journal) {
-        this.journal = journal;
+    private Main(final Map<String, String> environment) {
+        this.environment = environment;
     }
 
     /** Runs a courier with what the environment tells, until it is ended. */
     public static void main(final String[] args) {
         try {
-            start(System.getenv());
+            new Main(System.getenv()).start();
         } catch (final Config.BadConfigException | IOException e) {
             System.err.println("cannot start: " + e.getMessage());
             System.exit(1);
         }
     }
 
-    private static void start(final Map<String, String> environment) throws Config.BadConfigException, IOException {
+    private void start() throws Config.BadConfigException, IOException {
+        // First of all: until this is in place, a SIGHUP ends the process.
+        Hangup.onSignal(this::reload);
         final Config config = Config.read(environment);
-        final Main main = new Main(Journal.open(config.state(), config.diskBytes()));
-        Runtime.getRuntime().addShutdownHook(new Thread(main::stop, "stop"));
-        main.loop.execute(() -> {
+        final Journal journal = Journal.open(config.state(), config.diskBytes());
+        Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
+        loop.execute(() -> {
             try {
-                main.run(config);
+                run(config, journal);
             } catch (final IllegalArgumentException e) {
                 // On the loop's thread this would be swallowed, and a courier left that is never ready.
                 giveUp(e.getMessage());
@@ -60,7 +62,7 @@
     }
 
     /** Builds everything on the event loop, which owns it all from then on. */
-    private void run(final Config config) {
+    private void run(final Config config, final Journal journal) {
         host = new Host(config, loop, clock, journal);
         intake = new Intake(config, clock, host);
         host.start();
@@ -73,6 +75,23 @@
         });
     }
 
+    /**
+     * On SIGHUP: moves to the discovery that the file names now. One reading at a time, so that of two signals in a
+     * row the later one's file counts. A file that cannot be used changes nothing.
+     */
+    private synchronized void reload() {
+        try {
+            final Config fresh = Config.read(environment);
+            loop.execute(() -> {
+                if (host != null) {
+                    host.reload(fresh);
+                }
+            });
+        } catch (final Config.BadConfigException e) {
+            Log.info("SIGHUP: the configuration stays as it was: " + e.getMessage());
+        }
+    }
+
     /** On SIGTERM: goes on for a while, and leaves what is not done by then to the next process. */
     private void stop() {
         loop.execute(() -> {
--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -40,7 +40,7 @@
     private static final int BACK_OFF_MOST_MS = 1000;
     private static final int CONFIRMED = 204;
 
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final EventLoop loop;
     private final Host host;
     private final Map<String, Held> owed = new LinkedHashMap<>();
@@ -90,6 +90,23 @@
                 });
     }
 
+    /** From now on the platform is at another address: what it has not confirmed goes there, at once. */
+    void move(final InetSocketAddress next) {
+        if (next.equals(address)) {
+            return;
+        }
+        address = next;
+        final Session old = session;
+        session = null;
+        underWay = List.of();
+        paused = false;
+        backOffMs = BACK_OFF_LEAST_MS;
+        if (old != null) {
+            old.close();
+        }
+        flush();
+    }
+
     private static String line(final Held held) {
         final ObjectNode line = JsonNodeFactory.instance.objectNode().put("id", held.id);
         line.put("status", held.notice().failed() ? "undeliverable" : "deferred");
@@ -119,7 +136,18 @@
         @Override
         public void channelActive(final ChannelHandlerContext ctx) {
             context = ctx;
-            write();
+            if (session == this) {
+                write();
+            } else {
+                ctx.close();
+            }
+        }
+
+        /** Its connection may still be coming up; then it ends as soon as it is. */
+        private void close() {
+            if (context != null) {
+                context.close();
+            }
         }
 
         private void write() {
@@ -141,7 +169,8 @@
 
         @Override
         protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
-            if (part.decoderResult().isFailure()) {
+            if (session != this || part.decoderResult().isFailure()) {
+                // What an address that was left still says confirms nothing that is under way now.
                 ctx.close();
                 return;
             }
