--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -885,7 +885,7 @@
         private double served, bad, errors;
         private double ratioSum;
         private Allowance allowance;
-        /** Slow averages: steps seen, messages and calls served a second, step means, pace against other lanes. */
+        /** Slow averages: steps seen, messages and calls served a second, step means, pace by other lanes. */
         private int steps, paceSamples;
         private double rate, callRate, slowRatio = 1, pace = 1, stretch = 1;
         /** What the last call weighs on a cold destination. */
