Spoilt answers, bad clients and what is kept too long: read answers and requests strictly, bound and forget

Spoilt answers. At fault: Control.judge halved the idle time that is trusted after any reset over a used connection, however short its idleness, and Endpoints told a spoilt answer as RESET: soon no connection was used again. Now a spoilt answer is an ERROR (it answered, it may have run), and idleness under a second is no evidence (TRUST_LEAST_US). Read in the code and shown by a test each: a 200 in the first line whose head never ends waited for the time-out (AnswerDecoder tells the first line as it comes; an answer that has begun has 500 ms); noise behind an answer could stay in the decoder and begin the next call's answer (any byte without a call closes the connection, and one rests 5 ms before its next call); 101 ended reading; waits and reports are plain numbers within bounds. Time-outs of calls that are over are cancelled (each held its call and body to its end).

Now strict framing (RequestDecoder), 2 s for a request, bounds on bodies in all and on pipelined requests, a 4xx ends its connection, unknown destinations get 404 while the list is fresh.

Kept too long. A new endpoint is tried at once where the old ones were out. An Error is logged and ends the process (Log).

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -109,6 +109,8 @@
     private static final double KEY_MARGIN = 0.05;
     /** Growth a second of the idle time that connections are trusted to bear: a minute trebles it. */
     private static final double TRUST_GROWTH = 1.02;
+    /** Idle for less, us, a connection dies of something else than its idleness. */
+    private static final long TRUST_LEAST_US = SECOND_US;
     /** Couriers that each meet all destinations often, and may all keep idle connections. A default. */
     private static final int FEW_COURIERS = 6;
     /** Calls' time within which a connection waits for its next use: a few for each call in flight. */
@@ -118,6 +120,8 @@
     private static final long ASK_MOST_US = 3 * SECOND_US;
     /** How soon a message that an endpoint or a key holds back is looked at again, us. */
     private static final long POLL_US = 20_000;
+    /** A destination or route without an endpoint is forgotten so long after its last use, us. A default. */
+    private static final long FORGET_US = 60 * SECOND_US;
     private static final long NEVER = Long.MAX_VALUE;
 
     private final Settings settings;
@@ -236,6 +240,7 @@
         if (nowUs >= nextStepUs) {
             destinations.values().forEach(d -> d.lanes.forEach(this::step));
             trustUs = Math.min(settings.limits().idleCloseUs(), TRUST_GROWTH * trustUs);
+            forget();
             keys.values().removeIf(line -> line.jobs.isEmpty() && line.restUntilUs <= nowUs);
             nextStepUs += SECOND_US * ((nowUs - nextStepUs) / SECOND_US + 1);
         }
@@ -562,8 +567,9 @@
                 if (outcome.result() == Result.TIMED_OUT || outcome.result() == Result.CANCELLED) {
                     lane.stretch = STRETCH;
                 }
-                if (first && call.idleUs > 0 && !call.calledOff && outcome.result() != Result.NO_CONNECTION) {
-                    trustUs = Math.min(trustUs, call.idleUs / 2);
+                if (first && call.idleUs >= TRUST_LEAST_US && !call.calledOff
+                        && outcome.result() != Result.NO_CONNECTION) {
+                    trustUs = Math.max(TRUST_LEAST_US, Math.min(trustUs, call.idleUs / 2));
                 }
                 node.badRun[kind] += part;
                 if (node.lastServedUs < call.sentUs) {
@@ -822,16 +828,31 @@
             if (node == null) {
                 node = new Node(entry, lane(entry), classMeanUs.length);
                 node.lane.nodes.add(node);
+                // A new endpoint has no part in an outage of those before it: it may be tried at once.
+                node.lane.nextTrialUs = Math.min(node.lane.nextTrialUs, nowUs);
                 nodes.put(entry.id(), node);
             }
             node.condition = entry.condition();
             node.lane.told = settings.weights() == Weights.NONE ? node.lane.told : entry.weight();
         }
-        // A route apart is never forgotten: listed again, it still has its wait and its outage.
+        // A route apart is not forgotten soon: listed again, it still has its wait and its outage.
         nodes.values().removeIf(node -> node.condition == Condition.GONE && node.inFlight == 0
                 && !node.lane.kind.routesApart() && node.lane.nodes.remove(node));
     }
 
+    /** Endpoints and destinations come and go for good: what has long been of no use is not kept. */
+    private void forget() {
+        final long beforeUs = nowUs - FORGET_US;
+        nodes.values().removeIf(node -> node.condition == Condition.GONE && node.inFlight == 0
+                && node.lane.lastSendUs < beforeUs && node.lane.nodes.remove(node));
+        destinations.values().removeIf(destination -> {
+            if (destination.jobs == 0) {
+                destination.lanes.removeIf(lane -> lane.nodes.isEmpty() && lane.lastSendUs < beforeUs);
+            }
+            return destination.jobs == 0 && destination.lanes.isEmpty();
+        });
+    }
+
     private Lane lane(final Endpoint entry) {
         final Destination destination = destination(entry.destination());
         final Kind kind = entry.kind() < 0 ? new Kind("", false, 1) : settings.kinds().get(entry.kind());
@@ -842,6 +863,11 @@
         return destination.lanes.get(destination.lanes.size() - 1);
     }
 
+    /** How many destinations are kept in mind. */
+    int destinationsKnown() {
+        return destinations.size();
+    }
+
     private Destination destination(final long id) {
         return destinations.computeIfAbsent(id, unused -> new Destination());
     }
--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -41,6 +41,10 @@
     private static final int SILENT_MS = 4500;
     /** An answer waits its turn for two seconds at most. */
     private static final int ANSWER_MS = 2500;
+    /** While the watch has been heard within this, what it does not name does not exist. */
+    private static final long FRESH_US = 10_000_000;
+    /** How long a destination without an endpoint is still reckoned with. */
+    private static final long VACANT_US = 120_000_000;
     /** No version of the list is known that the one asked would understand. */
     private static final long NONE = -1;
     private static final int CONNECT_MS = 1000;
@@ -49,18 +53,24 @@
 
     private final Config config;
     private final EventLoop loop;
+    private final Clock clock;
     private final Host host;
     private final ObjectMapper json = new ObjectMapper();
     private final Map<String, Long> ids = new HashMap<>();
     private final Map<Long, Courier.Endpoint> entries = new HashMap<>();
     private long nextId = 1;
+    /** When each destination was last seen to have an endpoint: between two endpoints it has none for a while. */
+    private final Map<Long, Long> destinations = new HashMap<>();
     private InetSocketAddress address;
+    /** When the list was last known to be up to date. */
+    private long freshUs;
     private long seq;
     private Watch watch;
 
-    Discovery(final Config config, final EventLoop loop, final Host host) {
+    Discovery(final Config config, final EventLoop loop, final Clock clock, final Host host) {
         this.config = config;
         this.loop = loop;
+        this.clock = clock;
         this.host = host;
         this.address = config.discovery();
     }
@@ -78,6 +88,14 @@
         return entry == null || entry.kind() < 0 ? 1 : config.settings().kinds().get(entry.kind()).messagesPerCall();
     }
 
+    /**
+     * False for a destination that the list does not name. While the list is old that is not known of any: refusing
+     * one that was added meanwhile would be wrong, and what has no endpoint in time is refused later.
+     */
+    boolean knows(final long destination) {
+        return destinations.containsKey(destination) || clock.nowUs() - freshUs > FRESH_US;
+    }
+
     String zone(final long endpoint) {
         final Courier.Endpoint entry = entries.get(endpoint);
         return entry == null ? "" : entry.zone();
@@ -138,6 +156,7 @@
                 continue;
             }
             entries.put(entry.id(), entry);
+            destinations.put(entry.destination(), clock.nowUs());
             final boolean apart = entry.kind() >= 0 && config.settings().kinds().get(entry.kind()).routesApart();
             final InetSocketAddress address = Config.address("dial", node.path("dial").asText());
             host.endpoints().listed(entry, apart, address);
@@ -145,11 +164,17 @@
         seq = list.path("seq").asLong(seq);
         host.list(update, changed);
         gone.forEach(this::forget);
+        final long nowUs = clock.nowUs();
+        entries.values().forEach(entry -> destinations.put(entry.destination(), nowUs));
+        destinations.values().removeIf(seenUs -> seenUs < nowUs - VACANT_US);
     }
 
     private void forget(final long endpoint) {
         host.endpoints().removed(endpoint);
-        entries.remove(endpoint);
+        final Courier.Endpoint entry = entries.remove(endpoint);
+        if (entry != null) {
+            destinations.put(entry.destination(), clock.nowUs());
+        }
         ids.values().remove(endpoint);
     }
 
@@ -216,6 +241,7 @@
                 return;
             }
             if (part instanceof HttpContent content) {
+                freshUs = asksWhole ? freshUs : clock.nowUs();
                 final byte[] bytes = new byte[content.content().readableBytes()];
                 content.content().readBytes(bytes);
                 for (final byte next : bytes) {
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -20,11 +20,11 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -42,7 +42,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
 /**
  * Calls to endpoints, with one message or several, over connections that are kept and carry one call at a time. It
@@ -59,11 +61,23 @@
     private static final double SOCKET_SHARE = 0.4;
     private static final int OK = 200;
     private static final int INFORMATIONAL = 200;
+    private static final int MOST_STATUS = 599;
     private static final int GONE = 410;
     private static final int BUSY = 429;
     private static final int UNAVAILABLE = 503;
     private static final int NO_MORE = 504;
 
+    /** An answer that has begun comes whole within this, ms: its sender has it all. */
+    private static final long ANSWER_MS = 500;
+    /** What belongs to no call may still come right behind an answer; a connection rests so long before its next. */
+    private static final long REST_US = 5_000;
+    /** A number as an answer may tell it: no sign, no exponent, no word. */
+    private static final Pattern NUMBER = Pattern.compile("\\d{1,12}(\\.\\d{1,18})?");
+    /** No wait or limit is believed beyond these: an hour and a million calls a second. */
+    private static final double MOST_WAIT_S = 3600;
+    private static final double MOST_RATE = 1e6;
+    private static final double MOST_SHARE = 2;
+
     private final Clock clock;
     private final EventLoop loop;
     private final Host host;
@@ -89,7 +103,8 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), new Reader());
+                        final Reader reader = new Reader();
+                        channel.pipeline().addLast(new AnswerDecoder(reader), new HttpRequestEncoder(), reader);
                     }
                 });
         final long sweepUs = Math.max(US_PER_MS, idleUs / 8);
@@ -123,7 +138,10 @@
         private final long sentUs;
         private final long deadlineUs;
         private final List<Host.Parcel> parcels;
+        /** What falls due for it: its time-outs, and the end of a connection's rest. */
+        private final List<Future<?>> timers = new ArrayList<>();
         private Channel channel;
+        private Reader reader;
         private boolean started;
         private boolean written;
 
@@ -196,30 +214,54 @@
             return;
         }
         calls.add(call);
-        loop.schedule(() -> abandon(call, Result.TIMED_OUT), call.deadlineUs - call.sentUs, TimeUnit.MICROSECONDS);
+        later(call, call.deadlineUs - call.sentUs, () -> abandon(call, Result.TIMED_OUT));
         for (final Host.Parcel parcel : call.parcels) {
             final long untilUs = call.sentUs + parcel.timeoutUs();
             if (untilUs < call.deadlineUs && untilUs >= parcel.open().validUntilUs - US_PER_MS) {
-                loop.schedule(() -> expire(call, parcel), parcel.timeoutUs(), TimeUnit.MICROSECONDS);
+                later(call, parcel.timeoutUs(), () -> expire(call, parcel));
             }
         }
         call.started = true;
-        final Reader idle = idle(call.pool);
-        if (idle != null) {
-            idle.write(call);
-        } else {
-            connect(call);
-        }
+        dispatch(call);
+    }
+
+    /** Runs something for a call, unless the call ends first: then nothing of it is kept. */
+    private void later(final Call call, final long delayUs, final Runnable action) {
+        call.timers.add(loop.schedule(action, delayUs, TimeUnit.MICROSECONDS));
     }
 
-    private static Reader idle(final Pool pool) {
-        while (!pool.idle.isEmpty()) {
-            final Reader reader = pool.idle.pollLast();
-            if (reader.context.channel().isActive()) {
-                return reader;
+    /** Forgets a call; false if it was over already. */
+    private boolean remove(final Call call) {
+        call.timers.forEach(timer -> timer.cancel(false));
+        call.timers.clear();
+        return calls.remove(call);
+    }
+
+    /** Over an idle connection that has had its rest; one that needs a little more is waited for. */
+    private void dispatch(final Call call) {
+        if (!calls.contains(call)) {
+            return;
+        }
+        final long nowUs = clock.nowUs();
+        Reader rested = null;
+        long restUs = Long.MAX_VALUE;
+        for (final Reader reader : List.copyOf(call.pool.idle)) {
+            if (!reader.context.channel().isActive()) {
+                call.pool.idle.remove(reader);
+            } else if (reader.idleSinceUs + REST_US <= nowUs) {
+                rested = reader;
+            } else {
+                restUs = Math.min(restUs, reader.idleSinceUs + REST_US - nowUs);
             }
         }
-        return null;
+        if (rested != null) {
+            call.pool.idle.remove(rested);
+            rested.write(call);
+        } else if (restUs <= REST_US) {
+            later(call, restUs, () -> dispatch(call));
+        } else {
+            connect(call);
+        }
     }
 
     private void connect(final Call call) {
@@ -248,13 +290,17 @@
      * of a message can meet this one.
      */
     void abandon(final Call call, final Result result) {
-        final boolean known = calls.remove(call);
+        final boolean known = remove(call);
         if (!known && call.started) {
             return;
         }
         if (call.channel != null) {
             call.channel.close();
         }
+        if (call.reader != null && call.reader.isDelivered(call)) {
+            tell(call, call.reader.delivered());
+            return;
+        }
         final Result sure = call.written || result == Result.NOT_SENT ? result : neverWritten(result);
         tell(call, new Answer(sure, false, 0, null));
     }
@@ -288,13 +334,17 @@
     // ---------------------------------------------------------------- one connection
 
     /** Reads the answers of one connection. */
-    private final class Reader extends SimpleChannelInboundHandler<HttpObject> {
+    private final class Reader extends SimpleChannelInboundHandler<HttpObject> implements AnswerDecoder.Listener {
         private ChannelHandlerContext context;
         private Call call;
         private long idleSinceUs;
+        /** The answer's first line, as soon as it has come; its head, once that has. */
+        private HttpResponse line;
         private HttpResponse head;
         private boolean keep;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private ByteArrayOutputStream body = new ByteArrayOutputStream();
+        /** When an answer that has begun is given up. */
+        private Future<?> wholeBy;
 
         @Override
         public void handlerAdded(final ChannelHandlerContext added) {
@@ -304,8 +354,10 @@
         private void write(final Call next) {
             call = next;
             call.channel = context.channel();
+            call.reader = this;
+            line = null;
             head = null;
-            body.reset();
+            body = new ByteArrayOutputStream(0);
             context.writeAndFlush(request(call)).addListener(done -> {
                 if (done.isSuccess()) {
                     next.written = true;
@@ -328,25 +380,69 @@
         protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
             if (call == null || part.decoderResult().isFailure()) {
                 // Bytes that answer nothing, or nothing that can be read: this connection cannot be trusted.
-                broken();
+                broken(Result.ERROR);
                 return;
             }
             if (part instanceof HttpResponse response) {
+                final int code = response.status().code();
+                if (code > MOST_STATUS || !RequestDecoder.isFramedPlainly(response)) {
+                    broken(Result.ERROR);
+                    return;
+                }
                 head = response;
                 keep = HttpUtil.isKeepAlive(response);
             }
             if (part instanceof HttpContent content) {
                 if (body.size() + content.content().readableBytes() > MOST_BODY_BYTES) {
-                    broken();
+                    broken(Result.ERROR);
                     return;
                 }
                 read(content.content());
             }
-            if (part instanceof LastHttpContent && head != null && head.status().code() >= INFORMATIONAL) {
-                finish();
+            if (part instanceof LastHttpContent && head != null) {
+                stopWaiting();
+                if (head.status().code() >= INFORMATIONAL) {
+                    finish();
+                } else {
+                    line = null;
+                    head = null;
+                }
             }
         }
 
+        @Override
+        public void begun() {
+            if (call == null || !call.written) {
+                // It answers no call, or comes before its call: it belongs to an earlier one.
+                broken(Result.RESET);
+            } else if (wholeBy == null) {
+                wholeBy = loop.schedule(() -> broken(Result.ERROR), ANSWER_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        @Override
+        public void firstLine(final HttpResponse answer) {
+            line = answer;
+        }
+
+        private void stopWaiting() {
+            if (wholeBy != null) {
+                wholeBy.cancel(false);
+                wholeBy = null;
+            }
+        }
+
+        /** True if the answer to this call says so in its first line; for several messages only all of it tells. */
+        private boolean isDelivered(final Call of) {
+            return of == call && line != null && line.status().code() == OK && of.written && of.parcels.size() == 1
+                    && line.protocolVersion().majorVersion() == 1;
+        }
+
+        /** What a delivery tells whose answer was cut off: waits and reports only if its head came whole. */
+        private Answer delivered() {
+            return head == null ? new Answer(Result.DELIVERED, true, 0, null) : answer(head, waitUs(head));
+        }
+
         private void read(final ByteBuf content) {
             try {
                 content.readBytes(body, content.readableBytes());
@@ -358,7 +454,7 @@
         private void finish() {
             final Call done = call;
             call = null;
-            if (!calls.remove(done)) {
+            if (!remove(done)) {
                 context.close();
                 return;
             }
@@ -380,20 +476,28 @@
             }
         }
 
-        /** The connection has ended, or is of no more use. */
-        private void broken() {
+        /**
+         * The connection has ended, or is of no more use. An answer that cannot be read is an answer all the same:
+         * the destination is there and its work is done, so that counts as an error and not as a reset.
+         */
+        private void broken(final Result spoilt) {
+            stopWaiting();
             unpool();
             context.close();
             final Call cut = call;
+            final boolean delivered = cut != null && isDelivered(cut);
             call = null;
-            if (cut == null || !calls.remove(cut)) {
+            if (cut == null || !remove(cut)) {
                 return;
             }
-            final boolean delivered = head != null && head.status().code() == OK && cut.parcels.size() == 1;
             if (delivered) {
-                tell(cut, answer(head, 0));
+                final Answer answer = delivered();
+                if (answer.waitUs() > 0) {
+                    holdBack(cut.pool);
+                }
+                tell(cut, answer);
             } else {
-                tell(cut, new Answer(cut.written ? Result.RESET : Result.NO_CONNECTION, false, 0, null));
+                tell(cut, new Answer(cut.written ? spoilt : Result.NO_CONNECTION, false, 0, null));
             }
         }
 
@@ -405,7 +509,8 @@
                     states.put(item.path("id").asText(), item.path("state").asText());
                 }
             } catch (final IOException e) {
-                Log.info("an endpoint's answer to several messages cannot be read: " + e.getMessage());
+                // Spoilt: each of them may have run.
+                states.clear();
             }
             for (final Host.Parcel parcel : done.parcels) {
                 final Answer one = switch (states.getOrDefault(parcel.open().held.id, "")) {
@@ -421,7 +526,7 @@
 
         @Override
         public void channelInactive(final ChannelHandlerContext ctx) {
-            broken();
+            broken(Result.RESET);
         }
 
         @Override
@@ -429,7 +534,7 @@
             if (!(cause instanceof IOException)) {
                 Log.failure("connection to an endpoint", cause);
             }
-            broken();
+            broken(Result.RESET);
         }
     }
 
@@ -437,7 +542,7 @@
 
     private FullHttpRequest request(final Call call) {
         final boolean many = call.parcels.size() > 1;
-        final byte[] body = many ? bulk(call) : call.parcels.get(0).open().held.body;
+        final byte[] body = many ? bulk(call) : call.parcels.get(0).open().held.body();
         final FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
                 many ? "/inbox/bulk" : "/inbox", Unpooled.wrappedBuffer(body));
         request.headers().set(HttpHeaderNames.HOST, call.pool.address.getHostString());
@@ -463,7 +568,7 @@
             if (held.idempotencyKey != null) {
                 item.put("key", held.idempotencyKey);
             }
-            item.put("body", held.body);
+            item.put("body", held.body());
         }
         try {
             return json.writeValueAsString(items).getBytes(StandardCharsets.UTF_8);
@@ -487,12 +592,8 @@
 
     /** The wait that an answer tells: seconds, with decimals. One that cannot be read is none. */
     private static long waitUs(final HttpResponse head) {
-        final String text = head.headers().get(HttpHeaderNames.RETRY_AFTER);
-        try {
-            return text == null ? 0 : Math.max(0, (long) Math.ceil(Double.parseDouble(text) * US_PER_SECOND));
-        } catch (final NumberFormatException e) {
-            return 0;
-        }
+        final double seconds = number(head.headers().get(HttpHeaderNames.RETRY_AFTER));
+        return seconds >= 0 ? (long) Math.ceil(Math.min(seconds, MOST_WAIT_S) * US_PER_SECOND) : 0;
     }
 
     /** What a destination told of its limit; null if it told nothing, or nothing that can be read. */
@@ -500,21 +601,24 @@
         if (report == null) {
             return null;
         }
-        double shareLeft = Double.NaN;
-        double callsPerSecond = Double.NaN;
-        try {
-            for (final String field : report.split(",")) {
-                final String value = field.substring(field.indexOf('=') + 1).trim();
-                if (field.trim().startsWith("x0=")) {
-                    shareLeft = Double.parseDouble(value);
-                } else if (field.trim().startsWith("x1=")) {
-                    callsPerSecond = Double.parseDouble(value);
-                }
+        double shareLeft = -1;
+        double callsPerSecond = -1;
+        for (final String field : report.split(",")) {
+            final String value = field.substring(field.indexOf('=') + 1);
+            if (field.trim().startsWith("x0=")) {
+                shareLeft = number(value);
+            } else if (field.trim().startsWith("x1=")) {
+                callsPerSecond = number(value);
             }
-        } catch (final NumberFormatException e) {
-            return null;
         }
-        final boolean whole = Double.isFinite(shareLeft) && Double.isFinite(callsPerSecond);
-        return whole ? new Courier.Allowance(shareLeft, callsPerSecond) : null;
+        // A little over one is noise; far over it is nonsense.
+        final boolean whole = shareLeft >= 0 && shareLeft <= MOST_SHARE && callsPerSecond >= 0
+                && callsPerSecond <= MOST_RATE;
+        return whole ? new Courier.Allowance(Math.min(1, shareLeft), callsPerSecond) : null;
+    }
+
+    /** A number that an answer tells, or -1 if it tells none. */
+    private static double number(final String text) {
+        return text != null && NUMBER.matcher(text.trim()).matches() ? Double.parseDouble(text.trim()) : -1;
     }
 }
--- a/src/main/java/driftchute/node/Held.java
+++ b/src/main/java/driftchute/node/Held.java
@@ -8,13 +8,14 @@
  */
 final class Held {
     static final long NEVER = Long.MAX_VALUE;
+    private static final byte[] NOTHING = {};
 
     final String id;
     final String className;
     final String idempotencyKey;
     final long destination;
     final long validUntilWallUs;
-    final byte[] body;
+    private byte[] body;
     private int attempts;
     private long firstRunWallUs = NEVER;
     private String runZone = "";
@@ -57,8 +58,15 @@
         runZone = zone;
     }
 
+    /** Only its notice is owed from now on, and that needs no body: many may wait while the platform is away. */
     void owe(final Notice owed) {
         notice = owed;
+        body = NOTHING;
+    }
+
+    /** What its client handed in; empty once only its notice is owed. */
+    byte[] body() {
+        return body;
     }
 
     Notice notice() {
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -74,7 +74,7 @@
         this.journal = journal;
         this.control = new Control(config.settings(), config.seed(), this);
         this.endpoints = new Endpoints(config, loop, clock, this);
-        this.discovery = new Discovery(config, loop, this);
+        this.discovery = new Discovery(config, loop, clock, this);
         this.notices = new Notices(config.discovery(), loop, this);
         config.settings().classes().forEach(kind -> classes.put(kind.name(), classes.size()));
     }
@@ -123,9 +123,14 @@
         return index == null ? null : config.settings().classes().get(index);
     }
 
-    /** True while a message of that id is owed its end. */
+    /** True while a message of that id is owed its end, or its notice. */
     boolean holds(final String id) {
-        return messages.containsKey(id);
+        return messages.containsKey(id) || journal.holds(id);
+    }
+
+    /** False for a destination that, as far as can be known now, does not exist. */
+    boolean knows(final long destination) {
+        return discovery.knows(destination);
     }
 
     /** Takes a message, if there is room; its reply comes at the end of the pass. */
@@ -198,7 +203,7 @@
         passDue = false;
         try {
             control.decide(clock.nowUs());
-        } catch (final RuntimeException e) {
+        } catch (final RuntimeException | Error e) {
             Log.failure("decisions failed", e);
         }
         answer();
--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -2,16 +2,17 @@
 
 import driftchute.Courier;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -21,14 +22,15 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpServerExpectContinueHandler;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -52,13 +54,23 @@
     private static final int MOST_BODY_BYTES = 1 << 16;
     private static final int MOST_ID_CHARS = 128;
     private static final int MOST_QUEUED = 16;
-    private static final int BACKLOG = 1024;
+    /** Bodies that are coming in or wait their turn, on all connections together. */
+    private static final int MOST_HELD_BYTES = 1 << 22;
+    /** What is read at once from one connection: one that floods may not keep the others waiting. */
+    private static final int READ_BYTES = 1 << 14;
+    private static final int BACKLOG = 256;
     private static final long US_PER_MS = 1000;
     private static final double US_PER_SECOND = 1_000_000;
-    /** How long a request may take to come in whole, and what is left of a refused one is read away. */
-    private static final long REQUEST_US = 10_000_000;
-    private static final long LINGER_MS = 1000;
-    private static final long SWEEP_MS = 500;
+    /** How long a request may take to come in whole, and a new connection to begin one. */
+    private static final long REQUEST_US = 2_000_000;
+    /** How long a connection is kept between requests, and how long where there are many. */
+    private static final long IDLE_US = 10_000_000;
+    private static final long CROWDED_IDLE_US = 2_100_000;
+    private static final double CROWDED_SHARE = 0.5;
+    /** For how long, and how much, what a client sends behind its last answer is read away. */
+    private static final long LINGER_MS = 500;
+    private static final int MOST_DRAINED_BYTES = 1 << 18;
+    private static final long SWEEP_MS = 200;
     /** Share of the descriptors for clients. */
     private static final double SOCKET_SHARE = 0.4;
 
@@ -67,6 +79,7 @@
     private final Host host;
     private final int mostConnections;
     private final Set<Session> sessions = new HashSet<>();
+    private int heldBytes;
     private Channel listener;
     private boolean draining;
 
@@ -82,11 +95,15 @@
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         final ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(READ_BYTES / 16, READ_BYTES / 8, READ_BYTES)
+                                .maxMessagesPerRead(1))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpServerExpectContinueHandler(),
-                                new Session());
+                        final Session session = new Session();
+                        channel.pipeline().addLast(new RequestDecoder(session::bytesCame), new HttpResponseEncoder(),
+                                new HttpServerExpectContinueHandler(), session);
                     }
                 }).bind(config.listen());
         listener = bound.channel();
@@ -110,70 +127,136 @@
         List.copyOf(sessions).forEach(Session::closeIfIdle);
     }
 
+    /** Closes what is of no use, and answers what does not come to an end, before anyone has to ask why. */
     private void sweep() {
-        final long beforeUs = clock.nowUs() - REQUEST_US;
+        final long nowUs = clock.nowUs();
+        final long idleUs = sessions.size() > CROWDED_SHARE * mostConnections ? CROWDED_IDLE_US : IDLE_US;
         for (final Session session : List.copyOf(sessions)) {
-            if (session.reading && session.sinceUs <= beforeUs) {
+            if (session.askedSinceUs <= nowUs - REQUEST_US && !session.isClosing()) {
                 session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
+            } else if (session.isIdle()
+                    && session.sinceUs <= nowUs - (session.hasAsked ? idleUs : REQUEST_US)) {
+                session.drop();
             }
         }
     }
 
-    /** Too many connections: the one that has been of no use for longest makes room. */
-    private void makeRoom() {
-        if (sessions.size() > mostConnections) {
-            sessions.stream().filter(Session::isIdle).min(Comparator.comparingLong(session -> session.sinceUs))
-                    .ifPresent(Session::closeIfIdle);
+    /**
+     * Too many connections: one makes room. First those that are rejected already, then those that never asked, then
+     * those whose request does not end, then those that have long been idle; failing these, the newest goes.
+     */
+    private void makeRoom(final Session newest) {
+        if (sessions.size() <= mostConnections) {
+            return;
         }
+        final long idleBeforeUs = clock.nowUs() - CROWDED_IDLE_US;
+        sessions.stream().filter(session -> session != newest && session.usefulness(idleBeforeUs) < Session.IN_USE)
+                .min(Comparator.comparingInt((Session session) -> session.usefulness(idleBeforeUs))
+                        .thenComparingLong(session -> session.sinceUs))
+                .orElse(newest).drop();
     }
 
     /** A whole request that waits for its turn on its connection. */
     private record Request(HttpRequest head, byte[] body) { }
 
     /** One client's connection. */
-    private final class Session extends SimpleChannelInboundHandler<HttpObject> {
+    private final class Session extends ChannelInboundHandlerAdapter {
+        private static final int IN_USE = 4;
         private ChannelHandlerContext context;
         private HttpRequest head;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        /** What has come of a body; nothing is kept of it once the request is whole. */
+        private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
         private final Deque<Request> queue = new ArrayDeque<>();
+        private int queuedBytes;
         private Request current;
         private String currentId;
         private boolean reading;
-        /** A rejected request's rest is read away, and nothing further is served. */
-        private boolean closing;
+        private boolean hasAsked;
+        /** What is said once all before it is answered; then nothing further is read. */
+        private HttpResponseStatus last;
+        private boolean rejected;
+        private int drainedBytes;
+        /** Since when it has been of no use, and since when a request has been coming in. */
         private long sinceUs = clock.nowUs();
+        private long askedSinceUs = Long.MAX_VALUE;
 
         private boolean isIdle() {
-            return !reading && current == null && queue.isEmpty() && !closing;
+            return askedSinceUs == Long.MAX_VALUE && current == null && queue.isEmpty() && !isClosing();
+        }
+
+        private boolean isClosing() {
+            return last != null;
+        }
+
+        private int usefulness(final long idleBeforeUs) {
+            if (rejected) {
+                return 0;
+            }
+            if (current != null || !queue.isEmpty()) {
+                return IN_USE;
+            }
+            if (isIdle()) {
+                return !hasAsked ? 1 : sinceUs <= idleBeforeUs ? IN_USE - 1 : IN_USE;
+            }
+            return 2;
         }
 
         private void closeIfIdle() {
             if (isIdle()) {
-                context.close();
+                drop();
             }
         }
 
+        /** Closes it, and no longer counts it from this moment: its end is told only after this pass. */
+        private void drop() {
+            sessions.remove(this);
+            context.close();
+        }
+
         @Override
         public void channelActive(final ChannelHandlerContext ctx) {
             context = ctx;
             sessions.add(this);
-            makeRoom();
+            makeRoom(this);
         }
 
         @Override
         public void channelInactive(final ChannelHandlerContext ctx) {
             sessions.remove(this);
+            heldBytes -= body.size() + queuedBytes;
+            queuedBytes = 0;
+            body = new ByteArrayOutputStream(0);
             queue.clear();
             if (currentId != null) {
                 host.withdraw(currentId);
             }
         }
 
+        /** Bytes have come, perhaps too few to make a head. */
+        private void bytesCame() {
+            if (askedSinceUs == Long.MAX_VALUE) {
+                askedSinceUs = clock.nowUs();
+            }
+        }
+
         @Override
-        protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
-            if (closing) {
-                return;
+        public void channelRead(final ChannelHandlerContext ctx, final Object part) {
+            try {
+                if (part instanceof HttpObject object && !isClosing()) {
+                    read(object);
+                } else if (part instanceof ByteBuf bytes && rejected) {
+                    // It is read away, within bounds, lest a reset overtake the answer.
+                    drainedBytes += bytes.readableBytes();
+                    if (drainedBytes > MOST_DRAINED_BYTES) {
+                        ctx.close();
+                    }
+                }
+            } finally {
+                ReferenceCountUtil.release(part);
             }
+        }
+
+        private void read(final HttpObject part) {
             if (part.decoderResult().isFailure()) {
                 final Throwable cause = part.decoderResult().cause();
                 reject(cause instanceof TooLongHttpLineException ? HttpResponseStatus.REQUEST_URI_TOO_LONG
@@ -183,40 +266,64 @@
             }
             if (part instanceof HttpRequest request) {
                 head = request;
-                body.reset();
                 reading = true;
-                sinceUs = clock.nowUs();
+                bytesCame();
+                if (!RequestDecoder.isFramedPlainly(request)) {
+                    reject(HttpResponseStatus.BAD_REQUEST);
+                    return;
+                }
                 if (HttpUtil.getContentLength(request, 0L) > MOST_BODY_BYTES) {
                     reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
                     return;
                 }
             }
             if (part instanceof HttpContent content && reading) {
-                if (body.size() + content.content().readableBytes() > MOST_BODY_BYTES) {
+                final int more = content.content().readableBytes();
+                if (body.size() + more > MOST_BODY_BYTES) {
                     reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
                     return;
                 }
-                try {
-                    content.content().readBytes(body, content.content().readableBytes());
-                } catch (final IOException e) {
-                    throw new IllegalStateException("writing to memory failed", e);
+                if (heldBytes + more > MOST_HELD_BYTES) {
+                    reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                    return;
                 }
+                heldBytes += more;
+                final byte[] bytes = new byte[more];
+                content.content().readBytes(bytes);
+                body.writeBytes(bytes);
                 if (part instanceof LastHttpContent) {
-                    reading = false;
-                    queue.add(new Request(head, body.toByteArray()));
-                    next();
+                    complete();
                 }
             }
         }
 
+        /** A request has come whole: it takes its turn. */
+        private void complete() {
+            reading = false;
+            hasAsked = true;
+            askedSinceUs = Long.MAX_VALUE;
+            queue.add(new Request(head, body.toByteArray()));
+            queuedBytes += body.size();
+            head = null;
+            body = new ByteArrayOutputStream(0);
+            if (queue.size() > MOST_QUEUED) {
+                reject(HttpResponseStatus.TOO_MANY_REQUESTS);
+            }
+            next();
+        }
+
         /** Serves requests of one connection in turn, so that their answers keep their order. */
         private void next() {
-            while (current == null && !queue.isEmpty() && !closing) {
+            while (current == null && !queue.isEmpty() && !rejected) {
                 current = queue.poll();
-                sinceUs = clock.nowUs();
+                queuedBytes -= current.body().length;
+                heldBytes -= current.body().length;
                 serve(current);
             }
-            context.channel().config().setAutoRead(queue.size() < MOST_QUEUED);
+            if (current == null && queue.isEmpty() && last != null && !rejected) {
+                sayLast();
+            }
+            context.channel().config().setAutoRead(queue.isEmpty());
         }
 
         private void serve(final Request request) {
@@ -254,6 +361,10 @@
                 answer(HttpResponseStatus.BAD_REQUEST, 0);
                 return;
             }
+            if (!host.knows(destination)) {
+                answer(HttpResponseStatus.NOT_FOUND, 0);
+                return;
+            }
             if (host.holds(id)) {
                 answer(HttpResponseStatus.CONFLICT, 0);
                 return;
@@ -285,39 +396,74 @@
         }
 
         private ChannelFuture answer(final HttpResponseStatus status, final long retryAfterUs) {
-            final boolean keep = HttpUtil.isKeepAlive(current.head()) && !draining;
+            // Who asks for what cannot be had is not trusted with what it sends behind it.
+            final boolean good = status.code() < HttpResponseStatus.BAD_REQUEST.code()
+                    || status.code() == TOO_MANY || status.code() == UNAVAILABLE || status.code() == FAILED;
+            final boolean keep = good && HttpUtil.isKeepAlive(current.head()) && !draining && last == null;
             current = null;
             currentId = null;
-            final var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+            sinceUs = clock.nowUs();
+            final var response = response(status);
             if (retryAfterUs > 0) {
                 response.headers().set(HttpHeaderNames.RETRY_AFTER,
                         String.format(Locale.ROOT, "%.3f", retryAfterUs / US_PER_SECOND));
             }
-            if (!keep) {
+            if (!keep && queue.isEmpty() || !good) {
                 response.headers().set(HttpHeaderNames.CONNECTION, "close");
+                return end(response);
             }
             final ChannelFuture written = context.writeAndFlush(response);
-            if (!keep && queue.isEmpty()) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            } else {
+            if (context.channel().isWritable()) {
                 context.executor().execute(this::next);
+            } else {
+                // It asks and does not read what it is told.
+                context.close();
             }
             return written;
         }
 
-        /** Answers what cannot be read, and reads away what is still coming, lest a reset overtake the answer. */
+        /** Turns away what cannot be read, once what was read before it is answered. */
         private void reject(final HttpResponseStatus status) {
-            closing = true;
+            last = status;
             reading = false;
-            final var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
-            context.writeAndFlush(response).addListener(written -> {
-                if (context.channel() instanceof SocketChannel socket && written.isSuccess()) {
+            heldBytes -= body.size();
+            body = new ByteArrayOutputStream(0);
+            if (current == null && queue.isEmpty()) {
+                sayLast();
+            }
+        }
+
+        private void sayLast() {
+            final var response = response(last);
+            response.headers().set(HttpHeaderNames.CONNECTION, "close");
+            end(response);
+        }
+
+        /** The last answer of a connection; what still comes is read away for a while and not looked at. */
+        private ChannelFuture end(final DefaultFullHttpResponse response) {
+            last = response.status();
+            rejected = true;
+            heldBytes -= queuedBytes;
+            queuedBytes = 0;
+            queue.clear();
+            if (context.pipeline().get(RequestDecoder.class) != null) {
+                context.pipeline().remove(RequestDecoder.class);
+            }
+            context.channel().config().setAutoRead(true);
+            final ChannelFuture written = context.writeAndFlush(response);
+            written.addListener(done -> {
+                if (context.channel() instanceof SocketChannel socket && done.isSuccess()) {
                     socket.shutdownOutput();
                 }
                 context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
             });
+            return written;
+        }
+
+        private static DefaultFullHttpResponse response(final HttpResponseStatus status) {
+            final var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+            return response;
         }
 
         @Override
--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -34,6 +34,7 @@
     private static final double TAKE_SHARE = 0.6;
     /** Room that is reckoned for how a message fares, and its notice: attempts are few and short. */
     private static final int FATE_BYTES = 256;
+    private static final int RECORDS = 3;
 
     private static final byte TAKEN = 1;
     private static final byte BEGUN = 2;
@@ -47,6 +48,8 @@
     private FileChannel file;
     private long size;
     private long liveBytes;
+    /** A record could not be written: the file lacks it until what is known here is written anew. */
+    private boolean behind;
 
     private Journal(final Path folder, final long diskBytes) {
         this.folder = folder;
@@ -70,10 +73,15 @@
         return List.copyOf(live.values());
     }
 
+    /** True while an end or a notice is owed for a message of that id. */
+    boolean holds(final String id) {
+        return live.containsKey(id);
+    }
+
     /** Records a message that is taken on; false, and nothing taken, if there is no room for it. */
     boolean take(final Held held) {
         final long bytes = bytes(held);
-        if (liveBytes + bytes > TAKE_SHARE * fileBytes || !append(taken(held))) {
+        if (live.containsKey(held.id) || liveBytes + bytes > TAKE_SHARE * fileBytes || !append(taken(held))) {
             return false;
         }
         live.put(held.id, held);
@@ -101,7 +109,10 @@
 
     /** Records that a message has ended and that only its notice is still owed. */
     void owe(final Held held, final Held.Notice notice) {
+        final boolean counted = live.containsKey(held.id);
+        final long before = bytes(held);
         held.owe(notice);
+        liveBytes -= counted ? before - bytes(held) : 0;
         append(owed(held));
     }
 
@@ -119,7 +130,9 @@
     }
 
     private static long bytes(final Held held) {
-        return held.body.length + 2L * held.id.length() + FATE_BYTES;
+        final int keyChars = held.idempotencyKey == null ? 0 : held.idempotencyKey.length();
+        // Two bytes a character at most, for what a header may hold; each of a message's records names its id.
+        return held.body().length + 2L * (RECORDS * held.id.length() + keyChars + held.className.length()) + FATE_BYTES;
     }
 
     // ---------------------------------------------------------------- writing
@@ -154,8 +167,8 @@
             out.writeUTF(held.idempotencyKey == null ? "" : held.idempotencyKey);
             out.writeLong(held.destination);
             out.writeLong(held.validUntilWallUs);
-            out.writeInt(held.body.length);
-            out.write(held.body);
+            out.writeInt(held.body().length);
+            out.write(held.body());
             out.writeInt(held.attempts() - (held.isOut() ? 1 : 0));
             out.writeLong(held.firstRunWallUs());
             out.writeUTF(held.runZone());
@@ -171,14 +184,17 @@
 
     private boolean append(final ByteBuffer record) {
         try {
-            if (size + record.capacity() > fileBytes) {
+            if (behind || size + record.capacity() > fileBytes) {
                 compact();
             }
             write(file, record, size);
             size += record.capacity();
             return true;
         } catch (final IOException e) {
-            Log.info("journal: cannot write: " + e.getMessage());
+            if (!behind) {
+                Log.info("journal: cannot write: " + e.getMessage());
+            }
+            behind = true;
             return false;
         }
     }
@@ -217,6 +233,7 @@
         file.close();
         file = fresh;
         size = written;
+        behind = false;
     }
 
     private static long copy(final FileChannel to, final ByteBuffer record, final long at) throws IOException {
--- a/src/main/java/driftchute/node/Log.java
+++ b/src/main/java/driftchute/node/Log.java
@@ -2,6 +2,8 @@
 
 /** Standard error is the courier's log. One line for each thing that an operator should know, none for a message. */
 final class Log {
+    private static final int BROKEN_STATUS = 70;
+
     private Log() { }
 
     static void info(final String text) {
@@ -12,5 +14,9 @@
     static void failure(final String what, final Throwable cause) {
         System.err.println(what + ": " + cause);
         cause.printStackTrace();
+        if (cause instanceof VirtualMachineError) {
+            // Nothing can be trusted after that, least of all that anyone is served; the next process resumes.
+            Runtime.getRuntime().halt(BROKEN_STATUS);
+        }
     }
 }
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -33,13 +33,17 @@
     /** Runs a courier with what the environment tells, until it is ended. */
     public static void main(final String[] args) {
         try {
-            new Main(System.getenv()).start();
+            start(System.getenv());
         } catch (final Config.BadConfigException | IOException e) {
             System.err.println("cannot start: " + e.getMessage());
             System.exit(1);
         }
     }
 
+    static void start(final Map<String, String> environment) throws Config.BadConfigException, IOException {
+        new Main(environment).start();
+    }
+
     private void start() throws Config.BadConfigException, IOException {
         // First of all: until this is in place, a SIGHUP ends the process.
         Hangup.onSignal(this::reload);
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -239,6 +239,33 @@
         assertTrue(scene.sent.size() - returned <= 3, "no rush at a cold destination");
     }
 
+    /** A route apart, and a destination that a message made up, are not kept for good. */
+    @Test
+    void whatHasLongBeenOfNoUseIsForgotten() {
+        final Scene apart = new Scene(Scene.settings(16, 1, true, false));
+        apart.list(Update.WHOLE, Scene.endpoint(1, DEST, "a"));
+        apart.take("m", SAFE);
+        apart.end("m", Result.DELIVERED);
+        apart.takeFor("nowhere", SAFE, 99);
+        assertEquals(2, apart.control.destinationsKnown());
+        apart.list(Update.CHANGES, Scene.in(Courier.Condition.GONE, 1));
+        apart.pass(50 * SECOND);
+        assertEquals(1, apart.control.destinationsKnown(), "only the route's wait and outage are still of use");
+        apart.pass(15 * SECOND);
+        assertEquals(0, apart.control.destinationsKnown());
+    }
+
+    /** An outage belongs to the endpoints that had it: the machine that replaces them is tried at once. */
+    @Test
+    void aNewEndpointIsTriedAtOnceWhereTheOldOnesWereOut() {
+        for (int index = 0; index < 10; index++) {
+            scene.take("m" + index, SAFE, null, 60 * SECOND);
+        }
+        failFor(30);
+        scene.list(Update.WHOLE, Scene.endpoint(3, DEST, "a"));
+        assertTrue(scene.sent.stream().anyMatch(send -> send.endpoint() == 3 && send.atUs() == scene.nowUs));
+    }
+
     /** Seen on sockets: a refused call of five counted five times, and two of them passed for an outage. */
     @Test
     void aSharedCallThatIsTurnedAwayIsOneRefusal() {
