A reset on a kept connection blames nobody; answer a client that has ended its sending

At fault: Control.judge (a reset is a reset) and Intake (no half-closed connections). Ruled out: late notices (86 ms at most), the room for connections (232 of 1024 descriptors), the 2 s bounds. Now the first reset on a connection believed kept closes the other kept ones to that endpoint and counts for nothing else; a second one in a row counts in full. A client that ends its sending is answered 202, or 503 if its message was not yet taken on.

Tests: aResetOnAKeptConnectionClosesTheOthersAndBlamesNobody, aClientThatSendsNoMoreIsAnsweredAllTheSame (the first fails without the mend; the second showed the race only under load).

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -399,6 +399,7 @@
             checkIdle(call, node, first);
         }
         final int streams = settings.limits().multiplex();
+        call.reused = node.connections * streams >= node.inFlight;
         node.connections = Math.max(node.connections, (node.inFlight + streams - 1) / streams);
         node.lastSendUs = lane.lastSendUs = nowUs;
         if (lane.phase == Phase.OUT) {
@@ -563,6 +564,15 @@
                 suspect(lane, part * ERROR_WEIGHT);
             }
             case TIMED_OUT, RESET, NO_CONNECTION, CANCELLED -> {
+                call.stale |= outcome.result() == Result.RESET && call.reused && node.badRun[kind] == 0;
+                if (call.stale) {
+                    // A kept connection was dead: that says nothing of its endpoint, but of others like it.
+                    lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
+                    node.badRun[kind] += part;
+                    node.connections = 0;
+                    actions.closeIdle(node.entry.id());
+                    return;
+                }
                 lane.bad += part;
                 if (outcome.result() == Result.TIMED_OUT || outcome.result() == Result.CANCELLED) {
                     lane.stretch = STRETCH;
@@ -956,6 +966,8 @@
         /** Messages sent with it, and those without an outcome yet. */
         private int size, messages;
         private long sentUs, expectedUs, idleUs;
+        /** It went over a connection that was kept, as far as is known here; and that alone made it fail. */
+        private boolean reused, stale;
         private boolean calledOff;
 
         private long overdueUs() {
--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -71,6 +72,7 @@
     private static final long LINGER_MS = 500;
     private static final int MOST_DRAINED_BYTES = 1 << 18;
     private static final long SWEEP_MS = 200;
+    private static final long GONE_RETRY_US = 500_000;
     /** Share of the descriptors for clients. */
     private static final double SOCKET_SHARE = 0.4;
 
@@ -95,6 +97,7 @@
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         final ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(READ_BYTES / 16, READ_BYTES / 8, READ_BYTES)
                                 .maxMessagesPerRead(1))
@@ -232,6 +235,27 @@
             }
         }
 
+        /**
+         * The client sends no more. One that is not answered yet has most likely given up, so that its message is not
+         * taken on; but it may have closed its sending side only, and is told so.
+         */
+        @Override
+        public void userEventTriggered(final ChannelHandlerContext ctx, final Object event) {
+            if (event != ChannelInputShutdownEvent.INSTANCE) {
+                return;
+            }
+            if (currentId != null) {
+                final String id = currentId;
+                last = HttpResponseStatus.SERVICE_UNAVAILABLE;
+                host.withdraw(id);
+                answer(HttpResponseStatus.SERVICE_UNAVAILABLE, GONE_RETRY_US);
+            } else if (isClosing() || current == null && queue.isEmpty()) {
+                drop();
+            } else {
+                last = HttpResponseStatus.BAD_REQUEST;
+            }
+        }
+
         /** Bytes have come, perhaps too few to make a head. */
         private void bytesCame() {
             if (askedSinceUs == Long.MAX_VALUE) {
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -266,6 +266,21 @@
         assertTrue(scene.sent.stream().anyMatch(send -> send.endpoint() == 3 && send.atUs() == scene.nowUs));
     }
 
+    /** Seen on sockets: endpoints closed kept connections at their next use, and were taken for sick. */
+    @Test
+    void aResetOnAKeptConnectionClosesTheOthersAndBlamesNobody() {
+        final Scene one = new Scene(Scene.settings());
+        one.list(Update.RESTORED, Scene.endpoint(1, DEST, "a"));
+        one.take("warm", SAFE);
+        one.end("warm", Result.DELIVERED);
+        one.take("m", SAFE);
+        one.end("m", Result.RESET);
+        assertEquals(List.of(1L), one.closed);
+        assertEquals(2, one.count("m"), "it goes again at once, over a new connection");
+        one.end("m", Result.RESET);
+        assertEquals(2, one.count("m"), "a new one that is reset is the endpoint's fault");
+    }
+
     /** Seen on sockets: a refused call of five counted five times, and two of them passed for an outage. */
     @Test
     void aSharedCallThatIsTurnedAwayIsOneRefusal() {
--- a/src/test/java/driftchute/node/BadClientTest.java
+++ b/src/test/java/driftchute/node/BadClientTest.java
@@ -149,6 +149,19 @@
         assertTrue(answers >= 1 && answers <= 40, "answers: " + answers);
     }
 
+    /** A client that has sent its request may close its sending side; it still reads. */
+    @Test
+    void aClientThatSendsNoMoreIsAnsweredAllTheSame() throws IOException {
+        for (int count = 0; count < 20; count++) {
+            try (Socket socket = rig.connect()) {
+                socket.getOutputStream().write(Rig.message("m" + count, "safe").getBytes(StandardCharsets.ISO_8859_1));
+                socket.shutdownOutput();
+                final String said = allOf(socket);
+                assertTrue(said.startsWith("HTTP/1.1 202") || said.startsWith("HTTP/1.1 503"), "said: " + said);
+            }
+        }
+    }
+
     @Test
     void aBodyFarTooLargeIsTurnedAwayAtItsHead() throws IOException {
         final String head = Rig.message("m1", "safe").replace("Length: 5", "Length: 60000000").replace("hello", "");
