Reckon that a request waited before it was read, so that its end is told in time

Checked in the code: a message's time was counted from when its head was read, but it runs from when the client sent it; a client waits 400 ms for its answer, so a request read after more than about 290 ms of a held-up loop (a core's part used up) ended too late by as much. Not proven on the sockets: the loss is too rare to replay. Intake.handIn is at fault; lifeUs takes 200 ms off, or a quarter of a short time.

Test: aMessageIsReckonedToHaveWaitedBeforeItWasRead.

--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -72,6 +72,8 @@
     private static final long LINGER_MS = 500;
     private static final int MOST_DRAINED_BYTES = 1 << 18;
     private static final long SWEEP_MS = 200;
+    /** For how long a request may have waited to be read, beyond what an end may be late anyway. */
+    private static final long WAITED_US = 200_000;
     private static final long GONE_RETRY_US = 500_000;
     /** Share of the descriptors for clients. */
     private static final double SOCKET_SHARE = 0.4;
@@ -393,7 +395,7 @@
                 answer(HttpResponseStatus.CONFLICT, 0);
                 return;
             }
-            final long lifeUs = Math.min(timeoutMs, kind.deadlineUs() / US_PER_MS) * US_PER_MS;
+            final long lifeUs = lifeUs(timeoutMs, kind.deadlineUs());
             currentId = id;
             host.offer(new Held(id, kind.name(), key, destination, clock.wallUs() + lifeUs, request.body()),
                     clock.nowUs() + lifeUs, new Host.Reply() {
@@ -499,6 +501,16 @@
         }
     }
 
+    /**
+     * How long a message that is read now may still be delivered. Its time runs from when it was sent, and it may have
+     * waited to be read for nearly as long as a client waits for an answer: without a margin its end could be told too
+     * late, which loses it.
+     */
+    static long lifeUs(final long timeoutMs, final long deadlineUs) {
+        final long lifeUs = Math.min(timeoutMs, deadlineUs / US_PER_MS) * US_PER_MS;
+        return lifeUs - Math.min(WAITED_US, lifeUs / 4);
+    }
+
     /** A whole number that is not negative, or -1. */
     private static long whole(final String text) {
         try {
