--- a/src/main/java/driftchute/bench/Adapter.java
+++ b/src/main/java/thistleturn/adapter/Adapter.java
@@ -1,7 +1,7 @@
-package driftchute.bench;
+package thistleturn.adapter;
 
-import driftchute.Control;
-import driftchute.Courier;
+import thistleturn.Control;
+import thistleturn.Courier;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.Writer;
--- a/src/main/java/driftchute/bench/Fields.java
+++ b/src/main/java/thistleturn/adapter/Fields.java
@@ -1,4 +1,4 @@
-package driftchute.bench;
+package thistleturn.adapter;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/driftchute/bench/MalformedLineException.java
+++ b/src/main/java/thistleturn/adapter/MalformedLineException.java
@@ -1,4 +1,4 @@
-package driftchute.bench;
+package thistleturn.adapter;
 
 /** A line of the wire or a setting that cannot be read; its message names where it stands and the reason. */
 public final class MalformedLineException extends RuntimeException {
--- a/src/main/java/driftchute/bench/SettingsReader.java
+++ b/src/main/java/thistleturn/adapter/SettingsReader.java
@@ -1,6 +1,6 @@
-package driftchute.bench;
+package thistleturn.adapter;
 
-import driftchute.Courier;
+import thistleturn.Courier;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/main/java/driftchute/node/AnswerDecoder.java
+++ b/src/main/java/thistleturn/courier/AnswerDecoder.java
@@ -1,4 +1,4 @@
-package driftchute.node;
+package thistleturn.courier;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/driftchute/node/Clock.java
+++ b/src/main/java/thistleturn/courier/Clock.java
@@ -1,4 +1,4 @@
-package driftchute.node;
+package thistleturn.courier;
 
 /**
  * The two clocks of a courier, in microseconds. Everything runs on the monotonic one; the wall clock is for what
--- a/src/main/java/driftchute/node/Config.java
+++ b/src/main/java/thistleturn/courier/Config.java
@@ -1,11 +1,11 @@
-package driftchute.node;
+package thistleturn.courier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import driftchute.Courier;
-import driftchute.bench.Fields;
-import driftchute.bench.MalformedLineException;
-import driftchute.bench.SettingsReader;
+import thistleturn.Courier;
+import thistleturn.adapter.Fields;
+import thistleturn.adapter.MalformedLineException;
+import thistleturn.adapter.SettingsReader;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/thistleturn/courier/Discovery.java
@@ -1,9 +1,9 @@
-package driftchute.node;
+package thistleturn.courier;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import driftchute.Courier;
+import thistleturn.Courier;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/thistleturn/courier/Endpoints.java
@@ -1,12 +1,12 @@
-package driftchute.node;
+package thistleturn.courier;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import driftchute.Courier;
-import driftchute.Courier.Result;
+import thistleturn.Courier;
+import thistleturn.Courier.Result;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/driftchute/node/Hangup.java
+++ b/src/main/java/thistleturn/courier/Hangup.java
@@ -1,4 +1,4 @@
-package driftchute.node;
+package thistleturn.courier;
 
 import java.lang.reflect.Proxy;
 
--- a/src/main/java/driftchute/node/Held.java
+++ b/src/main/java/thistleturn/courier/Held.java
@@ -1,6 +1,6 @@
-package driftchute.node;
+package thistleturn.courier;
 
-import driftchute.Courier;
+import thistleturn.Courier;
 
 /**
  * A message that this courier owes an end, as the journal keeps it (times in Unix microseconds): what its client
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/thistleturn/courier/Host.java
@@ -1,7 +1,7 @@
-package driftchute.node;
+package thistleturn.courier;
 
-import driftchute.Control;
-import driftchute.Courier;
+import thistleturn.Control;
+import thistleturn.Courier;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/thistleturn/courier/Intake.java
@@ -1,6 +1,6 @@
-package driftchute.node;
+package thistleturn.courier;
 
-import driftchute.Courier;
+import thistleturn.Courier;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/thistleturn/courier/Journal.java
@@ -1,4 +1,4 @@
-package driftchute.node;
+package thistleturn.courier;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
--- a/src/main/java/driftchute/node/Log.java
+++ b/src/main/java/thistleturn/courier/Log.java
@@ -1,4 +1,4 @@
-package driftchute.node;
+package thistleturn.courier;
 
 /** Standard error is the courier's log. One line for each thing that an operator should know, none for a message. */
 final class Log {
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/thistleturn/courier/Main.java
@@ -1,4 +1,4 @@
-package driftchute.node;
+package thistleturn.courier;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/thistleturn/courier/Notices.java
@@ -1,4 +1,4 @@
-package driftchute.node;
+package thistleturn.courier;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- a/src/main/java/driftchute/node/Rehearsal.java
+++ b/src/main/java/thistleturn/courier/Rehearsal.java
@@ -1,4 +1,4 @@
-package driftchute.node;
+package thistleturn.courier;
 
 import java.io.IOException;
 import java.net.InetAddress;
--- a/src/main/java/driftchute/node/RequestDecoder.java
+++ b/src/main/java/thistleturn/courier/RequestDecoder.java
@@ -1,4 +1,4 @@
-package driftchute.node;
+package thistleturn.courier;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/thistleturn/ControlTest.java
@@ -1,15 +1,15 @@
-package driftchute;
+package thistleturn;
 
-import static driftchute.Scene.DEST;
-import static driftchute.Scene.MS;
-import static driftchute.Scene.SECOND;
+import static thistleturn.Scene.DEST;
+import static thistleturn.Scene.MS;
+import static thistleturn.Scene.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import driftchute.Courier.Condition;
-import driftchute.Courier.Result;
-import driftchute.Courier.Update;
+import thistleturn.Courier.Condition;
+import thistleturn.Courier.Result;
+import thistleturn.Courier.Update;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/driftchute/LibraryUseTest.java
+++ b/src/test/java/thistleturn/LibraryUseTest.java
@@ -1,4 +1,4 @@
-package driftchute;
+package thistleturn;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/driftchute/Scene.java
+++ b/src/test/java/thistleturn/Scene.java
@@ -1,4 +1,4 @@
-package driftchute;
+package thistleturn;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
--- a/src/test/java/driftchute/bench/AdapterTest.java
+++ b/src/test/java/thistleturn/adapter/AdapterTest.java
@@ -1,4 +1,4 @@
-package driftchute.bench;
+package thistleturn.adapter;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/driftchute/node/BadClientTest.java
+++ b/src/test/java/thistleturn/courier/BadClientTest.java
@@ -1,4 +1,4 @@
-package driftchute.node;
+package thistleturn.courier;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/driftchute/node/JournalTest.java
+++ b/src/test/java/thistleturn/courier/JournalTest.java
@@ -1,11 +1,11 @@
-package driftchute.node;
+package thistleturn.courier;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import driftchute.Courier;
+import thistleturn.Courier;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/thistleturn/courier/Rig.java
@@ -1,4 +1,4 @@
-package driftchute.node;
+package thistleturn.courier;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -103,7 +103,7 @@
         final Path config = configure(platform.address());
         final ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx64m",
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                "driftchute.node.Main");
+                "thistleturn.courier.Main");
         builder.environment().put("PROXY_CONFIG", config.toString());
         builder.environment().put("PROXY_DISCOVERY", platform.address());
         builder.environment().put("PROXY_STATE", folder.resolve("state").toString());
