--- a/src/main/java/thistleturn/adapter/Adapter.java
+++ b/adapter/src/main/java/thistleturn/adapter/Adapter.java
@@ -1,7 +1,9 @@
 package thistleturn.adapter;
 
-import thistleturn.Control;
-import thistleturn.Courier;
+import thistleturn.decisions.Control;
+import thistleturn.decisions.Courier;
+import thistleturn.settings.Fields;
+import thistleturn.settings.SettingsReader;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.Writer;
--- a/src/main/java/thistleturn/adapter/Main.java
+++ b/adapter/src/main/java/thistleturn/adapter/Main.java
@@ -1,5 +1,6 @@
 package thistleturn.adapter;
 
+import thistleturn.settings.MalformedLineException;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -7,7 +8,7 @@
 import java.io.Writer;
 import java.nio.charset.StandardCharsets;
 
-/** Starts the bench's adapter: {@code java -jar thistleturn.jar benchlink}. */
+/** Starts the bench's adapter: {@code java -jar thistleturn-adapter-all.jar benchlink}. */
 public final class Main {
 
     private static final int BUFFER_CHARS = 1 << 16;
@@ -17,7 +18,7 @@
     /** Runs the adapter on standard input and output until the input ends. */
     public static void main(final String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar thistleturn.jar benchlink");
+            System.err.println("usage: java -jar thistleturn-adapter-all.jar benchlink");
             System.exit(2);
         }
         final var in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), BUFFER_CHARS);
--- a/src/test/java/thistleturn/adapter/AdapterTest.java
+++ b/adapter/src/test/java/thistleturn/adapter/AdapterTest.java
@@ -5,6 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import thistleturn.settings.Fields;
+import thistleturn.settings.MalformedLineException;
+import thistleturn.settings.SettingsReader;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.StringReader;
--- a/src/main/java/thistleturn/courier/Config.java
+++ b/courier/src/main/java/thistleturn/courier/Config.java
@@ -2,10 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import thistleturn.Courier;
-import thistleturn.adapter.Fields;
-import thistleturn.adapter.MalformedLineException;
-import thistleturn.adapter.SettingsReader;
+import thistleturn.decisions.Courier;
+import thistleturn.settings.Fields;
+import thistleturn.settings.MalformedLineException;
+import thistleturn.settings.SettingsReader;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
--- a/src/main/java/thistleturn/courier/Discovery.java
+++ b/courier/src/main/java/thistleturn/courier/Discovery.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import thistleturn.Courier;
+import thistleturn.decisions.Courier;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/thistleturn/courier/Held.java
+++ b/courier/src/main/java/thistleturn/courier/Held.java
@@ -1,6 +1,6 @@
 package thistleturn.courier;
 
-import thistleturn.Courier;
+import thistleturn.decisions.Courier;
 
 /**
  * A message that this courier owes an end, as the journal keeps it (times in Unix microseconds): what its client
--- a/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -1,7 +1,7 @@
 package thistleturn.courier;
 
-import thistleturn.Control;
-import thistleturn.Courier;
+import thistleturn.decisions.Control;
+import thistleturn.decisions.Courier;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/thistleturn/courier/Intake.java
+++ b/courier/src/main/java/thistleturn/courier/Intake.java
@@ -1,6 +1,6 @@
 package thistleturn.courier;
 
-import thistleturn.Courier;
+import thistleturn.decisions.Courier;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/test/java/thistleturn/courier/JournalTest.java
+++ b/courier/src/test/java/thistleturn/courier/JournalTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import thistleturn.Courier;
+import thistleturn.decisions.Courier;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/main/java/thistleturn/adapter/Fields.java
+++ b/decisions/src/main/java/thistleturn/settings/Fields.java
@@ -1,4 +1,4 @@
-package thistleturn.adapter;
+package thistleturn.settings;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -21,7 +21,7 @@
     }
 
     /** Splits a line at its tabs; a part without {@code =} is malformed. */
-    static Fields parse(final String text, final long line) {
+    public static Fields parse(final String text, final long line) {
         int end = text.indexOf('\t');
         final String source = "line " + line;
         final String tag = end < 0 ? text : text.substring(0, end);
@@ -39,7 +39,7 @@
         return new Fields(tag, values, source);
     }
 
-    String tag() {
+    public String tag() {
         return tag;
     }
 
@@ -76,12 +76,12 @@
         return whole(name, 0);
     }
 
-    double number(final String name, final double absent) {
+    public double number(final String name, final double absent) {
         final String value = values.get(name);
         return value == null ? absent : number(value);
     }
 
-    double number(final String value) {
+    public double number(final String value) {
         try {
             return Double.parseDouble(value);
         } catch (final NumberFormatException e) {
@@ -89,7 +89,7 @@
         }
     }
 
-    boolean flag(final String name) {
+    public boolean flag(final String name) {
         final String value = values.getOrDefault(name, "0");
         return value.equals("1") || value.equals("true");
     }
--- a/src/main/java/thistleturn/adapter/MalformedLineException.java
+++ b/decisions/src/main/java/thistleturn/settings/MalformedLineException.java
@@ -1,4 +1,4 @@
-package thistleturn.adapter;
+package thistleturn.settings;
 
 /** A line of the wire or a setting that cannot be read; its message names where it stands and the reason. */
 public final class MalformedLineException extends RuntimeException {
--- a/src/main/java/thistleturn/adapter/SettingsReader.java
+++ b/decisions/src/main/java/thistleturn/settings/SettingsReader.java
@@ -1,6 +1,6 @@
-package thistleturn.adapter;
+package thistleturn.settings;
 
-import thistleturn.Courier;
+import thistleturn.decisions.Courier;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/thistleturn/ControlTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/ControlTest.java
@@ -1,15 +1,15 @@
-package thistleturn;
+package thistleturn.decisions;
 
-import static thistleturn.Scene.DEST;
-import static thistleturn.Scene.MS;
-import static thistleturn.Scene.SECOND;
+import static thistleturn.decisions.Scene.DEST;
+import static thistleturn.decisions.Scene.MS;
+import static thistleturn.decisions.Scene.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import thistleturn.Courier.Condition;
-import thistleturn.Courier.Result;
-import thistleturn.Courier.Update;
+import thistleturn.decisions.Courier.Condition;
+import thistleturn.decisions.Courier.Result;
+import thistleturn.decisions.Courier.Update;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/thistleturn/LibraryUseTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/LibraryUseTest.java
@@ -1,4 +1,4 @@
-package thistleturn;
+package thistleturn.decisions;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/thistleturn/LimitsTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/LimitsTest.java
@@ -1,4 +1,4 @@
-package thistleturn;
+package thistleturn.decisions;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,7 +16,7 @@
 
     @Test
     void theModuleStaysShortAndItsLinesToo() throws IOException {
-        final List<String> lines = Files.readAllLines(Path.of("src/main/java/thistleturn/Control.java"));
+        final List<String> lines = Files.readAllLines(Path.of("src/main/java/thistleturn/decisions/Control.java"));
         assertFalse(lines.isEmpty());
         final long filled = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(filled <= MOST_LINES, "non-blank lines: " + filled);
--- a/src/test/java/thistleturn/Scene.java
+++ b/decisions/src/test/java/thistleturn/decisions/Scene.java
@@ -1,4 +1,4 @@
-package thistleturn;
+package thistleturn.decisions;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
