Put ports round Host: Front, Carrier, Directory, Store, Ends

Intake becomes HttpFront, HttpSession and HandIn; Endpoints becomes HttpCarrier, HttpPool, HttpCall, HttpConnection, HttpRequests and HttpAnswers; what Discovery knew of numbers, kinds and vacant destinations moves to Roster, which any directory shares. CourierProcess wires them and can run beside others in one Java machine; Main keeps the signals.

--- a/courier/src/main/java/thistleturn/courier/Rehearsal.java
+++ b/courier/src/main/java/thistleturn/courier/Rehearsal.java
@@ -23,7 +23,7 @@
     private Rehearsal() { }
 
     /** Runs a courier in the folder given, hands in one message, and ends. */
-    public static void main(final String[] args) throws IOException, InterruptedException, Config.BadConfigException {
+    public static void main(final String[] args) throws IOException, InterruptedException, thistleturn.courier.runtime.Config.BadConfigException {
         final Path folder = Files.createDirectories(Path.of(args[0]));
         final int port;
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(ADDRESS))) {
@@ -39,7 +39,7 @@
                   "extra":{"calls_out":4,"per_call":[5],"routes_apart":[false]},
                   "limits":{"max_open":9,"most_tries":2,"idle_close":1000000}}}
                 """.formatted(own, own, own));
-        Main.start(Map.of("PROXY_CONFIG", config.toString(), "PROXY_STATE", folder.resolve("state").toString()));
+        Main.serve(Map.of("PROXY_CONFIG", config.toString(), "PROXY_STATE", folder.resolve("state").toString()), null);
         ask(port, "GET /up HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
         ask(port, "POST /once HTTP/1.1\r\nHost: a\r\nX-Request-ID: r\r\nX-Priority-Class: once\r\nX-Timeout-Ms: 900\r\n"
                 + "X-Consignee: dest=1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi");
--- a/courier/src/main/java/thistleturn/courier/AnswerDecoder.java
+++ b/courier/src/main/java/thistleturn/courier/http/AnswerDecoder.java
@@ -1,4 +1,4 @@
-package thistleturn.courier;
+package thistleturn.courier.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- /dev/null
+++ b/courier/src/main/java/thistleturn/courier/http/HandIn.java
@@ -0,0 +1,61 @@
+package thistleturn.courier.http;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import thistleturn.decisions.Courier;
+
+/**
+ * What the headers of a request say that hands a message in. {@code key} is null where none was given;
+ * {@code timeoutMs} counts from when its client sent it.
+ */
+record HandIn(String id, long timeoutMs, long destination, String key) {
+    private static final int MOST_ID_CHARS = 128;
+    private static final long US_PER_MS = 1000;
+    /** For how long a request may have waited to be read, beyond what an end may be late anyway. */
+    private static final long WAITED_US = 200_000;
+
+    /** Reads the headers; null if they lack something or contradict the class. */
+    static HandIn read(final HttpHeaders headers, final Courier.MessageClass kind) {
+        final String id = headers.get("X-Request-ID", "");
+        final long timeoutMs = whole(headers.get("X-Timeout-Ms"));
+        final long destination = destination(headers.get("X-Consignee"));
+        final String key = headers.get("Idempotency-Key");
+        final boolean keyed = kind.effect() == Courier.Effect.KEYED;
+        if (id.isEmpty() || id.length() > MOST_ID_CHARS || timeoutMs < 0 || destination < 0
+                || !kind.name().equals(headers.get("X-Priority-Class")) || keyed && (key == null || key.isEmpty())) {
+            return null;
+        }
+        return new HandIn(id, timeoutMs, destination, key);
+    }
+
+    /**
+     * How long a message that is read now may still be delivered. Its time runs from when it was sent, and it may have
+     * waited to be read for nearly as long as a client waits for an answer: without a margin its end could be told too
+     * late, which loses it.
+     */
+    static long lifeUs(final long timeoutMs, final long deadlineUs) {
+        final long lifeUs = Math.min(timeoutMs, deadlineUs / US_PER_MS) * US_PER_MS;
+        return lifeUs - Math.min(WAITED_US, lifeUs / 4);
+    }
+
+    /** A whole number that is not negative, or -1. */
+    private static long whole(final String text) {
+        try {
+            return text == null ? -1 : Math.max(-1, Long.parseLong(text.trim()));
+        } catch (final NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    /** The destination that a header of {@code name=value} pairs names, or -1. */
+    private static long destination(final String text) {
+        if (text != null) {
+            for (final String pair : text.split("[,;]")) {
+                final String trimmed = pair.trim();
+                if (trimmed.startsWith("dest=")) {
+                    return whole(trimmed.substring("dest=".length()));
+                }
+            }
+        }
+        return -1;
+    }
+}
--- /dev/null
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCall.java
@@ -0,0 +1,40 @@
+package thistleturn.courier.http;
+
+import io.netty.channel.Channel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Future;
+import thistleturn.courier.port.Carrier;
+
+/** One call: the messages in it, and how far it has come. */
+final class HttpCall implements Carrier.Call {
+    final HttpPool pool;
+    final long endpoint;
+    final long sentUs;
+    final long deadlineUs;
+    final List<Carrier.Parcel> parcels;
+    /** What falls due for it: its time-outs, and the end of a connection's rest. */
+    final List<Future<?>> timers = new ArrayList<>();
+    Channel channel;
+    HttpConnection reader;
+    boolean started;
+    boolean written;
+
+    HttpCall(final HttpPool pool, final long endpoint, final List<? extends Carrier.Parcel> parcels, final long sentUs) {
+        this.pool = pool;
+        this.endpoint = endpoint;
+        this.parcels = new ArrayList<>(parcels);
+        this.sentUs = sentUs;
+        this.deadlineUs = sentUs + parcels.stream().mapToLong(Carrier.Parcel::timeoutUs).max().orElse(0);
+    }
+
+    @Override
+    public long endpoint() {
+        return endpoint;
+    }
+
+    @Override
+    public long sentUs() {
+        return sentUs;
+    }
+}
--- /dev/null
+++ b/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
@@ -0,0 +1,253 @@
+package thistleturn.courier.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import thistleturn.courier.port.Carrier;
+import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.Log;
+import thistleturn.decisions.Courier.Result;
+
+/** Reads the answers of one connection. */
+final class HttpConnection extends SimpleChannelInboundHandler<HttpObject> implements AnswerDecoder.Listener {
+    private static final int MOST_BODY_BYTES = 1 << 16;
+    private static final int INFORMATIONAL = 200;
+    private static final int MOST_STATUS = 599;
+    /** An answer that has begun comes whole within this, ms: its sender has it all. */
+    private static final long ANSWER_MS = 500;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final HttpCarrier carrier;
+    private final EventLoop loop;
+    private final Clock clock;
+    private ChannelHandlerContext context;
+    private HttpCall call;
+    private long idleSinceUs;
+    /** The answer's first line, as soon as it has come; its head, once that has. */
+    private HttpResponse line;
+    private HttpResponse head;
+    private boolean keep;
+    private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    /** When an answer that has begun is given up. */
+    private Future<?> wholeBy;
+
+    HttpConnection(final HttpCarrier carrier, final EventLoop loop, final Clock clock) {
+        this.carrier = carrier;
+        this.loop = loop;
+        this.clock = clock;
+    }
+
+    boolean isActive() {
+        return context.channel().isActive();
+    }
+
+    /** Since when it carries no call, us. */
+    long idleSinceUs() {
+        return idleSinceUs;
+    }
+
+    @Override
+    public void handlerAdded(final ChannelHandlerContext added) {
+        context = added;
+    }
+
+    void write(final HttpCall next) {
+        call = next;
+        call.channel = context.channel();
+        call.reader = this;
+        line = null;
+        head = null;
+        body = new ByteArrayOutputStream(0);
+        context.writeAndFlush(HttpRequests.request(call, clock.nowUs())).addListener(done -> {
+            if (done.isSuccess()) {
+                next.written = true;
+            }
+        });
+    }
+
+    void close() {
+        if (call == null) {
+            unpool();
+            context.close();
+        }
+    }
+
+    private void unpool() {
+        carrier.unpool(this);
+    }
+
+    @Override
+    protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
+        if (call == null || part.decoderResult().isFailure()) {
+            // Bytes that answer nothing, or nothing that can be read: this connection cannot be trusted.
+            broken(Result.ERROR);
+            return;
+        }
+        if (part instanceof HttpResponse response) {
+            final int code = response.status().code();
+            if (code > MOST_STATUS || !RequestDecoder.isFramedPlainly(response)) {
+                broken(Result.ERROR);
+                return;
+            }
+            head = response;
+            keep = HttpUtil.isKeepAlive(response);
+        }
+        if (part instanceof HttpContent content) {
+            if (body.size() + content.content().readableBytes() > MOST_BODY_BYTES) {
+                broken(Result.ERROR);
+                return;
+            }
+            read(content.content());
+        }
+        if (part instanceof LastHttpContent && head != null) {
+            stopWaiting();
+            if (head.status().code() >= INFORMATIONAL) {
+                finish();
+            } else {
+                line = null;
+                head = null;
+            }
+        }
+    }
+
+    @Override
+    public void begun() {
+        if (call == null || !call.written) {
+            // It answers no call, or comes before its call: it belongs to an earlier one.
+            broken(Result.RESET);
+        } else if (wholeBy == null) {
+            wholeBy = loop.schedule(() -> broken(Result.ERROR), ANSWER_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Override
+    public void firstLine(final HttpResponse answer) {
+        line = answer;
+    }
+
+    private void stopWaiting() {
+        if (wholeBy != null) {
+            wholeBy.cancel(false);
+            wholeBy = null;
+        }
+    }
+
+    /** True if the answer to this call says so in its first line; for several messages only all of it tells. */
+    boolean isDelivered(final HttpCall of) {
+        return of == call && line != null && line.status().code() == HttpAnswers.OK && of.written && of.parcels.size() == 1
+                && line.protocolVersion().majorVersion() == 1;
+    }
+
+    /** What a delivery tells whose answer was cut off: waits and reports only if its head came whole. */
+    Carrier.Answer delivered() {
+        return head == null ? new Carrier.Answer(Result.DELIVERED, true, 0, null) : HttpAnswers.answer(head, HttpAnswers.waitUs(head));
+    }
+
+    private void read(final ByteBuf content) {
+        try {
+            content.readBytes(body, content.readableBytes());
+        } catch (final IOException e) {
+            throw new IllegalStateException("writing to memory failed", e);
+        }
+    }
+
+    private void finish() {
+        final HttpCall done = call;
+        call = null;
+        if (!carrier.remove(done)) {
+            context.close();
+            return;
+        }
+        if (keep && done.written && !done.pool.removed) {
+            idleSinceUs = clock.nowUs();
+            done.pool.idle.addLast(this);
+        } else {
+            context.close();
+        }
+        final long waitUs = HttpAnswers.waitUs(head);
+        if (waitUs > 0) {
+            carrier.holdBack(done.pool);
+        }
+        final Carrier.Answer all = HttpAnswers.answer(head, waitUs);
+        if (done.parcels.size() > 1 && head.status().code() == HttpAnswers.OK) {
+            tellEach(done, all);
+        } else {
+            carrier.tell(done, all);
+        }
+    }
+
+    /**
+     * The connection has ended, or is of no more use. An answer that cannot be read is an answer all the same:
+     * the destination is there and its work is done, so that counts as an error and not as a reset.
+     */
+    private void broken(final Result spoilt) {
+        stopWaiting();
+        unpool();
+        context.close();
+        final HttpCall cut = call;
+        final boolean delivered = cut != null && isDelivered(cut);
+        call = null;
+        if (cut == null || !carrier.remove(cut)) {
+            return;
+        }
+        if (delivered) {
+            final Carrier.Answer answer = delivered();
+            if (answer.waitUs() > 0) {
+                carrier.holdBack(cut.pool);
+            }
+            carrier.tell(cut, answer);
+        } else {
+            carrier.tell(cut, new Carrier.Answer(cut.written ? spoilt : Result.NO_CONNECTION, false, 0, null));
+        }
+    }
+
+    /** Several messages' ends, each with its state; one that is not named may have run. */
+    private void tellEach(final HttpCall done, final Carrier.Answer all) {
+        final Map<String, String> states = new HashMap<>();
+        try {
+            for (final JsonNode item : JSON.readTree(body.toByteArray())) {
+                states.put(item.path("id").asText(), item.path("state").asText());
+            }
+        } catch (final IOException e) {
+            // Spoilt: each of them may have run.
+            states.clear();
+        }
+        for (final Carrier.Parcel parcel : done.parcels) {
+            final Carrier.Answer one = switch (states.getOrDefault(parcel.held().id(), "")) {
+                case "accepted" -> new Carrier.Answer(Result.DELIVERED, true, all.waitUs(), all.allowance());
+                case "deferred" -> new Carrier.Answer(Result.REFUSED, false, all.waitUs(), all.allowance());
+                case "expired" -> new Carrier.Answer(Result.NOT_SENT, true, all.waitUs(), all.allowance());
+                case "no_more" -> new Carrier.Answer(Result.NOT_SENT, false, all.waitUs(), all.allowance());
+                default -> new Carrier.Answer(Result.ERROR, false, all.waitUs(), all.allowance());
+            };
+            carrier.tell(parcel, done, one);
+        }
+    }
+
+    @Override
+    public void channelInactive(final ChannelHandlerContext ctx) {
+        broken(Result.RESET);
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            Log.failure("connection to an endpoint", cause);
+        }
+        broken(Result.RESET);
+    }
+}
--- /dev/null
+++ b/courier/src/main/java/thistleturn/courier/http/HttpSession.java
@@ -0,0 +1,410 @@
+package thistleturn.courier.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import thistleturn.courier.port.Front;
+import thistleturn.courier.port.Held;
+import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.Log;
+import thistleturn.decisions.Courier;
+
+/** One client's connection: requests are read strictly and served in turn, each with its one answer. */
+final class HttpSession extends ChannelInboundHandlerAdapter {
+    /** How useful a connection is that serves a request; what is of less use may make room for another. */
+    static final int IN_USE = 4;
+    private static final int MOST_BODY_BYTES = 1 << 16;
+    private static final int MOST_QUEUED = 16;
+    /** For how long, and how much, what a client sends behind its last answer is read away. */
+    private static final long LINGER_MS = 500;
+    private static final int MOST_DRAINED_BYTES = 1 << 18;
+    private static final long GONE_RETRY_US = 500_000;
+    private static final double US_PER_SECOND = 1_000_000;
+
+    private final HttpFront front;
+    private final Front.Desk desk;
+    private final Clock clock;
+    private ChannelHandlerContext context;
+    private HttpRequest head;
+    /** What has come of a body; nothing is kept of it once the request is whole. */
+    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private final Deque<Request> queue = new ArrayDeque<>();
+    private int queuedBytes;
+    private Request current;
+    private String currentId;
+    private boolean reading;
+    private boolean hasAsked;
+    /** What is said once all before it is answered; then nothing further is read. */
+    private HttpResponseStatus last;
+    private boolean rejected;
+    private int drainedBytes;
+    /** Since when it has been of no use, and since when a request has been coming in. */
+    private long sinceUs;
+    private long askedSinceUs = Long.MAX_VALUE;
+
+    HttpSession(final HttpFront front, final Front.Desk desk, final Clock clock) {
+        this.front = front;
+        this.desk = desk;
+        this.clock = clock;
+        this.sinceUs = clock.nowUs();
+    }
+
+    /** A whole request that waits for its turn on its connection. */
+    private record Request(HttpRequest head, byte[] body) { }
+
+    /** Since when it has been of no use, us. */
+    long sinceUs() {
+        return sinceUs;
+    }
+
+    /** Since when a request has been coming in, us; never, while none is. */
+    long askedSinceUs() {
+        return askedSinceUs;
+    }
+
+    boolean hasAsked() {
+        return hasAsked;
+    }
+
+    boolean isIdle() {
+        return askedSinceUs == Long.MAX_VALUE && current == null && queue.isEmpty() && !isClosing();
+    }
+
+    boolean isClosing() {
+        return last != null;
+    }
+
+    int usefulness(final long idleBeforeUs) {
+        if (rejected) {
+            return 0;
+        }
+        if (current != null || !queue.isEmpty()) {
+            return IN_USE;
+        }
+        if (isIdle()) {
+            return !hasAsked ? 1 : sinceUs <= idleBeforeUs ? IN_USE - 1 : IN_USE;
+        }
+        return 2;
+    }
+
+    void closeIfIdle() {
+        if (isIdle()) {
+            drop();
+        }
+    }
+
+    /** Closes it, and no longer counts it from this moment: its end is told only after this pass. */
+    void drop() {
+        front.closed(this);
+        context.close();
+    }
+
+    @Override
+    public void channelActive(final ChannelHandlerContext ctx) {
+        context = ctx;
+        front.opened(this);
+    }
+
+    @Override
+    public void channelInactive(final ChannelHandlerContext ctx) {
+        front.closed(this);
+        front.release(body.size() + queuedBytes);
+        queuedBytes = 0;
+        body = new ByteArrayOutputStream(0);
+        queue.clear();
+        if (currentId != null) {
+            desk.withdraw(currentId);
+        }
+    }
+
+    /**
+     * The client sends no more. One that is not answered yet has most likely given up, so that its message is not
+     * taken on; but it may have closed its sending side only, and is told so.
+     */
+    @Override
+    public void userEventTriggered(final ChannelHandlerContext ctx, final Object event) {
+        if (event != ChannelInputShutdownEvent.INSTANCE) {
+            return;
+        }
+        if (currentId != null) {
+            final String id = currentId;
+            last = HttpResponseStatus.SERVICE_UNAVAILABLE;
+            desk.withdraw(id);
+            answer(HttpResponseStatus.SERVICE_UNAVAILABLE, GONE_RETRY_US);
+        } else if (isClosing() || current == null && queue.isEmpty()) {
+            drop();
+        } else {
+            last = HttpResponseStatus.BAD_REQUEST;
+        }
+    }
+
+    /** Bytes have come, perhaps too few to make a head. */
+    void bytesCame() {
+        if (askedSinceUs == Long.MAX_VALUE) {
+            askedSinceUs = clock.nowUs();
+        }
+    }
+
+    @Override
+    public void channelRead(final ChannelHandlerContext ctx, final Object part) {
+        try {
+            if (part instanceof HttpObject object && !isClosing()) {
+                read(object);
+            } else if (part instanceof ByteBuf bytes && rejected) {
+                // It is read away, within bounds, lest a reset overtake the answer.
+                drainedBytes += bytes.readableBytes();
+                if (drainedBytes > MOST_DRAINED_BYTES) {
+                    ctx.close();
+                }
+            }
+        } finally {
+            ReferenceCountUtil.release(part);
+        }
+    }
+
+    private void read(final HttpObject part) {
+        if (part.decoderResult().isFailure()) {
+            final Throwable cause = part.decoderResult().cause();
+            reject(cause instanceof TooLongHttpLineException ? HttpResponseStatus.REQUEST_URI_TOO_LONG
+                    : cause instanceof TooLongHttpHeaderException
+                    ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
+            return;
+        }
+        if (part instanceof HttpRequest request) {
+            head = request;
+            reading = true;
+            bytesCame();
+            if (!RequestDecoder.isFramedPlainly(request)) {
+                reject(HttpResponseStatus.BAD_REQUEST);
+                return;
+            }
+            if (HttpUtil.getContentLength(request, 0L) > MOST_BODY_BYTES) {
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                return;
+            }
+        }
+        if (part instanceof HttpContent content && reading) {
+            final int more = content.content().readableBytes();
+            if (body.size() + more > MOST_BODY_BYTES) {
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                return;
+            }
+            if (!front.hold(more)) {
+                reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                return;
+            }
+            final byte[] bytes = new byte[more];
+            content.content().readBytes(bytes);
+            body.writeBytes(bytes);
+            if (part instanceof LastHttpContent) {
+                complete();
+            }
+        }
+    }
+
+    /** A request has come whole: it takes its turn. */
+    private void complete() {
+        reading = false;
+        hasAsked = true;
+        askedSinceUs = Long.MAX_VALUE;
+        queue.add(new Request(head, body.toByteArray()));
+        queuedBytes += body.size();
+        head = null;
+        body = new ByteArrayOutputStream(0);
+        if (queue.size() > MOST_QUEUED) {
+            reject(HttpResponseStatus.TOO_MANY_REQUESTS);
+        }
+        next();
+    }
+
+    /** Serves requests of one connection in turn, so that their answers keep their order. */
+    private void next() {
+        while (current == null && !queue.isEmpty() && !rejected) {
+            current = queue.poll();
+            queuedBytes -= current.body().length;
+            front.release(current.body().length);
+            serve(current);
+        }
+        if (current == null && queue.isEmpty() && last != null && !rejected) {
+            sayLast();
+        }
+        context.channel().config().setAutoRead(queue.isEmpty());
+    }
+
+    private void serve(final Request request) {
+        final String uri = request.head().uri();
+        final int query = uri.indexOf('?');
+        final String path = query < 0 ? uri : uri.substring(0, query);
+        if (path.equals("/up")) {
+            if (!request.head().method().equals(HttpMethod.GET)) {
+                answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
+            } else {
+                answer(front.isDraining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, 0);
+            }
+            return;
+        }
+        final String className = path.substring(Math.min(path.length(), 1)).split("/", 2)[0];
+        final Courier.MessageClass kind = desk.kind(className);
+        if (kind == null) {
+            answer(HttpResponseStatus.NOT_FOUND, 0);
+        } else if (!request.head().method().equals(HttpMethod.POST)) {
+            answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
+        } else {
+            handIn(request, kind);
+        }
+    }
+
+    private void handIn(final Request request, final Courier.MessageClass kind) {
+        final HandIn handIn = HandIn.read(request.head().headers(), kind);
+        if (handIn == null) {
+            answer(HttpResponseStatus.BAD_REQUEST, 0);
+            return;
+        }
+        if (!desk.knows(handIn.destination())) {
+            answer(HttpResponseStatus.NOT_FOUND, 0);
+            return;
+        }
+        if (desk.holds(handIn.id())) {
+            answer(HttpResponseStatus.CONFLICT, 0);
+            return;
+        }
+        final long lifeUs = HandIn.lifeUs(handIn.timeoutMs(), kind.deadlineUs());
+        currentId = handIn.id();
+        desk.offer(new Held(handIn.id(), kind.name(), handIn.key(), handIn.destination(),
+                clock.wallUs() + lifeUs, request.body()), clock.nowUs() + lifeUs, new Answerer(handIn.id()));
+    }
+
+    /** Answers the request that is current, once its message's fate at the door is known. */
+    private final class Answerer implements Front.Reply {
+        private final String id;
+
+        private Answerer(final String id) {
+            this.id = id;
+        }
+
+        @Override
+        public void accepted() {
+            // A client that never gets this counts on nothing: its message is withdrawn.
+            answer(HttpResponseStatus.ACCEPTED, 0).addListener(done -> {
+                if (!done.isSuccess()) {
+                    desk.withdraw(id);
+                }
+            });
+        }
+
+        @Override
+        public void refused(final Front.Refusal why, final long retryAfterUs) {
+            answer(why == Front.Refusal.NO_ROOM ? HttpResponseStatus.SERVICE_UNAVAILABLE
+                    : HttpResponseStatus.TOO_MANY_REQUESTS, retryAfterUs);
+        }
+
+        @Override
+        public void failed() {
+            answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, 0);
+        }
+    }
+
+    private ChannelFuture answer(final HttpResponseStatus status, final long retryAfterUs) {
+        // Who asks for what cannot be had is not trusted with what it sends behind it.
+        final boolean good = status.code() < HttpResponseStatus.BAD_REQUEST.code()
+                || status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
+                || status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                || status.equals(HttpResponseStatus.INTERNAL_SERVER_ERROR);
+        final boolean keep = good && HttpUtil.isKeepAlive(current.head()) && !front.isDraining() && last == null;
+        current = null;
+        currentId = null;
+        sinceUs = clock.nowUs();
+        final var response = response(status);
+        if (retryAfterUs > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER,
+                    String.format(Locale.ROOT, "%.3f", retryAfterUs / US_PER_SECOND));
+        }
+        if (!keep && queue.isEmpty() || !good) {
+            response.headers().set(HttpHeaderNames.CONNECTION, "close");
+            return end(response);
+        }
+        final ChannelFuture written = context.writeAndFlush(response);
+        if (context.channel().isWritable()) {
+            context.executor().execute(this::next);
+        } else {
+            // It asks and does not read what it is told.
+            context.close();
+        }
+        return written;
+    }
+
+    /** Turns away what cannot be read, once what was read before it is answered. */
+    void reject(final HttpResponseStatus status) {
+        last = status;
+        reading = false;
+        front.release(body.size());
+        body = new ByteArrayOutputStream(0);
+        if (current == null && queue.isEmpty()) {
+            sayLast();
+        }
+    }
+
+    private void sayLast() {
+        final var response = response(last);
+        response.headers().set(HttpHeaderNames.CONNECTION, "close");
+        end(response);
+    }
+
+    /** The last answer of a connection; what still comes is read away for a while and not looked at. */
+    private ChannelFuture end(final DefaultFullHttpResponse response) {
+        last = response.status();
+        rejected = true;
+        front.release(queuedBytes);
+        queuedBytes = 0;
+        queue.clear();
+        if (context.pipeline().get(RequestDecoder.class) != null) {
+            context.pipeline().remove(RequestDecoder.class);
+        }
+        context.channel().config().setAutoRead(true);
+        final ChannelFuture written = context.writeAndFlush(response);
+        written.addListener(done -> {
+            if (context.channel() instanceof SocketChannel socket && done.isSuccess()) {
+                socket.shutdownOutput();
+            }
+            context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        });
+        return written;
+    }
+
+    private static DefaultFullHttpResponse response(final HttpResponseStatus status) {
+        final var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        return response;
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            Log.failure("a client's connection", cause);
+        }
+        ctx.close();
+    }
+}
--- a/courier/src/main/java/thistleturn/courier/RequestDecoder.java
+++ b/courier/src/main/java/thistleturn/courier/http/RequestDecoder.java
@@ -1,4 +1,4 @@
-package thistleturn.courier;
+package thistleturn.courier.http;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
--- a/courier/src/main/java/thistleturn/courier/Journal.java
+++ b/courier/src/main/java/thistleturn/courier/journal/Journal.java
@@ -1,5 +1,8 @@
-package thistleturn.courier;
+package thistleturn.courier.journal;
 
+import thistleturn.courier.port.Held;
+import thistleturn.courier.port.Store;
+import thistleturn.courier.runtime.Log;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -23,7 +26,7 @@
  * still owed is written to a new file that takes its place at once. Nothing is synced: the folder outlasts the process,
  * and a machine that is lost loses the folder as well.
  */
-final class Journal implements AutoCloseable {
+public final class Journal implements Store, AutoCloseable {
     private static final String FILE = "journal";
     private static final String NEXT_FILE = "journal.next";
     private static final int HEAD_BYTES = 2 * Integer.BYTES;
@@ -57,7 +60,7 @@
     }
 
     /** Opens the journal of a folder, or begins it, and reads what the courier still owes. */
-    static Journal open(final Path folder, final long diskBytes) throws IOException {
+    public static Journal open(final Path folder, final long diskBytes) throws IOException {
         final Journal journal = new Journal(folder, diskBytes);
         Files.createDirectories(folder);
         // A kill in the middle of a compaction leaves this; the old file is still the whole truth.
@@ -68,30 +71,30 @@
         return journal;
     }
 
-    /** What the courier owes an end or a notice, in the order taken. */
-    Collection<Held> live() {
+    @Override
+    public Collection<Held> live() {
         return List.copyOf(live.values());
     }
 
-    /** True while an end or a notice is owed for a message of that id. */
-    boolean holds(final String id) {
+    @Override
+    public boolean holds(final String id) {
         return live.containsKey(id);
     }
 
-    /** Records a message that is taken on; false, and nothing taken, if there is no room for it. */
-    boolean take(final Held held) {
+    @Override
+    public boolean take(final Held held) {
         final long bytes = bytes(held);
-        if (live.containsKey(held.id) || liveBytes + bytes > TAKE_SHARE * fileBytes || !append(taken(held))) {
+        if (live.containsKey(held.id()) || liveBytes + bytes > TAKE_SHARE * fileBytes || !append(taken(held))) {
             return false;
         }
-        live.put(held.id, held);
+        live.put(held.id(), held);
         liveBytes += bytes;
         return true;
     }
 
-    /** Records an attempt, before its call's first byte; false if that failed, and then it may not be made. */
-    boolean begin(final Held held, final long wallUs, final String zone) {
-        if (!append(record(BEGUN, held.id, out -> {
+    @Override
+    public boolean begin(final Held held, final long wallUs, final String zone) {
+        if (!append(record(BEGUN, held.id(), out -> {
             out.writeLong(wallUs);
             out.writeUTF(zone);
         }))) {
@@ -101,26 +104,26 @@
         return true;
     }
 
-    /** Records the outcome of an attempt. */
-    void settle(final Held held, final boolean neverRan) {
+    @Override
+    public void settle(final Held held, final boolean neverRan) {
         held.settle(neverRan);
-        append(record(SETTLED, held.id, out -> out.writeBoolean(neverRan)));
+        append(record(SETTLED, held.id(), out -> out.writeBoolean(neverRan)));
     }
 
-    /** Records that a message has ended and that only its notice is still owed. */
-    void owe(final Held held, final Held.Notice notice) {
-        final boolean counted = live.containsKey(held.id);
+    @Override
+    public void owe(final Held held, final Held.Notice notice) {
+        final boolean counted = live.containsKey(held.id());
         final long before = bytes(held);
         held.owe(notice);
         liveBytes -= counted ? before - bytes(held) : 0;
         append(owed(held));
     }
 
-    /** Records that nothing is owed for a message any more. */
-    void over(final Held held) {
-        if (live.remove(held.id) != null) {
+    @Override
+    public void over(final Held held) {
+        if (live.remove(held.id()) != null) {
             liveBytes -= bytes(held);
-            append(record(OVER, held.id, out -> { }));
+            append(record(OVER, held.id(), out -> { }));
         }
     }
 
@@ -130,9 +133,9 @@
     }
 
     private static long bytes(final Held held) {
-        final int keyChars = held.idempotencyKey == null ? 0 : held.idempotencyKey.length();
+        final int keyChars = held.idempotencyKey() == null ? 0 : held.idempotencyKey().length();
         // Two bytes a character at most, for what a header may hold; each of a message's records names its id.
-        return held.body().length + 2L * (RECORDS * held.id.length() + keyChars + held.className.length()) + FATE_BYTES;
+        return held.body().length + 2L * (RECORDS * held.id().length() + keyChars + held.className().length()) + FATE_BYTES;
     }
 
     // ---------------------------------------------------------------- writing
@@ -161,12 +164,12 @@
 
     /** A message with all that became of it, so that one record is enough after a compaction. */
     private static ByteBuffer taken(final Held held) {
-        return record(TAKEN, held.id, out -> {
-            out.writeUTF(held.className);
-            out.writeBoolean(held.idempotencyKey != null);
-            out.writeUTF(held.idempotencyKey == null ? "" : held.idempotencyKey);
-            out.writeLong(held.destination);
-            out.writeLong(held.validUntilWallUs);
+        return record(TAKEN, held.id(), out -> {
+            out.writeUTF(held.className());
+            out.writeBoolean(held.idempotencyKey() != null);
+            out.writeUTF(held.idempotencyKey() == null ? "" : held.idempotencyKey());
+            out.writeLong(held.destination());
+            out.writeLong(held.validUntilWallUs());
             out.writeInt(held.body().length);
             out.write(held.body());
             out.writeInt(held.attempts() - (held.isOut() ? 1 : 0));
@@ -176,7 +179,7 @@
     }
 
     private static ByteBuffer owed(final Held held) {
-        return record(OWED, held.id, out -> {
+        return record(OWED, held.id(), out -> {
             out.writeBoolean(held.notice().failed());
             out.writeLong(held.notice().againMs());
         });
@@ -216,7 +219,7 @@
             for (final Held held : live.values()) {
                 written = copy(fresh, taken(held), written);
                 if (held.isOut()) {
-                    written = copy(fresh, record(BEGUN, held.id, out -> {
+                    written = copy(fresh, record(BEGUN, held.id(), out -> {
                         out.writeLong(held.outWallUs());
                         out.writeUTF(held.outZone());
                     }), written);
--- a/courier/src/main/java/thistleturn/courier/Discovery.java
+++ b/courier/src/main/java/thistleturn/courier/platform/Discovery.java
@@ -1,9 +1,13 @@
-package thistleturn.courier;
+package thistleturn.courier.platform;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import thistleturn.decisions.Courier;
+import thistleturn.courier.port.Directory;
+import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.Config;
+import thistleturn.courier.runtime.Log;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -27,82 +31,64 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
  * The list of endpoints: the copy from the configuration at first, then a watch on its changes. When the watch breaks,
  * falls silent or says what cannot be read, the decisions are told that it is lost; they say when to ask again.
  */
-final class Discovery {
+public final class Discovery implements Directory {
     /** Two of the empty lines that say that the watch lives have not come. */
     private static final int SILENT_MS = 4500;
     /** An answer waits its turn for two seconds at most. */
     private static final int ANSWER_MS = 2500;
     /** While the watch has been heard within this, what it does not name does not exist. */
     private static final long FRESH_US = 10_000_000;
-    /** How long a destination without an endpoint is still reckoned with. */
-    private static final long VACANT_US = 120_000_000;
     /** No version of the list is known that the one asked would understand. */
     private static final long NONE = -1;
     private static final int CONNECT_MS = 1000;
     private static final int MOST_LINE_BYTES = 1 << 22;
     private static final int OK = 200;
 
-    private final Config config;
     private final EventLoop loop;
     private final Clock clock;
-    private final Host host;
+    private final JsonNode known;
     private final ObjectMapper json = new ObjectMapper();
-    private final Map<String, Long> ids = new HashMap<>();
-    private final Map<Long, Courier.Endpoint> entries = new HashMap<>();
-    private long nextId = 1;
-    /** When each destination was last seen to have an endpoint: between two endpoints it has none for a while. */
-    private final Map<Long, Long> destinations = new HashMap<>();
+    private Listener listener;
     private InetSocketAddress address;
     /** When the list was last known to be up to date. */
     private long freshUs;
     private long seq;
     private Watch watch;
 
-    Discovery(final Config config, final EventLoop loop, final Clock clock, final Host host) {
-        this.config = config;
+    /** A watch that does not ask for anything yet. */
+    public Discovery(final Config config, final EventLoop loop, final Clock clock) {
+        this.known = config.known();
         this.loop = loop;
         this.clock = clock;
-        this.host = host;
         this.address = config.discovery();
     }
 
-    /** Begins with the list as this courier last had it; it may be old. */
-    void restore(final JsonNode known) {
+    @Override
+    public void start(final Listener told) {
+        listener = told;
         if (known.path("hosts").isArray()) {
             apply(known, Courier.Update.RESTORED);
         }
     }
 
-    /** Messages that one call to an endpoint may carry. */
-    int messagesPerCall(final long endpoint) {
-        final Courier.Endpoint entry = entries.get(endpoint);
-        return entry == null || entry.kind() < 0 ? 1 : config.settings().kinds().get(entry.kind()).messagesPerCall();
-    }
-
     /**
-     * False for a destination that the list does not name. While the list is old that is not known of any: refusing
-     * one that was added meanwhile would be wrong, and what has no endpoint in time is refused later.
+     * While the list is old nothing is known not to exist: refusing a destination that was added meanwhile would be
+     * wrong, and what has no endpoint in time is refused later.
      */
-    boolean knows(final long destination) {
-        return destinations.containsKey(destination) || clock.nowUs() - freshUs > FRESH_US;
-    }
-
-    String zone(final long endpoint) {
-        final Courier.Endpoint entry = entries.get(endpoint);
-        return entry == null ? "" : entry.zone();
+    @Override
+    public boolean isFresh() {
+        return clock.nowUs() - freshUs <= FRESH_US;
     }
 
-    /** Watches for changes; while a watch is being asked for or stands, that is enough. */
-    void follow() {
+    @Override
+    public void follow() {
         if (watch != null) {
             return;
         }
@@ -110,7 +96,9 @@
     }
 
     /** From now on the list is at another address, whose versions are numbered in their own way. */
-    void move(final InetSocketAddress next) {
+    @Override
+    public void reload(final Config fresh) {
+        final InetSocketAddress next = fresh.discovery();
         if (next.equals(address)) {
             return;
         }
@@ -142,43 +130,15 @@
     }
 
     private void apply(final JsonNode list, final Courier.Update update) {
-        final List<Courier.Endpoint> changed = new ArrayList<>();
-        final List<Long> gone = new ArrayList<>();
-        if (update != Courier.Update.CHANGES) {
-            gone.addAll(entries.keySet());
-        }
+        final List<Listing> listings = new ArrayList<>();
         for (final JsonNode node : list.path("hosts")) {
-            final Courier.Endpoint entry = entry(node);
-            changed.add(entry);
-            gone.remove(entry.id());
-            if (entry.condition() == Courier.Condition.GONE) {
-                gone.add(entry.id());
-                continue;
-            }
-            entries.put(entry.id(), entry);
-            destinations.put(entry.destination(), clock.nowUs());
-            final boolean apart = entry.kind() >= 0 && config.settings().kinds().get(entry.kind()).routesApart();
-            final InetSocketAddress address = Config.address("dial", node.path("dial").asText());
-            host.endpoints().listed(entry, apart, address);
+            listings.add(listing(node));
         }
         seq = list.path("seq").asLong(seq);
-        host.list(update, changed);
-        gone.forEach(this::forget);
-        final long nowUs = clock.nowUs();
-        entries.values().forEach(entry -> destinations.put(entry.destination(), nowUs));
-        destinations.values().removeIf(seenUs -> seenUs < nowUs - VACANT_US);
+        listener.told(update, listings);
     }
 
-    private void forget(final long endpoint) {
-        host.endpoints().removed(endpoint);
-        final Courier.Endpoint entry = entries.remove(endpoint);
-        if (entry != null) {
-            destinations.put(entry.destination(), clock.nowUs());
-        }
-        ids.values().remove(endpoint);
-    }
-
-    private Courier.Endpoint entry(final JsonNode node) {
+    private static Listing listing(final JsonNode node) {
         final String name = node.path("host").asText();
         if (name.isEmpty() || !node.path("block").canConvertToLong()) {
             throw new IllegalArgumentException("an entry without a host or a block: " + node);
@@ -189,15 +149,8 @@
             case "Gone" -> Courier.Condition.GONE;
             default -> throw new IllegalArgumentException("unknown health: " + node);
         };
-        final String kindName = node.path("class").asText();
-        int kind = -1;
-        for (int index = 0; index < config.settings().kinds().size(); index++) {
-            if (config.settings().kinds().get(index).name().equals(kindName)) {
-                kind = index;
-            }
-        }
-        final long id = ids.computeIfAbsent(name, unused -> nextId++);
-        return new Courier.Endpoint(id, condition, node.path("site").asText(), node.path("share").asDouble(0), kind,
+        return new Listing(name, condition, Config.address("dial", node.path("dial").asText()),
+                node.path("site").asText(), node.path("share").asDouble(0), node.path("class").asText(),
                 node.path("block").asLong());
     }
 
@@ -295,7 +248,7 @@
         private void lost() {
             if (watch == this) {
                 watch = null;
-                host.list(Courier.Update.LOST, List.of());
+                listener.told(Courier.Update.LOST, List.of());
             }
         }
     }
--- a/courier/src/main/java/thistleturn/courier/Notices.java
+++ b/courier/src/main/java/thistleturn/courier/platform/Notices.java
@@ -1,7 +1,11 @@
-package thistleturn.courier;
+package thistleturn.courier.platform;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import thistleturn.courier.port.Ends;
+import thistleturn.courier.port.Held;
+import thistleturn.courier.runtime.Config;
+import thistleturn.courier.runtime.Log;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -32,7 +36,7 @@
  * Tells the platform how messages ended that were taken on and not delivered: in batches, one under way at a time, and
  * again until each is confirmed. A notice that is told twice does no harm; one that is not told loses a message.
  */
-final class Notices {
+public final class Notices implements Ends {
     private static final int BATCH = 200;
     private static final int CONNECT_MS = 500;
     private static final int ANSWER_MS = 1000;
@@ -42,30 +46,32 @@
 
     private InetSocketAddress address;
     private final EventLoop loop;
-    private final Host host;
+    private final Listener listener;
     private final Map<String, Held> owed = new LinkedHashMap<>();
     private Session session;
     private List<Held> underWay = List.of();
     private boolean paused;
     private int backOffMs = BACK_OFF_LEAST_MS;
 
-    Notices(final InetSocketAddress address, final EventLoop loop, final Host host) {
+    /** Nothing is told yet. */
+    public Notices(final InetSocketAddress address, final EventLoop loop, final Listener listener) {
         this.address = address;
         this.loop = loop;
-        this.host = host;
+        this.listener = listener;
     }
 
-    /** Adds a notice that the journal holds; it goes out at the end of the pass. */
-    void add(final Held held) {
-        owed.put(held.id, held);
+    @Override
+    public void add(final Held held) {
+        owed.put(held.id(), held);
     }
 
-    boolean isEmpty() {
+    @Override
+    public boolean isEmpty() {
         return owed.isEmpty();
     }
 
-    /** Sends what is owed, unless a batch is under way already. */
-    void flush() {
+    @Override
+    public void flush() {
         if (owed.isEmpty() || !underWay.isEmpty() || paused) {
             return;
         }
@@ -91,7 +97,9 @@
     }
 
     /** From now on the platform is at another address: what it has not confirmed goes there, at once. */
-    void move(final InetSocketAddress next) {
+    @Override
+    public void reload(final Config fresh) {
+        final InetSocketAddress next = fresh.discovery();
         if (next.equals(address)) {
             return;
         }
@@ -108,7 +116,7 @@
     }
 
     private static String line(final Held held) {
-        final ObjectNode line = JsonNodeFactory.instance.objectNode().put("id", held.id);
+        final ObjectNode line = JsonNodeFactory.instance.objectNode().put("id", held.id());
         line.put("status", held.notice().failed() ? "undeliverable" : "deferred");
         if (!held.notice().failed() && held.notice().againMs() > 0) {
             line.put("again_ms", held.notice().againMs());
@@ -192,8 +200,8 @@
             underWay = List.of();
             batch++;
             backOffMs = BACK_OFF_LEAST_MS;
-            done.forEach(held -> owed.remove(held.id));
-            host.noticed(done);
+            done.forEach(held -> owed.remove(held.id()));
+            listener.confirmed(done);
             if (!HttpUtil.isKeepAlive(head)) {
                 session = null;
                 context.close();
--- a/courier/src/main/java/thistleturn/courier/Held.java
+++ b/courier/src/main/java/thistleturn/courier/port/Held.java
@@ -1,20 +1,22 @@
-package thistleturn.courier;
+package thistleturn.courier.port;
 
+import thistleturn.courier.runtime.Clock;
 import thistleturn.decisions.Courier;
 
 /**
  * A message that this courier owes an end, as the journal keeps it (times in Unix microseconds): what its client
  * handed in, and what became of it so far. Once it has ended by a notice, only the notice is still owed.
  */
-final class Held {
-    static final long NEVER = Long.MAX_VALUE;
+public final class Held {
+    /** A moment that never comes. */
+    public static final long NEVER = Long.MAX_VALUE;
     private static final byte[] NOTHING = {};
 
-    final String id;
-    final String className;
-    final String idempotencyKey;
-    final long destination;
-    final long validUntilWallUs;
+    private final String id;
+    private final String className;
+    private final String idempotencyKey;
+    private final long destination;
+    private final long validUntilWallUs;
     private byte[] body;
     private int attempts;
     private long firstRunWallUs = NEVER;
@@ -25,9 +27,10 @@
     private Notice notice;
 
     /** The end that the platform is told: a failure, or a refusal with the time after which to come again. */
-    record Notice(boolean failed, long againMs) { }
+    public record Notice(boolean failed, long againMs) { }
 
-    Held(final String id, final String className, final String idempotencyKey, final long destination,
+    /** What a client handed in; {@code idempotencyKey} may be null. */
+    public Held(final String id, final String className, final String idempotencyKey, final long destination,
          final long validUntilWallUs, final byte[] body) {
         this.id = id;
         this.className = className;
@@ -37,14 +40,40 @@
         this.body = body;
     }
 
-    void begin(final long wallUs, final String zone) {
+    /** The message's id, as its client gave it. */
+    public String id() {
+        return id;
+    }
+
+    /** The name of its class. */
+    public String className() {
+        return className;
+    }
+
+    /** The key by which its destination knows a repeat, or null. */
+    public String idempotencyKey() {
+        return idempotencyKey;
+    }
+
+    /** The number of its destination. */
+    public long destination() {
+        return destination;
+    }
+
+    /** When its time is up, in Unix microseconds. */
+    public long validUntilWallUs() {
+        return validUntilWallUs;
+    }
+
+    /** An attempt begins; the store has recorded it. */
+    public void begin(final long wallUs, final String zone) {
         attempts++;
         outWallUs = wallUs;
         outZone = zone;
     }
 
     /** The attempt that was out has its outcome. */
-    void settle(final boolean neverRan) {
+    public void settle(final boolean neverRan) {
         if (!neverRan && outWallUs != NEVER) {
             firstRunWallUs = Math.min(firstRunWallUs, outWallUs);
             runZone = outZone;
@@ -52,53 +81,61 @@
         outWallUs = NEVER;
     }
 
-    void restore(final int attemptsUsed, final long firstRun, final String zone) {
+    /** What an earlier process had recorded of its attempts. */
+    public void restore(final int attemptsUsed, final long firstRun, final String zone) {
         attempts = attemptsUsed;
         firstRunWallUs = firstRun;
         runZone = zone;
     }
 
     /** Only its notice is owed from now on, and that needs no body: many may wait while the platform is away. */
-    void owe(final Notice owed) {
+    public void owe(final Notice owed) {
         notice = owed;
         body = NOTHING;
     }
 
     /** What its client handed in; empty once only its notice is owed. */
-    byte[] body() {
+    public byte[] body() {
         return body;
     }
 
-    Notice notice() {
+    /** The end that is still to be told, or null. */
+    public Notice notice() {
         return notice;
     }
 
-    int attempts() {
+    /** Attempts begun so far. */
+    public int attempts() {
         return attempts;
     }
 
-    long firstRunWallUs() {
+    /** When the first attempt began that may have run; {@link #NEVER} if none. */
+    public long firstRunWallUs() {
         return firstRunWallUs;
     }
 
-    String runZone() {
+    /** The zone of that attempt. */
+    public String runZone() {
         return runZone;
     }
 
-    boolean isOut() {
+    /** True while an attempt is out. */
+    public boolean isOut() {
         return outWallUs != NEVER;
     }
 
-    long outWallUs() {
+    /** When the attempt that is out was begun. */
+    public long outWallUs() {
         return outWallUs;
     }
 
-    String outZone() {
+    /** The zone of the attempt that is out. */
+    public String outZone() {
         return outZone;
     }
 
     /** What a process that did not see the attempts may count on. A call that was out may have run. */
-    Courier.Past past(final Clock clock) {
+    public Courier.Past past(final Clock clock) {
         final long firstWallUs = Math.min(firstRunWallUs, outWallUs);
         final boolean ran = firstWallUs != NEVER;
         return new Courier.Past(attempts, ran, ran ? clock.fromWallUs(firstWallUs) : 0, isOut() ? outZone : runZone);
--- a/courier/src/main/java/thistleturn/courier/Config.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Config.java
@@ -1,4 +1,4 @@
-package thistleturn.courier;
+package thistleturn.courier.runtime;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -17,7 +17,7 @@
  * What a courier is told at its start: the file of the configuration, with the environment's word on addresses and
  * folders. Unknown keys are ignored; a value that cannot be read ends the start with one line that names it.
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed, int sockets,
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed, int sockets,
               long diskBytes, JsonNode known, Courier.Settings settings, long connectTimeoutUs) {
 
     private static final int MOST_PORT = 65_535;
@@ -26,16 +26,17 @@
     private static final String SOURCE = "configuration";
 
     /** Why a courier cannot start. */
-    static final class BadConfigException extends Exception {
+    public static final class BadConfigException extends Exception {
         private static final long serialVersionUID = 1L;
 
-        BadConfigException(final String reason) {
+        /** One line that names what is wrong. */
+        public BadConfigException(final String reason) {
             super(reason);
         }
     }
 
     /** Reads the file that the environment names. */
-    static Config read(final Map<String, String> environment) throws BadConfigException {
+    public static Config read(final Map<String, String> environment) throws BadConfigException {
         final String file = environment.get("PROXY_CONFIG");
         if (file == null) {
             throw new BadConfigException("PROXY_CONFIG is not set");
@@ -124,7 +125,7 @@
     }
 
     /** An address with its port, both as figures: there is no DNS. Port 0 lets the system choose one to listen on. */
-    static InetSocketAddress address(final String what, final String text) {
+    public static InetSocketAddress address(final String what, final String text) {
         final int colon = text.lastIndexOf(':');
         try {
             final int port = Integer.parseInt(text.substring(colon + 1));
