Reckon how long a request lay unread, so that its end is told in time

A message's time runs from its sending, but was counted from its reading less a fixed 200 ms; a request may lie unread for up to the 400 ms that its client waits, and a second standstill when its end is due takes the rest.

LoopTurns notes when each turn of the event loop began to look; Arrival bounds from it, for each connection, since when bytes can have lain there (accept backlog, full reads and pauses reckoned with). The time of a message now counts from that bound; the margin for its way to the machine is unchanged. Way keeps the times of each message in this process, and an end confirmed more than 100 ms late is one line in the log that says where it lay.

--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -5,6 +5,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.nio.channels.spi.SelectorProvider;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -21,6 +22,7 @@
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.LoopTurns;
 
 /**
  * A courier with its ports wired: one event loop that owns all state, a journal, a front, a carrier, a directory and
@@ -34,9 +36,11 @@
     private static final long STOP_CHECK_MS = 20;
     private static final long US_PER_MS = 1000;
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
+    private final LoopTurns turns = new LoopTurns(clock);
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            NioIoHandler.newFactory(SelectorProvider.provider(), turns));
+    private final EventLoop loop = group.next();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final CompletableFuture<String> ready = new CompletableFuture<>();
     private final Map<String, String> environment;
@@ -134,7 +138,7 @@
     /** Builds everything on the event loop, which owns it all from then on. */
     private void run() {
         host = new Host(config, loop, clock, journal, new Ports());
-        front = new HttpFront(config, group, loop, clock, host);
+        front = new HttpFront(config, group, loop, clock, turns, host);
         host.start();
         front.listen().whenComplete((address, failure) -> {
             if (failure == null) {
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -26,6 +26,8 @@
  */
 final class Host implements Courier.Actions, Front.Desk, Carrier.Listener, Ends.Listener {
     private static final long US_PER_MS = 1000;
+    /** An end that the platform confirms so late after its message's time is worth a line: the limit is 300 ms. */
+    private static final long LATE_US = 100_000;
     /** When the store is full: a message's time in it is some seconds, so that one place is free soon. */
     private static final long FULL_RETRY_US = 1_000_000;
 
@@ -161,6 +163,7 @@
         final Open open = new Open(held, config.settings().classes().get(index), validUntilUs, reply);
         messages.put(held.id(), open);
         unanswered.add(open);
+        held.way().taken(clock.nowUs());
         control.onMessage(clock.nowUs(), message(open, index));
         touch();
     }
@@ -193,6 +196,9 @@
     public void outcome(final Carrier.Parcel parcel, final Carrier.Call call, final Carrier.Answer answer) {
         final Open open = ((Part) parcel).open();
         open.call = null;
+        if (open.held.way() != null) {
+            open.held.way().outcome(clock.nowUs());
+        }
         final boolean delivered = answer.result() == Courier.Result.DELIVERED;
         if (!open.over) {
             if (delivered || answer.over()) {
@@ -208,7 +214,14 @@
 
     @Override
     public void confirmed(final List<Held> known) {
-        known.forEach(store::over);
+        final long nowUs = clock.nowUs();
+        for (final Held held : known) {
+            if (held.way() != null && held.way().lateUs(nowUs) > LATE_US) {
+                Log.info("late end of " + held.id() + " (" + held.className() + ", " + held.attempts() + " attempts): "
+                        + held.way().story(nowUs));
+            }
+            store.over(held);
+        }
     }
 
     // ---------------------------------------------------------------- the pass
@@ -242,6 +255,7 @@
             if (open.reply != null && !open.over) {
                 final Front.Reply reply = open.reply;
                 open.reply = null;
+                open.held.way().answered(clock.nowUs());
                 reply.accepted();
             }
         }
@@ -255,6 +269,9 @@
             boolean recorded = true;
             for (final Part parcel : some) {
                 parcel.open().call = call;
+                if (parcel.held().way() != null) {
+                    parcel.held().way().attempt(clock.nowUs());
+                }
                 recorded &= store.begin(parcel.open().held, clock.wallUs(), roster.zone(endpoint));
             }
             if (recorded) {
@@ -309,6 +326,9 @@
     /** Ends a message that was taken on by a notice; the journal holds the notice until it is confirmed. */
     private void end(final Open open, final Held.Notice notice) {
         open.over = true;
+        if (open.held.way() != null) {
+            open.held.way().ended(clock.nowUs());
+        }
         messages.remove(open.held.id());
         store.owe(open.held, notice);
         ends.add(open.held);
--- a/courier/src/main/java/thistleturn/courier/http/HandIn.java
+++ b/courier/src/main/java/thistleturn/courier/http/HandIn.java
@@ -10,8 +10,10 @@
 record HandIn(String id, long timeoutMs, long destination, String key) {
     private static final int MOST_ID_CHARS = 128;
     private static final long US_PER_MS = 1000;
-    /** For how long a request may have waited to be read, beyond what an end may be late anyway. */
-    private static final long WAITED_US = 200_000;
+    /** What a request's way to this machine, and the clocks, may take at most, us. */
+    private static final long WAY_US = 200_000;
+    /** A client waits no longer for its answer, us: what lay unread for longer is wanted by nobody. */
+    static final long CLIENT_PATIENCE_US = 400_000;
 
     /** Reads the headers; null if they lack something or contradict the class. */
     static HandIn read(final HttpHeaders headers, final Courier.MessageClass kind) {
@@ -28,13 +30,12 @@
     }
 
     /**
-     * How long a message that is read now may still be delivered. Its time runs from when it was sent, and it may have
-     * waited to be read for nearly as long as a client waits for an answer: without a margin its end could be told too
-     * late, which loses it.
+     * How long a message may still be delivered, us, from its arrival on. Its time runs from when it was sent; how
+     * long it lay unread on this machine is not in here, since that is known ({@link Arrival}).
      */
     static long lifeUs(final long timeoutMs, final long deadlineUs) {
         final long lifeUs = Math.min(timeoutMs, deadlineUs / US_PER_MS) * US_PER_MS;
-        return lifeUs - Math.min(WAITED_US, lifeUs / 4);
+        return lifeUs - Math.min(WAY_US, lifeUs / 4);
     }
 
     /** A whole number that is not negative, or -1. */
--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -4,10 +4,13 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -22,6 +25,7 @@
 import thistleturn.courier.port.Front;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
+import thistleturn.courier.runtime.LoopTurns;
 
 /**
  * Where clients hand messages in. A message that is taken is answered in the pass that read it; whatever cannot be
@@ -33,6 +37,8 @@
     /** What is read at once from one connection: one that floods may not keep the others waiting. */
     private static final int READ_BYTES = 1 << 14;
     private static final int BACKLOG = 256;
+    /** Connections accepted in one turn of the loop. */
+    private static final int MOST_ACCEPTS = 16;
     /** How long a request may take to come in whole, and a new connection to begin one. */
     private static final long REQUEST_US = 2_000_000;
     /** How long a connection is kept between requests, and how long where there are many. */
@@ -46,6 +52,7 @@
     private final Config config;
     private final Clock clock;
     private final Desk desk;
+    private final LoopTurns turns;
     private final EventLoopGroup group;
     private final EventLoop loop;
     private final int mostConnections;
@@ -56,11 +63,12 @@
 
     /** Accepts on the group; all that it accepts is owned by the loop. */
     public HttpFront(final Config config, final EventLoopGroup group, final EventLoop loop, final Clock clock,
-                     final Desk desk) {
+                     final LoopTurns turns, final Desk desk) {
         this.config = config;
         this.group = group;
         this.loop = loop;
         this.clock = clock;
+        this.turns = turns;
         this.desk = desk;
         this.mostConnections = (int) Math.max(1, SOCKET_SHARE * config.sockets());
     }
@@ -70,16 +78,20 @@
     public CompletionStage<String> listen() {
         final CompletableFuture<String> listening = new CompletableFuture<>();
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        final Accepting accepting = new Accepting();
         final ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator()
+                        .maxMessagesPerRead(MOST_ACCEPTS))
+                .handler(accepting).childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(READ_BYTES / 16, READ_BYTES / 8, READ_BYTES)
                                 .maxMessagesPerRead(1))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
-                        final HttpSession session = new HttpSession(HttpFront.this, desk, clock);
+                        final HttpSession session = new HttpSession(HttpFront.this, desk, clock, turns,
+                                accepting.arrival.sinceUs());
                         channel.pipeline().addLast(new RequestDecoder(session::bytesCame), new HttpResponseEncoder(),
                                 new HttpServerExpectContinueHandler(), session);
                     }
@@ -136,6 +148,27 @@
                 .orElse(newest).drop();
     }
 
+    /** Reckons since when a connection that is accepted may have waited for that, with a request on it. */
+    private final class Accepting extends ChannelInboundHandlerAdapter {
+        private final Arrival arrival = new Arrival(clock.nowUs());
+        private int accepted;
+
+        @Override
+        public void channelRead(final ChannelHandlerContext context, final Object connection) {
+            accepted++;
+            // One more may always wait behind it; whether that is so is known when the reading ends.
+            arrival.read(clock.nowUs(), turns.previousLookUs(), false);
+            context.fireChannelRead(connection);
+        }
+
+        @Override
+        public void channelReadComplete(final ChannelHandlerContext context) {
+            arrival.drained(accepted < MOST_ACCEPTS);
+            accepted = 0;
+            context.fireChannelReadComplete();
+        }
+    }
+
     // ---------------------------------------------------------------- what its sessions ask
 
     void opened(final HttpSession session) {
--- a/courier/src/main/java/thistleturn/courier/http/HttpSession.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpSession.java
@@ -28,8 +28,10 @@
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.port.Front;
 import thistleturn.courier.port.Held;
+import thistleturn.courier.port.Way;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.LoopTurns;
 import thistleturn.decisions.Courier;
 
 /** One client's connection: requests are read strictly and served in turn, each with its one answer. */
@@ -42,11 +44,14 @@
     private static final long LINGER_MS = 500;
     private static final int MOST_DRAINED_BYTES = 1 << 18;
     private static final long GONE_RETRY_US = 500_000;
+    private static final long US_PER_MS = 1000;
     private static final double US_PER_SECOND = 1_000_000;
 
     private final HttpFront front;
     private final Front.Desk desk;
     private final Clock clock;
+    private final LoopTurns turns;
+    private final Arrival arrival;
     private ChannelHandlerContext context;
     private HttpRequest head;
     /** What has come of a body; nothing is kept of it once the request is whole. */
@@ -65,7 +70,10 @@
     private long sinceUs;
     private long askedSinceUs = Long.MAX_VALUE;
 
-    HttpSession(final HttpFront front, final Front.Desk desk, final Clock clock) {
+    HttpSession(final HttpFront front, final Front.Desk desk, final Clock clock, final LoopTurns turns,
+                final long acceptableSinceUs) {
+        this.turns = turns;
+        this.arrival = new Arrival(acceptableSinceUs);
         this.front = front;
         this.desk = desk;
         this.clock = clock;
@@ -73,7 +81,7 @@
     }
 
     /** A whole request that waits for its turn on its connection. */
-    private record Request(HttpRequest head, byte[] body) { }
+    private record Request(HttpRequest head, byte[] body, long arrivedUs, long firstByteUs, long wholeUs) { }
 
     /** Since when it has been of no use, us. */
     long sinceUs() {
@@ -162,7 +170,12 @@
     }
 
     /** Bytes have come, perhaps too few to make a head. */
-    void bytesCame() {
+    void bytesCame(final ByteBuf bytes) {
+        arrival.read(clock.nowUs(), turns.previousLookUs(), bytes.isWritable());
+        asking();
+    }
+
+    private void asking() {
         if (askedSinceUs == Long.MAX_VALUE) {
             askedSinceUs = clock.nowUs();
         }
@@ -196,7 +209,7 @@
         if (part instanceof HttpRequest request) {
             head = request;
             reading = true;
-            bytesCame();
+            asking();
             if (!RequestDecoder.isFramedPlainly(request)) {
                 reject(HttpResponseStatus.BAD_REQUEST);
                 return;
@@ -229,8 +242,10 @@
     private void complete() {
         reading = false;
         hasAsked = true;
+        final long nowUs = clock.nowUs();
+        queue.add(new Request(head, body.toByteArray(),
+                Math.max(arrival.sinceUs(), nowUs - HandIn.CLIENT_PATIENCE_US), askedSinceUs, nowUs));
         askedSinceUs = Long.MAX_VALUE;
-        queue.add(new Request(head, body.toByteArray()));
         queuedBytes += body.size();
         head = null;
         body = new ByteArrayOutputStream(0);
@@ -251,6 +266,9 @@
         if (current == null && queue.isEmpty() && last != null && !rejected) {
             sayLast();
         }
+        if (!queue.isEmpty()) {
+            arrival.paused(clock.nowUs());
+        }
         context.channel().config().setAutoRead(queue.isEmpty());
     }
 
@@ -291,10 +309,13 @@
             answer(HttpResponseStatus.CONFLICT, 0);
             return;
         }
-        final long lifeUs = HandIn.lifeUs(handIn.timeoutMs(), kind.deadlineUs());
+        final long validUntilUs = request.arrivedUs() + HandIn.lifeUs(handIn.timeoutMs(), kind.deadlineUs());
         currentId = handIn.id();
-        desk.offer(new Held(handIn.id(), kind.name(), handIn.key(), handIn.destination(),
-                clock.wallUs() + lifeUs, request.body()), clock.nowUs() + lifeUs, new Answerer(handIn.id()));
+        final Held held = new Held(handIn.id(), kind.name(), handIn.key(), handIn.destination(),
+                clock.toWallUs(validUntilUs), request.body());
+        held.began(new Way(request.arrivedUs(), request.firstByteUs(), request.wholeUs(),
+                request.arrivedUs() + handIn.timeoutMs() * US_PER_MS));
+        desk.offer(held, validUntilUs, new Answerer(handIn.id()));
     }
 
     /** Answers the request that is current, once its message's fate at the door is known. */
--- a/courier/src/main/java/thistleturn/courier/http/RequestDecoder.java
+++ b/courier/src/main/java/thistleturn/courier/http/RequestDecoder.java
@@ -1,10 +1,12 @@
 package thistleturn.courier.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import java.util.function.Consumer;
 
 /**
  * Reads requests strictly. The library forgives a length beside a transfer coding by dropping one of them; but two
@@ -14,10 +16,10 @@
     private static final int MOST_LINE_BYTES = 2048;
     private static final int MOST_HEAD_BYTES = 8192;
 
-    private final Runnable bytesCame;
+    private final Consumer<ByteBuf> bytesCame;
 
     /** {@code bytesCame} is told of all that is read, also of what is no head yet. */
-    RequestDecoder(final Runnable bytesCame) {
+    RequestDecoder(final Consumer<ByteBuf> bytesCame) {
         super(new HttpDecoderConfig().setMaxInitialLineLength(MOST_LINE_BYTES).setMaxHeaderSize(MOST_HEAD_BYTES)
                 .setAllowDuplicateContentLengths(false).setStrictLineParsing(true).setUseRfc9112TransferEncoding(true));
         this.bytesCame = bytesCame;
@@ -25,7 +27,9 @@
 
     @Override
     public void channelRead(final ChannelHandlerContext context, final Object bytes) throws Exception {
-        bytesCame.run();
+        if (bytes instanceof ByteBuf read) {
+            bytesCame.accept(read);
+        }
         super.channelRead(context, bytes);
     }
 
--- a/courier/src/main/java/thistleturn/courier/port/Held.java
+++ b/courier/src/main/java/thistleturn/courier/port/Held.java
@@ -25,6 +25,7 @@
     private long outWallUs = NEVER;
     private String outZone = "";
     private Notice notice;
+    private Way way;
 
     /** The end that the platform is told: a failure, or a refusal with the time after which to come again. */
     public record Notice(boolean failed, long againMs) { }
@@ -140,4 +141,14 @@
         final boolean ran = firstWallUs != NEVER;
         return new Courier.Past(attempts, ran, ran ? clock.fromWallUs(firstWallUs) : 0, isOut() ? outZone : runZone);
     }
+
+    /** Its way through this process; null if an earlier one took it. */
+    public Way way() {
+        return way;
+    }
+
+    /** Begins its way. */
+    public void began(final Way begun) {
+        way = begun;
+    }
 }
--- /dev/null
+++ b/courier/src/main/java/thistleturn/courier/runtime/LoopTurns.java
@@ -0,0 +1,38 @@
+package thistleturn.courier.runtime;
+
+import io.netty.channel.DefaultSelectStrategyFactory;
+import io.netty.channel.SelectStrategy;
+import io.netty.channel.SelectStrategyFactory;
+
+/**
+ * Notes when each turn of an event loop began to look for what its sockets have. What a turn finds and the turn before
+ * did not find came after that earlier look began: that bounds how long it can have lain in a socket's buffer, however
+ * long the loop, or the whole process, stood still. Used by one event loop, on its thread.
+ */
+public final class LoopTurns implements SelectStrategyFactory {
+    private final Clock clock;
+    private final SelectStrategy plain = DefaultSelectStrategyFactory.INSTANCE.newSelectStrategy();
+    private long beganUs;
+    private long beforeUs;
+
+    /** No turn has begun yet. */
+    public LoopTurns(final Clock clock) {
+        this.clock = clock;
+        this.beganUs = clock.nowUs();
+        this.beforeUs = beganUs;
+    }
+
+    @Override
+    public SelectStrategy newSelectStrategy() {
+        return (supplier, hasTasks) -> {
+            beforeUs = beganUs;
+            beganUs = clock.nowUs();
+            return plain.calculateStrategy(supplier, hasTasks);
+        };
+    }
+
+    /** When the look before this turn's began, us: what is found only now was not there then. */
+    public long previousLookUs() {
+        return beforeUs;
+    }
+}
