Membership from Eureka: client, registration, merged directory, and stand-ins under an Auditor

Installers' controller services announce themselves through Eureka's registry; operators copied those entries by hand, late and with errors. The courier now reads them itself: a streaming client (whole answers, deltas with their hash checked, single applications and VIPs, fail-over between addresses, bounds on time and bytes), this courier's own entry (register, renew, out of service on SIGTERM, cancel at the end), and MergedDirectory, which carries both the list and the registries to the membership module. The decisions learn of other sources' changes by Update.ASIDE, which says nothing of the list's own state.

testkit gets the stand-ins (endpoint, client, platform, registry with nine faults) and an Auditor that checks the six rules apart from the courier's code. 30 tests of failures in process: registry hung, 503, noise, no JSON, cut, a gigabyte, empty, stale, wrong hash, down and restarted empty; two sources and two registries that disagree; 1,000 flapping; killed and stopped in the middle of a registration.

--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -34,6 +34,8 @@
     /** When the process ends after SIGTERM: SIGKILL comes no sooner than 3.7 s after it. */
     private static final long STOP_MS = 3100;
     private static final long STOP_CHECK_MS = 20;
+    /** What an extension has to take leave at least. */
+    private static final long LEAVE_MS = 300;
     private static final long US_PER_MS = 1000;
 
     private final Clock clock = new Clock();
@@ -58,6 +60,18 @@
         /** The directory that the courier follows: the platform's own, or one that merges it with others. */
         Directory directory(Directory own, Surroundings surroundings);
 
+        /** The courier serves at that address from now on. Called on the event loop. */
+        void ready(String address);
+
+        /** The process ends soon; whoever knows of it may be told. Called on the event loop. */
+        void stopping();
+
+        /**
+         * Nothing is held any more, or the time is up: takes leave of whoever knows of this courier. Called on the
+         * event loop again and again until it is true that this is done.
+         */
+        boolean leave();
+
         /** The configuration is being read again; whatever the extension keeps in files of its own is, too. */
         void reload();
     }
@@ -68,6 +82,21 @@
             return own;
         }
 
+        @Override
+        public void ready(final String address) {
+            // Nobody else is told.
+        }
+
+        @Override
+        public void stopping() {
+            // Nobody else is told.
+        }
+
+        @Override
+        public boolean leave() {
+            return true;
+        }
+
         @Override
         public void reload() {
             // It has nothing to read.
@@ -143,6 +172,7 @@
         front.listen().whenComplete((address, failure) -> {
             if (failure == null) {
                 Log.info(config.name() + " is ready at " + address);
+                extension.ready(address);
                 ready.complete(address);
             } else {
                 ready.completeExceptionally(new IOException(
@@ -179,10 +209,12 @@
             final long stopUs = clock.nowUs() + STOP_MS * US_PER_MS;
             front.drain();
             host.stopping(stopUs);
+            extension.stopping();
             loop.schedule(() -> {
                 front.stopListening();
                 loop.scheduleWithFixedDelay(() -> {
-                    if (host.idle() || clock.nowUs() >= stopUs) {
+                    final boolean due = host.idle() || clock.nowUs() >= stopUs - LEAVE_MS * US_PER_MS;
+                    if (due && extension.leave() || clock.nowUs() >= stopUs) {
                         stopped.countDown();
                     }
                 }, STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -381,12 +381,11 @@
     /** This process ends at that moment: nothing is begun that cannot end by then. */
     void stopping(final long stopUs) {
         control.onStopping(clock.nowUs(), stopUs);
-        directory.stopping();
         touch();
     }
 
     /** True when nothing is under way that the end of the process would cut off. */
     boolean idle() {
-        return messages.isEmpty() && ends.isEmpty() && directory.isIdle();
+        return messages.isEmpty() && ends.isEmpty();
     }
 }
--- a/courier/src/main/java/thistleturn/courier/Roster.java
+++ b/courier/src/main/java/thistleturn/courier/Roster.java
@@ -22,6 +22,7 @@
     private final List<Courier.Kind> kinds;
     private final LongSupplier nowUs;
     private final Map<String, Long> ids = new HashMap<>();
+    private final Map<Long, String> names = new HashMap<>();
     private final Map<Long, Courier.Endpoint> entries = new HashMap<>();
     /** When each destination was last seen to have an endpoint: between two endpoints it has none for a while. */
     private final Map<Long, Long> destinations = new HashMap<>();
@@ -64,7 +65,7 @@
         if (entry != null) {
             destinations.put(entry.destination(), nowUs.getAsLong());
         }
-        ids.values().remove(endpoint);
+        ids.remove(names.remove(endpoint));
     }
 
     /** Notes which destinations have an endpoint now. */
@@ -98,7 +99,10 @@
                 kind = index;
             }
         }
-        final long id = ids.computeIfAbsent(listing.name(), unused -> nextId++);
+        final long id = ids.computeIfAbsent(listing.name(), name -> {
+            names.put(nextId, name);
+            return nextId++;
+        });
         return new Courier.Endpoint(id, listing.condition(), listing.zone(), listing.weight(), kind,
                 listing.destination());
     }
--- a/courier/src/main/java/thistleturn/courier/port/Directory.java
+++ b/courier/src/main/java/thistleturn/courier/port/Directory.java
@@ -33,12 +33,4 @@
 
     /** A new configuration counts from now on, as far as it concerns this directory. */
     void reload(Config fresh);
-
-    /** This process ends soon; whoever knows of it may be told. */
-    default void stopping() { }
-
-    /** True when nothing is under way that the end of the process would cut off. */
-    default boolean isIdle() {
-        return true;
-    }
 }
--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -828,9 +828,11 @@
             askBackOffUs = Math.min(2 * askBackOffUs, ASK_MOST_US);
             return;
         }
-        askAgainUs = NEVER;
-        askBackOffUs = ASK_LEAST_US;
-        if (update != Update.CHANGES) {
+        if (update != Update.ASIDE) {
+            askAgainUs = NEVER;
+            askBackOffUs = ASK_LEAST_US;
+        }
+        if (update == Update.WHOLE || update == Update.RESTORED) {
             nodes.values().forEach(node -> node.condition = Condition.GONE);
         }
         for (final Endpoint entry : entries) {
--- a/decisions/src/main/java/thistleturn/decisions/Courier.java
+++ b/decisions/src/main/java/thistleturn/decisions/Courier.java
@@ -36,8 +36,11 @@
     /** An endpoint's state in the list; the list knows nothing of health. */
     enum Condition { LISTED, DRAINING, GONE }
 
-    /** What an update of the list holds: changed entries, all, the last list known, or no news at all. */
-    enum Update { CHANGES, WHOLE, RESTORED, LOST }
+    /**
+     * What an update holds: changed entries, all, the last list known, or no news at all; {@code ASIDE}: changes that
+     * another source than the list told, which say nothing of the list's own state.
+     */
+    enum Update { CHANGES, WHOLE, RESTORED, LOST, ASIDE }
 
     /** A class of message. {@code zoneKeyed}: only endpoints of one zone drop each other's repeats. */
     record MessageClass(String name, Effect effect, boolean zoneKeyed, boolean inTurn, double worth,
--- /dev/null
+++ b/eureka/src/main/java/thistleturn/eureka/EurekaSource.java
@@ -0,0 +1,264 @@
+package thistleturn.eureka;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import thistleturn.courier.runtime.Clock;
+import thistleturn.decisions.membership.RegistryPoll;
+import thistleturn.decisions.membership.RegistryPoll.Ask;
+import thistleturn.decisions.membership.Report;
+
+/**
+ * Asks one registry for its instances: all of them first, then changes, and all again where the changes do not lead to
+ * what the registry has (its hash tells). It decides nothing: when and where to ask is {@link RegistryPoll}'s, and what
+ * to make of the answers the membership's. Runs on the event loop.
+ */
+public final class EurekaSource {
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+
+    private final RegistrySettings settings;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final DoubleSupplier random;
+    private final Listener listener;
+    private final EurekaMapping mapping = new EurekaMapping();
+    private final RegistryPoll poll;
+    private final Counts counts = new Counts();
+    /** Status of each instance that the registry has, usable or not: its hash counts them all. */
+    private Map<String, String> statuses = new HashMap<>();
+    private boolean deltas;
+    private Future<?> due;
+    private EurekaCall call;
+    private boolean closed;
+
+    /** Who is told what a registry says. */
+    public interface Listener {
+        /** Everything that it has; {@code deleted} are instances that it has and that are of no use any more. */
+        void whole(Collection<Report> reports, Collection<String> deleted);
+
+        /** Some of what it has: instances with their state, and ids that it deleted. Nothing means: all as before. */
+        void changes(Collection<Report> reports, Collection<String> deleted);
+
+        /** It cannot be heard. */
+        void lost(String reason);
+    }
+
+    /** What operators are told of a registry. */
+    public static final class Counts {
+        private long whole;
+        private long deltas;
+        private long mismatches;
+        private long failures;
+        private long bytes;
+        private String lastFailure = "";
+
+        /** As names and figures. */
+        public Map<String, Object> asMap() {
+            final Map<String, Object> map = new TreeMap<>();
+            map.put("whole", whole);
+            map.put("deltas", deltas);
+            map.put("mismatches", mismatches);
+            map.put("failures", failures);
+            map.put("bytes", bytes);
+            map.put("last_failure", lastFailure);
+            return map;
+        }
+    }
+
+    /** Does not ask before {@link #start}; {@code random} gives numbers drawn evenly from [0, 1). */
+    public EurekaSource(final RegistrySettings settings, final EventLoop loop, final Clock clock,
+            final DoubleSupplier random, final Listener listener) {
+        this.settings = settings;
+        this.loop = loop;
+        this.clock = clock;
+        this.random = random;
+        this.listener = listener;
+        this.deltas = settings.deltas() && settings.scope().isEmpty();
+        this.poll = new RegistryPoll(clock.nowUs(), settings.addresses().size(), settings.periodUs(),
+                settings.mostBackOffUs(), deltas);
+    }
+
+    /** What it is asked by. */
+    public RegistrySettings settings() {
+        return settings;
+    }
+
+    /** Figures for operators. */
+    public Map<String, Object> status() {
+        final Map<String, Object> map = counts.asMap();
+        map.put("instances", statuses.size());
+        map.put("unusable", mapping.unusable());
+        map.put("address", settings.addresses().get(poll.next().address()).at().toString());
+        return map;
+    }
+
+    /** Begins to ask. */
+    public void start() {
+        later();
+    }
+
+    /** Asks no more; an answer that is still coming counts for nothing. */
+    public void close() {
+        closed = true;
+        if (due != null) {
+            due.cancel(false);
+        }
+        if (call != null) {
+            call.abandon();
+        }
+    }
+
+    private void later() {
+        if (!closed) {
+            due = loop.schedule(this::ask, Math.max(0, poll.next().atUs() - clock.nowUs()), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void ask() {
+        final RegistryPoll.Next next = poll.next();
+        final List<String> paths = next.ask() == Ask.DELTA ? List.of("/apps/delta")
+                : settings.scope().isEmpty() ? List.of("/apps")
+                : settings.scope().stream().map(scope -> "/" + scope).toList();
+        new Round(next, paths).call();
+    }
+
+    /** One question, for which several calls may be needed. */
+    private final class Round implements EurekaCall.Listener {
+        private final RegistryPoll.Next next;
+        private final List<String> paths;
+        private final long endsUs = clock.nowUs() + settings.answerUs();
+        private final Map<String, Report> reports = new LinkedHashMap<>();
+        private final Set<String> deleted = new LinkedHashSet<>();
+        private final Map<String, String> seen;
+        private EurekaParser parser;
+        private int asked;
+        private long bytesLeft = settings.mostBytes();
+
+        Round(final RegistryPoll.Next next, final List<String> paths) {
+            this.next = next;
+            this.paths = paths;
+            this.seen = next.ask() == Ask.DELTA ? new HashMap<>(statuses) : new HashMap<>();
+        }
+
+        private void call() {
+            try {
+                parser = new EurekaParser(settings.metadata(), this::take);
+            } catch (final IOException e) {
+                throw new IllegalStateException("a parser without input failed", e);
+            }
+            call = EurekaCall.begin(loop, HttpMethod.GET, settings.addresses().get(next.address()), paths.get(asked),
+                    null, Math.max(1, endsUs - clock.nowUs()), bytesLeft, this);
+        }
+
+        private void take(final EurekaInstance instance) {
+            final String key = instance.key();
+            if (instance.action().equals("DELETED") && next.ask() == Ask.DELTA) {
+                seen.remove(key);
+                deleted.add(key);
+                reports.remove(key);
+                return;
+            }
+            seen.put(key, instance.status().intern());
+            final Report report = mapping.report(instance);
+            if (report == null) {
+                // It may have been of use before.
+                deleted.add(key);
+            } else {
+                deleted.remove(key);
+                reports.put(key, report);
+            }
+        }
+
+        @Override
+        public void body(final int status, final ByteBuf bytes) throws IOException {
+            counts.bytes += bytes.readableBytes();
+            bytesLeft -= bytes.readableBytes();
+            if (status == OK) {
+                parser.feed(bytes);
+            }
+        }
+
+        @Override
+        public void answered(final int status) throws IOException {
+            call = null;
+            if (status == OK) {
+                parser.end();
+            } else if (next.ask() == Ask.DELTA) {
+                // It tells no changes, or not any more; all can still be asked for.
+                deltas = false;
+                poll.mismatched(clock.nowUs());
+                later();
+                return;
+            } else if (status != NOT_FOUND || !paths.get(asked).startsWith("/apps/")) {
+                failed("it answers " + status);
+                return;
+            }
+            asked++;
+            if (asked < paths.size()) {
+                call();
+            } else {
+                complete();
+            }
+        }
+
+        private void complete() {
+            final boolean fits = !settings.scope().isEmpty() || parser.hash().equals(hash(seen))
+                    // An answer without a hash cannot be checked; a whole one is as good as its word.
+                    || parser.hash().isEmpty() && next.ask() == Ask.FULL;
+            if (next.ask() == Ask.DELTA && !fits) {
+                counts.mismatches++;
+                // What it says of single instances counts all the same; what is missing comes with the whole answer.
+                listener.changes(reports.values(), deleted);
+                poll.mismatched(clock.nowUs());
+                later();
+                return;
+            }
+            statuses = seen;
+            if (next.ask() == Ask.DELTA) {
+                counts.deltas++;
+                listener.changes(reports.values(), deleted);
+            } else if (fits) {
+                counts.whole++;
+                listener.whole(reports.values(), deleted);
+            } else {
+                counts.mismatches++;
+                listener.changes(reports.values(), deleted);
+            }
+            poll.answered(clock.nowUs(), random.getAsDouble());
+            later();
+        }
+
+        @Override
+        public void failed(final String reason) {
+            call = null;
+            counts.failures++;
+            counts.lastFailure = reason;
+            if (poll.failed(clock.nowUs(), random.getAsDouble())) {
+                listener.lost(reason);
+            }
+            later();
+        }
+    }
+
+    /** How many instances there are of each status, as registries write it: "DOWN_1_UP_7_". */
+    private static String hash(final Map<String, String> statuses) {
+        final Map<String, Integer> byStatus = new TreeMap<>();
+        statuses.values().forEach(status -> byStatus.merge(status, 1, Integer::sum));
+        final StringBuilder hash = new StringBuilder();
+        byStatus.forEach((status, count) -> hash.append(status).append('_').append(count).append('_'));
+        return hash.toString();
+    }
+}
--- /dev/null
+++ b/testkit/src/main/java/thistleturn/testkit/StandInWorld.java
@@ -0,0 +1,141 @@
+package thistleturn.testkit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Everything round one courier: the platform, endpoints, a registry, a client that hands in at a seeded pace, and the
+ * Auditor that sees it all. Whoever makes one starts a courier of its own with {@link #environment}.
+ */
+public final class StandInWorld implements AutoCloseable {
+    private static final long AWAIT_S = 30;
+    private static final long GRACE_MS = 400;
+
+    /** What the rules have to say. */
+    public final Auditor auditor = new Auditor(Auditor.Figures.standard(), CourierFiles.CLASSES);
+    /** The clock of all that is told to the Auditor. */
+    public final Ticks ticks = new Ticks();
+    /** The list, the watch and the ends. */
+    public final StandInPlatform platform;
+    /** A registry, at first empty and sound. */
+    public final StandInRegistry registry;
+    /** Who hands in. */
+    public final StandInClient client;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final List<StandInEndpoint> endpoints = new ArrayList<>();
+    private final List<StandInRegistry> registries = new ArrayList<>();
+    private final Random random;
+    private final Path folder;
+    private volatile boolean loading;
+    private volatile String[] classes = {"safe", "keyed", "once"};
+
+    /** A world that keeps its files in a folder; all chance comes from the seed. */
+    public StandInWorld(final Path folder, final long seed) {
+        this.folder = folder;
+        this.random = new Random(seed);
+        this.platform = new StandInPlatform(group, auditor, ticks);
+        this.registry = registry();
+        this.client = new StandInClient(group, "m" + Long.toHexString(seed) + "-", auditor, ticks);
+    }
+
+    /** A further registry. */
+    public StandInRegistry registry() {
+        final StandInRegistry further = new StandInRegistry(group);
+        registries.add(further);
+        return further;
+    }
+
+    /** A further endpoint of a destination; nobody names it yet. */
+    public StandInEndpoint endpoint(final long destination) {
+        final StandInEndpoint endpoint = new StandInEndpoint(group, "e" + endpoints.size(), destination, auditor,
+                ticks);
+        endpoints.add(endpoint);
+        return endpoint;
+    }
+
+    /** A number from the world's chance. */
+    public int random(final int bound) {
+        return random.nextInt(bound);
+    }
+
+    /** What a courier of this world finds in its environment, with the list as it is now. */
+    public Map<String, String> environment(final CourierFiles.Size size) throws IOException {
+        return CourierFiles.write(folder, "n0", platform.address(), platform.known(), size);
+    }
+
+    /** The classes that are handed in from now on, evenly mixed. */
+    public void classes(final String... names) {
+        classes = names.clone();
+    }
+
+    /** Hands in so many messages a second, to each destination in turn, until {@link #stopLoad}. */
+    public void load(final double perSecond, final long timeoutMs, final long... destinations) {
+        loading = true;
+        final long gapUs = (long) (1_000_000 / perSecond);
+        final long beganUs = ticks.nowUs();
+        group.next().execute(() -> handIn(beganUs, 0, gapUs, timeoutMs, destinations));
+    }
+
+    private void handIn(final long beganUs, final long number, final long gapUs, final long timeoutMs,
+            final long[] destinations) {
+        if (!loading) {
+            return;
+        }
+        long next = number;
+        // The pace is that of the clock: what a late timer missed is handed in at once.
+        while (beganUs + next * gapUs <= ticks.nowUs()) {
+            client.handIn(classes[random.nextInt(classes.length)],
+                    destinations[(int) (next % destinations.length)], timeoutMs);
+            next++;
+        }
+        final long then = next;
+        group.next().schedule(() -> handIn(beganUs, then, gapUs, timeoutMs, destinations),
+                Math.max(1, beganUs + then * gapUs - ticks.nowUs()), TimeUnit.MICROSECONDS);
+    }
+
+    /** Hands in no more, and waits until all that was taken on has its end, or its time is up. */
+    public List<Violation> stopLoad() {
+        loading = false;
+        await("an end for every message", () -> client.unanswered() <= 0 && auditor.allEnded());
+        return auditor.finish(ticks.nowUs());
+    }
+
+    /** Hands in no more, and lets the last messages' time pass: for couriers that may lose some. */
+    public List<Violation> stopLoad(final long timeoutMs) {
+        loading = false;
+        final long untilUs = ticks.nowUs() + (timeoutMs + GRACE_MS) * 1000;
+        await("the last message's time", () -> ticks.nowUs() > untilUs || auditor.allEnded());
+        return auditor.finish(ticks.nowUs());
+    }
+
+    /** Waits for what must come, under a bound that only a failure reaches. */
+    public void await(final String what, final BooleanSupplier condition) {
+        final long untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(AWAIT_S);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > untilNs) {
+                throw new AssertionError("never came: " + what + "; ends so far " + auditor.ends() + ", "
+                        + auditor.finish(ticks.nowUs()));
+            }
+            java.util.concurrent.locks.LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+        }
+    }
+
+    @Override
+    public void close() {
+        loading = false;
+        client.close();
+        endpoints.forEach(StandInEndpoint::close);
+        registries.forEach(StandInRegistry::close);
+        platform.close();
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+}
