Command line, product settings, demo, operators' members and measurements

A product needs a door: bin/thistleturn serve, check, members, demo and measure, with help and exit codes; deploy/thistleturn.toml holds the product's own settings, every subsystem off, read strictly (each complaint names file, key, value and what was expected). demo runs one courier among stand-ins with an endpoint silenced and two drained, and closes with a table and the Auditor's verdict. measure has membership, drain and outage.

--- /dev/null
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/Main.java
@@ -0,0 +1,18 @@
+package thistleturn.benchmarks;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** {@code bin/thistleturn measure}. */
+@Command(name = "measure", mixinStandardHelpOptions = true,
+        description = "Prints the tables of docs/measurements, measured now on this machine.",
+        subcommands = {MeasureMembership.class, MeasureDrain.class, MeasureOutage.class,
+            CommandLine.HelpCommand.class})
+public final class Main {
+    private Main() { }
+
+    /** Measures one thing. */
+    public static void main(final String[] args) {
+        System.exit(new CommandLine(new Main()).execute(args));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/thistleturn/cli/ProductExtension.java
@@ -0,0 +1,70 @@
+package thistleturn.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import thistleturn.cli.admin.AdminServer;
+import thistleturn.cli.config.ProductConfig;
+import thistleturn.courier.CourierProcess.Extension;
+import thistleturn.courier.CourierProcess.Surroundings;
+import thistleturn.courier.port.Directory;
+import thistleturn.membership.MembershipExtension;
+import thistleturn.membership.MembershipSettings;
+
+/** All subsystems that a file switches on, as one extension of a courier. */
+final class ProductExtension implements Extension {
+    private final ProductConfig config;
+    private final MembershipExtension membership;
+    private Surroundings surroundings;
+
+    ProductExtension(final ProductConfig config, final Path file) {
+        this.config = config;
+        this.membership = config.membership() == null ? null : new MembershipExtension(() -> {
+            final MembershipSettings fresh = ProductConfig.read(file).membership();
+            if (fresh == null) {
+                throw new IllegalArgumentException(file + ": membership.enabled = false: expected true: switching a "
+                        + "subsystem off counts from the next start");
+            }
+            return fresh;
+        });
+    }
+
+    @Override
+    public Directory directory(final Directory own, final Surroundings given) {
+        surroundings = given;
+        return membership == null ? own : membership.directory(own, given);
+    }
+
+    @Override
+    public void ready(final String address) {
+        final Map<String, Supplier<JsonNode>> pages = new LinkedHashMap<>();
+        if (membership != null) {
+            membership.ready(address);
+            pages.put("/members", membership::status);
+        }
+        if (config.admin() != null) {
+            new AdminServer(pages).listen(surroundings.loop(), config.admin());
+        }
+    }
+
+    @Override
+    public void stopping() {
+        if (membership != null) {
+            membership.stopping();
+        }
+    }
+
+    @Override
+    public boolean leave() {
+        return membership == null || membership.leave();
+    }
+
+    @Override
+    public void reload() {
+        if (membership != null) {
+            membership.reload();
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/thistleturn/cli/CommandTest.java
@@ -0,0 +1,132 @@
+package thistleturn.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import picocli.CommandLine;
+import thistleturn.cli.config.ProductConfig;
+
+/** The command line, and what it says of files that cannot be used. */
+@Tag("membership")
+final class CommandTest {
+    private static final String REGISTRY = "[[membership.registries]]\nname = 'r'\nurls = ['http://127.0.0.1:1/eureka']\n";
+
+    @TempDir
+    private Path folder;
+
+    /** What a command printed, and its exit code. */
+    private record Ran(int code, String out, String err) { }
+
+    private static Ran run(final String... args) {
+        final StringWriter out = new StringWriter();
+        final StringWriter err = new StringWriter();
+        final CommandLine line = Main.commandLine().setOut(new PrintWriter(out)).setErr(new PrintWriter(err));
+        final int code = line.execute(args);
+        return new Ran(code, out.toString(), err.toString());
+    }
+
+    private Path file(final String text) throws Exception {
+        return Files.writeString(folder.resolve("t.toml"), text);
+    }
+
+    @Test
+    void theFileInTheRepositoryIsGoodAndSwitchesNothingOn() {
+        final Path file = Path.of("../deploy/thistleturn.toml");
+        assertEquals(0, run("check", file.toString()).code());
+        assertEquals(ProductConfig.off(), ProductConfig.read(file));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "[membership]\\nenabled = 'yes'                      | membership.enabled = \"yes\": expected true or false",
+        "[membership]\\nstale = '1m'                         | membership.stale = \"1m\": unknown key; expected one of",
+        "[membership]\\ndoubt = '10 minutes'                 | membership.doubt = \"10 minutes\": expected a duration",
+        "[membership]\\ndoubt = 600                          | membership.doubt = 600: expected a duration",
+        "[membership]\\nshrink-share = 1.5                   | membership.shrink-share = 1.5: expected a share",
+        "[membership]\\nmost-entries = 0                     | membership.most-entries = 0: expected a whole number",
+        "[membership]\\nstale-use = '30s'                    | membership.stale-use = 30000ms: expected at least membership.disagreement",
+        "[membership]\\nfirst-hold = '2m'                    | membership.most-hold = 60000ms: expected at least membership.first-hold",
+        "[membership]\\nenabled = true                       | membership.enabled = true: expected at least one",
+        "[admin]\\nlisten = '10.0.0.1:80'                    | admin.listen = \"10.0.0.1:80\": expected a loopback address",
+        "[kafka]\\nenabled = true                            | kafka = {\"enabled\":true}: unknown key",
+        "[membership.registration]\\nenabled = true          | membership.registration.registry = \"-\": expected the name",
+        "[membership.registration]\\nlease = '10s'           | membership.registration.lease = 10000ms: expected more than",
+        "[membership                                         | line 1: no TOML",
+        "[[membership.registries]]\\nname = 'r'              | membership.registries[0].urls = (absent): expected a list"})
+    void whatCannotBeUsedIsOneLineThatNamesFileKeyValueAndWhatWasExpected(final String text, final String said)
+            throws Exception {
+        final Ran ran = run("check", file(text.strip().replace("\\n", "\n")).toString());
+        assertEquals(2, ran.code(), ran.toString());
+        assertTrue(ran.err().startsWith(folder.resolve("t.toml") + ": ") && ran.err().contains(said), ran.err());
+        assertEquals(1, ran.err().strip().lines().count(), ran.err());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "urls = ['http://registry.example:80/']  | urls = \"http://registry.example:80/\": expected http://ADDRESS:PORT/PATH",
+        "urls = ['https://127.0.0.1:80/']        | expected http://ADDRESS:PORT/PATH",
+        "urls = []                               | expected a list of texts, at least one",
+        "scope = ['all']                         | scope = \"all\": expected apps/NAME",
+        "period = '20m'                          | period = 1200000ms: expected less than membership.stale-use",
+        "most-bytes = '1GB'                      | most-bytes = \"1GB\": expected a size",
+        "metadata = { dest = 'd' }               | metadata.dest = \"d\": unknown key"})
+    void soIsARegistryThatCannotBeAsked(final String line, final String said) throws Exception {
+        final String base = line.startsWith("urls") ? REGISTRY.replaceAll("urls.*\n", "") : REGISTRY;
+        final Ran ran = run("check", file(base + line + "\n").toString());
+        assertEquals(2, ran.code(), ran.toString());
+        assertTrue(ran.err().contains(said), ran.err());
+    }
+
+    @Test
+    void twoRegistriesOfOneNameAreRefused() throws Exception {
+        final Ran ran = run("check", file(REGISTRY + REGISTRY).toString());
+        assertTrue(ran.err().contains("membership.registries[1].name = \"r\": expected a name that no other source has"),
+                ran.err());
+    }
+
+    @Test
+    void aGoodFileIsSummedUp() throws Exception {
+        final Ran ran = run("check", file("[membership]\nenabled = true\n[membership.registration]\nenabled = true\n"
+                + REGISTRY).toString());
+        assertEquals(0, ran.code(), ran.err());
+        assertTrue(ran.out().contains("membership 1 registries, registers itself"), ran.out());
+    }
+
+    @Test
+    void everyCommandHelps() {
+        for (final String command : new String[] {"serve", "check", "demo", "members"}) {
+            final Ran ran = run(command, "--help");
+            assertEquals(0, ran.code());
+            assertTrue(ran.out().contains("Usage: thistleturn " + command), ran.out());
+        }
+        assertTrue(run("--help").out().contains("Exit codes"));
+        assertEquals(2, run("no-such-command").code());
+    }
+
+    @Test
+    void membersOfACourierThatIsNotThereIsOneLine() {
+        final Ran ran = run("members", "--at", "127.0.0.1:1");
+        assertEquals(1, ran.code());
+        assertTrue(ran.err().startsWith("no courier answers at 127.0.0.1:1"), ran.err());
+        assertFalse(ran.err().contains("\tat "));
+    }
+
+    @Test
+    void theDemonstrationKeepsTheRulesThroughItsTroubles() {
+        final Ran ran = run("demo", "--seconds", "8", "--rate", "150");
+        assertEquals(0, ran.code(), ran.out() + ran.err());
+        assertTrue(ran.out().contains("all kept"), ran.out());
+        assertTrue(ran.out().contains("falls silent") && ran.out().contains("e4 is DOWN"), ran.out());
+        assertEquals(2, run("demo", "--seconds", "1").code());
+    }
+}
--- a/courier/src/main/java/thistleturn/courier/Hangup.java
+++ b/courier/src/main/java/thistleturn/courier/Hangup.java
@@ -1,6 +1,7 @@
 package thistleturn.courier;
 
 import java.lang.reflect.Proxy;
+import thistleturn.courier.runtime.Log;
 
 /**
  * Runs a task at each SIGHUP, which would end the process otherwise. The platform's own class for that is reached by
@@ -21,8 +22,12 @@
                         }
                         return null;
                     });
-            signal.getMethod("handle", signal, handler)
+            final Object before = signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), runs);
+            if (before == handler.getField("SIG_IGN").get(null)) {
+                // A Java machine leaves a signal alone that was ignored when it was started, as nohup does.
+                Log.info("SIGHUP is ignored by whoever started this process: no configuration will be read again");
+            }
         } catch (final ReflectiveOperationException e) {
             throw new IllegalStateException("this Java cannot handle SIGHUP", e);
         }
--- a/eureka/src/main/java/thistleturn/eureka/EurekaInstance.java
+++ b/eureka/src/main/java/thistleturn/eureka/EurekaInstance.java
@@ -5,12 +5,12 @@
  * numbers -1, where the answer has none. {@code versionMs} is the later of its {@code lastDirtyTimestamp} and 0;
  * {@code action} is {@code ADDED}, {@code MODIFIED} or {@code DELETED} in a delta.
  */
-record EurekaInstance(String app, String id, String status, String overridden, String address, int port,
+public record EurekaInstance(String app, String id, String status, String overridden, String address, int port,
                       boolean portEnabled, long versionMs, String action, String destination, String kind,
                       String zone, String rate) {
 
     /** Unlike that of any other instance in the registry. */
-    String key() {
+    public String key() {
         return app + "/" + id;
     }
 }
--- a/eureka/src/main/java/thistleturn/eureka/EurekaMapping.java
+++ b/eureka/src/main/java/thistleturn/eureka/EurekaMapping.java
@@ -12,7 +12,7 @@
  * never guessed. Statuses: UP is up; STARTING, UNKNOWN and any other word are not yet; DOWN and OUT_OF_SERVICE drain.
  * Where an operator's override says something more cautious than the status, that counts.
  */
-final class EurekaMapping {
+public final class EurekaMapping {
     private static final int MOST_PORT = 65_535;
     private static final int MOST_NAME_CHARS = 64;
     private static final double MOST_RATE = 1e6;
@@ -22,10 +22,23 @@
     private final Map<String, String> texts = new HashMap<>();
 
     /** Why an instance is left out. */
-    enum Unusable { NO_ID, NO_DESTINATION, NO_ADDRESS, NO_PORT, BAD_RATE, TOO_LONG }
+    public enum Unusable {
+        /** It has no id, or no application. */
+        NO_ID,
+        /** Its destination is absent, or no number. */
+        NO_DESTINATION,
+        /** Its address is not in figures. */
+        NO_ADDRESS,
+        /** Its plain port is absent, off or out of range. */
+        NO_PORT,
+        /** Its rate is no number from 0 to a million. */
+        BAD_RATE,
+        /** Its zone, kind or id is longer than any that makes sense. */
+        TOO_LONG
+    }
 
     /** The report of an instance, or null if it is left out. */
-    Report report(final EurekaInstance instance) {
+    public Report report(final EurekaInstance instance) {
         final long destination = EurekaParser.whole(instance.destination());
         final double rate = rate(instance.rate());
         final Unusable why = instance.id().isEmpty() || instance.app().isEmpty() ? Unusable.NO_ID
@@ -88,7 +101,7 @@
     }
 
     /** How often instances were left out so far, by why. */
-    Map<Unusable, Long> unusable() {
+    public Map<Unusable, Long> unusable() {
         return new EnumMap<>(unusable);
     }
 }
--- a/eureka/src/main/java/thistleturn/eureka/EurekaParser.java
+++ b/eureka/src/main/java/thistleturn/eureka/EurekaParser.java
@@ -14,7 +14,7 @@
  * {@code instance} at its root, lists with one element as a bare object too, as older registries write them. Nesting
  * and lengths are bounded.
  */
-final class EurekaParser {
+public final class EurekaParser {
     private static final int MOST_DEPTH = 24;
     private static final int MOST_TEXT_CHARS = 1 << 16;
     private static final int MOST_NAME_CHARS = 1024;
@@ -52,14 +52,14 @@
     private String rate;
 
     /** Instances go to the sink as they are read. */
-    EurekaParser(final MetadataNames names, final Consumer<EurekaInstance> sink) throws IOException {
+    public EurekaParser(final MetadataNames names, final Consumer<EurekaInstance> sink) throws IOException {
         this.names = names;
         this.sink = sink;
         this.parser = (NonBlockingJsonParser) FACTORY.createNonBlockingByteArrayParser();
     }
 
     /** Reads some more bytes. */
-    void feed(final ByteBuf bytes) throws IOException {
+    public void feed(final ByteBuf bytes) throws IOException {
         final ByteArrayFeeder feeder = parser.getNonBlockingInputFeeder();
         while (bytes.isReadable()) {
             final int some = Math.min(bytes.readableBytes(), chunk.length);
@@ -70,7 +70,7 @@
     }
 
     /** The answer has ended; an error if it is not whole, or none of a registry's. */
-    void end() throws IOException {
+    public void end() throws IOException {
         parser.getNonBlockingInputFeeder().endOfInput();
         read();
         if (!ended || !hasRoot) {
@@ -79,7 +79,7 @@
     }
 
     /** The hash of its own that the answer told; empty if none. */
-    String hash() {
+    public String hash() {
         return hash;
     }
 
--- a/eureka/src/test/java/thistleturn/membership/DrainTest.java
+++ b/eureka/src/test/java/thistleturn/membership/DrainTest.java
@@ -31,8 +31,8 @@
 
     /** Tells the Auditor that an endpoint drains, as soon as the registry has told it to anyone. */
     private static void drains(final CourierUnderTest courier, final String id, final StandInEndpoint endpoint) {
-        courier.world.registry.status("heat", id, "DOWN");
-        courier.world.registry.onTold(() -> courier.world.auditor.closed(courier.world.ticks.nowUs(), endpoint.name()));
+        courier.world.registry.status("heat", id, "DOWN",
+                () -> courier.world.auditor.closed(courier.world.ticks.nowUs(), endpoint.name()));
     }
 
     @Test
--- a/testkit/src/main/java/thistleturn/testkit/StandInRegistry.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInRegistry.java
@@ -99,11 +99,6 @@
         refusesDeltas = on;
     }
 
-    /** Called each time that an answer to a question for instances has been written whole. */
-    public synchronized void onTold(final Runnable listener) {
-        onTold = listener;
-    }
-
     /** How often each kind of request came, by method and operation. */
     public synchronized Map<String, Integer> requests() {
         return new TreeMap<>(requests);
@@ -175,6 +170,13 @@
         return true;
     }
 
+    /** As {@link #status(String, String, String)}; each answer from then on that is written whole is told of. */
+    public synchronized boolean status(final String app, final String id, final String status,
+            final Runnable onAnswer) {
+        onTold = onAnswer;
+        return status(app, id, status);
+    }
+
     /** An operator overrides its status; null ends that. */
     public synchronized boolean override(final String app, final String id, final String status) {
         final Lease lease = find(app, id);
