Registries: instances known again by digest, and a lighter merge

AnswerSplitter cuts an answer into instances as it comes; one whose text has the length and digest of last time's is not read again, the rest goes to Jackson, and so does what stands round the instances. The merge keeps points and entries in chains and fields instead of lists and maps. Found on the way: an answer that failed by an unexpected exception ended the asking for good (now it counts as a failed call); a registry that emptied and filled again; the Auditor took a repeat after a kill, which the protocol allows, for a double.

--- a/decisions/src/main/java/thistleturn/decisions/membership/Membership.java
+++ b/decisions/src/main/java/thistleturn/decisions/membership/Membership.java
@@ -31,9 +31,9 @@
 
     private final Rules rules;
     private final Map<String, Source> sources = new LinkedHashMap<>();
-    private final Map<Long, Map<String, Point>> destinations = new HashMap<>();
-    /** Points by address: more than one where sources claim an address for several destinations. */
-    private final Map<String, List<Point>> addresses = new HashMap<>();
+    private final Map<Long, List<Point>> destinations = new HashMap<>();
+    /** Points by address, chained where sources claim an address for several destinations. */
+    private final Map<String, Point> addresses = new HashMap<>();
     private final Set<Long> dirty = new LinkedHashSet<>();
     /** Destinations by the time at which they must be looked at again, and the time of each. */
     private final TreeMap<Long, Set<Long>> due = new TreeMap<>();
@@ -66,7 +66,7 @@
     public void removeSource(final String name) {
         final Source source = source(name);
         List.copyOf(source.entries.values()).forEach(this::remove);
-        destinations.values().forEach(points -> points.values().forEach(point -> {
+        destinations.values().forEach(points -> points.forEach(point -> {
             point.undelete(source);
             dirty.add(point.destination);
         }));
@@ -77,12 +77,10 @@
     public void whole(final long nowUs, final String name, final Collection<Report> reports) {
         final Source source = source(name);
         wasHeard(nowUs, source);
-        final boolean plausible = source.isPlausible(nowUs, reports.size(), rules);
-        final Set<String> named = new HashSet<>();
-        for (final Report report : reports) {
-            named.add(report.instance());
-            put(nowUs, source, report);
-        }
+        final Set<String> named = new HashSet<>(2 * reports.size());
+        reports.forEach(report -> named.add(report.instance()));
+        final boolean plausible = source.isPlausible(nowUs, named.size(), rules);
+        reports.forEach(report -> put(nowUs, source, report));
         for (final Source.Entry entry : List.copyOf(source.entries.values())) {
             if (named.contains(entry.report.instance())) {
                 continue;
@@ -170,7 +168,7 @@
                 return;
             }
             entry = new Source.Entry(source, point(report), report);
-            entry.point.entries.add(entry);
+            entry.point.add(entry);
             source.entries.put(report.instance(), entry);
             entries++;
             touch(entry.point);
@@ -198,18 +196,23 @@
     }
 
     private Point point(final Report report) {
-        return destinations.computeIfAbsent(report.destination(), unused -> new LinkedHashMap<>())
-                .computeIfAbsent(report.address(), address -> {
-                    final Point point = new Point(address, report.destination());
-                    addresses.computeIfAbsent(address, unused -> new ArrayList<>(1)).add(point);
-                    return point;
-                });
+        final Point claim = addresses.get(report.address());
+        for (Point point = claim; point != null; point = point.nextClaim) {
+            if (point.destination == report.destination()) {
+                return point;
+            }
+        }
+        final Point point = new Point(report.address(), report.destination());
+        point.nextClaim = claim;
+        addresses.put(report.address(), point);
+        destinations.computeIfAbsent(report.destination(), unused -> new ArrayList<>(2)).add(point);
+        return point;
     }
 
     /** A source's word that an instance is gone. */
     private void delete(final long nowUs, final Source.Entry entry) {
         remove(entry);
-        if (entry.point.entries.stream().noneMatch(other -> other.source == entry.source)) {
+        if (!entry.point.isListedBy(entry.source)) {
             entry.point.deleted(entry.source, nowUs + rules.disagreementUs());
         }
     }
@@ -217,13 +220,15 @@
     private void remove(final Source.Entry entry) {
         entry.source.entries.remove(entry.report.instance());
         entries--;
-        entry.point.entries.remove(entry);
+        entry.point.remove(entry);
         touch(entry.point);
     }
 
     /** It is to be looked at, and whoever else claims its address: the contest may stand otherwise now. */
     private void touch(final Point point) {
-        addresses.get(point.address).forEach(claim -> dirty.add(claim.destination));
+        for (Point claim = addresses.get(point.address); claim != null; claim = claim.nextClaim) {
+            dirty.add(claim.destination);
+        }
     }
 
     // ---------------------------------------------------------------- decisions
@@ -253,13 +258,13 @@
     private record Judged(Point point, Point.Verdict verdict) { }
 
     private void evaluate(final long nowUs, final long destination, final List<Member> changed) {
-        final Map<String, Point> points = destinations.get(destination);
+        final List<Point> points = destinations.get(destination);
         if (points == null) {
             return;
         }
         long againUs = Point.NEVER;
         final List<Judged> all = new ArrayList<>(points.size());
-        for (final Point point : points.values()) {
+        for (final Point point : points) {
             final Point.Verdict verdict = isContested(point)
                     ? new Point.Verdict(Member.State.GONE, Because.CONTESTED, null, null, Point.NEVER)
                     : point.judge(nowUs, rules);
@@ -295,13 +300,14 @@
                 because = Because.FLAPPING;
                 againUs = Math.min(againUs, point.heldUntilUs(rules));
             }
-            tell(nowUs, point, state, because, verdict, rate, changed);
+            if (point.tell(nowUs, state, because, verdict, rate, !verdict.isUp(), rules)) {
+                changed.add(point.told());
+            }
         }
         // What is gone is remembered for a while, lest it flap unseen; but not more of that than of what there is.
         final boolean crowded = addresses.size() > GHOSTS + 2 * entries;
-        points.values().removeIf(point -> (point.forgetUs(rules) <= nowUs || crowded && point.entries.isEmpty())
-                && forget(point));
-        for (final Point point : points.values()) {
+        points.removeIf(point -> (point.forgetUs(rules) <= nowUs || crowded && point.isUnlisted()) && forget(point));
+        for (final Point point : points) {
             againUs = Math.min(againUs, point.forgetUs(rules));
         }
         if (points.isEmpty()) {
@@ -331,13 +337,18 @@
 
     /** True if a source of higher rank claims the address for another destination. */
     private boolean isContested(final Point point) {
-        final List<Point> claims = addresses.get(point.address);
-        if (claims.size() == 1) {
+        final Point claim = addresses.get(point.address);
+        final Source.Entry own = point.owner();
+        if (own == null || claim == point && point.nextClaim == null) {
             return false;
         }
-        final Source.Entry own = point.owner();
-        return own != null && claims.stream().filter(other -> other != point).map(Point::owner)
-                .anyMatch(other -> other != null && outranks(other, own));
+        for (Point other = claim; other != null; other = other.nextClaim) {
+            final Source.Entry its = other == point ? null : other.owner();
+            if (its != null && outranks(its, own)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private static boolean outranks(final Source.Entry one, final Source.Entry two) {
@@ -349,34 +360,17 @@
         return newer > 0 || newer == 0 && one.report.instance().compareTo(two.report.instance()) < 0;
     }
 
-    private void tell(final long nowUs, final Point point, final Member.State state, final Because because,
-            final Point.Verdict verdict, final double rate, final List<Member> changed) {
-        final Source.Entry owner = point.owner();
-        if (owner == null && point.told == null) {
-            return;
-        }
-        final Report report = owner == null ? null : owner.report;
-        final Member before = point.told;
-        final double ownRate = report == null ? 0 : report.ratePerSecond();
-        final Member next = new Member(point.destination + "@" + point.address, point.address, point.destination,
-                report == null ? before.zone() : report.zone(), report == null ? before.kind() : report.kind(),
-                ownRate > 0 ? ownRate : rate, state, because, verdict.by() == null ? "" : verdict.by().name,
-                verdict.by() == null ? 0 : verdict.by().heardUs(),
-                before != null && before.state() == state ? before.sinceUs() : nowUs);
-        final boolean fell = point.isToldUp() && !verdict.isUp();
-        final boolean news = before == null ? state != Member.State.GONE
-                : !(state == Member.State.GONE && before.state() == Member.State.GONE) && !next.tellsTheSame(before);
-        point.tell(nowUs, next, fell, rules);
-        if (news) {
-            changed.add(next);
-        }
-    }
-
     private boolean forget(final Point point) {
-        final List<Point> claims = addresses.get(point.address);
-        claims.remove(point);
-        if (claims.isEmpty()) {
+        Point claim = addresses.get(point.address);
+        if (claim != point) {
+            while (claim.nextClaim != point) {
+                claim = claim.nextClaim;
+            }
+            claim.nextClaim = point.nextClaim;
+        } else if (point.nextClaim == null) {
             addresses.remove(point.address);
+        } else {
+            addresses.put(point.address, point.nextClaim);
         }
         return true;
     }
@@ -401,11 +395,8 @@
     /** All endpoints in the view, those that went a short while ago too. */
     public List<Member> members() {
         final List<Member> members = new ArrayList<>();
-        destinations.values().forEach(points -> points.values().forEach(point -> {
-            if (point.told != null) {
-                members.add(point.told);
-            }
-        }));
+        destinations.values().forEach(points -> points.stream().filter(Point::isTold)
+                .forEach(point -> members.add(point.told())));
         return members;
     }
 
--- a/decisions/src/main/java/thistleturn/decisions/membership/Point.java
+++ b/decisions/src/main/java/thistleturn/decisions/membership/Point.java
@@ -12,16 +12,23 @@
 
     final String address;
     final long destination;
-    final List<Source.Entry> entries = new ArrayList<>(1);
+    /** The first of its entries; they are chained. */
+    private Source.Entry first;
+    /** Another point with the same address, for another destination; null if there is none. */
+    Point nextClaim;
     /** Until when a source's deletion outweighs other sources' listing, by source; most have none. */
     private Map<Source, Long> deletions = Map.of();
-    /** What was told last; null if nothing ever was. */
-    Member told;
+    /** What was told last; a state of null if nothing ever was. Kept as fields: there are many points. */
+    private Member.State state;
+    private Because because;
+    private Source by;
+    private String zone;
+    private String kind;
+    private double ratePerSecond;
+    private long sinceUs;
     /** How often it fell in a row without a calm time, and since when its sources have it up again. */
     private int falls;
     private long upSinceUs = NEVER;
-    private long toldUpSinceUs = NEVER;
-    private long goneSinceUs = NEVER;
 
     Point(final String address, final long destination) {
         this.address = address;
@@ -41,6 +48,44 @@
     /** How well it is founded that an endpoint is up, best first. */
     enum Grade { FRESH, USABLE, POOR }
 
+    void add(final Source.Entry entry) {
+        if (first == null) {
+            first = entry;
+            return;
+        }
+        Source.Entry last = first;
+        while (last.next != null) {
+            last = last.next;
+        }
+        last.next = entry;
+    }
+
+    void remove(final Source.Entry entry) {
+        if (first == entry) {
+            first = entry.next;
+            return;
+        }
+        for (Source.Entry before = first; before != null; before = before.next) {
+            if (before.next == entry) {
+                before.next = entry.next;
+                return;
+            }
+        }
+    }
+
+    boolean isUnlisted() {
+        return first == null;
+    }
+
+    boolean isListedBy(final Source source) {
+        for (Source.Entry entry = first; entry != null; entry = entry.next) {
+            if (entry.source == source) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     void deleted(final Source by, final long untilUs) {
         if (deletions.isEmpty()) {
             deletions = new HashMap<>();
@@ -62,11 +107,16 @@
 
     /** One entry a source, by rank. */
     private List<Source.Entry> words() {
-        if (entries.size() <= 1) {
-            return entries;
+        if (first == null) {
+            return List.of();
+        }
+        if (first.next == null) {
+            return List.of(first);
         }
         final Map<Source, Source.Entry> bySource = new HashMap<>();
-        entries.forEach(entry -> bySource.merge(entry.source, entry, Point::newer));
+        for (Source.Entry entry = first; entry != null; entry = entry.next) {
+            bySource.merge(entry.source, entry, Point::newer);
+        }
         final List<Source.Entry> words = new ArrayList<>(bySource.values());
         words.sort(Comparator.comparingInt(entry -> entry.source.rank));
         return words;
@@ -135,7 +185,7 @@
      */
     private long warnsUntilUs(final Source by, final Rules rules) {
         long untilUs = Source.NOT;
-        for (final Source.Entry entry : entries) {
+        for (Source.Entry entry = first; entry != null; entry = entry.next) {
             if (entry.source == by && entry.report.word().isCautious() && !entry.overruled) {
                 final long silentUs = entry.silentSinceUs();
                 untilUs = Math.max(untilUs, silentUs == Source.NOT ? NEVER : silentUs + rules.disagreementUs());
@@ -145,8 +195,9 @@
     }
 
     private void overrule(final Source by) {
-        entries.stream().filter(entry -> entry.source == by && entry.report.word().isCautious())
-                .forEach(entry -> entry.overruled = true);
+        for (Source.Entry entry = first; entry != null; entry = entry.next) {
+            entry.overruled |= entry.source == by && entry.report.word().isCautious();
+        }
     }
 
     private static Grade grade(final Source.Entry entry, final long nowUs, final Rules rules) {
@@ -187,28 +238,60 @@
     }
 
     boolean isToldUp() {
-        return told != null && told.state() == Member.State.UP;
+        return state == Member.State.UP;
     }
 
-    /** Notes what is told from now on. */
-    void tell(final long nowUs, final Member next, final boolean fell, final Rules rules) {
-        if (next.state() == Member.State.UP) {
-            toldUpSinceUs = Math.min(toldUpSinceUs, nowUs);
-        } else {
-            if (fell) {
-                falls = nowUs - toldUpSinceUs >= rules.calmUs() ? 1 : falls + 1;
-            }
-            toldUpSinceUs = NEVER;
+    boolean isTold() {
+        return state != null;
+    }
+
+    /** What was told last, for the courier and for people; not before something was. */
+    Member told() {
+        return new Member(address, destination, zone, kind, ratePerSecond, state, because,
+                by == null ? "" : by.name, by == null ? 0 : by.heardUs(), sinceUs);
+    }
+
+    /**
+     * Takes over what is decided.
+     *
+     * @param rate what its destination takes, as told by whoever tells it
+     * @param fell its sources' words took it out of use
+     * @return true if that is news to the courier; age and reason are for people
+     */
+    boolean tell(final long nowUs, final Member.State next, final Because why, final Verdict verdict,
+            final double rate, final boolean fell, final Rules rules) {
+        final Source.Entry owner = owner();
+        if (owner == null && state == null) {
+            return false;
+        }
+        final Member.State before = state;
+        if (before == Member.State.UP && next != Member.State.UP && fell) {
+            falls = nowUs - sinceUs >= rules.calmUs() ? 1 : falls + 1;
+        }
+        sinceUs = before == next ? sinceUs : nowUs;
+        state = next;
+        because = why;
+        by = verdict.by();
+        boolean same = before == next;
+        if (owner != null) {
+            final Report report = owner.report;
+            final double nextRate = report.ratePerSecond() > 0 ? report.ratePerSecond() : rate;
+            same &= report.zone().equals(zone) && report.kind().equals(kind) && nextRate == ratePerSecond;
+            zone = report.zone();
+            kind = report.kind();
+            ratePerSecond = nextRate;
+        }
+        if (next == Member.State.GONE) {
+            return before != null && before != Member.State.GONE;
         }
-        goneSinceUs = next.state() == Member.State.GONE ? Math.min(goneSinceUs, nowUs) : NEVER;
-        told = next;
+        return !same;
     }
 
     /** When nothing of it need be remembered any more; never, while something lists it. */
     long forgetUs(final Rules rules) {
-        if (!entries.isEmpty()) {
+        if (first != null) {
             return NEVER;
         }
-        return told == null ? 0 : goneSinceUs == NEVER ? NEVER : goneSinceUs + rules.calmUs();
+        return state == null ? 0 : state == Member.State.GONE ? sinceUs + rules.calmUs() : NEVER;
     }
 }
--- a/decisions/src/main/java/thistleturn/decisions/membership/Source.java
+++ b/decisions/src/main/java/thistleturn/decisions/membership/Source.java
@@ -1,6 +1,6 @@
 package thistleturn.decisions.membership;
 
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.Map;
 
 /** One source: what it lists, and how far that can be believed now. */
@@ -11,7 +11,7 @@
     final int rank;
     /** True if whatever its whole answers lack is gone: a source that is never wrong about that. */
     final boolean absenceIsWord;
-    final Map<String, Entry> entries = new LinkedHashMap<>();
+    final Map<String, Entry> entries = new HashMap<>();
     private long heardUs;
     private long lostSinceUs;
     private long doubtSinceUs = NOT;
@@ -33,6 +33,8 @@
         final Source source;
         final Point point;
         Report report;
+        /** The next entry at the same point, in the order of their coming; null for the last. */
+        Entry next;
         /** Since when answers lack it that are not plausible; {@link #NOT} while they have it. */
         long absentSinceUs = NOT;
         /** When it last said something cautious; {@link #NOT} if it never did. */
--- a/eureka/src/main/java/thistleturn/eureka/EurekaCall.java
+++ b/eureka/src/main/java/thistleturn/eureka/EurekaCall.java
@@ -151,6 +151,10 @@
                         listener.answered(answered);
                     } catch (final IOException e) {
                         listener.failed(firstLine(e));
+                    } catch (final RuntimeException e) {
+                        // Whatever it was: the next call must come all the same.
+                        Log.failure("an answer of a registry", e);
+                        listener.failed(firstLine(e));
                     }
                 }
             }
--- a/eureka/src/main/java/thistleturn/eureka/EurekaMapping.java
+++ b/eureka/src/main/java/thistleturn/eureka/EurekaMapping.java
@@ -39,7 +39,7 @@
 
     /** The report of an instance, or null if it is left out. */
     public Report report(final EurekaInstance instance) {
-        final long destination = EurekaParser.whole(instance.destination());
+        final long destination = InstanceParser.whole(instance.destination());
         final double rate = rate(instance.rate());
         final Unusable why = instance.id().isEmpty() || instance.app().isEmpty() ? Unusable.NO_ID
                 : destination < 0 ? Unusable.NO_DESTINATION
--- a/eureka/src/main/java/thistleturn/eureka/EurekaSource.java
+++ b/eureka/src/main/java/thistleturn/eureka/EurekaSource.java
@@ -4,9 +4,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -37,8 +36,7 @@
     private final EurekaMapping mapping = new EurekaMapping();
     private final RegistryPoll poll;
     private final Counts counts = new Counts();
-    /** Status of each instance that the registry has, usable or not: its hash counts them all. */
-    private Map<String, String> statuses = new HashMap<>();
+    private final EurekaAnswer.Memory memory = new EurekaAnswer.Memory();
     private boolean deltas;
     private Future<?> due;
     private EurekaCall call;
@@ -63,6 +61,7 @@
         private long mismatches;
         private long failures;
         private long bytes;
+        private long readAnew;
         private String lastFailure = "";
 
         /** As names and figures. */
@@ -73,6 +72,7 @@
             map.put("mismatches", mismatches);
             map.put("failures", failures);
             map.put("bytes", bytes);
+            map.put("read_anew", readAnew);
             map.put("last_failure", lastFailure);
             return map;
         }
@@ -99,7 +99,7 @@
     /** Figures for operators. */
     public Map<String, Object> status() {
         final Map<String, Object> map = counts.asMap();
-        map.put("instances", statuses.size());
+        map.put("instances", memory.count());
         map.put("unusable", mapping.unusable());
         map.put("address", settings.addresses().get(poll.next().address()).at().toString());
         return map;
@@ -140,22 +140,22 @@
         private final RegistryPoll.Next next;
         private final List<String> paths;
         private final long endsUs = clock.nowUs() + settings.answerUs();
-        private final Map<String, Report> reports = new LinkedHashMap<>();
+        private final List<Report> reports = new ArrayList<>();
         private final Set<String> deleted = new LinkedHashSet<>();
-        private final Map<String, String> seen;
-        private EurekaParser parser;
+        private EurekaAnswer answer;
         private int asked;
         private long bytesLeft = settings.mostBytes();
 
         Round(final RegistryPoll.Next next, final List<String> paths) {
             this.next = next;
             this.paths = paths;
-            this.seen = next.ask() == Ask.DELTA ? new HashMap<>(statuses) : new HashMap<>();
         }
 
         private void call() {
             try {
-                parser = new EurekaParser(settings.metadata(), this::take);
+                // Of several answers that are one together, none is remembered: each would displace the one before.
+                answer = new EurekaAnswer(settings.metadata(), mapping,
+                        settings.scope().isEmpty() ? memory : new EurekaAnswer.Memory(), next.ask() == Ask.DELTA);
             } catch (final IOException e) {
                 throw new IllegalStateException("a parser without input failed", e);
             }
@@ -163,31 +163,12 @@
                     null, Math.max(1, endsUs - clock.nowUs()), bytesLeft, this);
         }
 
-        private void take(final EurekaInstance instance) {
-            final String key = instance.key();
-            if (instance.action().equals("DELETED") && next.ask() == Ask.DELTA) {
-                seen.remove(key);
-                deleted.add(key);
-                reports.remove(key);
-                return;
-            }
-            seen.put(key, instance.status().intern());
-            final Report report = mapping.report(instance);
-            if (report == null) {
-                // It may have been of use before.
-                deleted.add(key);
-            } else {
-                deleted.remove(key);
-                reports.put(key, report);
-            }
-        }
-
         @Override
         public void body(final int status, final ByteBuf bytes) throws IOException {
             counts.bytes += bytes.readableBytes();
             bytesLeft -= bytes.readableBytes();
             if (status == OK) {
-                parser.feed(bytes);
+                answer.feed(bytes);
             }
         }
 
@@ -195,7 +176,9 @@
         public void answered(final int status) throws IOException {
             call = null;
             if (status == OK) {
-                parser.end();
+                answer.end();
+                reports.addAll(answer.reports());
+                deleted.addAll(answer.deleted());
             } else if (next.ask() == Ask.DELTA) {
                 // It tells no changes, or not any more; all can still be asked for.
                 deltas = false;
@@ -215,27 +198,25 @@
         }
 
         private void complete() {
-            final boolean fits = !settings.scope().isEmpty() || parser.hash().equals(hash(seen))
-                    // An answer without a hash cannot be checked; a whole one is as good as its word.
-                    || parser.hash().isEmpty() && next.ask() == Ask.FULL;
+            final boolean fits = !settings.scope().isEmpty() || answer.remember(memory);
+            counts.readAnew += answer.readAnew();
             if (next.ask() == Ask.DELTA && !fits) {
                 counts.mismatches++;
                 // What it says of single instances counts all the same; what is missing comes with the whole answer.
-                listener.changes(reports.values(), deleted);
+                listener.changes(reports, deleted);
                 poll.mismatched(clock.nowUs());
                 later();
                 return;
             }
-            statuses = seen;
             if (next.ask() == Ask.DELTA) {
                 counts.deltas++;
-                listener.changes(reports.values(), deleted);
+                listener.changes(reports, deleted);
             } else if (fits) {
                 counts.whole++;
-                listener.whole(reports.values(), deleted);
+                listener.whole(reports, deleted);
             } else {
                 counts.mismatches++;
-                listener.changes(reports.values(), deleted);
+                listener.changes(reports, deleted);
             }
             poll.answered(clock.nowUs(), random.getAsDouble());
             later();
@@ -252,13 +233,4 @@
             later();
         }
     }
-
-    /** How many instances there are of each status, as registries write it: "DOWN_1_UP_7_". */
-    private static String hash(final Map<String, String> statuses) {
-        final Map<String, Integer> byStatus = new TreeMap<>();
-        statuses.values().forEach(status -> byStatus.merge(status, 1, Integer::sum));
-        final StringBuilder hash = new StringBuilder();
-        byStatus.forEach((status, count) -> hash.append(status).append('_').append(count).append('_'));
-        return hash.toString();
-    }
 }
--- a/testkit/src/main/java/thistleturn/testkit/Auditor.java
+++ b/testkit/src/main/java/thistleturn/testkit/Auditor.java
@@ -18,6 +18,8 @@
 public final class Auditor {
     private static final long MS = 1000;
     private static final long SECOND = 1_000_000;
+    /** How long before its end a process may have been answered without having read it. */
+    private static final long UNREAD_US = SECOND;
 
     private final Figures figures;
     private final Map<String, Courier.MessageClass> classes = new HashMap<>();
@@ -79,6 +81,7 @@
         private boolean over;
         private String end = "";
         private boolean delivered;
+        private long deliveredUs;
         private int out;
         private long firstRunUs = Long.MAX_VALUE;
         private long restUntilUs;
@@ -252,6 +255,9 @@
         if (message.out > 0) {
             broken(Rule.DOUBLE, firstByteUs, message + ": two copies are out");
         }
+        if (message.over && mayRepeat(firstByteUs, message)) {
+            return;
+        }
         if (message.over) {
             broken(message.delivered && message.kind.effect() == Courier.Effect.SAFE ? Rule.LOST : Rule.DOUBLE,
                     firstByteUs, message + " was sent after it was " + message.end);
@@ -276,6 +282,23 @@
         message.out++;
     }
 
+    /**
+     * A process that was killed may not have read that a message is delivered. One that may be repeated then goes once
+     * more, and is answered as delivered once more; nothing is owed for it.
+     */
+    private boolean mayRepeat(final long firstByteUs, final Message message) {
+        final boolean unread = message.delivered && killedUs >= message.deliveredUs
+                && killedUs - message.deliveredUs <= UNREAD_US && firstByteUs > killedUs;
+        final boolean repeatable = message.kind.effect() == Courier.Effect.SAFE
+                || message.kind.effect() == Courier.Effect.KEYED
+                && firstByteUs <= message.firstRunUs + message.kind.keyWindowUs();
+        if (unread && repeatable) {
+            message.out++;
+            return true;
+        }
+        return false;
+    }
+
     /** A call's part for one message ended at its endpoint; {@code firstByteUs} is when that call began. */
     public synchronized void ended(final long nowUs, final long firstByteUs, final String id, final End end) {
         final Message message = messages.get(id);
@@ -287,6 +310,7 @@
             message.firstRunUs = Math.min(message.firstRunUs, firstByteUs);
         }
         if (end == End.DELIVERED) {
+            message.deliveredUs = message.delivered ? message.deliveredUs : nowUs;
             message.delivered = true;
             if (!message.over) {
                 close(nowUs, message, "delivered");
--- a/testkit/src/test/java/thistleturn/testkit/AuditorTest.java
+++ b/testkit/src/test/java/thistleturn/testkit/AuditorTest.java
@@ -93,6 +93,23 @@
         assertBroken(Rule.LOST);
     }
 
+    @Test
+    void afterAKillWhatMayBeRepeatedGoesOnceMoreAndNothingElse() {
+        for (final String kind : List.of("safe", "keyed", "once")) {
+            take(0, kind, kind);
+            call(10 * MS, 90 * MS, kind, End.DELIVERED);
+        }
+        take(0, "late", "keyed");
+        call(10 * MS, 90 * MS, "late", End.DELIVERED);
+        auditor.restarted(100 * MS, false);
+        auditor.restarted(500 * MS, true);
+        for (final String kind : List.of("safe", "keyed", "once")) {
+            call(600 * MS, 610 * MS, kind, End.DELIVERED);
+        }
+        call(1020 * MS, 1030 * MS, "late", End.DELIVERED);
+        assertBroken(Rule.DOUBLE, Rule.DOUBLE);
+    }
+
     @Test
     void twoDifferentEndsAreCaught() {
         take(0, "a", "safe");
