--- a/eureka/src/test/java/thistleturn/membership/RegistrationTest.java
+++ b/eureka/src/test/java/thistleturn/membership/RegistrationTest.java
@@ -124,4 +124,17 @@
             }
         }
     }
+
+    @Test
+    void aCourierKilledInTheMiddleOfItsRegistrationRegistersInTheNextProcess() throws Exception {
+        try (CourierUnderTest courier = registering()) {
+            courier.world.registry.fault(Fault.HUNG);
+            courier.start();
+            courier.world.await("a registration", () -> count(courier, "POST apps/{app}") > 0);
+            courier.killAndRestart();
+            courier.world.await("another", () -> count(courier, "POST apps/{app}") > 1);
+            courier.world.registry.fault(Fault.NONE);
+            courier.world.await("an entry", () -> entry(courier) != null);
+        }
+    }
 }
