Control: what waits is looked through only when something in it is due

Ends are counted by time in a tree, a lane's pick is kept within a pass until its destination is sent to, and lines are linked sets. Routes apart are picked anew as before, since their picks mark messages.

--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -4,10 +4,12 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
@@ -139,7 +141,7 @@
     private final TreeSet<Long> wakes = new TreeSet<>();
     private int callsOut, open;
     private double trustUs;
-    private long nowUs, nextStepUs, stopUs = NEVER;
+    private long nowUs, nextStepUs, stopUs = NEVER, pass;
     private boolean subscribed;
     private long askAgainUs = NEVER, askBackOffUs = ASK_LEAST_US;
 
@@ -164,7 +166,7 @@
         open++;
         job.overQuota = overQuota(message.tenant());
         job.destination = destination(message.destination());
-        job.destination.waiting.add(job);
+        await(job);
         job.destination.jobs++;
         busy.put(message.destination(), job.destination);
         if (job.kind.inTurn() && message.key() != null) {
@@ -186,6 +188,8 @@
                 job.line.restUntilUs = nowUs + settings.guarantees().orderSettleUs();
             }
         }
+        leave(job);
+        await(job);
     }
 
     @Override
@@ -223,7 +227,7 @@
         if (outcome.over() || job.over) {
             end(job);
         } else {
-            job.destination.waiting.add(job);
+            await(job);
         }
     }
 
@@ -236,6 +240,7 @@
     @Override
     public void decide(final long now) {
         nowUs = now;
+        pass++;
         nextStepUs = nextStepUs == 0 ? nowUs + SECOND_US : nextStepUs;
         if (nowUs >= nextStepUs) {
             destinations.values().forEach(d -> d.lanes.forEach(this::step));
@@ -271,13 +276,25 @@
         for (final Destination destination : busy.values()) {
             for (final Lane lane : destination.lanes) {
                 final boolean open = openAtUs(lane) <= nowUs && (trials || lane.phase == Phase.WELL);
-                final Job job = open ? pick(destination, lane, null) : null;
+                final Job job = open ? picked(destination, lane) : null;
                 best = job != null && (best == null || job.urgency > best.urgency) ? job : best;
             }
         }
         return best;
     }
 
+    /**
+     * What {@link #pick} says of a lane, looked for once a pass and again after a send. Where routes are
+     * apart each pick marks its messages for its own lane, so that it must be made anew.
+     */
+    private Job picked(final Destination destination, final Lane lane) {
+        if (lane.pickedInPass != pass || destination.lanes.size() > 1) {
+            lane.pickedInPass = pass;
+            lane.picked = pick(destination, lane, null);
+        }
+        return lane.picked;
+    }
+
     /** When a lane's waits and guards let a call go; never, while its window is full. */
     private long openAtUs(final Lane lane) {
         if (lane.calls.size() >= cap(lane)) {
@@ -388,6 +405,7 @@
 
     /** Sends a message and, where calls are shared, those that wait with it. */
     private void send(final Job first, final Lane lane) {
+        lane.pickedInPass = 0;
         final Node node = choose(lane, first);
         final Call call = new Call();
         call.node = node;
@@ -412,7 +430,7 @@
             call.expectedUs = Math.max(call.expectedUs, (long) expectedUs(lane, job));
             job.call = call;
             job.attempts++;
-            job.destination.waiting.remove(job);
+            leave(job);
             actions.send(job.message.id(), node.entry.id(), timeoutUs(lane, job));
             final boolean full = alone || call.messages >= lane.kind.messagesPerCall();
             job = full ? null : pick(job.destination, lane, node);
@@ -718,6 +736,9 @@
                     lane.phase = Phase.WELL;
                 }
             }
+            if (destination.ends.isEmpty() || destination.ends.firstKey() > nowUs) {
+                continue;
+            }
             for (final Job job : List.copyOf(destination.waiting)) {
                 if (nowUs >= endUs(job) || !maySend(job)) {
                     // Given up: come again when the line that stands there now has gone, and no sooner.
@@ -732,6 +753,20 @@
         return Math.min(job.message.validUntilUs() - END_MARGIN_US, job.keyEndUs());
     }
 
+    /** A message waits from now on; one that may not be sent again ends in the next pass. */
+    private void await(final Job job) {
+        job.waitEndUs = maySend(job) ? endUs(job) : 0;
+        job.destination.waiting.add(job);
+        job.destination.ends.merge(job.waitEndUs, 1, Integer::sum);
+    }
+
+    /** A message waits no longer, if it did. */
+    private static void leave(final Job job) {
+        if (job.destination.waiting.remove(job)) {
+            job.destination.ends.merge(job.waitEndUs, -1, (was, less) -> was == 1 ? null : was + less);
+        }
+    }
+
     /** Rule on effects, and the most attempts. */
     private boolean maySend(final Job job) {
         final Effect effect = job.kind.effect();
@@ -757,7 +792,7 @@
     private void end(final Job job) {
         open -= job.over ? 0 : 1;
         job.over = true;
-        job.destination.waiting.remove(job);
+        leave(job);
         if (job.call == null) {
             if (job.line != null) {
                 job.line.jobs.remove(job);
@@ -806,9 +841,7 @@
                     next = Math.min(next, Math.max(openAtUs(lane), nowUs + POLL_US));
                 }
             }
-            for (final Job job : destination.waiting) {
-                next = Math.min(next, endUs(job));
-            }
+            next = destination.ends.isEmpty() ? next : Math.min(next, destination.ends.firstKey());
         }
         wakes.headSet(nowUs + 1).clear();
         if (wakes.isEmpty() || wakes.first() > next) {
@@ -899,7 +932,9 @@
 
     /** A destination: what waits for it, and its lanes (one, unless its routes are apart). */
     private static final class Destination {
-        private final List<Job> waiting = new ArrayList<>();
+        private final Set<Job> waiting = new LinkedHashSet<>();
+        /** When messages that wait end, and how many at each time. */
+        private final TreeMap<Long, Integer> ends = new TreeMap<>();
         private final List<Lane> lanes = new ArrayList<>();
         /** Its messages, waiting or out. */
         private int jobs;
@@ -917,6 +952,9 @@
         private final List<Node> nodes = new ArrayList<>();
         private final List<Call> calls = new ArrayList<>();
         private double window;
+        /** What was picked for it, and in which pass; 0: it was sent since. */
+        private Job picked;
+        private long pickedInPass;
         /** This step's counts and sum of latency ratios. */
         private int peak, refused, delivered;
         /** Of these, in calls. */
@@ -990,7 +1028,7 @@
         private double urgency;
         private int attempts;
         private boolean overQuota, mayHaveRun, over;
-        private long firstRunUs = NEVER;
+        private long firstRunUs = NEVER, waitEndUs;
         private String runZone = "";
 
         private Job(final Message message, final MessageClass kind) {
