--- a/benchmarks/src/main/java/thistleturn/benchmarks/MeasureMembership.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/MeasureMembership.java
@@ -18,7 +18,7 @@
 
 /** What a registry costs a courier: whole answers, deltas and what is held, beside Netflix's client. */
 @Command(name = "membership", mixinStandardHelpOptions = true,
-        description = "Whole answers and deltas of 1% of 100, 1,000 and 10,000 instances, beside Netflix's own parser.")
+        description = "Whole answers and deltas of 1%% of 100, 1,000 and 10,000 instances, beside Netflix's own parser.")
 final class MeasureMembership implements Callable<Integer> {
     private static final int[] SIZES = {100, 1_000, 10_000};
     private static final long SECOND = 1_000_000;
