--- a/courier/src/main/java/thistleturn/courier/Main.java
+++ b/courier/src/main/java/thistleturn/courier/Main.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
 import thistleturn.courier.runtime.Config;
 
 /** Starts a real courier, has it read its configuration again on SIGHUP, and ends it in order on SIGTERM. */
@@ -25,16 +26,17 @@
      */
     public static CourierProcess serve(final Map<String, String> environment,
             final CourierProcess.Extension extension) throws Config.BadConfigException, IOException {
-        final CourierProcess[] started = new CourierProcess[1];
+        final AtomicReference<CourierProcess> started = new AtomicReference<>();
         // First of all: until this is in place, a SIGHUP ends the process.
         Hangup.onSignal(() -> {
-            if (started[0] != null) {
-                started[0].reload();
+            final CourierProcess process = started.get();
+            if (process != null) {
+                process.reload();
             }
         });
         final CourierProcess process = extension == null ? CourierProcess.start(environment)
                 : CourierProcess.start(environment, extension);
-        started[0] = process;
+        started.set(process);
         Runtime.getRuntime().addShutdownHook(new Thread(process::stop, "stop"));
         process.ready().exceptionally(failure -> {
             System.err.println("cannot start: " + failure.getMessage());
