--- a/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
+++ b/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
@@ -66,15 +66,21 @@
         final boolean enabled = table.flag("enabled", false);
         final String listen = table.text("listen", "127.0.0.1:7071");
         table.finish();
+        final InetSocketAddress address = loopback(listen);
+        if (address == null) {
+            throw table.wrong("listen", '"' + listen + '"', "a loopback address with its port, such as 127.0.0.1:7071");
+        }
+        return enabled ? address : null;
+    }
+
+    /** The address that a text names, or null if that is none on loopback. */
+    private static InetSocketAddress loopback(final String text) {
         try {
-            final InetSocketAddress address = Config.address("listen", listen);
-            if (!address.isUnresolved() && address.getAddress().isLoopbackAddress()) {
-                return enabled ? address : null;
-            }
+            final InetSocketAddress address = Config.address("listen", text);
+            return !address.isUnresolved() && address.getAddress().isLoopbackAddress() ? address : null;
         } catch (final IllegalArgumentException e) {
-            throw table.wrong("listen", '"' + listen + '"', "a loopback address with its port, such as 127.0.0.1:7071");
+            return null;
         }
-        throw table.wrong("listen", '"' + listen + '"', "a loopback address with its port, such as 127.0.0.1:7071");
     }
 
     private static MembershipSettings membership(final StrictTable table) {
--- a/courier/src/main/java/thistleturn/courier/port/Front.java
+++ b/courier/src/main/java/thistleturn/courier/port/Front.java
@@ -40,7 +40,10 @@
         /** False for a destination that, as far as can be known now, does not exist. */
         boolean knows(long destination);
 
-        /** Takes a message, if there is room; its reply comes at the end of the pass, or at once. */
+        /**
+         * Takes a message, if there is room; its reply comes at the end of the pass, or at once. Its way must have
+         * begun ({@link Held#began}): the host notes there where its time goes.
+         */
         void offer(Held held, long validUntilUs, Reply reply);
 
         /** The client went before it was answered: nobody knows of this message, and nobody wants it. */
--- a/eureka/src/main/java/thistleturn/eureka/EurekaRegistration.java
+++ b/eureka/src/main/java/thistleturn/eureka/EurekaRegistration.java
@@ -5,12 +5,14 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.membership.Lease;
 import thistleturn.decisions.membership.Lease.Act;
@@ -40,12 +42,12 @@
     /** Begins at once; {@code address} is where the courier serves. */
     public EurekaRegistration(final RegistrationSettings settings, final EventLoop loop, final Clock clock,
             final String name, final String address) {
-        final int colon = address.lastIndexOf(':');
+        final InetSocketAddress at = Config.address("address", address);
         this.settings = settings;
         this.loop = loop;
         this.clock = clock;
-        this.host = address.substring(0, colon);
-        this.port = Integer.parseInt(address.substring(colon + 1));
+        this.host = at.getHostString();
+        this.port = at.getPort();
         this.id = name + ":" + settings.app().toLowerCase(Locale.ROOT) + ":" + port;
         this.dirtyMs = clock.wallUs() / US_PER_MS;
         this.lease = new Lease(clock.nowUs(), settings.addresses().size(), settings.renewUs());
--- a/eureka/src/main/java/thistleturn/eureka/EurekaSource.java
+++ b/eureka/src/main/java/thistleturn/eureka/EurekaSource.java
@@ -37,7 +37,6 @@
     private final RegistryPoll poll;
     private final Counts counts = new Counts();
     private final EurekaAnswer.Memory memory = new EurekaAnswer.Memory();
-    private boolean deltas;
     private Future<?> due;
     private EurekaCall call;
     private boolean closed;
@@ -55,7 +54,7 @@
     }
 
     /** What operators are told of a registry. */
-    public static final class Counts {
+    private static final class Counts {
         private long whole;
         private long deltas;
         private long mismatches;
@@ -64,8 +63,7 @@
         private long readAnew;
         private String lastFailure = "";
 
-        /** As names and figures. */
-        public Map<String, Object> asMap() {
+        private Map<String, Object> asMap() {
             final Map<String, Object> map = new TreeMap<>();
             map.put("whole", whole);
             map.put("deltas", deltas);
@@ -86,9 +84,8 @@
         this.clock = clock;
         this.random = random;
         this.listener = listener;
-        this.deltas = settings.deltas() && settings.scope().isEmpty();
         this.poll = new RegistryPoll(clock.nowUs(), settings.addresses().size(), settings.periodUs(),
-                settings.mostBackOffUs(), deltas);
+                settings.mostBackOffUs(), settings.deltas() && settings.scope().isEmpty());
     }
 
     /** What it is asked by. */
@@ -180,8 +177,7 @@
                 reports.addAll(answer.reports());
                 deleted.addAll(answer.deleted());
             } else if (next.ask() == Ask.DELTA) {
-                // It tells no changes, or not any more; all can still be asked for.
-                deltas = false;
+                // It tells no changes, or not now; all can still be asked for.
                 poll.mismatched(clock.nowUs());
                 later();
                 return;
@@ -200,25 +196,21 @@
         private void complete() {
             final boolean fits = !settings.scope().isEmpty() || answer.remember(memory);
             counts.readAnew += answer.readAnew();
-            if (next.ask() == Ask.DELTA && !fits) {
-                counts.mismatches++;
-                // What it says of single instances counts all the same; what is missing comes with the whole answer.
-                listener.changes(reports, deleted);
-                poll.mismatched(clock.nowUs());
-                later();
-                return;
-            }
-            if (next.ask() == Ask.DELTA) {
-                counts.deltas++;
-                listener.changes(reports, deleted);
-            } else if (fits) {
-                counts.whole++;
+            final boolean delta = next.ask() == Ask.DELTA;
+            counts.mismatches += fits ? 0 : 1;
+            counts.deltas += fits && delta ? 1 : 0;
+            counts.whole += fits && !delta ? 1 : 0;
+            if (fits && !delta) {
                 listener.whole(reports, deleted);
             } else {
-                counts.mismatches++;
+                // Where it does not fit, what it says of single instances counts all the same.
                 listener.changes(reports, deleted);
             }
-            poll.answered(clock.nowUs(), random.getAsDouble());
+            if (delta && !fits) {
+                poll.mismatched(clock.nowUs());
+            } else {
+                poll.answered(clock.nowUs(), random.getAsDouble());
+            }
             later();
         }
 
--- a/eureka/src/main/java/thistleturn/membership/MembershipExtension.java
+++ b/eureka/src/main/java/thistleturn/membership/MembershipExtension.java
@@ -1,9 +1,9 @@
 package thistleturn.membership;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Objects;
 import thistleturn.courier.CourierProcess.Extension;
 import thistleturn.courier.CourierProcess.Surroundings;
 import thistleturn.courier.port.Directory;
@@ -69,7 +69,7 @@
         }
         surroundings.loop().execute(() -> {
             if (!fresh.rules().equals(settings.rules())
-                    || !java.util.Objects.equals(fresh.registration(), settings.registration())) {
+                    || !Objects.equals(fresh.registration(), settings.registration())) {
                 Log.info("SIGHUP: new rules of membership, and a new entry of this courier, count from the next start");
             }
             settings = new MembershipSettings(settings.rules(), fresh.registries(), settings.registration());
@@ -82,7 +82,7 @@
         final ObjectNode root = JsonNodeFactory.instance.objectNode();
         root.setAll((ObjectNode) directory.status());
         if (registration != null) {
-            root.set("registration", new ObjectMapper().valueToTree(registration.status()));
+            root.set("registration", MergedDirectory.JSON.valueToTree(registration.status()));
         }
         return root;
     }
--- a/eureka/src/main/java/thistleturn/membership/MergedDirectory.java
+++ b/eureka/src/main/java/thistleturn/membership/MergedDirectory.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -37,7 +36,7 @@
 final class MergedDirectory implements Directory {
     /** The platform's own list among the sources. */
     static final String OWN = "discovery";
-    private static final ObjectMapper JSON = new ObjectMapper();
+    static final ObjectMapper JSON = new ObjectMapper();
     private static final long HEARD_MS = 1000;
     private static final long US_PER_MS = 1000;
 
@@ -234,15 +233,13 @@
     }
 
     private static Listing listing(final Member member) {
-        final int colon = member.address().lastIndexOf(':');
         final Courier.Condition condition = switch (member.state()) {
             case UP -> Courier.Condition.LISTED;
             case DRAINING -> Courier.Condition.DRAINING;
             case GONE -> Courier.Condition.GONE;
         };
-        return new Listing(member.name(), condition, new InetSocketAddress(member.address().substring(0, colon),
-                Integer.parseInt(member.address().substring(colon + 1))), member.zone(), member.ratePerSecond(),
-                member.kind(), member.destination());
+        return new Listing(member.name(), condition, Config.address("address", member.address()), member.zone(),
+                member.ratePerSecond(), member.kind(), member.destination());
     }
 
     // ---------------------------------------------------------------- what operators see
--- a/eureka/src/test/java/thistleturn/membership/CourierUnderTest.java
+++ b/eureka/src/test/java/thistleturn/membership/CourierUnderTest.java
@@ -68,10 +68,6 @@
         world.auditor.restarted(world.ticks.nowUs(), true);
     }
 
-    void kill() {
-        process.kill();
-    }
-
     /** SIGTERM: returns when the process would end. */
     void stop() {
         process.stop();
--- a/testkit/src/main/java/thistleturn/testkit/HttpStandIn.java
+++ b/testkit/src/main/java/thistleturn/testkit/HttpStandIn.java
@@ -58,11 +58,6 @@
         return address.getPort();
     }
 
-    /** Connections that stand now. */
-    public int connections() {
-        return connections.size();
-    }
-
     /** While true, a connection is reset when the first byte of a request comes. */
     public void resetAtFirstByte(final boolean on) {
         resetsAtFirstByte = on;
--- a/testkit/src/main/java/thistleturn/testkit/StandInWorld.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInWorld.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -19,6 +20,8 @@
 public final class StandInWorld implements AutoCloseable {
     private static final long AWAIT_S = 30;
     private static final long GRACE_MS = 400;
+    /** The classes that are handed in, evenly mixed. */
+    private static final String[] CLASSES = {"safe", "keyed", "once"};
 
     /** What the rules have to say. */
     public final Auditor auditor = new Auditor(Auditor.Figures.standard(), CourierFiles.CLASSES);
@@ -36,7 +39,6 @@
     private final Random random;
     private final Path folder;
     private volatile boolean loading;
-    private volatile String[] classes = {"safe", "keyed", "once"};
 
     /** A world that keeps its files in a folder; all chance comes from the seed. */
     public StandInWorld(final Path folder, final long seed) {
@@ -72,11 +74,6 @@
         return CourierFiles.write(folder, "n0", platform.address(), platform.known(), size);
     }
 
-    /** The classes that are handed in from now on, evenly mixed. */
-    public void classes(final String... names) {
-        classes = names.clone();
-    }
-
     /** Hands in so many messages a second, to each destination in turn, until {@link #stopLoad}. */
     public void load(final double perSecond, final long timeoutMs, final long... destinations) {
         loading = true;
@@ -93,7 +90,7 @@
         long next = number;
         // The pace is that of the clock: what a late timer missed is handed in at once.
         while (beganUs + next * gapUs <= ticks.nowUs()) {
-            client.handIn(classes[random.nextInt(classes.length)],
+            client.handIn(CLASSES[random.nextInt(CLASSES.length)],
                     destinations[(int) (next % destinations.length)], timeoutMs);
             next++;
         }
@@ -125,7 +122,7 @@
                 throw new AssertionError("never came: " + what + "; ends so far " + auditor.ends() + ", "
                         + auditor.finish(ticks.nowUs()));
             }
-            java.util.concurrent.locks.LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
         }
     }
 
