Control: work by what has changed, not by what there is

Change: time is kept in heaps (ends, overdue calls, lanes to look at again, rested keys), messages that wait in ordered lines of like ones, lanes and destinations in rankings; idle lanes take no steps and catch up when touched; what is gone or vacant is remembered instead of searched for.

In service urgencies are looked at again in turn, 20 us for each lane that competes, so the order may be that old; tests look at all.

--- /dev/null
+++ b/decisions/src/main/java/thistleturn/decisions/Call.java
@@ -0,0 +1,31 @@
+package thistleturn.decisions;
+
+import java.util.ArrayList;
+import java.util.List;
+import thistleturn.decisions.index.TimeHeap;
+
+/** A call in flight, with one or more messages. */
+final class Call extends TimeHeap.Entry {
+    Node node;
+    /** Its messages without an outcome, in the order taken. */
+    final List<Job> jobs = new ArrayList<>(1);
+    /** Messages sent with it, and those without an outcome yet. */
+    int size, messages;
+    long sentUs, expectedUs, idleUs;
+    /** It went over a connection that was kept, as far as is known here; and that alone made it fail. */
+    boolean reused, stale;
+    boolean calledOff, fallen;
+
+    /** True while it is worth calling off. */
+    boolean isSilent() {
+        return fallen && !calledOff;
+    }
+
+    long firstNumber() {
+        return jobs.get(0).number;
+    }
+
+    long overdueUs() {
+        return sentUs + Math.max(Control.OVERDUE_LEAST_US, (long) (Control.OVERDUE_TIMES * expectedUs));
+    }
+}
--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -3,15 +3,16 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
+import thistleturn.decisions.index.Ranking;
+import thistleturn.decisions.index.TimeHeap;
 
 /**
  * Every decision of one courier; its interface is {@code Courier.java}. How it decides, from the top:
@@ -27,10 +28,13 @@
  * <li>What can be in time no more, or gains least when the store is full, is refused where that is harmless.
  * <li>The list is followed; nothing new goes to an endpoint that drains or is gone.
  * </ol>
+ * A pass costs what has changed since the last one, not what there is: time is kept in heaps, messages that
+ * wait in ordered lines, lanes in a ranking; what an event changes about a destination is told by
+ * {@link #touch}. The idea and its invariants: {@code docs/design/scale.md}.
  */
 public final class Control implements Courier {
 
-    private static final long SECOND_US = 1_000_000;
+    static final long SECOND_US = 1_000_000;
 
     // The window (DESIGN; the paper's section V).
     /** Floor of a window, calls: a lane must always be able to learn. */
@@ -50,14 +54,14 @@
 
     // Service times.
     /** Least weight of a new sample, or of a step, in a slow average: about ten of memory. */
-    private static final double SAMPLE_WEIGHT = 0.1;
+    static final double SAMPLE_WEIGHT = 0.1;
     /** Service time of a class before any was seen, as a share of its aim: the aim was set to be met. */
     private static final double UNSEEN_SHARE = 0.25;
     /** Least pace of a lane, times the usual: no answer is so quick that the next must be quicker still. */
     private static final double PACE_LEAST = 0.1;
     /** A call is overdue after so many times what is expected (one in 150, by chance), and so long, us. */
-    private static final double OVERDUE_TIMES = 5;
-    private static final long OVERDUE_LEAST_US = SECOND_US;
+    static final double OVERDUE_TIMES = 5;
+    static final long OVERDUE_LEAST_US = SECOND_US;
     /** A call begun before a stop has so many times what is expected left (chance cuts off one in seven). */
     private static final double STOP_TIMES = 2;
     /** A time-out, in times what is expected, and at least so long, us: wide enough for a long tail. */
@@ -70,7 +74,7 @@
     /** Least pause of a lane after a refusal, us: limits are counted over spans of about a second. */
     private static final long PAUSE_US = SECOND_US / 2;
     /** After refusals, sends go at so many times the rate served and so many a second more: room may come. */
-    private static final double SPACING = 1.2;
+    static final double SPACING = 1.2;
     private static final double SPACING_LEAST = 0.5;
     /** A told wait above this, us, is no limit's, whose spans are a second or two: it is shut. */
     private static final long LIMIT_WAIT_US = 5 * SECOND_US / 2;
@@ -84,7 +88,7 @@
     private static final double FAIL_WEIGHT = 0.12;
     /** Messages a second: a limit where none is told (a default); least rate at which a line is reckoned. */
     private static final double UNTOLD_LIMIT = 1;
-    private static final double LEAST_RATE = 0.25;
+    static final double LEAST_RATE = 0.25;
     /** What each further message in a call weighs on a cold destination, in calls. A default. */
     private static final double FURTHER_WEIGHT = 0.2;
     /** An endpoint that failed is left alone so long, us; after that its failures in a row count as calls. */
@@ -99,16 +103,18 @@
     /** Chance that a message put off is served after all, in a short line; half of it in a long one. */
     private static final double KEPT = 0.9;
     /** How far ahead a line is looked along, us: the next call at least, and what fades at most. */
-    private static final long HORIZON_LEAST_US = SECOND_US;
-    private static final long HORIZON_MOST_US = 10 * SECOND_US;
+    static final long HORIZON_LEAST_US = SECOND_US;
+    static final long HORIZON_MOST_US = 10 * SECOND_US;
     /** Share of worth beyond a quota, of which we see a part; messages in a burst that chance may bring. */
     private static final double OVER_QUOTA = 0.25;
     private static final double QUOTA_BURST = 10;
     /** Share of the store that is kept free by refusing what has least to gain: the door refuses blindly. */
     private static final double STORE_RESERVE = 0.05;
+    /** A class's mean time, as the choice among messages reckons with it, is noted anew at such a change. */
+    private static final double NOTED_CHANGE = 0.25;
     /** A message ends so long before its time, us: two rounds; share of a key's window not used: clocks. */
     private static final long END_MARGIN_US = 12_000;
-    private static final double KEY_MARGIN = 0.05;
+    static final double KEY_MARGIN = 0.05;
     /** Growth a second of the idle time that connections are trusted to bear: a minute trebles it. */
     private static final double TRUST_GROWTH = 1.02;
     /** Idle for less, us, a connection dies of something else than its idleness. */
@@ -120,38 +126,77 @@
     /** First and longest back-off of asking for the list again, us: soon, but without burdening it. */
     private static final long ASK_LEAST_US = SECOND_US / 2;
     private static final long ASK_MOST_US = 3 * SECOND_US;
-    /** How soon a message that an endpoint or a key holds back is looked at again, us. */
+    /** Time for a look at one lane whose urgency has changed by time alone, us: some percent of a core. */
+    private static final long LOOK_US = 20;
+    /** How soon a further silent call may be called off, us. */
     private static final long POLL_US = 20_000;
     /** A destination or route without an endpoint is forgotten so long after its last use, us. A default. */
     private static final long FORGET_US = 60 * SECOND_US;
-    private static final long NEVER = Long.MAX_VALUE;
+    static final long NEVER = Long.MAX_VALUE;
 
     private final Settings settings;
     private final Actions actions;
     private final Random random;
-    private final Map<Long, Destination> destinations = new LinkedHashMap<>();
-    /** Destinations with messages: all that a decision looks at, however long the list is. */
-    private final Map<Long, Destination> busy = new TreeMap<>();
-    private final Map<Long, Node> nodes = new LinkedHashMap<>();
-    private final Map<String, Job> jobs = new LinkedHashMap<>();
-    private final Map<String, KeyLine> keys = new LinkedHashMap<>();
+    private final Map<Long, Destination> destinations = new HashMap<>();
+    private final Map<Long, Node> nodes = new HashMap<>();
+    /** Endpoints that are gone, and destinations without messages or endpoints: to be forgotten. */
+    private final Set<Node> gone = new LinkedHashSet<>();
+    private final Set<Destination> vacant = new LinkedHashSet<>();
+    private final Map<String, Job> jobs = new HashMap<>();
+    private final Map<String, KeyLine> keys = new HashMap<>();
+    private final Set<KeyLine> emptyLines = new LinkedHashSet<>();
+    /** What time brings: messages' ends, calls overdue, lanes to look at again, keys that have rested. */
+    private final TimeHeap<Deadline> ends = new TimeHeap<>();
+    private final TimeHeap<Call> overdue = new TimeHeap<>();
+    private final TimeHeap<LaneTimer> looks = new TimeHeap<>();
+    private final TimeHeap<KeyLine> rests = new TimeHeap<>();
+    /** Calls that are overdue and not called off, the one sent first at the front. */
+    private final TreeSet<Call> silent = new TreeSet<>(
+            Comparator.comparingLong((Call call) -> call.sentUs).thenComparingLong(Call::firstNumber));
+    /** Lanes by the urgency of what may go: as it is, and for each call's time where the store is crowded. */
+    private final List<Ranking<Ready>> ready;
+    /** Destinations by the message in their line that is worth least: the first to make room. */
+    private final Ranking<Destination> room;
+    /** Destinations of which something has changed since the last pass. */
+    private final List<Destination> touched = new ArrayList<>();
+    /** Lanes on which a step is more than the passing of time. */
+    private List<Lane> active = new ArrayList<>();
+    /** By class: mean service times as last noted, how late its worth has reached its floor; us. */
+    private final double[] notedMeanUs;
+    private final long[] floorUs;
     private final double[] classMeanUs;
     private final int[] classSamples;
     private final long[] quotaUs;
     private final TreeSet<Long> wakes = new TreeSet<>();
     private int callsOut, open;
     private double trustUs;
-    private long nowUs, nextStepUs, stopUs = NEVER, pass;
+    private long nowUs, nextStepUs, stopUs = NEVER;
+    /** Steps taken; messages taken; waits begun; events and passes so far. */
+    private long steps, numbers, places, tick;
+    /** The last look at all that is overdue. */
+    private long passTick, passUs;
+    /** When a pass is wanted that no event and no heap would bring. */
+    private long againUs = NEVER;
     private boolean subscribed;
     private long askAgainUs = NEVER, askBackOffUs = ASK_LEAST_US;
 
     /** A courier that knows nothing yet but its settings; {@code seed} is its only source of chance. */
     public Control(final Settings settings, final long seed, final Actions actions) {
+        this(settings, seed, actions, LOOK_US);
+    }
+
+    /** The same, with the time that is given to a look at what time alone has changed, us; 0: all, always. */
+    Control(final Settings settings, final long seed, final Actions actions, final long lookUs) {
         this.settings = settings;
         this.actions = actions;
         this.random = new Random(seed);
         this.classMeanUs = settings.classes().stream().mapToDouble(k -> UNSEEN_SHARE * k.aimUs()).toArray();
         this.classSamples = new int[classMeanUs.length];
+        this.ready = List.of(new Ranking<>(this::urgency, Ready.ORDER, lookUs),
+                new Ranking<>(this::urgency, Ready.ORDER, lookUs));
+        this.room = new Ranking<>(this::leastWorth, Destination.ORDER, lookUs);
+        this.notedMeanUs = classMeanUs.clone();
+        this.floorUs = settings.classes().stream().mapToLong(this::floorUs).toArray();
         this.trustUs = settings.limits().idleCloseUs();
         this.quotaUs = new long[settings.tenants().size()];
     }
@@ -161,24 +206,24 @@
     @Override
     public void onMessage(final long now, final Message message) {
         nowUs = now;
-        final Job job = new Job(message, settings.classes().get(message.messageClass()));
+        final Job job = new Job(message, settings.classes().get(message.messageClass()), numbers++);
         jobs.put(message.id(), job);
         open++;
         job.overQuota = overQuota(message.tenant());
         job.destination = destination(message.destination());
-        await(job);
         job.destination.jobs++;
-        busy.put(message.destination(), job.destination);
         if (job.kind.inTurn() && message.key() != null) {
-            job.line = keys.computeIfAbsent(message.key(), key -> new KeyLine());
+            job.line = keys.computeIfAbsent(message.key(), KeyLine::new);
             job.line.jobs.add(job);
         }
+        await(job);
     }
 
     @Override
     public void onResumed(final long now, final Message message, final Past past) {
         onMessage(now, message);
         final Job job = jobs.get(message.id());
+        leave(job);
         job.attempts = past.attempts();
         job.mayHaveRun = past.mayHaveRun();
         if (job.mayHaveRun) {
@@ -186,9 +231,9 @@
             job.runZone = past.runZone();
             if (job.line != null) {
                 job.line.restUntilUs = nowUs + settings.guarantees().orderSettleUs();
+                refile(job.line);
             }
         }
-        leave(job);
         await(job);
     }
 
@@ -196,6 +241,8 @@
     public void onStopping(final long now, final long atUs) {
         nowUs = now;
         stopUs = atUs;
+        noteMeans(0);
+        destinations.values().forEach(this::touch);
     }
 
     @Override
@@ -207,7 +254,16 @@
         }
         final Call call = job.call;
         final Node node = call.node;
+        tick++;
+        fallOverdue();
+        avoidSilent(node);
+        touch(node.lane.destination);
         job.call = null;
+        silent.remove(call);
+        call.jobs.remove(job);
+        if (call.isSilent() && !call.jobs.isEmpty()) {
+            silent.add(call);
+        }
         if (!outcome.result().neverRan()) {
             job.mayHaveRun = true;
             job.firstRunUs = Math.min(job.firstRunUs, call.sentUs);
@@ -219,7 +275,12 @@
         if (--call.messages == 0) {
             callsOut--;
             node.inFlight--;
-            node.lane.calls.remove(call);
+            node.lane.calls--;
+            overdue.remove(call);
+            if (call.fallen && node.lastServedUs < call.sentUs) {
+                node.silent--;
+                node.lane.silent--;
+            }
             node.lastUseUs = nowUs;
             shareConnections(node, call);
         }
@@ -240,13 +301,13 @@
     @Override
     public void decide(final long now) {
         nowUs = now;
-        pass++;
+        tick++;
+        fallOverdue();
         nextStepUs = nextStepUs == 0 ? nowUs + SECOND_US : nextStepUs;
         if (nowUs >= nextStepUs) {
-            destinations.values().forEach(d -> d.lanes.forEach(this::step));
+            stepAll();
             trustUs = Math.min(settings.limits().idleCloseUs(), TRUST_GROWTH * trustUs);
             forget();
-            keys.values().removeIf(line -> line.jobs.isEmpty() && line.restUntilUs <= nowUs);
             nextStepUs += SECOND_US * ((nowUs - nextStepUs) / SECOND_US + 1);
         }
         keepList();
@@ -257,60 +318,116 @@
         sleep();
     }
 
+    /** Something about a destination has changed, or time has brought it something: it is looked at again. */
+    private void touch(final Destination destination) {
+        if (!destination.touched) {
+            destination.touched = true;
+            touched.add(destination);
+        }
+        lookAgain(destination);
+        for (final Lane lane : destination.lanes) {
+            lane.catchUp(steps);
+            if (!lane.active) {
+                lane.active = true;
+                active.add(lane);
+            }
+        }
+    }
+
+    private void lookAgain(final Destination destination) {
+        room.touch(destination);
+        for (final Lane lane : destination.lanes) {
+            for (final Ready entry : lane.ready) {
+                ready.get(entry.mode).touch(entry);
+            }
+        }
+    }
+
     // ---------------------------------------------------------------- dispatch
 
     /** Sends, best first, until no slot is free or no message may go. */
     private void dispatch() {
+        againUs = NEVER;
         while (callsOut < settings.limits().slots()) {
-            final Job best = best(true);
+            final Ready best = ready().best(nowUs);
             if (best == null) {
                 return;
             }
-            send(best, best.lane);
+            if (endsInTime(best.lane, best.picked.group)) {
+                send(best.picked, best.lane);
+            } else {
+                ready().touch(best);
+            }
         }
     }
 
-    /** Of the messages that windows and guards let go (with trials or without), the most urgent, or null. */
-    private Job best(final boolean trials) {
-        Job best = null;
-        for (final Destination destination : busy.values()) {
-            for (final Lane lane : destination.lanes) {
-                final boolean open = openAtUs(lane) <= nowUs && (trials || lane.phase == Phase.WELL);
-                final Job job = open ? picked(destination, lane) : null;
-                best = job != null && (best == null || job.urgency > best.urgency) ? job : best;
-            }
-        }
-        return best;
+    /** Lanes by what their messages lose; with the store over half full some messages will not be served. */
+    private Ranking<Ready> ready() {
+        return ready.get(2 * open > settings.limits().maxOpen() ? 1 : 0);
     }
 
-    /**
-     * What {@link #pick} says of a lane, looked for once a pass and again after a send. Where routes are
-     * apart each pick marks its messages for its own lane, so that it must be made anew.
-     */
-    private Job picked(final Destination destination, final Lane lane) {
-        if (lane.pickedInPass != pass || destination.lanes.size() > 1) {
-            lane.pickedInPass = pass;
-            lane.picked = pick(destination, lane, null);
+    /** Of a lane that may send, how urgent the message to go is among those of other lanes. */
+    private double urgency(final Ready entry) {
+        final Lane lane = entry.lane;
+        if (lane.destination.waiting == 0) {
+            looks.remove(lane.look);
+            return Double.NEGATIVE_INFINITY;
         }
-        return lane.picked;
+        lane.destination.catchUp(steps);
+        looks.set(lane.look, lookUs(lane));
+        entry.picked = openAtUs(lane) <= nowUs ? pick(lane.destination, lane, null) : null;
+        if (entry.picked == null) {
+            return Double.NEGATIVE_INFINITY;
+        }
+        final int kind = entry.picked.message.messageClass();
+        final double urgency = urgency(entry.picked, doneUs(lane, kind), lane.destination.horizonUs());
+        // Where not all can be served, slots go where they serve most.
+        return entry.mode == 0 ? urgency : urgency / notedUs(lane, kind);
     }
 
     /** When a lane's waits and guards let a call go; never, while its window is full. */
     private long openAtUs(final Lane lane) {
-        if (lane.calls.size() >= cap(lane)) {
+        return openAtUs(lane, nowUs);
+    }
+
+    /** The same, as it is reckoned at that moment: a ramp gets steeper with time. */
+    private long openAtUs(final Lane lane, final long atUs) {
+        if (lane.calls >= cap(lane)) {
             return NEVER;
         }
         final boolean exact = settings.weights() == Weights.NOMINAL && lane.told > 0;
         final double rate = exact ? Math.min(lane.told, lane.spacing) : lane.spacing;
         final long guardUs = switch (lane.phase) {
             case WELL -> lane.lastSendUs + (long) (SECOND_US / rate);
-            case OUT -> lane.calls.isEmpty() ? lane.nextTrialUs : NEVER;
+            case OUT -> lane.calls == 0 ? lane.nextTrialUs : NEVER;
             case RAMP -> lane.lastSendUs + (long) (lane.rampSpanUs * lane.lastWeight
-                    / tippingShare(nowUs - lane.rampFromUs));
+                    / tippingShare(atUs - lane.rampFromUs));
         };
         return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.pauseUntilUs));
     }
 
+    /** When a lane may be able to send more than now by the passing of time alone. */
+    private long lookUs(final Lane lane) {
+        long highUs = openAtUs(lane);
+        if (highUs > nowUs) {
+            // On a ramp the moment comes nearer while it is waited for.
+            long lowUs = lane.phase == Phase.RAMP && highUs != NEVER ? nowUs : highUs;
+            while (highUs - lowUs > 1) {
+                final long middleUs = (lowUs + highUs) >>> 1;
+                lowUs = openAtUs(lane, middleUs) > middleUs ? middleUs : lowUs;
+                highUs = lowUs == middleUs ? highUs : middleUs;
+            }
+            return highUs;
+        }
+        long next = NEVER;
+        for (final Node node : lane.nodes) {
+            for (int kind = 0; kind < node.avoidUntilUs.length && lane.phase == Phase.WELL; kind++) {
+                next = node.avoidUntilUs[kind] > nowUs ? Math.min(next, node.avoidUntilUs[kind]) : next;
+            }
+        }
+        return next;
+    }
+
     /** Calls that a lane may have in flight now: its window, within its share of the slots. */
     private int cap(final Lane lane) {
         final double share = lane.phase == Phase.WELL && !lane.slow ? HEALTHY_SHARE : SICK_SHARE;
@@ -322,55 +439,116 @@
         Job best = null;
         int bestRisk = 0;
         double bestUrgency = 0;
-        final long lineUs = destination.lineUs();
-        for (final Job job : destination.waiting) {
-            if (!inTurn(job) || !endsInTime(lane, job) || node == null && choose(lane, job) == null
-                    || node != null && (!zoneAllows(job, node) || job.kind.effect() == Effect.UNSAFE)) {
+        final long horizonUs = destination.horizonUs();
+        for (final Group group : destination.groups) {
+            final int risk = lane.phase != Phase.OUT || group.mayHaveRun ? 0 : 1 + group.effect().ordinal();
+            if (group.blocked || best != null && risk > bestRisk || !endsInTime(lane, group)
+                    || node == null && choose(lane, group) == null
+                    || node != null && (!group.zoneAllows(node) || group.effect() == Effect.UNSAFE)) {
                 continue;
             }
-            final double urgency = urgency(lane, job, lineUs);
-            final int risk = lane.phase != Phase.OUT || job.mayHaveRun ? 0 : 1 + job.kind.effect().ordinal();
-            if (best == null || risk < bestRisk || risk == bestRisk && urgency > bestUrgency) {
+            final long doneUs = doneUs(lane, group.kind);
+            final Job job = group.greatest(turns(group, doneUs, horizonUs),
+                    one -> urgency(one, doneUs, horizonUs));
+            final double urgency = urgency(job, doneUs, horizonUs);
+            if (best == null || risk < bestRisk || urgency > bestUrgency
+                    || urgency == bestUrgency && job.place < best.place) {
                 best = job;
                 bestRisk = risk;
                 bestUrgency = urgency;
-                job.lane = lane;
-                // With the store over half full some will not be served: slots go where they serve most.
-                job.urgency = urgency / (2 * open > settings.limits().maxOpen() ? expectedUs(lane, job) : 1);
             }
         }
         return best;
     }
 
     /** What a message loses by waiting for as long as its destination's line takes. */
-    private double urgency(final Lane lane, final Job job, final long lineUs) {
-        final long horizonUs = (long) clamp(lineUs, HORIZON_LEAST_US, HORIZON_MOST_US);
-        final long doneUs = nowUs + (long) expectedUs(lane, job);
+    private double urgency(final Job job, final long doneUs, final long horizonUs) {
         final double kept = KEPT / (1 + (double) horizonUs / HORIZON_MOST_US);
         return worth(job, doneUs) - kept * worth(job, doneUs + horizonUs);
     }
 
+    /** When a message would be done if it went now, with the class's time as it was last noted. */
+    private long doneUs(final Lane lane, final int kind) {
+        return nowUs + (long) notedUs(lane, kind);
+    }
+
+    private double notedUs(final Lane lane, final int kind) {
+        return notedMeanUs[kind] * Math.max(PACE_LEAST, lane.pace);
+    }
+
     /** The worth of a message delivered at a given time; a key's window ends it like the deadline does. */
     private double worth(final Job job, final long atUs) {
-        final MessageClass kind = job.kind;
-        if (atUs >= job.keyEndUs()) {
-            return 0;
-        }
-        final double full = kind.worth() * (job.overQuota ? OVER_QUOTA : 1);
-        final long lateUs = Math.max(0, atUs - job.aimUs);
-        return full * (settings.fade() == Fade.HALVING
+        return atUs >= job.keyEndUs() ? 0 : job.kind.worth() * (job.overQuota ? OVER_QUOTA : 1)
+                * faded(job.kind, Math.max(0, atUs - job.aimUs));
+    }
+
+    /** The share of its worth that is left of a message so late, us, before it ends. */
+    private double faded(final MessageClass kind, final long lateUs) {
+        return (settings.fade() == Fade.HALVING
                 ? Math.max(kind.lateWorth(), Math.pow(0.5, (double) lateUs / Math.max(1, kind.aimUs())))
                 : 1 - (1 - kind.lateWorth()) * lateUs / Math.max(1, kind.deadlineUs() - kind.aimUs()));
     }
 
+    /** How late a message's worth has faded as far as it does, us after its aim; its end at the latest. */
+    private long floorUs(final MessageClass kind) {
+        final long lifeUs = kind.deadlineUs() - kind.aimUs();
+        long lowUs = -1;
+        long highUs = lifeUs;
+        while (highUs - lowUs > 1) {
+            final long middleUs = (lowUs + highUs) >>> 1;
+            final boolean faded = faded(kind, middleUs) <= kind.lateWorth();
+            lowUs = faded ? lowUs : middleUs;
+            highUs = faded ? middleUs : highUs;
+        }
+        return highUs;
+    }
+
+    /**
+     * The urgency of like messages follows from their aims alone. It only rises, only falls or stays the same
+     * between these aims: where worth turns when a message is done, and when it is done after the line.
+     */
+    private long[] turns(final Group group, final long doneUs, final long horizonUs) {
+        final long lifeUs = group.like.deadlineUs() - group.like.aimUs();
+        final long floorAimUs = doneUs - floorUs[group.kind] + 1;
+        final long[] turns = {doneUs + 1, floorAimUs, doneUs - lifeUs + 1, doneUs + 1 + horizonUs,
+            floorAimUs + horizonUs, doneUs - lifeUs + 1 + horizonUs};
+        Arrays.sort(turns);
+        return turns;
+    }
+
+    /** Of a line, the worth (below nothing) of the message that is worth least when its turn comes. */
+    private double leastWorth(final Destination destination) {
+        destination.catchUp(steps);
+        destination.least = null;
+        double least = Double.POSITIVE_INFINITY;
+        final long atUs = nowUs + destination.lineUs();
+        for (final Group group : destination.groups) {
+            if (!group.mayRefuse()) {
+                continue;
+            }
+            final long lifeUs = group.like.deadlineUs() - group.like.aimUs();
+            final long flatUs = Math.max(0, Math.min(floorUs[group.kind], lifeUs - 1));
+            final Job job = group.greatest(new long[] {atUs - flatUs + 1, atUs + 1},
+                    one -> -worth(one, Math.min(atUs, one.keyEndUs() - 1)));
+            final double worth = worth(job, Math.min(atUs, job.keyEndUs() - 1));
+            if (worth < least || worth == least && job.place < destination.least.place) {
+                least = worth;
+                destination.least = job;
+            }
+        }
+        return -least;
+    }
+
+    // ------------------------------------------------------------- endpoints and calls
+
     /** The best endpoint of a lane for a message now, or null. */
-    private Node choose(final Lane lane, final Job job) {
+    private Node choose(final Lane lane, final Group group) {
         Node best = null;
         double bestLoad = 0;
-        final int kind = job.message.messageClass();
+        final int kind = group.kind;
         for (final Node node : lane.nodes) {
-            if (node.condition != Condition.LISTED || !zoneAllows(job, node)
-                    || lane.phase == Phase.WELL && nowUs < node.avoidUntilUs[kind]) {
+            if (node.condition != Condition.LISTED || !group.zoneAllows(node)
+                    || lane.phase == Phase.WELL && (node.silent > 0 || nowUs < node.avoidUntilUs[kind])) {
                 continue;
             }
             final boolean handshake = node.inFlight >= node.connections * settings.limits().multiplex()
@@ -386,33 +564,27 @@
         return best;
     }
 
-    /** False where an earlier attempt may have run and this endpoint would not know the repeat. */
-    private static boolean zoneAllows(final Job job, final Node node) {
-        return !job.mayHaveRun || !job.kind.zoneKeyed() || node.entry.zone().equals(job.runZone);
-    }
-
     /** Rule on order: the first of its key goes, and only after the rest that an open attempt asks for. */
     private boolean inTurn(final Job job) {
-        return job.line == null || job.line.jobs.get(0) == job
+        return job.line == null || job.line.first() == job
                 && (job.mayHaveRun || job.line.restUntilUs <= nowUs);
     }
 
     /** False for a call that the end of this process would likely cut off: the next one may send it. */
-    private boolean endsInTime(final Lane lane, final Job job) {
-        return stopUs == NEVER || nowUs + (job.kind.effect() == Effect.UNSAFE
-                ? OVERDUE_TIMES : STOP_TIMES) * expectedUs(lane, job) < stopUs;
+    private boolean endsInTime(final Lane lane, final Group group) {
+        return stopUs == NEVER || nowUs + (group.effect() == Effect.UNSAFE
+                ? OVERDUE_TIMES : STOP_TIMES) * notedUs(lane, group.kind) < stopUs;
     }
 
     /** Sends a message and, where calls are shared, those that wait with it. */
     private void send(final Job first, final Lane lane) {
-        lane.pickedInPass = 0;
-        final Node node = choose(lane, first);
+        final Node node = choose(lane, first.group);
+        touch(lane.destination);
         final Call call = new Call();
         call.node = node;
         call.sentUs = nowUs;
         callsOut++;
-        lane.calls.add(call);
-        lane.peak = Math.max(lane.peak, lane.calls.size());
+        lane.peak = Math.max(lane.peak, ++lane.calls);
         if (node.inFlight++ == 0) {
             checkIdle(call, node, first);
         }
@@ -429,6 +601,7 @@
             call.messages++;
             call.expectedUs = Math.max(call.expectedUs, (long) expectedUs(lane, job));
             job.call = call;
+            call.jobs.add(job);
             job.attempts++;
             leave(job);
             actions.send(job.message.id(), node.entry.id(), timeoutUs(lane, job));
@@ -436,6 +609,8 @@
             job = full ? null : pick(job.destination, lane, node);
         }
         call.size = call.messages;
+        call.jobs.sort(Comparator.comparingLong(sent -> sent.number));
+        overdue.set(call, call.overdueUs());
         lane.lastWeight = 1 + FURTHER_WEIGHT * (call.size - 1);
     }
 
@@ -467,9 +642,47 @@
 
     // ---------------------------------------------------------------- the fuzzy step
 
+    /** Takes the step of each lane on which something went on; the others catch up when they wake. */
+    private void stepAll() {
+        steps++;
+        final List<Lane> stepping = active;
+        active = new ArrayList<>();
+        for (final Lane lane : stepping) {
+            lane.active = false;
+            lane.stepsTaken = steps;
+            step(lane);
+        }
+        for (final Lane lane : stepping) {
+            // Its line is reckoned by its rate, its next send by its spacing: both go on changing.
+            final boolean fading = lane.destination.waiting > 0
+                    && (lane.rate * lane.destination.lanes.size() >= LEAST_RATE
+                    || lane.lastSendUs + (long) (SECOND_US / lane.spacing) > nowUs);
+            if (lane.calls > 0 || fading) {
+                touch(lane.destination);
+            } else {
+                lookAgain(lane.destination);
+            }
+        }
+        noteMeans(NOTED_CHANGE);
+    }
+
+    /** Notes the classes' mean times that have changed by more than a share; looks anew at what follows. */
+    private void noteMeans(final double change) {
+        boolean noted = false;
+        for (int kind = 0; kind < notedMeanUs.length; kind++) {
+            if (Math.abs(classMeanUs[kind] - notedMeanUs[kind]) > change * notedMeanUs[kind]) {
+                notedMeanUs[kind] = classMeanUs[kind];
+                noted = true;
+            }
+        }
+        if (noted) {
+            ready.forEach(Ranking::touchAll);
+        }
+    }
+
     /** Moves a lane's window by Table I. */
     private void step(final Lane lane) {
-        final double bad = lane.bad + overdue(lane);
+        final double bad = lane.bad + lane.silent;
         final double read = lane.served + lane.errors + bad;
         if (lane.phase == Phase.WELL) {
             final double weight = Math.max(SAMPLE_WEIGHT, 1.0 / ++lane.steps);
@@ -497,7 +710,7 @@
         }
         final double refusing = SPACING_LEAST + SPACING * Math.max(lane.served, lane.callRate);
         lane.spacing = lane.refused > 0 ? refusing : SPACING * lane.spacing;
-        lane.peak = lane.calls.size();
+        lane.peak = lane.calls;
         lane.ratioSum = lane.refused = lane.delivered = 0;
         lane.served = lane.bad = lane.errors = 0;
         lane.allowance = null;
@@ -554,6 +767,8 @@
                 lane.delivered++;
                 lane.served += part;
                 node.lastServedUs = nowUs;
+                lane.silent -= node.silent;
+                node.silent = 0;
                 node.badRun[kind] = 0;
                 node.avoidUntilUs[kind] = 0;
                 lane.badRun = 0;
@@ -562,6 +777,7 @@
                 if (lane.phase == Phase.OUT) {
                     lane.phase = Phase.RAMP;
                     lane.rampFromUs = nowUs;
+                    looks.set(lane.rampEnd, nowUs + settings.guarantees().coldUs() + 1);
                     lane.rampSpanUs = patienceUs(lane, nowUs);
                     lane.failShare = 0;
                 }
@@ -617,7 +833,9 @@
     /** Adds to a lane's run of bad outcomes; a long run, or a high share of failures, is an outage. */
     private void suspect(final Lane lane, final double weight) {
         lane.badRun += weight;
-        final boolean out = lane.badRun + overdue(lane) >= OUT_WEIGHT || lane.failShare > OUT_SHARE;
+        lane.lookTick = tick;
+        lane.lookUs = nowUs;
+        final boolean out = lane.badRun + lane.silent >= OUT_WEIGHT || lane.failShare > OUT_SHARE;
         if (out && lane.phase != Phase.OUT) {
             lane.phase = Phase.OUT;
             lane.window = WINDOW_FLOOR;
@@ -626,16 +844,32 @@
         }
     }
 
-    /** Attempts out far longer than expected with no success on their endpoint since: silence. */
-    private int overdue(final Lane lane) {
-        int count = 0;
-        for (final Call call : lane.calls) {
-            if (nowUs >= call.overdueUs() && call.node.lastServedUs < call.sentUs) {
-                Arrays.fill(call.node.avoidUntilUs, nowUs + AVOID_US);
-                count++;
+    /** Attempts out far longer than expected with no success on their endpoint since: silence, counted. */
+    private void fallOverdue() {
+        for (Call call = overdue.poll(nowUs); call != null; call = overdue.poll(nowUs)) {
+            call.fallen = true;
+            if (call.isSilent()) {
+                silent.add(call);
+            }
+            final Node node = call.node;
+            if (node.lastServedUs < call.sentUs) {
+                node.lane.silent++;
+                node.avoidTick = node.silent++ == 0 ? tick : node.avoidTick;
+                touch(node.lane.destination);
             }
         }
-        return count;
+    }
+
+    /**
+     * An endpoint is avoided while calls to it are silent, and for a while after the last look that found
+     * them so. That is noted when something is about to change it: nothing need be done at each look.
+     */
+    private void avoidSilent(final Node node) {
+        final boolean byPass = passTick > node.lane.lookTick;
+        if (node.silent > 0 && Math.max(passTick, node.lane.lookTick) >= node.avoidTick) {
+            Arrays.fill(node.avoidUntilUs, (byPass ? passUs : node.lane.lookUs) + AVOID_US);
+            node.avoidTick = tick;
+        }
     }
 
     /**
@@ -643,17 +877,14 @@
      * overdue is called off. Covers hung, stalled and very slow ones; hurts where one would have answered.
      */
     private void reclaimSlot() {
-        if (callsOut < settings.limits().slots() || !settings.limits().mayCancel()) {
+        if (callsOut < settings.limits().slots() || !settings.limits().mayCancel() || silent.isEmpty()
+                || !ready().anyOf(entry -> entry.lane.phase == Phase.WELL, nowUs)) {
             return;
         }
-        final Job worst = jobs.values().stream()
-                .filter(job -> job.call != null && !job.call.calledOff && nowUs >= job.call.overdueUs())
-                .min(Comparator.comparingLong(job -> job.call.sentUs)).orElse(null);
-        if (worst != null && best(false) != null) {
-            worst.call.calledOff = true;
-            jobs.values().stream().filter(job -> job.call == worst.call)
-                    .forEach(job -> actions.cancel(job.message.id(), job.attempts - 1));
-        }
+        final Call worst = silent.pollFirst();
+        worst.calledOff = true;
+        worst.jobs.forEach(job -> actions.cancel(job.message.id(), job.attempts - 1));
+        againUs = silent.isEmpty() ? againUs : Math.min(againUs, nowUs + POLL_US);
     }
 
     /**
@@ -706,7 +937,7 @@
         return (long) (us * (1 - JITTER + 2 * JITTER * random.nextDouble()));
     }
 
-    private static double clamp(final double value, final double least, final double most) {
+    static double clamp(final double value, final double least, final double most) {
         return Math.max(least, Math.min(most, value));
     }
 
@@ -729,22 +960,35 @@
 
     /** Looks for silence and ramps that are over; ends what may not be sent again, or has no time left. */
     private void watch() {
-        for (final Destination destination : List.copyOf(busy.values())) {
-            for (final Lane lane : destination.lanes) {
+        passTick = tick;
+        passUs = nowUs;
+        for (LaneTimer due = looks.poll(nowUs); due != null; due = looks.poll(nowUs)) {
+            touch(due.lane.destination);
+        }
+        for (KeyLine rested = rests.poll(nowUs); rested != null; rested = rests.poll(nowUs)) {
+            refile(rested);
+        }
+        touched.sort(Destination.ORDER);
+        for (final Destination destination : touched) {
+            destination.touched = false;
+            for (final Lane lane : destination.jobs == 0 ? List.<Lane>of() : destination.lanes) {
                 suspect(lane, 0);
                 if (lane.phase == Phase.RAMP && nowUs - lane.rampFromUs > settings.guarantees().coldUs()) {
                     lane.phase = Phase.WELL;
                 }
             }
-            if (destination.ends.isEmpty() || destination.ends.firstKey() > nowUs) {
-                continue;
-            }
-            for (final Job job : List.copyOf(destination.waiting)) {
-                if (nowUs >= endUs(job) || !maySend(job)) {
-                    // Given up: come again when the line that stands there now has gone, and no sooner.
-                    finish(job, Math.max(PAUSE_US, destination.lineUs()));
-                }
-            }
+        }
+        touched.clear();
+        final List<Job> over = new ArrayList<>();
+        for (Deadline due = ends.poll(nowUs); due != null; due = ends.poll(nowUs)) {
+            over.add(due.job);
+        }
+        over.sort(Comparator.comparing((Job job) -> job.destination, Destination.ORDER)
+                .thenComparingLong(job -> job.place));
+        for (final Job job : over) {
+            // Given up: come again when the line that stands there now has gone, and no sooner.
+            job.destination.catchUp(steps);
+            finish(job, Math.max(PAUSE_US, job.destination.lineUs()));
         }
     }
 
@@ -755,15 +999,37 @@
 
     /** A message waits from now on; one that may not be sent again ends in the next pass. */
     private void await(final Job job) {
-        job.waitEndUs = maySend(job) ? endUs(job) : 0;
-        job.destination.waiting.add(job);
-        job.destination.ends.merge(job.waitEndUs, 1, Integer::sum);
+        touch(job.destination);
+        job.waiting = true;
+        job.place = places++;
+        job.destination.waiting++;
+        ends.set(job.end, maySend(job) ? endUs(job) : 0);
+        job.destination.file(job, !inTurn(job));
+        refile(job.line);
     }
 
     /** A message waits no longer, if it did. */
-    private static void leave(final Job job) {
-        if (job.destination.waiting.remove(job)) {
-            job.destination.ends.merge(job.waitEndUs, -1, (was, less) -> was == 1 ? null : was + less);
+    private void leave(final Job job) {
+        if (job.waiting) {
+            touch(job.destination);
+            job.waiting = false;
+            job.destination.waiting--;
+            ends.remove(job.end);
+            job.destination.unfile(job);
+        }
+    }
+
+    /** The first of a key may go now, or must wait again, or is another one. */
+    private void refile(final KeyLine line) {
+        final Job first = line == null ? null : line.first();
+        if (first != null && first.waiting) {
+            if (first.group.blocked == inTurn(first)) {
+                touch(first.destination);
+                first.destination.unfile(first);
+                first.destination.file(first, !inTurn(first));
+                againUs = nowUs;
+            }
+            rests.set(line, first.group.blocked ? line.restUntilUs : NEVER);
         }
     }
 
@@ -774,14 +1040,9 @@
                 || effect == Effect.KEYED && nowUs < job.keyEndUs());
     }
 
-    private static boolean mayRefuse(final Job job) {
-        return !job.mayHaveRun || job.kind.effect() == Effect.SAFE
-                || job.kind.effect() == Effect.KEYED && !job.kind.zoneKeyed();
-    }
-
     /** Gives the final answer: a refusal where that is harmless, or a failure. */
     private void finish(final Job job, final long retryAfterUs) {
-        if (mayRefuse(job)) {
+        if (job.mayRefuse()) {
             actions.refuse(job.message.id(), Math.min(retryAfterUs, settings.limits().maxRetryAfterUs()));
         } else {
             actions.fail(job.message.id());
@@ -796,10 +1057,14 @@
         if (job.call == null) {
             if (job.line != null) {
                 job.line.jobs.remove(job);
+                refile(job.line);
+                if (job.line.jobs.isEmpty()) {
+                    emptyLines.add(job.line);
+                }
             }
             jobs.remove(job.message.id());
             if (--job.destination.jobs == 0) {
-                busy.remove(job.message.destination());
+                vacant.add(job.destination);
             }
         }
     }
@@ -808,13 +1073,11 @@
     private void makeRoom() {
         final int reserve = (int) Math.max(1, STORE_RESERVE * settings.limits().maxOpen());
         while (open > settings.limits().maxOpen() - reserve) {
-            final Job least = busy.values().stream().flatMap(destination -> destination.waiting.stream())
-                    .filter(Control::mayRefuse).min(Comparator.comparingDouble(job -> worth(job,
-                    Math.min(nowUs + job.destination.lineUs(), job.keyEndUs() - 1)))).orElse(null);
-            if (least == null) {
+            final Destination destination = room.best(nowUs);
+            if (destination == null) {
                 return;
             }
-            finish(least, SECOND_US);
+            finish(destination.least, SECOND_US);
         }
     }
 
@@ -831,18 +1094,10 @@
 
     /** Asks to be woken when something can change by time alone: a guard, a deadline, a silence, a step. */
     private void sleep() {
-        long next = Math.min(nextStepUs, askAgainUs);
-        for (final Destination destination : busy.values()) {
-            for (final Lane lane : destination.lanes) {
-                for (final Call call : lane.calls) {
-                    next = Math.min(next, call.overdueUs() > nowUs ? call.overdueUs() : NEVER);
-                }
-                if (!destination.waiting.isEmpty()) {
-                    next = Math.min(next, Math.max(openAtUs(lane), nowUs + POLL_US));
-                }
-            }
-            next = destination.ends.isEmpty() ? next : Math.min(next, destination.ends.firstKey());
-        }
+        long next = Math.min(Math.min(nextStepUs, askAgainUs), Math.min(ends.firstUs(), overdue.firstUs()));
+        next = Math.min(next, Math.min(looks.firstUs(), rests.firstUs()));
+        // A call that was called off may be slow to end; a message may have got its turn after the last look.
+        next = Math.min(next, againUs);
         wakes.headSet(nowUs + 1).clear();
         if (wakes.isEmpty() || wakes.first() > next) {
             wakes.add(Math.max(nowUs + 1, next));
@@ -866,7 +1121,11 @@
             askBackOffUs = ASK_LEAST_US;
         }
         if (update == Update.WHOLE || update == Update.RESTORED) {
-            nodes.values().forEach(node -> node.condition = Condition.GONE);
+            nodes.values().forEach(node -> {
+                node.condition = Condition.GONE;
+                gone.add(node);
+                touch(node.lane.destination);
+            });
         }
         for (final Endpoint entry : entries) {
             Node node = nodes.get(entry.id());
@@ -878,24 +1137,42 @@
                 nodes.put(entry.id(), node);
             }
             node.condition = entry.condition();
+            if (node.condition == Condition.GONE) {
+                gone.add(node);
+            } else {
+                gone.remove(node);
+            }
+            touch(node.lane.destination);
             node.lane.told = settings.weights() == Weights.NONE ? node.lane.told : entry.weight();
         }
         // A route apart is not forgotten soon: listed again, it still has its wait and its outage.
-        nodes.values().removeIf(node -> node.condition == Condition.GONE && node.inFlight == 0
-                && !node.lane.kind.routesApart() && node.lane.nodes.remove(node));
+        gone.removeIf(node -> node.inFlight == 0 && !node.lane.kind.routesApart() && drop(node));
     }
 
     /** Endpoints and destinations come and go for good: what has long been of no use is not kept. */
     private void forget() {
         final long beforeUs = nowUs - FORGET_US;
-        nodes.values().removeIf(node -> node.condition == Condition.GONE && node.inFlight == 0
-                && node.lane.lastSendUs < beforeUs && node.lane.nodes.remove(node));
-        destinations.values().removeIf(destination -> {
+        gone.removeIf(node -> node.inFlight == 0 && node.lane.lastSendUs < beforeUs && drop(node));
+        vacant.removeIf(destination -> {
             if (destination.jobs == 0) {
                 destination.lanes.removeIf(lane -> lane.nodes.isEmpty() && lane.lastSendUs < beforeUs);
             }
-            return destination.jobs == 0 && destination.lanes.isEmpty();
+            final boolean over = destination.jobs == 0 && destination.lanes.isEmpty();
+            if (over) {
+                destinations.remove(destination.id);
+            }
+            return over || destination.jobs > 0
+                    || destination.lanes.stream().noneMatch(lane -> lane.nodes.isEmpty());
         });
+        emptyLines.removeIf(line -> !line.jobs.isEmpty()
+                || line.restUntilUs <= nowUs && keys.remove(line.key, line));
+    }
+
+    private boolean drop(final Node node) {
+        nodes.remove(node.entry.id());
+        node.lane.nodes.remove(node);
+        vacant.add(node.lane.destination);
+        return true;
     }
 
     private Lane lane(final Endpoint entry) {
@@ -903,7 +1180,7 @@
         final Kind kind = entry.kind() < 0 ? new Kind("", false, 1) : settings.kinds().get(entry.kind());
         if (kind.routesApart() || destination.lanes.isEmpty()) {
             final boolean few = settings.couriers() <= FEW_COURIERS;
-            destination.lanes.add(new Lane(kind, few ? WINDOW_START : WINDOW_RARE));
+            destination.lanes.add(new Lane(destination, kind, few ? WINDOW_START : WINDOW_RARE, steps));
         }
         return destination.lanes.get(destination.lanes.size() - 1);
     }
@@ -914,7 +1191,7 @@
     }
 
     private Destination destination(final long id) {
-        return destinations.computeIfAbsent(id, unused -> new Destination());
+        return destinations.computeIfAbsent(id, Destination::new);
     }
 
     /** Where the list must be asked for: once at the start, and again after a loss. */
@@ -925,129 +1202,4 @@
             actions.follow();
         }
     }
-
-    // ---------------------------------------------------------------- state
-
-    private enum Phase { WELL, OUT, RAMP }
-
-    /** A destination: what waits for it, and its lanes (one, unless its routes are apart). */
-    private static final class Destination {
-        private final Set<Job> waiting = new LinkedHashSet<>();
-        /** When messages that wait end, and how many at each time. */
-        private final TreeMap<Long, Integer> ends = new TreeMap<>();
-        private final List<Lane> lanes = new ArrayList<>();
-        /** Its messages, waiting or out. */
-        private int jobs;
-
-        /** How long its line takes at the rate that it was served, us. */
-        private long lineUs() {
-            final double rate = Math.max(LEAST_RATE, lanes.stream().mapToDouble(lane -> lane.rate).sum());
-            return (long) (waiting.size() / rate * SECOND_US);
-        }
-    }
-
-    /** The unit of the window: a destination, or a route of it. */
-    private static final class Lane {
-        private final Kind kind;
-        private final List<Node> nodes = new ArrayList<>();
-        private final List<Call> calls = new ArrayList<>();
-        private double window;
-        /** What was picked for it, and in which pass; 0: it was sent since. */
-        private Job picked;
-        private long pickedInPass;
-        /** This step's counts and sum of latency ratios. */
-        private int peak, refused, delivered;
-        /** Of these, in calls. */
-        private double served, bad, errors;
-        private double ratioSum;
-        private Allowance allowance;
-        /** Slow averages: steps seen, messages and calls served a second, step means, pace by other lanes. */
-        private int steps, paceSamples;
-        private double rate, callRate, slowRatio = 1, pace = 1, stretch = 1;
-        /** What the last call weighs on a cold destination. */
-        private double lastWeight = 1;
-        /** The limit told (0: none), and the sends allowed now, a second. */
-        private double told, spacing = Double.POSITIVE_INFINITY;
-        private boolean slow;
-        private Phase phase = Phase.WELL;
-        private double badRun, failShare, rampSpanUs;
-        /** Since when nothing was served there; never, while all is well. */
-        private long troubleFromUs = NEVER;
-        private long waitUntilUs, pauseUntilUs, nextTrialUs, rampFromUs, lastSendUs;
-
-        private Lane(final Kind kind, final double window) {
-            this.kind = kind;
-            this.window = window;
-        }
-    }
-
-    /** An endpoint. */
-    private static final class Node {
-        private final Endpoint entry;
-        private final Lane lane;
-        private Condition condition;
-        private int inFlight, connections;
-        /** Failures in a row of each class, and until when that class goes elsewhere. */
-        private final double[] badRun;
-        private final long[] avoidUntilUs;
-        private long lastUseUs, lastSendUs, lastServedUs;
-
-        private Node(final Endpoint entry, final Lane lane, final int classes) {
-            this.badRun = new double[classes];
-            this.avoidUntilUs = new long[classes];
-            this.entry = entry;
-            this.lane = lane;
-        }
-    }
-
-    /** A call in flight, with one or more messages. */
-    private static final class Call {
-        private Node node;
-        /** Messages sent with it, and those without an outcome yet. */
-        private int size, messages;
-        private long sentUs, expectedUs, idleUs;
-        /** It went over a connection that was kept, as far as is known here; and that alone made it fail. */
-        private boolean reused, stale;
-        private boolean calledOff;
-
-        private long overdueUs() {
-            return sentUs + Math.max(OVERDUE_LEAST_US, (long) (OVERDUE_TIMES * expectedUs));
-        }
-    }
-
-    /** A message that is owed an answer, or still has an attempt out. */
-    private static final class Job {
-        private final Message message;
-        private final MessageClass kind;
-        private final long aimUs;
-        private Destination destination;
-        private KeyLine line;
-        private Call call;
-        /** Where it may go, and how urgently, when last looked at. */
-        private Lane lane;
-        private double urgency;
-        private int attempts;
-        private boolean overQuota, mayHaveRun, over;
-        private long firstRunUs = NEVER, waitEndUs;
-        private String runZone = "";
-
-        private Job(final Message message, final MessageClass kind) {
-            this.message = message;
-            this.kind = kind;
-            this.aimUs = message.validUntilUs() - kind.deadlineUs() + kind.aimUs();
-        }
-
-        /** Until when it may be sent: a key that may be in use ends a message like its own deadline does. */
-        private long keyEndUs() {
-            final long windowUs = (long) ((1 - KEY_MARGIN) * kind.keyWindowUs());
-            return !mayHaveRun || kind.effect() != Effect.KEYED ? message.validUntilUs()
-                    : Math.min(message.validUntilUs(), firstRunUs + windowUs);
-        }
-    }
-
-    /** The messages of one key, in the order taken. */
-    private static final class KeyLine {
-        private final List<Job> jobs = new ArrayList<>();
-        private long restUntilUs;
-    }
 }
--- /dev/null
+++ b/decisions/src/main/java/thistleturn/decisions/Lane.java
@@ -0,0 +1,70 @@
+package thistleturn.decisions;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The unit of the window: a destination, or a route of it. */
+final class Lane {
+    /** Steps of an idle lane that are taken one by one; further ones at once, since little is left by then. */
+    private static final long STEPS_TAKEN = 200;
+
+    final Destination destination;
+    final Courier.Kind kind;
+    final List<Node> nodes = new ArrayList<>();
+    final List<Ready> ready = List.of(new Ready(this, 0), new Ready(this, 1));
+    final LaneTimer look = new LaneTimer(this), rampEnd = new LaneTimer(this);
+    double window;
+    /** Calls in flight, and those of them that are overdue with no success on their endpoint since. */
+    int calls, silent;
+    boolean active;
+    long stepsTaken, lookTick, lookUs;
+    /** This step's counts and sum of latency ratios. */
+    int peak, refused, delivered;
+    /** Of these, in calls. */
+    double served, bad, errors;
+    double ratioSum;
+    Courier.Allowance allowance;
+    /** Slow averages: steps seen, messages and calls served a second, step means, pace by other lanes. */
+    int steps, paceSamples;
+    double rate, callRate, slowRatio = 1, pace = 1, stretch = 1;
+    /** What the last call weighs on a cold destination. */
+    double lastWeight = 1;
+    /** The limit told (0: none), and the sends allowed now, a second. */
+    double told, spacing = Double.POSITIVE_INFINITY;
+    boolean slow;
+    Phase phase = Phase.WELL;
+    double badRun, failShare, rampSpanUs;
+    /** Since when nothing was served there; never, while all is well. */
+    long troubleFromUs = Control.NEVER;
+    long waitUntilUs, pauseUntilUs, nextTrialUs, rampFromUs, lastSendUs;
+
+    Lane(final Destination destination, final Courier.Kind kind, final double window, final long stepsTaken) {
+        this.destination = destination;
+        this.kind = kind;
+        this.window = window;
+        this.stepsTaken = stepsTaken;
+    }
+
+    /** Makes up for the steps that it was idle for: nothing was served, and nothing stood in the way. */
+    void catchUp(final long stepsNow) {
+        final long missed = stepsNow - stepsTaken;
+        stepsTaken = stepsNow;
+        for (long step = 0; step < Math.min(missed, STEPS_TAKEN); step++) {
+            stepIdle(1);
+        }
+        if (missed > STEPS_TAKEN) {
+            stepIdle(missed - STEPS_TAKEN);
+        }
+        peak = missed > 0 ? calls : peak;
+    }
+
+    private void stepIdle(final long count) {
+        if (phase == Phase.WELL) {
+            steps += count;
+            final double weight = Math.max(Control.SAMPLE_WEIGHT, 1.0 / steps);
+            rate = count == 1 ? rate + weight * (0 - rate) : 0;
+            callRate = count == 1 ? callRate + weight * (0 - callRate) : 0;
+        }
+        spacing = count == 1 ? Control.SPACING * spacing : Double.POSITIVE_INFINITY;
+    }
+}
