--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -4,8 +4,12 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.channels.spi.SelectorProvider;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -23,6 +27,11 @@
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.LoopTurns;
+import thistleturn.courier.shard.Layout;
+import thistleturn.courier.shard.Room;
+import thistleturn.courier.shard.ShardDesk;
+import thistleturn.courier.shard.SharedDirectory;
+import thistleturn.decisions.Courier;
 
 /**
  * A courier with its ports wired: one event loop that owns all state, a journal, a front, a carrier, a directory and
@@ -39,18 +48,15 @@
     private static final long US_PER_MS = 1000;
 
     private final Clock clock = new Clock();
-    private final LoopTurns turns = new LoopTurns(clock);
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory(SelectorProvider.provider(), turns));
-    private final EventLoop loop = group.next();
+    private final List<Shard> shards = new ArrayList<>();
+    private final EventLoop loop;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final CompletableFuture<String> ready = new CompletableFuture<>();
     private final Map<String, String> environment;
     private final Extension extension;
-    private final Journal journal;
+    private final Tuning tuning;
     private final Config config;
-    private Host host;
-    private Front front;
+    private boolean running;
 
     /** What an extension is given to work with. */
     public record Surroundings(Config config, EventLoop loop, Clock clock) { }
@@ -103,12 +109,54 @@
         }
     }
 
-    private CourierProcess(final Map<String, String> environment, final Extension extension)
+    private CourierProcess(final Map<String, String> environment, final Extension extension, final Tuning tuning)
             throws Config.BadConfigException, IOException {
         this.environment = environment;
         this.extension = extension;
+        this.tuning = tuning;
         this.config = Config.read(environment);
-        this.journal = Journal.open(config.state(), config.diskBytes());
+        final Courier.Limits limits = config.settings().limits();
+        if (limits.slots() < tuning.shards() || limits.maxOpen() < tuning.shards()) {
+            throw new Config.BadConfigException("shards: " + tuning.shards() + " of them need at least as many slots ("
+                    + limits.slots() + ") and open messages (" + limits.maxOpen() + ")");
+        }
+        for (final Journal journal : Layout.open(config.state(), config.diskBytes(), tuning.shards())) {
+            shards.add(new Shard(journal));
+        }
+        this.loop = shards.get(0).loop;
+    }
+
+    /** One event loop with all that it owns. */
+    private final class Shard implements Host.Wiring {
+        private final LoopTurns turns = new LoopTurns(clock);
+        private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+                NioIoHandler.newFactory(SelectorProvider.provider(), turns));
+        private final EventLoop loop = group.next();
+        private final Journal journal;
+        private Directory directory;
+        private Host host;
+        private HttpFront front;
+        /** Nothing is under way here; told across loops while the process ends. */
+        private volatile boolean idle;
+
+        private Shard(final Journal journal) {
+            this.journal = journal;
+        }
+
+        @Override
+        public Carrier carrier(final Carrier.Listener listener) {
+            return new HttpCarrier(config, loop, clock, listener, tuning);
+        }
+
+        @Override
+        public Ends ends(final Ends.Listener listener) {
+            return new Notices(config.discovery(), loop, listener);
+        }
+
+        @Override
+        public Directory directory() {
+            return directory;
+        }
     }
 
     /**
@@ -125,7 +173,13 @@
     /** Starts a courier with a subsystem beside the platform's own. */
     public static CourierProcess start(final Map<String, String> environment, final Extension extension)
             throws Config.BadConfigException, IOException {
-        final CourierProcess process = new CourierProcess(environment, extension);
+        return start(environment, extension, Tuning.platform());
+    }
+
+    /** Starts a courier of another size than the platform's. */
+    public static CourierProcess start(final Map<String, String> environment, final Extension extension,
+            final Tuning tuning) throws Config.BadConfigException, IOException {
+        final CourierProcess process = new CourierProcess(environment, extension, tuning);
         process.loop.execute(() -> {
             try {
                 process.run();
@@ -147,38 +201,72 @@
         return loop;
     }
 
-    private final class Ports implements Host.Wiring {
-        @Override
-        public Carrier carrier(final Carrier.Listener listener) {
-            return new HttpCarrier(config, loop, clock, listener);
-        }
-
-        @Override
-        public Ends ends(final Ends.Listener listener) {
-            return new Notices(config.discovery(), loop, listener);
-        }
-
-        @Override
-        public Directory directory() {
-            return extension.directory(new Discovery(config, loop, clock), new Surroundings(config, loop, clock));
+    /** Builds everything, each shard's part on its event loop, which owns it from then on. */
+    private void run() {
+        final List<EventLoop> loops = shards.stream().map(shard -> shard.loop).toList();
+        final Directory own = extension.directory(new Discovery(config, loop, clock),
+                new Surroundings(config, loop, clock));
+        final SharedDirectory shared = shards.size() == 1 ? null : new SharedDirectory(own, loop, loops);
+        final Courier.Limits limits = config.settings().limits();
+        final List<CompletableFuture<Void>> built = new ArrayList<>();
+        for (int index = 0; index < shards.size(); index++) {
+            final Shard shard = shards.get(index);
+            shard.directory = shared == null ? own : shared.view(index);
+            built.add(on(shard, () -> {
+                shard.host = new Host(config, shard.loop, clock, shard.journal, shard);
+                if (shared != null) {
+                    // An even part, until room is moved by need.
+                    shard.host.limit(limits.slots() / shards.size(), limits.maxOpen() / shards.size());
+                }
+                shard.host.start();
+            }));
         }
+        CompletableFuture.allOf(built.toArray(CompletableFuture[]::new)).whenCompleteAsync((done, failure) -> {
+            if (failure != null) {
+                ready.completeExceptionally(failure);
+                return;
+            }
+            final List<Host> hosts = shards.stream().map(shard -> shard.host).toList();
+            if (shared != null) {
+                shared.start();
+                new Room(limits, loop, loops, hosts).start();
+            }
+            for (int index = 0; index < shards.size(); index++) {
+                final Shard shard = shards.get(index);
+                final Front.Desk desk = shared == null ? shard.host : new ShardDesk(index, loops, hosts);
+                shard.front = new HttpFront(config, shard.group, shard.loop, clock, shard.turns, desk, tuning);
+            }
+            running = true;
+            listen(0, config.listen());
+        }, loop);
     }
 
-    /** Builds everything on the event loop, which owns it all from then on. */
-    private void run() {
-        host = new Host(config, loop, clock, journal, new Ports());
-        front = new HttpFront(config, group, loop, clock, turns, host);
-        host.start();
-        front.listen().whenComplete((address, failure) -> {
-            if (failure == null) {
-                Log.info(config.name() + " is ready at " + address);
-                extension.ready(address);
-                ready.complete(address);
+    /** Does something on a shard's loop, at once if that is this one. */
+    private static CompletableFuture<Void> on(final Shard shard, final Runnable action) {
+        return CompletableFuture.runAsync(action, task -> {
+            if (shard.loop.inEventLoop()) {
+                task.run();
             } else {
+                shard.loop.execute(task);
+            }
+        });
+    }
+
+    /** One front after the other listens; the first one's port is that of all. */
+    private void listen(final int index, final InetSocketAddress address) {
+        final boolean several = shards.size() > 1;
+        shards.get(index).front.listen(address, several).whenCompleteAsync((bound, failure) -> {
+            if (failure != null) {
                 ready.completeExceptionally(new IOException(
                         "cannot listen on " + config.listen() + ": " + failure.getMessage(), failure));
+            } else if (index + 1 < shards.size()) {
+                listen(index + 1, Config.address("listen", bound));
+            } else {
+                Log.info(config.name() + " is ready at " + bound + (several ? " on " + shards.size() + " shards" : ""));
+                extension.ready(bound);
+                ready.complete(bound);
             }
-        });
+        }, loop);
     }
 
     /**
@@ -188,11 +276,11 @@
     public synchronized void reload() {
         try {
             final Config fresh = Config.read(environment);
-            loop.execute(() -> {
-                if (host != null) {
-                    host.reload(fresh);
+            shards.forEach(shard -> shard.loop.execute(() -> {
+                if (shard.host != null) {
+                    shard.host.reload(fresh);
                 }
-            });
+            }));
         } catch (final Config.BadConfigException e) {
             Log.info("SIGHUP: the configuration stays as it was: " + e.getMessage());
         }
@@ -202,23 +290,17 @@
     /** On SIGTERM: goes on for a while, and leaves what is not done by then to the next process. Returns when done. */
     public void stop() {
         loop.execute(() -> {
-            if (front == null) {
+            if (!running) {
                 stopped.countDown();
                 return;
             }
             final long stopUs = clock.nowUs() + STOP_MS * US_PER_MS;
-            front.drain();
-            host.stopping(stopUs);
+            shards.forEach(shard -> shard.loop.execute(() -> {
+                shard.front.drain();
+                shard.host.stopping(stopUs);
+            }));
             extension.stopping();
-            loop.schedule(() -> {
-                front.stopListening();
-                loop.scheduleWithFixedDelay(() -> {
-                    final boolean due = host.idle() || clock.nowUs() >= stopUs - LEAVE_MS * US_PER_MS;
-                    if (due && extension.leave() || clock.nowUs() >= stopUs) {
-                        stopped.countDown();
-                    }
-                }, STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
-            }, LISTEN_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> leave(stopUs), LISTEN_MS, TimeUnit.MILLISECONDS);
         });
         try {
             if (!stopped.await(STOP_MS + LISTEN_MS / 2, TimeUnit.MILLISECONDS)) {
@@ -229,16 +311,35 @@
         }
     }
 
+    private void leave(final long stopUs) {
+        shards.forEach(shard -> shard.loop.execute(() -> {
+            shard.front.stopListening();
+            shard.loop.scheduleWithFixedDelay(() -> shard.idle = shard.host.idle(), 0, STOP_CHECK_MS,
+                    TimeUnit.MILLISECONDS);
+        }));
+        loop.scheduleWithFixedDelay(() -> {
+            final boolean due = shards.stream().allMatch(shard -> shard.idle)
+                    || clock.nowUs() >= stopUs - LEAVE_MS * US_PER_MS;
+            if (due && extension.leave() || clock.nowUs() >= stopUs) {
+                stopped.countDown();
+            }
+        }, STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Ends it at once, as a power cut would: connections break, and the folder stays as it is. For couriers that share
      * a Java machine with others; a process of its own is ended by its end.
      */
     public void kill() {
-        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
-        try {
-            journal.close();
-        } catch (final IOException e) {
-            Log.failure("closing the journal", e);
+        final List<? extends Future<?>> ending = shards.stream()
+                .map(shard -> shard.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)).toList();
+        ending.forEach(Future::awaitUninterruptibly);
+        for (final Shard shard : shards) {
+            try {
+                shard.journal.close();
+            } catch (final IOException e) {
+                Log.failure("closing the journal", e);
+            }
         }
     }
 }
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -9,6 +9,7 @@
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.shard.Room;
 import thistleturn.decisions.Control;
 import thistleturn.decisions.Courier;
 import io.netty.channel.EventLoop;
@@ -24,10 +25,15 @@
  * once, and carries out what it asked for. It holds the open messages, and keeps the journal ahead of every byte that
  * promises something. All of it runs on the event loop's thread.
  */
-final class Host implements Courier.Actions, Front.Desk, Carrier.Listener, Ends.Listener {
+final class Host implements Courier.Actions, Front.Desk, Carrier.Listener, Ends.Listener,
+        Room.Tenant {
     private static final long US_PER_MS = 1000;
     /** An end that the platform confirms so late after its message's time is worth a line: the limit is 300 ms. */
     private static final long LATE_US = 100_000;
+    /** A store so full is pressed. */
+    private static final double PRESSED_SHARE = 0.9;
+    /** When the journal is tried again that could not be written, ms. */
+    private static final long UNSAFE_RETRY_MS = 100;
     /** When the store is full: a message's time in it is some seconds, so that one place is free soon. */
     private static final long FULL_RETRY_US = 1_000_000;
 
@@ -75,7 +81,14 @@
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<Long, List<Part>> outbox = new LinkedHashMap<>();
     private final List<Open> unanswered = new ArrayList<>();
+    private final List<Carrier.Call> prepared = new ArrayList<>();
+    /** Answers to messages that were ended in the pass that took them. */
+    private final List<Runnable> refusals = new ArrayList<>();
     private boolean passDue;
+    /** How many messages it may hold now, and whether that, or its slots, have held it back of late. */
+    private int maxOpen;
+    private boolean openPressed;
+    private boolean slotsPressed;
 
     /** The ports that a host is wired to; those that tell the host something are made for it. */
     interface Wiring {
@@ -92,6 +105,7 @@
         this.clock = clock;
         this.store = store;
         this.control = new Control(config.settings(), config.seed(), this);
+        this.maxOpen = config.settings().limits().maxOpen();
         this.carrier = wiring.carrier(this);
         this.directory = wiring.directory();
         this.ends = wiring.ends(this);
@@ -144,18 +158,22 @@
     }
 
     @Override
-    public boolean holds(final String id) {
-        return messages.containsKey(id) || store.holds(id);
-    }
-
-    @Override
-    public boolean knows(final long destination) {
-        return roster.names(destination) || !directory.isFresh();
+    public boolean isOwn(final long destination) {
+        return true;
     }
 
     @Override
     public void offer(final Held held, final long validUntilUs, final Front.Reply reply) {
-        if (messages.size() >= config.settings().limits().maxOpen() || !store.take(held)) {
+        if (!roster.names(held.destination()) && directory.isFresh()) {
+            reply.unusable(Front.Fault.NO_DESTINATION);
+            return;
+        }
+        if (messages.containsKey(held.id()) || store.holds(held.id())) {
+            reply.unusable(Front.Fault.HELD_ALREADY);
+            return;
+        }
+        openPressed |= messages.size() >= PRESSED_SHARE * maxOpen;
+        if (messages.size() >= maxOpen || !store.take(held)) {
             reply.refused(Front.Refusal.NO_ROOM, FULL_RETRY_US);
             return;
         }
@@ -169,7 +187,7 @@
     }
 
     @Override
-    public void withdraw(final String id) {
+    public void withdraw(final String id, final long destination) {
         final Open open = messages.get(id);
         if (open != null) {
             forget(open);
@@ -187,7 +205,7 @@
             roster.forget(endpoint);
         }
         if (update != Courier.Update.LOST) {
-            roster.noteDestinations();
+            roster.forgetVacant();
         }
         touch();
     }
@@ -222,6 +240,24 @@
             }
             store.over(held);
         }
+        touch();
+    }
+
+    // ---------------------------------------------------------------- room among shards
+
+    @Override
+    public Room.Use use() {
+        final Room.Use use = new Room.Use(control.callsOut(), slotsPressed, messages.size(), openPressed);
+        slotsPressed = control.wantsSlots();
+        openPressed = false;
+        return use;
+    }
+
+    @Override
+    public void limit(final int slotsNow, final int maxOpenNow) {
+        maxOpen = maxOpenNow;
+        control.onRoom(clock.nowUs(), slotsNow, maxOpenNow);
+        touch();
     }
 
     // ---------------------------------------------------------------- the pass
@@ -238,30 +274,57 @@
         passDue = false;
         try {
             control.decide(clock.nowUs());
+            slotsPressed |= control.wantsSlots();
         } catch (final RuntimeException | Error e) {
             Log.failure("decisions failed", e);
         }
-        answer();
-        outbox.forEach(this::sendAll);
+        outbox.forEach(this::prepareAll);
         outbox.clear();
-        ends.flush();
+        // The journal is ahead of all that this pass promises: answers, calls, and ends that are told.
+        final boolean safe = store.flush();
+        answer(safe);
+        final List<Carrier.Call> calls = List.copyOf(prepared);
+        prepared.clear();
+        for (final Carrier.Call call : calls) {
+            if (safe) {
+                carrier.start(call);
+            } else {
+                // An attempt that the journal does not know of would be forgotten by a restart.
+                loop.execute(() -> carrier.abandon(call, Courier.Result.NOT_SENT));
+            }
+        }
+        if (safe) {
+            ends.flush();
+        } else {
+            loop.schedule(this::touch, UNSAFE_RETRY_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
-    /** What was taken and not ended in the same pass is taken on. */
-    private void answer() {
+    /** What was taken and not ended in the same pass is taken on, if the journal has it; the rest is told why not. */
+    private void answer(final boolean safe) {
+        final List<Runnable> told = List.copyOf(refusals);
+        refusals.clear();
+        told.forEach(Runnable::run);
         final List<Open> due = List.copyOf(unanswered);
         unanswered.clear();
         for (final Open open : due) {
-            if (open.reply != null && !open.over) {
-                final Front.Reply reply = open.reply;
+            if (open.reply == null || open.over) {
+                continue;
+            }
+            final Front.Reply reply = open.reply;
+            if (safe) {
                 open.reply = null;
                 open.held.way().answered(clock.nowUs());
                 reply.accepted();
+            } else {
+                forget(open);
+                control.onExpired(clock.nowUs(), open.held.id());
+                reply.refused(Front.Refusal.NO_ROOM, FULL_RETRY_US);
             }
         }
     }
 
-    private void sendAll(final long endpoint, final List<Part> parcels) {
+    private void prepareAll(final long endpoint, final List<Part> parcels) {
         final int most = Math.max(1, roster.messagesPerCall(endpoint));
         for (int from = 0; from < parcels.size(); from += most) {
             final List<Part> some = parcels.subList(from, Math.min(parcels.size(), from + most));
@@ -275,9 +338,8 @@
                 recorded &= store.begin(parcel.open().held, clock.wallUs(), roster.zone(endpoint));
             }
             if (recorded) {
-                carrier.start(call);
+                prepared.add(call);
             } else {
-                // An attempt that the journal does not know of would be forgotten by a restart.
                 loop.execute(() -> carrier.abandon(call, Courier.Result.NOT_SENT));
             }
         }
@@ -304,7 +366,7 @@
         } else {
             final Front.Reply reply = open.reply;
             forget(open);
-            reply.refused(Front.Refusal.DECIDED, retryAfterUs);
+            refusals.add(() -> reply.refused(Front.Refusal.DECIDED, retryAfterUs));
         }
     }
 
@@ -319,7 +381,7 @@
         } else {
             final Front.Reply reply = open.reply;
             forget(open);
-            reply.failed();
+            refusals.add(reply::failed);
         }
     }
 
--- a/courier/src/main/java/thistleturn/courier/Roster.java
+++ b/courier/src/main/java/thistleturn/courier/Roster.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -24,8 +26,10 @@
     private final Map<String, Long> ids = new HashMap<>();
     private final Map<Long, String> names = new HashMap<>();
     private final Map<Long, Courier.Endpoint> entries = new HashMap<>();
-    /** When each destination was last seen to have an endpoint: between two endpoints it has none for a while. */
-    private final Map<Long, Long> destinations = new HashMap<>();
+    /** How many endpoints each destination has. Between two of them it may have none for a while. */
+    private final Map<Long, Integer> staffed = new HashMap<>();
+    /** Since when destinations that had endpoints have none, oldest first. */
+    private final Map<Long, Long> vacant = new LinkedHashMap<>();
     private long nextId = 1;
 
     Roster(final List<Courier.Kind> kinds, final LongSupplier nowUs) {
@@ -51,8 +55,7 @@
                 gone.add(entry.id());
                 continue;
             }
-            entries.put(entry.id(), entry);
-            destinations.put(entry.destination(), nowUs.getAsLong());
+            staff(entries.put(entry.id(), entry), entry);
             final boolean apart = entry.kind() >= 0 && kinds.get(entry.kind()).routesApart();
             carrier.listed(entry, apart, listing.address());
         }
@@ -61,23 +64,34 @@
 
     /** Forgets an endpoint, and what has long been without any. */
     void forget(final long endpoint) {
-        final Courier.Endpoint entry = entries.remove(endpoint);
-        if (entry != null) {
-            destinations.put(entry.destination(), nowUs.getAsLong());
-        }
+        staff(entries.remove(endpoint), null);
         ids.remove(names.remove(endpoint));
     }
 
-    /** Notes which destinations have an endpoint now. */
-    void noteDestinations() {
-        final long now = nowUs.getAsLong();
-        entries.values().forEach(entry -> destinations.put(entry.destination(), now));
-        destinations.values().removeIf(seenUs -> seenUs < now - VACANT_US);
+    /** One entry takes the place of another; either may be null. */
+    private void staff(final Courier.Endpoint before, final Courier.Endpoint after) {
+        if (after != null) {
+            staffed.merge(after.destination(), 1, Integer::sum);
+            vacant.remove(after.destination());
+        }
+        if (before != null
+                && staffed.computeIfPresent(before.destination(), (id, count) -> count == 1 ? null : count - 1) == null) {
+            vacant.put(before.destination(), nowUs.getAsLong());
+        }
+    }
+
+    /** Forgets destinations that have long been without an endpoint. */
+    void forgetVacant() {
+        final long beforeUs = nowUs.getAsLong() - VACANT_US;
+        final Iterator<Long> since = vacant.values().iterator();
+        while (since.hasNext() && since.next() < beforeUs) {
+            since.remove();
+        }
     }
 
     /** True for a destination that has an endpoint, or had one a short while ago. */
     boolean names(final long destination) {
-        return destinations.containsKey(destination);
+        return staffed.containsKey(destination) || vacant.containsKey(destination);
     }
 
     /** Messages that one call to an endpoint may carry. */
@@ -95,9 +109,7 @@
     private Courier.Endpoint entry(final Directory.Listing listing) {
         int kind = -1;
         for (int index = 0; index < kinds.size(); index++) {
-            if (kinds.get(index).name().equals(listing.kind())) {
-                kind = index;
-            }
+            kind = kinds.get(index).name().equals(listing.kind()) ? index : kind;
         }
         final long id = ids.computeIfAbsent(listing.name(), name -> {
             names.put(nextId, name);
--- a/courier/src/main/java/thistleturn/courier/http/HandIn.java
+++ b/courier/src/main/java/thistleturn/courier/http/HandIn.java
@@ -9,6 +9,8 @@
  */
 record HandIn(String id, long timeoutMs, long destination, String key) {
     private static final int MOST_ID_CHARS = 128;
+    private static final char DELETE = 0x7f;
+    private static final char MOST_CHAR = 0xff;
     private static final long US_PER_MS = 1000;
     /** What a request's way to this machine, and the clocks, may take at most, us. */
     private static final long WAY_US = 200_000;
@@ -22,7 +24,7 @@
         final long destination = destination(headers.get("X-Consignee"));
         final String key = headers.get("Idempotency-Key");
         final boolean keyed = kind.effect() == Courier.Effect.KEYED;
-        if (id.isEmpty() || id.length() > MOST_ID_CHARS || timeoutMs < 0 || destination < 0
+        if (!isPlain(id) || key != null && !isPlain(key) || id.isEmpty() || id.length() > MOST_ID_CHARS || timeoutMs < 0 || destination < 0
                 || !kind.name().equals(headers.get("X-Priority-Class")) || keyed && (key == null || key.isEmpty())) {
             return null;
         }
@@ -59,4 +61,9 @@
         }
         return -1;
     }
+
+    /** True for what can stand in a header: it goes on to an endpoint as it is. */
+    private static boolean isPlain(final String text) {
+        return text.chars().allMatch(one -> one >= ' ' && one != DELETE && one <= MOST_CHAR);
+    }
 }
--- a/courier/src/main/java/thistleturn/courier/http/HttpCall.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCall.java
@@ -5,16 +5,17 @@
 import java.util.List;
 import java.util.concurrent.Future;
 import thistleturn.courier.port.Carrier;
+import thistleturn.decisions.index.TimeHeap;
 
 /** One call: the messages in it, and how far it has come. */
-final class HttpCall implements Carrier.Call {
+final class HttpCall extends TimeHeap.Entry implements Carrier.Call {
     final HttpPool pool;
     final long endpoint;
     final long sentUs;
     final long deadlineUs;
     final List<Carrier.Parcel> parcels;
-    /** What falls due for it: its time-outs, and the end of a connection's rest. */
-    final List<Future<?>> timers = new ArrayList<>();
+    /** What falls due for it beside its deadline: the ends of single messages, and of a connection's rest. */
+    final List<Future<?>> timers = new ArrayList<>(0);
     Channel channel;
     HttpConnection reader;
     boolean started;
--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -7,20 +7,22 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import thistleturn.courier.Tuning;
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
 import thistleturn.decisions.Courier.Result;
 import thistleturn.decisions.Courier;
+import thistleturn.decisions.index.TimeHeap;
 
 /**
  * Calls to endpoints, with one message or several, over connections that are kept and carry one call at a time. It
@@ -31,8 +33,6 @@
     private static final long US_PER_MS = 1000;
     /** Share of the endpoints' own limit after which an idle connection is closed: a request may not cross it. */
     private static final double IDLE_SHARE = 0.8;
-    /** Share of the descriptors for connections to endpoints; the rest is for clients and the process. */
-    private static final double SOCKET_SHARE = 0.4;
 
     /** What belongs to no call may still come right behind an answer; a connection rests so long before its next. */
     private static final long REST_US = 5_000;
@@ -45,22 +45,30 @@
     private final int mostConnections;
     private final Map<Long, HttpPool> pools = new HashMap<>();
     private final Set<HttpCall> calls = new HashSet<>();
+    /** Calls that are not written whole yet: a wait that is told meanwhile binds them. */
+    private final Set<HttpCall> unwritten = new LinkedHashSet<>();
+    /** Connections that carry no call, over all endpoints, the one idle longest first. */
+    private final Set<HttpConnection> idle = new LinkedHashSet<>();
+    private final TimeHeap<HttpCall> deadlines = new TimeHeap<>();
+    /** For when the next look at deadlines is planned. */
+    private long armedUs = Long.MAX_VALUE;
     private int connections;
 
     /** No connection is made yet. */
-    public HttpCarrier(final Config config, final EventLoop loop, final Clock clock, final Listener listener) {
+    public HttpCarrier(final Config config, final EventLoop loop, final Clock clock, final Listener listener,
+                       final Tuning tuning) {
         this.clock = clock;
         this.loop = loop;
         this.listener = listener;
         this.idleUs = (long) (IDLE_SHARE * config.settings().limits().idleCloseUs());
-        this.mostConnections = (int) Math.max(1, SOCKET_SHARE * config.sockets());
+        this.mostConnections = (int) Math.max(1, tuning.endpointShare() * config.sockets() / tuning.shards());
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (config.connectTimeoutUs() / US_PER_MS))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
                         final HttpConnection reader = new HttpConnection(HttpCarrier.this, loop, clock);
-                        channel.pipeline().addLast(new AnswerDecoder(reader), new HttpRequestEncoder(), reader);
+                        channel.pipeline().addLast(new AnswerDecoder(reader), reader);
                     }
                 });
         final long sweepUs = Math.max(US_PER_MS, idleUs / 8);
@@ -98,14 +106,14 @@
     /** Closes connections before the endpoint does: a request that crosses its close may have run, or not. */
     private void closeOld() {
         final long beforeUs = clock.nowUs() - idleUs;
-        pools.values().forEach(pool -> List.copyOf(pool.idle).stream()
-                .filter(reader -> reader.idleSinceUs() <= beforeUs).forEach(HttpConnection::close));
+        while (!idle.isEmpty() && idle.iterator().next().idleSinceUs() <= beforeUs) {
+            idle.iterator().next().close();
+        }
     }
 
     private void makeRoom() {
-        if (connections >= mostConnections) {
-            pools.values().stream().filter(pool -> !pool.idle.isEmpty()).map(pool -> pool.idle.peekFirst())
-                    .min(Comparator.comparingLong(reader -> reader.idleSinceUs())).ifPresent(HttpConnection::close);
+        if (connections >= mostConnections && !idle.isEmpty()) {
+            idle.iterator().next().close();
         }
     }
 
@@ -124,7 +132,8 @@
             return;
         }
         calls.add(call);
-        later(call, call.deadlineUs - call.sentUs, () -> abandon(call, Result.TIMED_OUT));
+        deadlines.set(call, call.deadlineUs);
+        arm();
         for (final Parcel parcel : call.parcels) {
             final long untilUs = call.sentUs + parcel.timeoutUs();
             if (untilUs < call.deadlineUs && untilUs >= parcel.validUntilUs() - US_PER_MS) {
@@ -132,9 +141,34 @@
             }
         }
         call.started = true;
+        unwritten.add(call);
         dispatch(call);
     }
 
+    /** A call's last byte is written. */
+    void written(final HttpCall call) {
+        call.written = true;
+        unwritten.remove(call);
+    }
+
+    /** One timer for all calls, at the first deadline; a call that ends takes its deadline with it. */
+    private void arm() {
+        final long firstUs = deadlines.firstUs();
+        if (firstUs < armedUs) {
+            armedUs = firstUs;
+            loop.schedule(this::giveUp, Math.max(0, firstUs - clock.nowUs()), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void giveUp() {
+        armedUs = Long.MAX_VALUE;
+        final long nowUs = clock.nowUs();
+        for (HttpCall late = deadlines.poll(nowUs); late != null; late = deadlines.poll(nowUs)) {
+            abandon(late, Result.TIMED_OUT);
+        }
+        arm();
+    }
+
     /** Runs something for a call, unless the call ends first: then nothing of it is kept. */
     private void later(final HttpCall call, final long delayUs, final Runnable action) {
         call.timers.add(loop.schedule(action, delayUs, TimeUnit.MICROSECONDS));
@@ -144,6 +178,8 @@
     boolean remove(final HttpCall call) {
         call.timers.forEach(timer -> timer.cancel(false));
         call.timers.clear();
+        deadlines.remove(call);
+        unwritten.remove(call);
         return calls.remove(call);
     }
 
@@ -155,17 +191,22 @@
         final long nowUs = clock.nowUs();
         HttpConnection rested = null;
         long restUs = Long.MAX_VALUE;
-        for (final HttpConnection reader : List.copyOf(call.pool.idle)) {
+        // Those used last stand at the end: of the rested ones the last is taken, so that the others may age.
+        for (final Iterator<HttpConnection> readers = call.pool.idle.descendingIterator(); readers.hasNext();) {
+            final HttpConnection reader = readers.next();
             if (!reader.isActive()) {
-                call.pool.idle.remove(reader);
+                readers.remove();
+                idle.remove(reader);
             } else if (reader.idleSinceUs() + REST_US <= nowUs) {
+                readers.remove();
+                idle.remove(reader);
                 rested = reader;
+                break;
             } else {
                 restUs = Math.min(restUs, reader.idleSinceUs() + REST_US - nowUs);
             }
         }
         if (rested != null) {
-            call.pool.idle.remove(rested);
             rested.write(call);
         } else if (restUs <= REST_US) {
             later(call, restUs, () -> dispatch(call));
@@ -235,9 +276,9 @@
 
     /** A wait was told: what is on its way to that destination, and not written yet, may not go. */
     void holdBack(final HttpPool told) {
-        for (final HttpCall call : List.copyOf(calls)) {
+        for (final HttpCall call : List.copyOf(unwritten)) {
             final boolean bound = told.apart ? call.pool == told : call.pool.destination == told.destination;
-            if (bound && !call.written) {
+            if (bound) {
                 abandon(call, Result.NOT_SENT);
             }
         }
@@ -248,8 +289,16 @@
         listener.outcome(parcel, call, answer);
     }
 
-    /** A connection that is not to be used again. */
-    void unpool(final HttpConnection connection) {
-        pools.values().forEach(pool -> pool.idle.remove(connection));
+    /** A connection carries no call from now on. */
+    void pool(final HttpConnection connection, final HttpPool pool) {
+        pool.idle.addLast(connection);
+        idle.add(connection);
+    }
+
+    /** A connection is in use, or not to be used again. */
+    void unpool(final HttpConnection connection, final HttpPool pool) {
+        if (idle.remove(connection)) {
+            pool.idle.remove(connection);
+        }
     }
 }
--- a/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
@@ -36,12 +36,16 @@
     private final Clock clock;
     private ChannelHandlerContext context;
     private HttpCall call;
+    /** Where it was last kept while it carried no call. */
+    private HttpPool pool;
     private long idleSinceUs;
     /** The answer's first line, as soon as it has come; its head, once that has. */
     private HttpResponse line;
     private HttpResponse head;
     private boolean keep;
-    private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    /** An answer has begun and is not whole. */
+    private boolean answering;
+    private ByteArrayOutputStream body;
     /** When an answer that has begun is given up. */
     private Future<?> wholeBy;
 
@@ -71,10 +75,10 @@
         call.reader = this;
         line = null;
         head = null;
-        body = new ByteArrayOutputStream(0);
+        body = null;
         context.writeAndFlush(HttpRequests.request(call, clock.nowUs())).addListener(done -> {
             if (done.isSuccess()) {
-                next.written = true;
+                carrier.written(next);
             }
         });
     }
@@ -87,7 +91,9 @@
     }
 
     private void unpool() {
-        carrier.unpool(this);
+        if (pool != null) {
+            carrier.unpool(this, pool);
+        }
     }
 
     @Override
@@ -107,11 +113,15 @@
             keep = HttpUtil.isKeepAlive(response);
         }
         if (part instanceof HttpContent content) {
-            if (body.size() + content.content().readableBytes() > MOST_BODY_BYTES) {
-                broken(Result.ERROR);
-                return;
+            final int more = content.content().readableBytes();
+            if (more > 0) {
+                body = body == null ? new ByteArrayOutputStream(more) : body;
+                if (body.size() + more > MOST_BODY_BYTES) {
+                    broken(Result.ERROR);
+                    return;
+                }
+                read(content.content());
             }
-            read(content.content());
         }
         if (part instanceof LastHttpContent && head != null) {
             stopWaiting();
@@ -129,9 +139,18 @@
         if (call == null || !call.written) {
             // It answers no call, or comes before its call: it belongs to an earlier one.
             broken(Result.RESET);
-        } else if (wholeBy == null) {
+        } else {
+            answering = true;
+        }
+    }
+
+    /** What has come does not make an answer whole: the rest is waited for. Most come in one piece. */
+    @Override
+    public void channelReadComplete(final ChannelHandlerContext ctx) {
+        if (answering && wholeBy == null && call != null) {
             wholeBy = loop.schedule(() -> broken(Result.ERROR), ANSWER_MS, TimeUnit.MILLISECONDS);
         }
+        ctx.fireChannelReadComplete();
     }
 
     @Override
@@ -140,6 +159,7 @@
     }
 
     private void stopWaiting() {
+        answering = false;
         if (wholeBy != null) {
             wholeBy.cancel(false);
             wholeBy = null;
@@ -174,7 +194,8 @@
         }
         if (keep && done.written && !done.pool.removed) {
             idleSinceUs = clock.nowUs();
-            done.pool.idle.addLast(this);
+            pool = done.pool;
+            carrier.pool(this, pool);
         } else {
             context.close();
         }
@@ -219,7 +240,7 @@
     private void tellEach(final HttpCall done, final Carrier.Answer all) {
         final Map<String, String> states = new HashMap<>();
         try {
-            for (final JsonNode item : JSON.readTree(body.toByteArray())) {
+            for (final JsonNode item : JSON.readTree(body == null ? new byte[0] : body.toByteArray())) {
                 states.put(item.path("id").asText(), item.path("state").asText());
             }
         } catch (final IOException e) {
--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -11,10 +11,11 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerExpectContinueHandler;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -22,10 +23,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import thistleturn.courier.Tuning;
 import thistleturn.courier.port.Front;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.LoopTurns;
+import thistleturn.decisions.index.TimeHeap;
 
 /**
  * Where clients hand messages in. A message that is taken is answered in the pass that read it; whatever cannot be
@@ -37,17 +40,20 @@
     /** What is read at once from one connection: one that floods may not keep the others waiting. */
     private static final int READ_BYTES = 1 << 14;
     private static final int BACKLOG = 256;
+    private static final long US_PER_MS = 1000;
     /** Connections accepted in one turn of the loop. */
     private static final int MOST_ACCEPTS = 16;
     /** How long a request may take to come in whole, and a new connection to begin one. */
     private static final long REQUEST_US = 2_000_000;
-    /** How long a connection is kept between requests, and how long where there are many. */
-    private static final long IDLE_US = 10_000_000;
+    private static final ChannelOption<Boolean> REUSE_PORT = NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT);
+    /** How long a connection is kept between requests where there are many. */
     private static final long CROWDED_IDLE_US = 2_100_000;
     private static final double CROWDED_SHARE = 0.5;
+    /** A connection without a request for so long gives back all but itself. */
+    private static final long REST_US = 1_000_000;
     private static final long SWEEP_MS = 200;
-    /** Share of the descriptors for clients. */
-    private static final double SOCKET_SHARE = 0.4;
+    /** Connections looked at in one turn of the loop: what falls due in the same instant is spread. */
+    private static final int MOST_LOOKS = 256;
 
     private final Config config;
     private final Clock clock;
@@ -56,30 +62,41 @@
     private final EventLoopGroup group;
     private final EventLoop loop;
     private final int mostConnections;
+    private final long idleUs;
     private final Set<HttpSession> sessions = new HashSet<>();
+    /** When each connection is looked at next: it is at least as late as what falls due for it. */
+    private final TimeHeap<HttpSession.Look> looks = new TimeHeap<>();
+    private boolean crowded;
     private int heldBytes;
     private Channel listener;
     private boolean draining;
 
     /** Accepts on the group; all that it accepts is owned by the loop. */
     public HttpFront(final Config config, final EventLoopGroup group, final EventLoop loop, final Clock clock,
-                     final LoopTurns turns, final Desk desk) {
+                     final LoopTurns turns, final Desk desk, final Tuning tuning) {
         this.config = config;
         this.group = group;
         this.loop = loop;
         this.clock = clock;
         this.turns = turns;
         this.desk = desk;
-        this.mostConnections = (int) Math.max(1, SOCKET_SHARE * config.sockets());
+        this.idleUs = tuning.clientIdleUs();
+        this.mostConnections = (int) Math.max(1, tuning.clientShare() * config.sockets() / tuning.shards());
     }
 
     /** Listens on the one address of the configuration; {@code /up} is answered from then on. */
     @Override
     public CompletionStage<String> listen() {
+        return listen(config.listen(), false);
+    }
+
+    /** Listens on an address; {@code several}: other fronts listen on it too, and the system deals connections out. */
+    public CompletionStage<String> listen(final InetSocketAddress address, final boolean several) {
         final CompletableFuture<String> listening = new CompletableFuture<>();
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         final Accepting accepting = new Accepting();
         final ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(REUSE_PORT, several)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator()
                         .maxMessagesPerRead(MOST_ACCEPTS))
@@ -92,10 +109,9 @@
                     protected void initChannel(final Channel channel) {
                         final HttpSession session = new HttpSession(HttpFront.this, desk, clock, turns,
                                 accepting.arrival.sinceUs());
-                        channel.pipeline().addLast(new RequestDecoder(session::bytesCame), new HttpResponseEncoder(),
-                                new HttpServerExpectContinueHandler(), session);
+                        channel.pipeline().addLast(session);
                     }
-                }).bind(config.listen());
+                }).bind(address);
         listener = bound.channel();
         bound.addListener(done -> {
             if (done.isSuccess()) {
@@ -121,18 +137,52 @@
 
     /** Closes what is of no use, and answers what does not come to an end, before anyone has to ask why. */
     private void sweep() {
+        final boolean many = sessions.size() > CROWDED_SHARE * mostConnections;
+        if (many && !crowded) {
+            // Less time is left to each of them than when they were last looked at.
+            sessions.forEach(session -> looks.set(session.look(), dueUs(session)));
+        }
+        crowded = many;
+        lookAtDue();
+    }
+
+    private void lookAtDue() {
         final long nowUs = clock.nowUs();
-        final long idleUs = sessions.size() > CROWDED_SHARE * mostConnections ? CROWDED_IDLE_US : IDLE_US;
-        for (final HttpSession session : List.copyOf(sessions)) {
-            if (session.askedSinceUs() <= nowUs - REQUEST_US && !session.isClosing()) {
-                session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
-            } else if (session.isIdle()
-                    && session.sinceUs() <= nowUs - (session.hasAsked() ? idleUs : REQUEST_US)) {
-                session.drop();
+        int looked = 0;
+        for (HttpSession.Look due = looks.poll(nowUs); due != null; due = looks.poll(nowUs)) {
+            look(due.session, nowUs);
+            if (++looked == MOST_LOOKS) {
+                loop.execute(this::lookAtDue);
+                return;
             }
         }
     }
 
+    private void look(final HttpSession session, final long nowUs) {
+        if (session.askedSinceUs() <= nowUs - REQUEST_US && !session.isClosing()) {
+            session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
+        } else if (session.isIdle() && session.sinceUs() <= nowUs - patienceUs(session)) {
+            session.drop();
+            return;
+        } else if (session.isIdle() && session.sinceUs() <= nowUs - REST_US) {
+            session.rest();
+        }
+        looks.set(session.look(), Math.max(dueUs(session), nowUs + US_PER_MS));
+    }
+
+    private long patienceUs(final HttpSession session) {
+        return !session.hasAsked() ? REQUEST_US : crowded ? Math.min(CROWDED_IDLE_US, idleUs) : idleUs;
+    }
+
+    /** When something is to be done about a connection unless something happens to it before. */
+    private long dueUs(final HttpSession session) {
+        if (!session.isIdle()) {
+            return Math.min(session.askedSinceUs(), clock.nowUs()) + REQUEST_US;
+        }
+        return session.sinceUs() + (session.isResting() ? patienceUs(session)
+                : Math.min(REST_US, patienceUs(session)));
+    }
+
     /**
      * Too many connections: one makes room. First those that are rejected already, then those that never asked, then
      * those whose request does not end, then those that have long been idle; failing these, the newest goes.
@@ -173,11 +223,13 @@
 
     void opened(final HttpSession session) {
         sessions.add(session);
+        looks.set(session.look(), dueUs(session));
         makeRoom(session);
     }
 
     void closed(final HttpSession session) {
         sessions.remove(session);
+        looks.remove(session.look());
     }
 
     boolean isDraining() {
--- a/courier/src/main/java/thistleturn/courier/http/HttpRequests.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpRequests.java
@@ -4,12 +4,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.port.Held;
@@ -17,29 +13,33 @@
 /** Calls as the protocol writes them: one message with its headers, or several in one JSON array. */
 final class HttpRequests {
     private static final long US_PER_MS = 1000;
+    private static final int HEAD_CHARS = 256;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private HttpRequests() { }
 
-    /** The request of a call; id, key and body go on unchanged. */
-    static FullHttpRequest request(final HttpCall call, final long nowUs) {
+    /** The bytes of a call's request; id, key and body go on unchanged. */
+    static ByteBuf request(final HttpCall call, final long nowUs) {
         final boolean many = call.parcels.size() > 1;
         final byte[] body = many ? bulk(call) : call.parcels.get(0).held().body();
-        final FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-                many ? "/inbox/bulk" : "/inbox", Unpooled.wrappedBuffer(body));
-        request.headers().set(HttpHeaderNames.HOST, call.pool.address.getHostString());
-        request.headers().set("X-Timeout-Ms", Math.max(1, (call.deadlineUs - nowUs) / US_PER_MS));
-        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        final StringBuilder head = new StringBuilder(HEAD_CHARS);
+        head.append(many ? "POST /inbox/bulk HTTP/1.1\r\nHost: " : "POST /inbox HTTP/1.1\r\nHost: ");
+        head.append(call.pool.address.getHostString()).append("\r\nX-Timeout-Ms: ")
+                .append(Math.max(1, (call.deadlineUs - nowUs) / US_PER_MS));
         if (many) {
-            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+            head.append("\r\nContent-Type: application/json");
         } else {
             final Held held = call.parcels.get(0).held();
-            request.headers().set("X-Request-ID", held.id());
+            head.append("\r\nX-Request-ID: ").append(held.id());
             if (held.idempotencyKey() != null) {
-                request.headers().set("Idempotency-Key", held.idempotencyKey());
+                head.append("\r\nIdempotency-Key: ").append(held.idempotencyKey());
             }
         }
-        return request;
+        head.append("\r\nContent-Length: ").append(body.length).append("\r\n\r\n");
+        // Each character is one byte, as it was when it came in; one buffer is one write.
+        final ByteBuf bytes = Unpooled.buffer(head.length() + body.length);
+        bytes.writeCharSequence(head, StandardCharsets.ISO_8859_1);
+        return bytes.writeBytes(body);
     }
 
     private static byte[] bulk(final HttpCall call) {
--- a/courier/src/main/java/thistleturn/courier/http/HttpSession.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpSession.java
@@ -13,7 +13,9 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerExpectContinueHandler;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -22,6 +24,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
@@ -33,6 +36,7 @@
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.LoopTurns;
 import thistleturn.decisions.Courier;
+import thistleturn.decisions.index.TimeHeap;
 
 /** One client's connection: requests are read strictly and served in turn, each with its one answer. */
 final class HttpSession extends ChannelInboundHandlerAdapter {
@@ -43,6 +47,9 @@
     /** For how long, and how much, what a client sends behind its last answer is read away. */
     private static final long LINGER_MS = 500;
     private static final int MOST_DRAINED_BYTES = 1 << 18;
+    /** The answer to nearly every request, made once. */
+    private static final ByteBuf ACCEPTED = Unpooled.unreleasableBuffer(Unpooled.directBuffer().writeBytes(
+            "HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII))).asReadOnly();
     private static final long GONE_RETRY_US = 500_000;
     private static final long US_PER_MS = 1000;
     private static final double US_PER_SECOND = 1_000_000;
@@ -53,13 +60,17 @@
     private final LoopTurns turns;
     private final Arrival arrival;
     private ChannelHandlerContext context;
+    /** Writes bytes as they are; null while it rests. */
+    private ChannelHandlerContext toSocket;
     private HttpRequest head;
     /** What has come of a body; nothing is kept of it once the request is whole. */
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
-    private final Deque<Request> queue = new ArrayDeque<>();
+    private final Look look = new Look(this);
+    private final Deque<Request> queue = new ArrayDeque<>(1);
     private int queuedBytes;
     private Request current;
     private String currentId;
+    private long currentDestination;
     private boolean reading;
     private boolean hasAsked;
     /** What is said once all before it is answered; then nothing further is read. */
@@ -80,9 +91,46 @@
         this.sinceUs = clock.nowUs();
     }
 
+    /** When a session is looked at next. */
+    static final class Look extends TimeHeap.Entry {
+        final HttpSession session;
+
+        private Look(final HttpSession session) {
+            this.session = session;
+        }
+    }
+
     /** A whole request that waits for its turn on its connection. */
     private record Request(HttpRequest head, byte[] body, long arrivedUs, long firstByteUs, long wholeUs) { }
 
+    Look look() {
+        return look;
+    }
+
+    /** True while it holds nothing but itself: no decoder, no buffer. */
+    boolean isResting() {
+        return toSocket == null;
+    }
+
+    /** Gives back what reading and writing need, until bytes come. */
+    void rest() {
+        if (!isResting() && !rejected) {
+            toSocket = null;
+            context.pipeline().remove(HttpResponseEncoder.class);
+            context.pipeline().remove(HttpServerExpectContinueHandler.class);
+            // Last of all: what it has of a further request comes out here, and wakes the connection at once.
+            context.pipeline().remove(RequestDecoder.class);
+        }
+    }
+
+    /** Bytes have come: they are read from the start of the pipeline. */
+    private void wake(final Object bytes) {
+        context.pipeline().addFirst(new RequestDecoder(this::bytesCame), new HttpResponseEncoder(),
+                new HttpServerExpectContinueHandler());
+        toSocket = context.pipeline().context(HttpResponseEncoder.class);
+        context.pipeline().fireChannelRead(bytes);
+    }
+
     /** Since when it has been of no use, us. */
     long sinceUs() {
         return sinceUs;
@@ -144,7 +192,9 @@
         body = new ByteArrayOutputStream(0);
         queue.clear();
         if (currentId != null) {
-            desk.withdraw(currentId);
+            desk.withdraw(currentId, currentDestination);
+            current = null;
+            currentId = null;
         }
     }
 
@@ -157,10 +207,12 @@
         if (event != ChannelInputShutdownEvent.INSTANCE) {
             return;
         }
-        if (currentId != null) {
-            final String id = currentId;
+        if (currentId != null && !desk.isOwn(currentDestination)) {
+            // Its answer is on its way from another loop, where its first attempt may have begun.
             last = HttpResponseStatus.SERVICE_UNAVAILABLE;
-            desk.withdraw(id);
+        } else if (currentId != null) {
+            last = HttpResponseStatus.SERVICE_UNAVAILABLE;
+            desk.withdraw(currentId, currentDestination);
             answer(HttpResponseStatus.SERVICE_UNAVAILABLE, GONE_RETRY_US);
         } else if (isClosing() || current == null && queue.isEmpty()) {
             drop();
@@ -183,6 +235,10 @@
 
     @Override
     public void channelRead(final ChannelHandlerContext ctx, final Object part) {
+        if (isResting() && part instanceof ByteBuf && !rejected) {
+            wake(part);
+            return;
+        }
         try {
             if (part instanceof HttpObject object && !isClosing()) {
                 read(object);
@@ -301,50 +357,61 @@
             answer(HttpResponseStatus.BAD_REQUEST, 0);
             return;
         }
-        if (!desk.knows(handIn.destination())) {
-            answer(HttpResponseStatus.NOT_FOUND, 0);
-            return;
-        }
-        if (desk.holds(handIn.id())) {
-            answer(HttpResponseStatus.CONFLICT, 0);
-            return;
-        }
         final long validUntilUs = request.arrivedUs() + HandIn.lifeUs(handIn.timeoutMs(), kind.deadlineUs());
         currentId = handIn.id();
+        currentDestination = handIn.destination();
         final Held held = new Held(handIn.id(), kind.name(), handIn.key(), handIn.destination(),
                 clock.toWallUs(validUntilUs), request.body());
         held.began(new Way(request.arrivedUs(), request.firstByteUs(), request.wholeUs(),
                 request.arrivedUs() + handIn.timeoutMs() * US_PER_MS));
-        desk.offer(held, validUntilUs, new Answerer(handIn.id()));
+        desk.offer(held, validUntilUs, new Answerer(request, handIn.id(), handIn.destination()));
     }
 
     /** Answers the request that is current, once its message's fate at the door is known. */
     private final class Answerer implements Front.Reply {
+        private final Request request;
         private final String id;
+        private final long destination;
 
-        private Answerer(final String id) {
+        private Answerer(final Request request, final String id, final long destination) {
+            this.request = request;
             this.id = id;
+            this.destination = destination;
         }
 
         @Override
         public void accepted() {
-            // A client that never gets this counts on nothing: its message is withdrawn.
-            answer(HttpResponseStatus.ACCEPTED, 0).addListener(done -> {
-                if (!done.isSuccess()) {
-                    desk.withdraw(id);
-                }
-            });
+            if (current == request) {
+                // A client that never gets this counts on nothing: its message is withdrawn.
+                answer(HttpResponseStatus.ACCEPTED, 0).addListener(done -> {
+                    if (!done.isSuccess()) {
+                        desk.withdraw(id, destination);
+                    }
+                });
+            }
         }
 
         @Override
         public void refused(final Front.Refusal why, final long retryAfterUs) {
-            answer(why == Front.Refusal.NO_ROOM ? HttpResponseStatus.SERVICE_UNAVAILABLE
+            say(why == Front.Refusal.NO_ROOM ? HttpResponseStatus.SERVICE_UNAVAILABLE
                     : HttpResponseStatus.TOO_MANY_REQUESTS, retryAfterUs);
         }
 
         @Override
         public void failed() {
-            answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, 0);
+            say(HttpResponseStatus.INTERNAL_SERVER_ERROR, 0);
+        }
+
+        @Override
+        public void unusable(final Front.Fault fault) {
+            say(fault == Front.Fault.NO_DESTINATION ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.CONFLICT, 0);
+        }
+
+        /** Its connection may have ended meanwhile, and then nobody is told. */
+        private void say(final HttpResponseStatus status, final long retryAfterUs) {
+            if (current == request) {
+                answer(status, retryAfterUs);
+            }
         }
     }
 
@@ -358,7 +425,8 @@
         current = null;
         currentId = null;
         sinceUs = clock.nowUs();
-        final var response = response(status);
+        final boolean plain = keep && status == HttpResponseStatus.ACCEPTED;
+        final var response = plain ? null : response(status);
         if (retryAfterUs > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER,
                     String.format(Locale.ROOT, "%.3f", retryAfterUs / US_PER_SECOND));
@@ -367,9 +435,12 @@
             response.headers().set(HttpHeaderNames.CONNECTION, "close");
             return end(response);
         }
-        final ChannelFuture written = context.writeAndFlush(response);
+        final ChannelFuture written = plain ? toSocket.writeAndFlush(ACCEPTED.duplicate())
+                : context.writeAndFlush(response);
         if (context.channel().isWritable()) {
-            context.executor().execute(this::next);
+            if (!queue.isEmpty() || last != null) {
+                context.executor().execute(this::next);
+            }
         } else {
             // It asks and does not read what it is told.
             context.close();
--- a/courier/src/main/java/thistleturn/courier/http/RequestDecoder.java
+++ b/courier/src/main/java/thistleturn/courier/http/RequestDecoder.java
@@ -16,12 +16,15 @@
     private static final int MOST_LINE_BYTES = 2048;
     private static final int MOST_HEAD_BYTES = 8192;
 
+    private static final HttpDecoderConfig CONFIG = new HttpDecoderConfig().setMaxInitialLineLength(MOST_LINE_BYTES)
+            .setMaxHeaderSize(MOST_HEAD_BYTES).setAllowDuplicateContentLengths(false).setStrictLineParsing(true)
+            .setUseRfc9112TransferEncoding(true);
+
     private final Consumer<ByteBuf> bytesCame;
 
     /** {@code bytesCame} is told of all that is read, also of what is no head yet. */
     RequestDecoder(final Consumer<ByteBuf> bytesCame) {
-        super(new HttpDecoderConfig().setMaxInitialLineLength(MOST_LINE_BYTES).setMaxHeaderSize(MOST_HEAD_BYTES)
-                .setAllowDuplicateContentLengths(false).setStrictLineParsing(true).setUseRfc9112TransferEncoding(true));
+        super(CONFIG);
         this.bytesCame = bytesCame;
     }
 
--- a/courier/src/main/java/thistleturn/courier/journal/Journal.java
+++ b/courier/src/main/java/thistleturn/courier/journal/Journal.java
@@ -48,6 +48,10 @@
     private final Path folder;
     private final long fileBytes;
     private final Map<String, Held> live = new LinkedHashMap<>();
+    private final Scratch scratch = new Scratch();
+    private final DataOutputStream out = new DataOutputStream(scratch);
+    /** Records that are not written yet. */
+    private final ByteBuffer pending = ByteBuffer.allocateDirect(MOST_RECORD_BYTES + HEAD_BYTES);
     private FileChannel file;
     private long size;
     private long liveBytes;
@@ -71,6 +75,17 @@
         return journal;
     }
 
+    /** Makes the journal of a folder anew, with these messages as they stand; what was there before is gone. */
+    public static void write(final Path folder, final long diskBytes, final Collection<Held> messages)
+            throws IOException {
+        Files.createDirectories(folder);
+        final Journal journal = new Journal(folder, diskBytes);
+        messages.forEach(held -> journal.live.put(held.id(), held));
+        journal.file = FileChannel.open(folder.resolve(FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        journal.compact();
+        journal.file.close();
+    }
+
     @Override
     public Collection<Held> live() {
         return List.copyOf(live.values());
@@ -84,7 +99,7 @@
     @Override
     public boolean take(final Held held) {
         final long bytes = bytes(held);
-        if (live.containsKey(held.id()) || liveBytes + bytes > TAKE_SHARE * fileBytes || !append(taken(held))) {
+        if (live.containsKey(held.id()) || liveBytes + bytes > TAKE_SHARE * fileBytes || !append(TAKEN, held.id(), taken(held))) {
             return false;
         }
         live.put(held.id(), held);
@@ -94,10 +109,10 @@
 
     @Override
     public boolean begin(final Held held, final long wallUs, final String zone) {
-        if (!append(record(BEGUN, held.id(), out -> {
+        if (!append(BEGUN, held.id(), out -> {
             out.writeLong(wallUs);
             out.writeUTF(zone);
-        }))) {
+        })) {
             return false;
         }
         held.begin(wallUs, zone);
@@ -107,7 +122,7 @@
     @Override
     public void settle(final Held held, final boolean neverRan) {
         held.settle(neverRan);
-        append(record(SETTLED, held.id(), out -> out.writeBoolean(neverRan)));
+        append(SETTLED, held.id(), out -> out.writeBoolean(neverRan));
     }
 
     @Override
@@ -116,19 +131,20 @@
         final long before = bytes(held);
         held.owe(notice);
         liveBytes -= counted ? before - bytes(held) : 0;
-        append(owed(held));
+        append(OWED, held.id(), owed(held));
     }
 
     @Override
     public void over(final Held held) {
         if (live.remove(held.id()) != null) {
             liveBytes -= bytes(held);
-            append(record(OVER, held.id(), out -> { }));
+            append(OVER, held.id(), out -> { });
         }
     }
 
     @Override
     public void close() throws IOException {
+        flush();
         file.close();
     }
 
@@ -145,26 +161,35 @@
         void write(DataOutputStream out) throws IOException;
     }
 
-    private static ByteBuffer record(final byte type, final String id, final Content content) {
-        final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        try (DataOutputStream out = new DataOutputStream(bytes)) {
-            out.writeLong(0);
+    /** Bytes that are written again and again to the same place in memory. */
+    private static final class Scratch extends ByteArrayOutputStream {
+        private byte[] bytes() {
+            return buf;
+        }
+    }
+
+    /** Makes a record: its head goes in front once its content is known. */
+    private void encode(final byte type, final String id, final Content content) {
+        scratch.reset();
+        try {
             out.writeByte(type);
             out.writeUTF(id);
             content.write(out);
         } catch (final IOException e) {
             throw new IllegalStateException("writing to memory failed", e);
         }
-        final ByteBuffer record = ByteBuffer.wrap(bytes.toByteArray());
+    }
+
+    /** Adds the record that was made last to what is to be written. */
+    private void put(final ByteBuffer to) {
         final CRC32C crc = new CRC32C();
-        crc.update(record.array(), HEAD_BYTES, record.capacity() - HEAD_BYTES);
-        record.putInt(0, record.capacity() - HEAD_BYTES).putInt(Integer.BYTES, (int) crc.getValue());
-        return record;
+        crc.update(scratch.bytes(), 0, scratch.size());
+        to.putInt(scratch.size()).putInt((int) crc.getValue()).put(scratch.bytes(), 0, scratch.size());
     }
 
     /** A message with all that became of it, so that one record is enough after a compaction. */
-    private static ByteBuffer taken(final Held held) {
-        return record(TAKEN, held.id(), out -> {
+    private static Content taken(final Held held) {
+        return out -> {
             out.writeUTF(held.className());
             out.writeBoolean(held.idempotencyKey() != null);
             out.writeUTF(held.idempotencyKey() == null ? "" : held.idempotencyKey());
@@ -175,33 +200,66 @@
             out.writeInt(held.attempts() - (held.isOut() ? 1 : 0));
             out.writeLong(held.firstRunWallUs());
             out.writeUTF(held.runZone());
-        });
+        };
     }
 
-    private static ByteBuffer owed(final Held held) {
-        return record(OWED, held.id(), out -> {
+    private static Content owed(final Held held) {
+        return out -> {
             out.writeBoolean(held.notice().failed());
             out.writeLong(held.notice().againMs());
-        });
+        };
     }
 
-    private boolean append(final ByteBuffer record) {
+    private boolean append(final byte type, final String id, final Content content) {
+        encode(type, id, content);
+        final int bytes = HEAD_BYTES + scratch.size();
         try {
-            if (behind || size + record.capacity() > fileBytes) {
+            if (behind || size + pending.position() + bytes > fileBytes) {
                 compact();
+                encode(type, id, content);
+            }
+            if (bytes > pending.remaining()) {
+                writePending();
             }
-            write(file, record, size);
-            size += record.capacity();
+            put(pending);
             return true;
         } catch (final IOException e) {
-            if (!behind) {
-                Log.info("journal: cannot write: " + e.getMessage());
+            fallBehind(e);
+            return false;
+        }
+    }
+
+    @Override
+    public boolean flush() {
+        try {
+            if (behind) {
+                compact();
             }
-            behind = true;
+            writePending();
+            return true;
+        } catch (final IOException e) {
+            fallBehind(e);
             return false;
         }
     }
 
+    private void fallBehind(final IOException cause) {
+        if (!behind) {
+            Log.info("journal: cannot write: " + cause.getMessage());
+        }
+        behind = true;
+        pending.clear();
+    }
+
+    private void writePending() throws IOException {
+        final int bytes = pending.position();
+        if (bytes > 0) {
+            write(file, pending.flip(), size);
+            size += bytes;
+            pending.clear();
+        }
+    }
+
     private static void write(final FileChannel to, final ByteBuffer record, final long at) throws IOException {
         long position = at;
         while (record.hasRemaining()) {
@@ -215,19 +273,22 @@
         final FileChannel fresh = FileChannel.open(next, StandardOpenOption.CREATE,
                 StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.READ, StandardOpenOption.WRITE);
         long written = 0;
+        // What was still to be written is part of what is owed, or of no use any more.
+        pending.clear();
         try {
             for (final Held held : live.values()) {
-                written = copy(fresh, taken(held), written);
+                written = copy(fresh, TAKEN, held.id(), taken(held), written);
                 if (held.isOut()) {
-                    written = copy(fresh, record(BEGUN, held.id(), out -> {
+                    written = copy(fresh, BEGUN, held.id(), out -> {
                         out.writeLong(held.outWallUs());
                         out.writeUTF(held.outZone());
-                    }), written);
+                    }, written);
                 }
                 if (held.notice() != null) {
-                    written = copy(fresh, owed(held), written);
+                    written = copy(fresh, OWED, held.id(), owed(held), written);
                 }
             }
+            written = drain(fresh, written);
             Files.move(next, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE);
         } catch (final IOException e) {
             fresh.close();
@@ -239,9 +300,19 @@
         behind = false;
     }
 
-    private static long copy(final FileChannel to, final ByteBuffer record, final long at) throws IOException {
-        write(to, record, at);
-        return at + record.capacity();
+    private long copy(final FileChannel to, final byte type, final String id, final Content content, final long at)
+            throws IOException {
+        encode(type, id, content);
+        final long from = HEAD_BYTES + scratch.size() > pending.remaining() ? drain(to, at) : at;
+        put(pending);
+        return from;
+    }
+
+    private long drain(final FileChannel to, final long at) throws IOException {
+        final int bytes = pending.position();
+        write(to, pending.flip(), at);
+        pending.clear();
+        return at + bytes;
     }
 
     // ---------------------------------------------------------------- reading
--- a/courier/src/main/java/thistleturn/courier/port/Front.java
+++ b/courier/src/main/java/thistleturn/courier/port/Front.java
@@ -17,6 +17,14 @@
         DECIDED
     }
 
+    /** Why a message cannot be taken at all. */
+    enum Fault {
+        /** Its destination, as far as can be known now, does not exist. */
+        NO_DESTINATION,
+        /** A message of that id is owed its end, or its notice. */
+        HELD_ALREADY
+    }
+
     /** Where the answer to a client goes; exactly one of these is called, once. */
     interface Reply {
         /** Taken on: the courier owes the message its end from now on. */
@@ -27,6 +35,9 @@
 
         /** Ended with nothing promised. */
         void failed();
+
+        /** Not taken, and it would not be another time. */
+        void unusable(Fault fault);
     }
 
     /** What a front asks of its host, and hands to it. */
@@ -34,20 +45,17 @@
         /** The class of that name, or null. */
         Courier.MessageClass kind(String className);
 
-        /** True while a message of that id is owed its end, or its notice. */
-        boolean holds(String id);
-
-        /** False for a destination that, as far as can be known now, does not exist. */
-        boolean knows(long destination);
+        /** True if what is offered for that destination is answered before another event of this loop. */
+        boolean isOwn(long destination);
 
         /**
-         * Takes a message, if there is room; its reply comes at the end of the pass, or at once. Its way must have
-         * begun ({@link Held#began}): the host notes there where its time goes.
+         * Takes a message, if it can be taken and there is room; its reply comes at the end of the pass, or at once. Its
+         * way must have begun ({@link Held#began}): the host notes there where its time goes.
          */
         void offer(Held held, long validUntilUs, Reply reply);
 
         /** The client went before it was answered: nobody knows of this message, and nobody wants it. */
-        void withdraw(String id);
+        void withdraw(String id, long destination);
     }
 
     /** Begins to listen; tells the address in fact, or why that failed. */
--- a/courier/src/main/java/thistleturn/courier/port/Store.java
+++ b/courier/src/main/java/thistleturn/courier/port/Store.java
@@ -3,8 +3,9 @@
 import java.util.Collection;
 
 /**
- * What outlasts the process. Each method has the record safe from the end of this process when it returns, so that it
- * is called ahead of whatever the record promises. All methods run on the event loop's thread.
+ * What outlasts the process. Records are safe from the end of this process once {@link #flush} has returned true after
+ * them: it is called ahead of whatever they promise, once for all that a pass brought. All methods run on the event
+ * loop's thread.
  */
 public interface Store {
     /** What the courier owes an end or a notice, in the order taken. */
@@ -27,4 +28,10 @@
 
     /** Records that nothing is owed for a message any more. */
     void over(Held held);
+
+    /**
+     * Makes all that was recorded so far safe; false if that failed. Then nothing may be promised on the strength of
+     * what was recorded since it was last true; it is made up for with a later record.
+     */
+    boolean flush();
 }
--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -169,6 +169,8 @@
     private final long[] quotaUs;
     private final TreeSet<Long> wakes = new TreeSet<>();
     private int callsOut, open;
+    /** What this courier may use now. */
+    private int slots, maxOpen;
     private double trustUs;
     private long nowUs, nextStepUs, stopUs = NEVER;
     /** Steps taken; messages taken; waits begun; events and passes so far. */
@@ -188,6 +190,8 @@
     /** The same, with the time that is given to a look at what time alone has changed, us; 0: all, always. */
     Control(final Settings settings, final long seed, final Actions actions, final long lookUs) {
         this.settings = settings;
+        this.slots = settings.limits().slots();
+        this.maxOpen = settings.limits().maxOpen();
         this.actions = actions;
         this.random = new Random(seed);
         this.classMeanUs = settings.classes().stream().mapToDouble(k -> UNSEEN_SHARE * k.aimUs()).toArray();
@@ -245,6 +249,15 @@
         destinations.values().forEach(this::touch);
     }
 
+    @Override
+    public void onRoom(final long now, final int slotsNow, final int maxOpenNow) {
+        nowUs = now;
+        slots = slotsNow;
+        maxOpen = maxOpenNow;
+        // What a lane may hold of the slots matters where it holds some.
+        List.copyOf(active).forEach(lane -> touch(lane.destination));
+    }
+
     @Override
     public void onOutcome(final long now, final Outcome outcome) {
         nowUs = now;
@@ -348,7 +361,7 @@
     /** Sends, best first, until no slot is free or no message may go. */
     private void dispatch() {
         againUs = NEVER;
-        while (callsOut < settings.limits().slots()) {
+        while (callsOut < slots) {
             final Ready best = ready().best(nowUs);
             if (best == null) {
                 return;
@@ -363,7 +376,7 @@
 
     /** Lanes by what their messages lose; with the store over half full some messages will not be served. */
     private Ranking<Ready> ready() {
-        return ready.get(2 * open > settings.limits().maxOpen() ? 1 : 0);
+        return ready.get(2 * open > maxOpen ? 1 : 0);
     }
 
     /** Of a lane that may send, how urgent the message to go is among those of other lanes. */
@@ -431,7 +444,7 @@
     /** Calls that a lane may have in flight now: its window, within its share of the slots. */
     private int cap(final Lane lane) {
         final double share = lane.phase == Phase.WELL && !lane.slow ? HEALTHY_SHARE : SICK_SHARE;
-        return (int) Math.max(1, Math.floor(Math.min(lane.window, share * settings.limits().slots())));
+        return (int) Math.max(1, Math.floor(Math.min(lane.window, share * slots)));
     }
 
     /** The most urgent message for a lane (a node, if given); trials risk first what is lost anyway. */
@@ -704,7 +717,7 @@
             final double change = Math.max(bad == 0 ? 0 : -1, tableOne(latency, clamp(refusal, 0, 1)));
             if (change < 0 || lane.peak >= USED_SHARE * Math.floor(lane.window)) {
                 lane.window = clamp(lane.window * (1 + change), WINDOW_FLOOR,
-                        Math.max(1, Math.floor(HEALTHY_SHARE * settings.limits().slots())));
+                        Math.max(1, Math.floor(HEALTHY_SHARE * slots)));
             }
             lane.slow = latency > SLOW_INPUT || refusal > SLOW_INPUT;
         }
@@ -877,7 +890,7 @@
      * overdue is called off. Covers hung, stalled and very slow ones; hurts where one would have answered.
      */
     private void reclaimSlot() {
-        if (callsOut < settings.limits().slots() || !settings.limits().mayCancel() || silent.isEmpty()
+        if (callsOut < slots || !settings.limits().mayCancel() || silent.isEmpty()
                 || !ready().anyOf(entry -> entry.lane.phase == Phase.WELL, nowUs)) {
             return;
         }
@@ -1071,8 +1084,8 @@
 
     /** Refuses what has least to gain before the store is full: nothing is turned away at the door. */
     private void makeRoom() {
-        final int reserve = (int) Math.max(1, STORE_RESERVE * settings.limits().maxOpen());
-        while (open > settings.limits().maxOpen() - reserve) {
+        final int reserve = (int) Math.max(1, STORE_RESERVE * maxOpen);
+        while (open > maxOpen - reserve) {
             final Destination destination = room.best(nowUs);
             if (destination == null) {
                 return;
@@ -1185,6 +1198,16 @@
         return destination.lanes.get(destination.lanes.size() - 1);
     }
 
+    /** Calls in flight. */
+    public int callsOut() {
+        return callsOut;
+    }
+
+    /** True if a message could go now that no slot is left for. */
+    public boolean wantsSlots() {
+        return callsOut >= slots && ready().size() > 0;
+    }
+
     /** How many destinations are kept in mind. */
     int destinationsKnown() {
         return destinations.size();
--- a/decisions/src/main/java/thistleturn/decisions/Courier.java
+++ b/decisions/src/main/java/thistleturn/decisions/Courier.java
@@ -140,6 +140,9 @@
     /** This process ends at {@code stopUs}: what it still holds then goes on in the next one. */
     void onStopping(long nowUs, long stopUs);
 
+    /** What this courier may use has changed; it gets no further calls out while it has more than that. */
+    void onRoom(long nowUs, int slots, int maxOpen);
+
     /** An attempt ended. */
     void onOutcome(long nowUs, Outcome outcome);
 
--- a/decisions/src/test/java/thistleturn/decisions/oracle/FrozenControl.java
+++ b/decisions/src/test/java/thistleturn/decisions/oracle/FrozenControl.java
@@ -191,6 +191,11 @@
         System.arraycopy(classMeanUs, 0, notedMeanUs, 0, classMeanUs.length);
     }
 
+    @Override
+    public void onRoom(final long now, final int slotsNow, final int maxOpenNow) {
+        throw new UnsupportedOperationException("it was decided before couriers were divided");
+    }
+
     @Override
     public void onOutcome(final long now, final Outcome outcome) {
         nowUs = now;
