measure scale, shards, flood, idle; settings of front and shards; shards tested

Need: the issue's tables want a driver that costs far less than the courier, and a courier as a process on a core of its own.

Change: package benchmarks.scale (raw framing, endpoints, closed and open loops, a platform, the courier as a child pinned with taskset); four commands; tables [front] and [shards] in the product's file, off, strictly checked; ShardsTest: kills and changes of N (1, 8, 3, 8, 1, 4) under the Auditor, a stalled shard, drains on all shards, silence on one, half-done moves of journals.

--- a/benchmarks/src/main/java/thistleturn/benchmarks/Main.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/Main.java
@@ -2,11 +2,16 @@
 
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import thistleturn.benchmarks.scale.MeasureFlood;
+import thistleturn.benchmarks.scale.MeasureIdle;
+import thistleturn.benchmarks.scale.MeasureScale;
+import thistleturn.benchmarks.scale.MeasureShards;
 
 /** {@code bin/thistleturn measure}. */
 @Command(name = "measure", mixinStandardHelpOptions = true,
         description = "Prints the tables of docs/measurements, measured now on this machine.",
         subcommands = {MeasureMembership.class, MeasureDrain.class, MeasureOutage.class,
+            MeasureScale.class, MeasureShards.class, MeasureFlood.class, MeasureIdle.class,
             CommandLine.HelpCommand.class})
 public final class Main {
     private Main() { }
--- a/cli/src/main/java/thistleturn/cli/ServeCommand.java
+++ b/cli/src/main/java/thistleturn/cli/ServeCommand.java
@@ -6,6 +6,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import thistleturn.cli.config.ProductConfig;
+import thistleturn.courier.Tuning;
 import thistleturn.courier.runtime.Config;
 
 /** Runs a courier until it is ended. */
@@ -24,12 +25,13 @@
     @Override
     public Integer call() throws IOException, Config.BadConfigException {
         if (file == null) {
-            thistleturn.courier.Main.serve(System.getenv(), null);
+            thistleturn.courier.Main.serve(System.getenv(), null, Tuning.platform());
             return SERVES;
         }
         final ProductConfig config = ProductConfig.read(file);
         final boolean plain = config.admin() == null && config.membership() == null;
-        thistleturn.courier.Main.serve(System.getenv(), plain ? null : new ProductExtension(config, file));
+        thistleturn.courier.Main.serve(System.getenv(), plain ? null : new ProductExtension(config, file),
+                config.tuning());
         return SERVES;
     }
 }
--- a/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
+++ b/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import thistleturn.courier.Tuning;
 import thistleturn.courier.runtime.Config;
 import thistleturn.decisions.membership.Rules;
 import thistleturn.eureka.MetadataNames;
@@ -26,16 +27,18 @@
  *
  * @param admin where operators ask a running courier, or null
  * @param membership registries beside the platform's list, or null
+ * @param tuning how large the courier is made
  */
-public record ProductConfig(InetSocketAddress admin, MembershipSettings membership) {
+public record ProductConfig(InetSocketAddress admin, MembershipSettings membership, Tuning tuning) {
     private static final Pattern URL = Pattern.compile("http://([^/:\\s]+):(\\d{1,5})((?:/[^\\s?#]*)?)");
     private static final Pattern SCOPE = Pattern.compile("(apps|vips|svips)/[A-Za-z0-9._-]+");
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
     private static final int MOST_PORT = 65_535;
+    private static final double MOST_SOCKET_SHARE = 0.95;
 
     /** Everything off. */
     public static ProductConfig off() {
-        return new ProductConfig(null, null);
+        return new ProductConfig(null, null, Tuning.platform());
     }
 
     /**
@@ -58,8 +61,27 @@
         final StrictTable table = new StrictTable(file, "", root);
         final InetSocketAddress admin = admin(table.table("admin"));
         final MembershipSettings membership = membership(table.table("membership"));
+        final Tuning tuning = tuning(table.table("front"), table.table("shards"));
         table.finish();
-        return new ProductConfig(admin, membership);
+        return new ProductConfig(admin, membership, tuning);
+    }
+
+    private static Tuning tuning(final StrictTable front, final StrictTable shards) {
+        final Tuning platform = Tuning.platform();
+        final boolean ownFront = front.flag("enabled", false);
+        final long idleUs = front.durationUs("idle", "10s", "1s", "24h");
+        final double clients = front.share("clients", platform.clientShare());
+        final double endpoints = front.share("endpoints", platform.endpointShare());
+        front.finish();
+        final boolean several = shards.flag("enabled", false);
+        final int count = shards.whole("count", 1, 1, 64);
+        shards.finish();
+        if (clients <= 0 || endpoints <= 0 || clients + endpoints > MOST_SOCKET_SHARE) {
+            throw front.wrong("clients", clients, "shares above 0 that leave the process a twentieth of its descriptors, "
+                    + "clients and endpoints together at most " + MOST_SOCKET_SHARE);
+        }
+        final Tuning sized = ownFront ? new Tuning(idleUs, clients, endpoints, 1) : platform;
+        return new Tuning(sized.clientIdleUs(), sized.clientShare(), sized.endpointShare(), several ? count : 1);
     }
 
     private static InetSocketAddress admin(final StrictTable table) {
--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -167,7 +167,7 @@
      */
     public static CourierProcess start(final Map<String, String> environment)
             throws Config.BadConfigException, IOException {
-        return start(environment, new None());
+        return start(environment, null);
     }
 
     /** Starts a courier with a subsystem beside the platform's own. */
@@ -176,10 +176,11 @@
         return start(environment, extension, Tuning.platform());
     }
 
-    /** Starts a courier of another size than the platform's. */
+    /** Starts a courier of another size than the platform's, with a subsystem or (null) without. */
     public static CourierProcess start(final Map<String, String> environment, final Extension extension,
             final Tuning tuning) throws Config.BadConfigException, IOException {
-        final CourierProcess process = new CourierProcess(environment, extension, tuning);
+        final CourierProcess process = new CourierProcess(environment,
+                extension == null ? new None() : extension, tuning);
         process.loop.execute(() -> {
             try {
                 process.run();
--- a/courier/src/main/java/thistleturn/courier/Main.java
+++ b/courier/src/main/java/thistleturn/courier/Main.java
@@ -12,7 +12,7 @@
     /** Runs a courier with what the environment tells, until it is ended. */
     public static void main(final String[] args) {
         try {
-            serve(System.getenv(), null);
+            serve(System.getenv(), null, Tuning.platform());
         } catch (final Config.BadConfigException | IOException e) {
             System.err.println("cannot start: " + e.getMessage());
             System.exit(1);
@@ -23,9 +23,10 @@
      * Runs a courier as this process: signals are its own, and a start that fails later ends the process.
      *
      * @param extension a subsystem beside the platform's own, or null
+     * @param tuning how large it is made
      */
     public static CourierProcess serve(final Map<String, String> environment,
-            final CourierProcess.Extension extension) throws Config.BadConfigException, IOException {
+            final CourierProcess.Extension extension, final Tuning tuning) throws Config.BadConfigException, IOException {
         final AtomicReference<CourierProcess> started = new AtomicReference<>();
         // First of all: until this is in place, a SIGHUP ends the process.
         Hangup.onSignal(() -> {
@@ -34,8 +35,7 @@
                 process.reload();
             }
         });
-        final CourierProcess process = extension == null ? CourierProcess.start(environment)
-                : CourierProcess.start(environment, extension);
+        final CourierProcess process = CourierProcess.start(environment, extension, tuning);
         started.set(process);
         Runtime.getRuntime().addShutdownHook(new Thread(process::stop, "stop"));
         process.ready().exceptionally(failure -> {
--- a/courier/src/main/java/thistleturn/courier/Rehearsal.java
+++ b/courier/src/main/java/thistleturn/courier/Rehearsal.java
@@ -39,7 +39,7 @@
                   "extra":{"calls_out":4,"per_call":[5],"routes_apart":[false]},
                   "limits":{"max_open":9,"most_tries":2,"idle_close":1000000}}}
                 """.formatted(own, own, own));
-        Main.serve(Map.of("PROXY_CONFIG", config.toString(), "PROXY_STATE", folder.resolve("state").toString()), null);
+        Main.serve(Map.of("PROXY_CONFIG", config.toString(), "PROXY_STATE", folder.resolve("state").toString()), null, Tuning.platform());
         ask(port, "GET /up HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
         ask(port, "POST /once HTTP/1.1\r\nHost: a\r\nX-Request-ID: r\r\nX-Priority-Class: once\r\nX-Timeout-Ms: 900\r\n"
                 + "X-Consignee: dest=1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi");
