--- a/benchmarks/src/main/java/thistleturn/benchmarks/scale/Clients.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/scale/Clients.java
@@ -25,8 +25,8 @@
 
 /**
  * Clients that hand in over connections that are kept, one request at a time on each. Closed: the next request follows
- * the answer, while {@code mayAsk} says so. Open: requests fall due at a rate, wait for a free connection, and are given
- * up when they are older than a client's patience.
+ * the answer, while {@code mayAsk} says so. Open: requests fall due at a rate and go over a free connection; where none
+ * is free they are given up at once, and those answered later than a client's patience were for nothing.
  */
 final class Clients implements AutoCloseable {
     private static final String BODY = "x".repeat(200);
@@ -106,17 +106,15 @@
             while (!stopped && fallen < (nowNs - beganNs) * perNs) {
                 due.add(beganNs + (long) (fallen++ / perNs));
             }
-            serve(nowNs);
+            serve();
         }
 
-        private void serve(final long nowNs) {
-            while (!due.isEmpty() && due.peek() < nowNs - PATIENCE_NS) {
-                due.poll();
-                late.incrementAndGet();
-            }
+        private void serve() {
             while (!due.isEmpty() && !free.isEmpty()) {
                 free.poll().ask(due.poll());
             }
+            late.addAndGet(due.size());
+            due.clear();
         }
     }
 
@@ -150,7 +148,6 @@
         private void next() {
             if (line != null) {
                 line.free.add(this);
-                line.serve(System.nanoTime());
             } else if (stopped) {
                 channel.close();
             } else if (mayAsk.getAsBoolean()) {
--- a/benchmarks/src/main/java/thistleturn/benchmarks/scale/CourierChild.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/scale/CourierChild.java
@@ -163,6 +163,25 @@
                 .findFirst().orElse(0);
     }
 
+    /** Heap in use once what nobody holds is gone, bytes; 0 where the Java machine has no tool to ask. */
+    long heapBytes() throws IOException, InterruptedException {
+        final Path jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd");
+        if (!Files.isExecutable(jcmd)) {
+            return 0;
+        }
+        final String pid = Long.toString(process.pid());
+        new ProcessBuilder(jcmd.toString(), pid, "GC.run").redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor();
+        final Process asked = new ProcessBuilder(jcmd.toString(), pid, "GC.heap_info").start();
+        final String told = new String(asked.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        final Matcher matcher = Pattern.compile("(?:generation|heap)\\s+total \\d+K, used (\\d+)K").matcher(told);
+        long kb = 0;
+        while (matcher.find()) {
+            kb += Long.parseLong(matcher.group(1));
+        }
+        return kb * 1024;
+    }
+
     /** Ends it at once. */
     void kill() {
         process.destroyForcibly();
--- a/benchmarks/src/main/java/thistleturn/benchmarks/scale/MeasureFlood.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/scale/MeasureFlood.java
@@ -22,6 +22,8 @@
 
     @Option(names = "--times", split = ",", defaultValue = "0.5,0.8,1,1.5,2,4,7,10", description = "${DEFAULT-VALUE}")
     private List<Double> times;
+    @Option(names = "--shed", defaultValue = "0", description = "ms of [front] shed; 0: off")
+    private int shedMs;
     @Option(names = "--connections", defaultValue = "2000", description = "${DEFAULT-VALUE}")
     private int connections;
     @Option(names = "--seconds", defaultValue = "6", description = "measured, after as many of warming up")
@@ -31,19 +33,19 @@
     public Integer call() throws Exception {
         final double capacity = play(0)[0];
         System.out.println(String.format(Locale.ROOT, "Capacity in a closed loop: %,.0f a second.%n", capacity));
-        System.out.println("| offered, times capacity | offered/s | delivered/s | of the best | refused/s | given up by "
+        System.out.println("| offered, times capacity | offered/s | delivered/s | taken in time/s | of the best | refused/s | given up by "
                 + "clients/s | p99 of an answer, ms |");
-        System.out.println("| --- | --- | --- | --- | --- | --- | --- |");
+        System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- |");
         final List<double[]> rows = new ArrayList<>();
         for (final double one : times) {
             System.err.println(one + " times the capacity ...");
             rows.add(play(one * capacity));
         }
-        final double best = rows.stream().mapToDouble(row -> row[0]).max().orElse(1);
+        final double best = rows.stream().mapToDouble(row -> row[4]).max().orElse(1);
         for (int index = 0; index < rows.size(); index++) {
             final double[] row = rows.get(index);
-            System.out.println(String.format(Locale.ROOT, "| %.1f | %,.0f | %,.0f | %.2f | %,.0f | %,.0f | %.0f |",
-                    times.get(index), times.get(index) * capacity, row[0], row[0] / best, row[1], row[2], row[3]));
+            System.out.println(String.format(Locale.ROOT, "| %.1f | %,.0f | %,.0f | %,.0f | %.2f | %,.0f | %,.0f | %.0f |",
+                    times.get(index), times.get(index) * capacity, row[0], row[4], row[4] / best, row[1], row[2], row[3]));
         }
         return 0;
     }
@@ -51,24 +53,26 @@
     /** Delivered, refused and given up a second, and the p99 of answers in ms; an offer of 0 is a closed loop. */
     private double[] play(final double perSecond) throws Exception {
         final EventLoopGroup group = new MultiThreadIoEventLoopGroup(DRIVER_LOOPS, NioIoHandler.newFactory());
-        final CourierChild.Size plain = CourierChild.Size.plain("0", 512, SLOTS, HELD, DESTINATIONS);
+        final CourierChild.Size plain = new CourierChild.Size("0", 512, SLOTS, HELD, 19_000, DESTINATIONS, 1, 10_000_000,
+                0.45, shedMs == 0 ? List.of() : List.of("-Dscale.shed=" + shedMs * 1000));
         try (Endpoints endpoints = new Endpoints(group, 0); CourierChild courier = new CourierChild(plain,
                 endpoints.address())) {
             final Clients clients = new Clients(group, courier.address(), DESTINATIONS, () -> true);
             if (perSecond == 0) {
                 clients.closed(64);
             } else {
-                // Some rates first, so that the first seconds of a cold courier are not the flood's.
                 clients.open(perSecond, connections, DRIVER_LOOPS);
             }
             TimeUnit.SECONDS.sleep(seconds);
-            final long[] before = {endpoints.calls.get(), clients.refused.get(), clients.late.get()};
+            final long[] before = {endpoints.calls.get(), clients.refused.get(), clients.late.get(),
+                clients.accepted.get()};
             clients.latencyUs.reset();
             final long fromNs = System.nanoTime();
             TimeUnit.SECONDS.sleep(seconds);
             final double tookS = (System.nanoTime() - fromNs) / 1e9;
             final double[] row = {(endpoints.calls.get() - before[0]) / tookS, (clients.refused.get() - before[1]) / tookS,
-                (clients.late.get() - before[2]) / tookS, clients.latencyUs.getValueAtPercentile(99) / 1000.0};
+                (clients.late.get() - before[2]) / tookS, clients.latencyUs.getValueAtPercentile(99) / 1000.0,
+                (clients.accepted.get() - before[3]) / tookS};
             clients.close();
             return row;
         } finally {
--- a/benchmarks/src/main/java/thistleturn/benchmarks/scale/MeasureIdle.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/scale/MeasureIdle.java
@@ -3,11 +3,14 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -56,6 +59,7 @@
             clients.open(RATE, ACTIVE, 1);
             TimeUnit.SECONDS.sleep(2L * seconds);
             final Histogram before = phase(clients);
+            final long heapBefore = children.get(0).heapBytes();
             final long kbBefore = memoryKb(children);
             final long kernelBefore = kernelKb();
             for (final CourierChild child : children) {
@@ -69,6 +73,7 @@
             }
             // A connection gives back what it does not need within some seconds.
             TimeUnit.SECONDS.sleep(4);
+            final long heapAfter = children.get(0).heapBytes();
             final long kbAfter = memoryKb(children);
             final long kernelAfter = kernelKb();
             final Histogram during = phase(clients);
@@ -81,8 +86,9 @@
                 await(holder, "woken");
             }
             final long all = (long) connections * couriers;
-            System.out.println(String.format(Locale.ROOT, "%,d idle connections, %d courier(s) on one core: process memory "
-                    + "%.0f bytes a connection, the system's for both ends %.0f.%n", all, couriers, (kbAfter - kbBefore) * 1024.0 / all,
+            System.out.println(String.format(Locale.ROOT, "%,d idle connections, %d courier(s) on one core: heap %.0f bytes "
+                    + "a connection, process memory %.0f, the system's for both ends %.0f.%n", all, couriers,
+                    (heapAfter - heapBefore) / (double) connections, (kbAfter - kbBefore) * 1024.0 / all,
                     (kernelAfter - kernelBefore) * 1024.0 / all));
             System.out.println("| active traffic | p50 ms | p99 ms | p99.9 ms | requests |");
             System.out.println("| --- | --- | --- | --- | --- |");
@@ -142,7 +148,7 @@
         final InetSocketAddress address = new InetSocketAddress(parts[0], Integer.parseInt(parts[1]));
         final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         final Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
-                .handler(new ChannelInboundHandlerAdapter());
+                .handler(new Silent());
         final List<Channel> channels = new ArrayList<>();
         for (int index = 0; index < connections; index++) {
             // Several local addresses, since one has too few ports for all.
@@ -158,4 +164,13 @@
         System.in.read();
         return 0;
     }
+
+    /** Lets pass whatever comes. */
+    @ChannelHandler.Sharable
+    private static final class Silent extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(final ChannelHandlerContext context, final Object part) {
+            ReferenceCountUtil.release(part);
+        }
+    }
 }
--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -39,6 +40,9 @@
     private static final int MOST_HELD_BYTES = 1 << 22;
     /** What is read at once from one connection: one that floods may not keep the others waiting. */
     private static final int READ_BYTES = 1 << 14;
+    /** Resting connections that wake in one turn, and how soon the next ones do, us. */
+    private static final int MOST_WAKES = 64;
+    private static final long WAKE_US = 500;
     private static final int BACKLOG = 256;
     private static final long US_PER_MS = 1000;
     /** Connections accepted in one turn of the loop. */
@@ -63,10 +67,15 @@
     private final EventLoop loop;
     private final int mostConnections;
     private final long idleUs;
+    private final long shedUs;
     private final Set<HttpSession> sessions = new HashSet<>();
     /** When each connection is looked at next: it is at least as late as what falls due for it. */
     private final TimeHeap<HttpSession.Look> looks = new TimeHeap<>();
     private boolean crowded;
+    /** Connections that wait for their turn to wake, and how many woke in which turn of the loop without waiting. */
+    private final ArrayDeque<HttpSession> waking = new ArrayDeque<>();
+    private long wakeTurnUs;
+    private int wokenInTurn;
     private int heldBytes;
     private Channel listener;
     private boolean draining;
@@ -81,6 +90,7 @@
         this.turns = turns;
         this.desk = desk;
         this.idleUs = tuning.clientIdleUs();
+        this.shedUs = tuning.shedUs();
         this.mostConnections = (int) Math.max(1, tuning.clientShare() * config.sockets() / tuning.shards());
     }
 
@@ -159,7 +169,7 @@
     }
 
     private void look(final HttpSession session, final long nowUs) {
-        if (session.askedSinceUs() <= nowUs - REQUEST_US && !session.isClosing()) {
+        if (session.askedSinceUs() <= nowUs - REQUEST_US && !session.isClosing() && !session.isWaking()) {
             session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
         } else if (session.isIdle() && session.sinceUs() <= nowUs - patienceUs(session)) {
             session.drop();
@@ -232,6 +242,37 @@
         looks.remove(session.look());
     }
 
+    /** True when so many resting connections wake in one turn that the further ones take turns. */
+    boolean isWakeUp() {
+        if (turns.lookUs() != wakeTurnUs) {
+            wakeTurnUs = turns.lookUs();
+            wokenInTurn = 0;
+        }
+        return !waking.isEmpty() || ++wokenInTurn > MOST_WAKES;
+    }
+
+    /** It wakes behind those that wait already; some are woken in each turn, beside the active ones. */
+    void wakeInTurn(final HttpSession session) {
+        waking.add(session);
+        if (waking.size() == 1) {
+            loop.schedule(this::wakeSome, WAKE_US, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void wakeSome() {
+        for (int woken = 0; woken < MOST_WAKES && !waking.isEmpty(); woken++) {
+            waking.poll().wake();
+        }
+        if (!waking.isEmpty()) {
+            loop.schedule(this::wakeSome, WAKE_US, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /** True when this turn has lasted so long that who is read now would hear too late. */
+    boolean isOverloaded() {
+        return shedUs != Tuning.NEVER && clock.nowUs() - turns.lookUs() > shedUs;
+    }
+
     boolean isDraining() {
         return draining;
     }
--- a/courier/src/main/java/thistleturn/courier/http/HttpSession.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpSession.java
@@ -50,7 +50,11 @@
     /** The answer to nearly every request, made once. */
     private static final ByteBuf ACCEPTED = Unpooled.unreleasableBuffer(Unpooled.directBuffer().writeBytes(
             "HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII))).asReadOnly();
+    /** What is kept of a connection that waits for its turn to wake: it is read once, so hardly more than a request. */
+    private static final int MOST_WAKING_BYTES = 1 << 10;
     private static final long GONE_RETRY_US = 500_000;
+    /** Who was refused because there were too many at once comes again when others have gone. */
+    private static final long SHED_RETRY_US = 1_000_000;
     private static final long US_PER_MS = 1000;
     private static final double US_PER_SECOND = 1_000_000;
 
@@ -62,6 +66,8 @@
     private ChannelHandlerContext context;
     /** Writes bytes as they are; null while it rests. */
     private ChannelHandlerContext toSocket;
+    /** What it said while many woke at once. */
+    private ByteBuf waking;
     private HttpRequest head;
     /** What has come of a body; nothing is kept of it once the request is whole. */
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
@@ -131,6 +137,36 @@
         context.pipeline().fireChannelRead(bytes);
     }
 
+    /** Many wake at once: what it says is kept, and read when its turn comes; until then it is asked for no more. */
+    private void wakeInTurn(final ByteBuf bytes) {
+        bytesCame(bytes);
+        context.channel().config().setAutoRead(false);
+        if (waking == null) {
+            waking = Unpooled.copiedBuffer(bytes);
+            front.wakeInTurn(this);
+        } else {
+            waking = Unpooled.wrappedBuffer(waking, Unpooled.copiedBuffer(bytes));
+        }
+        bytes.release();
+    }
+
+    /** True while it waits for its turn to wake. */
+    boolean isWaking() {
+        return waking != null;
+    }
+
+    /** Its turn to wake has come. */
+    void wake() {
+        final ByteBuf bytes = waking;
+        waking = null;
+        if (context.channel().isActive()) {
+            context.channel().config().setAutoRead(true);
+            wake(bytes);
+        } else {
+            bytes.release();
+        }
+    }
+
     /** Since when it has been of no use, us. */
     long sinceUs() {
         return sinceUs;
@@ -235,8 +271,12 @@
 
     @Override
     public void channelRead(final ChannelHandlerContext ctx, final Object part) {
-        if (isResting() && part instanceof ByteBuf && !rejected) {
-            wake(part);
+        if (isResting() && part instanceof ByteBuf bytes && !rejected) {
+            if (waking == null && (bytes.readableBytes() > MOST_WAKING_BYTES || !front.isWakeUp())) {
+                wake(bytes);
+            } else {
+                wakeInTurn(bytes);
+            }
             return;
         }
         try {
@@ -352,6 +392,10 @@
     }
 
     private void handIn(final Request request, final Courier.MessageClass kind) {
+        if (front.isOverloaded()) {
+            answer(HttpResponseStatus.SERVICE_UNAVAILABLE, SHED_RETRY_US);
+            return;
+        }
         final HandIn handIn = HandIn.read(request.head().headers(), kind);
         if (handIn == null) {
             answer(HttpResponseStatus.BAD_REQUEST, 0);
--- a/courier/src/main/java/thistleturn/courier/runtime/LoopTurns.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/LoopTurns.java
@@ -35,4 +35,9 @@
     public long previousLookUs() {
         return beforeUs;
     }
+
+    /** When the look of this turn began, us. */
+    public long lookUs() {
+        return beganUs;
+    }
 }
