--- a/courier/src/test/java/thistleturn/courier/RestingConnectionsTest.java
+++ b/courier/src/test/java/thistleturn/courier/RestingConnectionsTest.java
@@ -33,7 +33,7 @@
     @BeforeEach
     void start(@TempDir final Path folder) throws Exception {
         world = new StandInWorld(folder, 3);
-        final StandInEndpoint endpoint = world.endpoint(1);
+        final StandInEndpoint endpoint = world.endpoint(7);
         world.platform.tell(endpoint, "Ready", 500);
         courier = CourierProcess.start(world.environment(CourierFiles.Size.usual()));
         address = courier.ready().get(Rig.PATIENCE_S, TimeUnit.SECONDS);
