Decisions alone under JMH; pictures of where time goes and of goodput under flood

Need: the issue asks for decide alone under JMH, old module against new in one run, a flame graph and a curve.

--- a/benchmarks/src/main/java/thistleturn/benchmarks/Main.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/Main.java
@@ -4,6 +4,7 @@
 import picocli.CommandLine.Command;
 import thistleturn.benchmarks.scale.MeasureFlood;
 import thistleturn.benchmarks.scale.MeasureIdle;
+import thistleturn.benchmarks.scale.MeasureProfile;
 import thistleturn.benchmarks.scale.MeasureScale;
 import thistleturn.benchmarks.scale.MeasureShards;
 
@@ -12,6 +13,7 @@
         description = "Prints the tables of docs/measurements, measured now on this machine.",
         subcommands = {MeasureMembership.class, MeasureDrain.class, MeasureOutage.class,
             MeasureScale.class, MeasureShards.class, MeasureFlood.class, MeasureIdle.class,
+            MeasureProfile.class,
             CommandLine.HelpCommand.class})
 public final class Main {
     private Main() { }
--- a/benchmarks/src/main/java/thistleturn/benchmarks/scale/MeasureFlood.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/scale/MeasureFlood.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -22,6 +23,10 @@
 
     @Option(names = "--times", split = ",", defaultValue = "0.5,0.8,1,1.5,2,4,7,10", description = "${DEFAULT-VALUE}")
     private List<Double> times;
+    @Option(names = "--picture", description = "a file for the curve")
+    private Path picture;
+    @Option(names = "--core", defaultValue = "0", description = "the courier's core")
+    private String core;
     @Option(names = "--shed", defaultValue = "0", description = "ms of [front] shed; 0: off")
     private int shedMs;
     @Option(names = "--connections", defaultValue = "2000", description = "${DEFAULT-VALUE}")
@@ -47,13 +52,18 @@
             System.out.println(String.format(Locale.ROOT, "| %.1f | %,.0f | %,.0f | %,.0f | %.2f | %,.0f | %,.0f | %.0f |",
                     times.get(index), times.get(index) * capacity, row[0], row[4], row[4] / best, row[1], row[2], row[3]));
         }
+        if (picture != null) {
+            Curve.write(picture, times, List.of(
+                    new Curve.Line("taken in time, of the best", rows.stream().mapToDouble(row -> row[4] / best).toArray()),
+                    new Curve.Line("delivered, of the capacity", rows.stream().mapToDouble(row -> row[0] / capacity).toArray())));
+        }
         return 0;
     }
 
     /** Delivered, refused and given up a second, and the p99 of answers in ms; an offer of 0 is a closed loop. */
     private double[] play(final double perSecond) throws Exception {
         final EventLoopGroup group = new MultiThreadIoEventLoopGroup(DRIVER_LOOPS, NioIoHandler.newFactory());
-        final CourierChild.Size plain = new CourierChild.Size("0", 512, SLOTS, HELD, 19_000, DESTINATIONS, 1, 10_000_000,
+        final CourierChild.Size plain = new CourierChild.Size(core, 512, SLOTS, HELD, 19_000, DESTINATIONS, 1, 10_000_000,
                 0.45, shedMs == 0 ? List.of() : List.of("-Dscale.shed=" + shedMs * 1000));
         try (Endpoints endpoints = new Endpoints(group, 0); CourierChild courier = new CourierChild(plain,
                 endpoints.address())) {
--- a/decisions/src/test/java/thistleturn/decisions/oracle/DecideBench.java
+++ b/decisions/src/test/java/thistleturn/decisions/oracle/DecideBench.java
@@ -3,41 +3,101 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OperationsPerInvocation;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
 import thistleturn.decisions.Control;
 import thistleturn.decisions.Courier;
 
 /**
  * What a message costs the decisions, the frozen module beside the present one in one run: so many messages are held,
- * and for each that is delivered another comes. A command of its own, no test.
+ * and for each that is delivered another comes. Played on demand, with {@code -DargLine=-Dbench=true}.
  */
-public final class DecideBench {
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class DecideBench {
     private static final long SECOND = 1_000_000;
     private static final int TOGETHER = 4;
     private static final long PASS_US = 50;
-    /** Destinations, messages held. */
-    private static final int[][] ROWS = {{10, 100}, {10, 1_000}, {10, 10_000}, {10, 100_000}, {1_000, 1_000},
-        {1_000, 10_000}, {1_000, 100_000}, {10_000, 10_000}, {10_000, 100_000}, {100_000, 100_000}};
-    private static final long WARM_NS = 1_500_000_000L;
-    private static final long MEASURED_NS = 2_000_000_000L;
-
-    private final ArrayDeque<String> out = new ArrayDeque<>();
-    private final ArrayDeque<Long> endpoints = new ArrayDeque<>();
-    private final Random random = new Random(1);
-    private final int destinations;
-    private final Courier courier;
-    private long nowUs = 1000 * SECOND;
+
+    @Param({"frozen", "present"})
+    public String module;
+    /** Destinations, and messages held. */
+    @Param({"10x100", "10x10000", "10x100000", "1000x10000", "10000x10000", "100000x100000"})
+    public String size;
+
+    private ArrayDeque<String> out;
+    private ArrayDeque<Long> endpoints;
+    private Random random;
+    private int destinations;
+    private Courier courier;
+    private long nowUs;
     private int messages;
 
-    private DecideBench(final RandomDay.Maker maker, final int destinations) {
-        this.destinations = destinations;
-        this.courier = maker.make(settings(), 1, new Answering());
+    /** Lists the destinations and takes what is held. */
+    @Setup(Level.Trial)
+    public void begin() {
+        out = new ArrayDeque<>();
+        endpoints = new ArrayDeque<>();
+        random = new Random(1);
+        nowUs = 1000 * SECOND;
+        messages = 0;
+        destinations = Integer.parseInt(size.substring(0, size.indexOf('x')));
+        final RandomDay.Maker maker = module.equals("frozen") ? FrozenControl::new : Control::new;
+        courier = maker.make(settings(), 1, new Answering());
         final List<Courier.Endpoint> list = new ArrayList<>();
         for (int id = 1; id <= destinations; id++) {
             list.add(new Courier.Endpoint(id, Courier.Condition.LISTED, "a", 0, 0, id));
         }
         courier.onList(nowUs, Courier.Update.WHOLE, list);
+        final int held = Integer.parseInt(size.substring(size.indexOf('x') + 1));
+        for (int index = 0; index < held; index++) {
+            take();
+        }
+        courier.decide(nowUs);
+    }
+
+    /** Four messages are delivered, four others come, and one pass decides. */
+    @Benchmark
+    @OperationsPerInvocation(TOGETHER)
+    public int pass() {
+        int delivered = 0;
+        // Where windows or spacing leave nothing out, time alone brings the next.
+        while (delivered == 0) {
+            nowUs += PASS_US;
+            for (int index = 0; index < TOGETHER && !out.isEmpty(); index++) {
+                courier.onOutcome(nowUs, new Courier.Outcome(out.poll(), Courier.Result.DELIVERED, true,
+                        endpoints.poll(), 1000, 0, null));
+                take();
+                delivered++;
+            }
+            courier.decide(nowUs);
+        }
+        return delivered;
+    }
+
+    @Test
+    @EnabledIfSystemProperty(named = "bench", matches = "true")
+    void table() throws RunnerException {
+        new Runner(new OptionsBuilder().include(DecideBench.class.getSimpleName()).forks(1).warmupIterations(2)
+                .warmupTime(TimeValue.seconds(1)).measurementIterations(3).measurementTime(TimeValue.seconds(1))
+                .jvmArgs("-XX:+UseSerialGC", "-Xmx3g").build()).run();
     }
 
     private static Courier.Settings settings() {
@@ -90,42 +150,4 @@
         courier.onMessage(nowUs, new Courier.Message("m" + messages++, 0, -1, null, nowUs + 2000 * SECOND,
                 1 + random.nextInt(destinations)));
     }
-
-    /** The time for each message, us. */
-    private double run(final int held) {
-        for (int index = 0; index < held; index++) {
-            take();
-        }
-        courier.decide(nowUs);
-        play(WARM_NS);
-        return play(MEASURED_NS);
-    }
-
-    private double play(final long forNs) {
-        final long fromNs = System.nanoTime();
-        int delivered = 0;
-        while (delivered == 0 || System.nanoTime() - fromNs < forNs) {
-            nowUs += PASS_US;
-            for (int index = 0; index < TOGETHER && !out.isEmpty(); index++) {
-                courier.onOutcome(nowUs, new Courier.Outcome(out.poll(), Courier.Result.DELIVERED, true,
-                        endpoints.poll(), 1000, 0, null));
-                take();
-                delivered++;
-            }
-            courier.decide(nowUs);
-        }
-        return (System.nanoTime() - fromNs) / 1000.0 / delivered;
-    }
-
-    /** Prints the table. */
-    public static void main(final String[] args) {
-        System.out.println("| destinations | held | frozen, us a message | now | ratio |");
-        System.out.println("| --- | --- | --- | --- | --- |");
-        for (final int[] row : ROWS) {
-            final double before = new DecideBench(FrozenControl::new, row[0]).run(row[1]);
-            final double now = new DecideBench(Control::new, row[0]).run(row[1]);
-            System.out.println(String.format(Locale.ROOT, "| %,d | %,d | %.1f | %.1f | %.2f |", row[0], row[1], before,
-                    now, now / before));
-        }
-    }
 }
