Tests of restarts mark the kill when it is done, not when it begins

Endpoints answer until the last loop has ended; the Auditor's allowance for what a killed process cannot have read runs from the mark.

--- a/courier/src/test/java/thistleturn/courier/ShardsTest.java
+++ b/courier/src/test/java/thistleturn/courier/ShardsTest.java
@@ -65,6 +65,8 @@
     private void restart(final int shards) throws IOException, Config.BadConfigException {
         world.auditor.restarted(world.ticks.nowUs(), false);
         courier.kill();
+        // Ending the loops of one process takes a while here, and endpoints go on answering until all have ended.
+        world.auditor.restarted(world.ticks.nowUs(), false);
         start(shards);
         world.auditor.restarted(world.ticks.nowUs(), true);
     }
