--- a/testkit/src/main/java/thistleturn/testkit/Auditor.java
+++ b/testkit/src/main/java/thistleturn/testkit/Auditor.java
@@ -82,6 +82,8 @@
         private String end = "";
         private boolean delivered;
         private long deliveredUs;
+        /** When the call began that delivered it. */
+        private long deliveredCallUs;
         private int out;
         private long firstRunUs = Long.MAX_VALUE;
         private long restUntilUs;
@@ -283,11 +285,12 @@
     }
 
     /**
-     * A process that was killed may not have read that a message is delivered. One that may be repeated then goes once
-     * more, and is answered as delivered once more; nothing is owed for it.
+     * A process that was killed may not have read that a message is delivered: the answer was written shortly before its
+     * end, or even after it, to a call that it had made. One that may be repeated then goes once more, and is answered as
+     * delivered once more; nothing is owed for it.
      */
     private boolean mayRepeat(final long firstByteUs, final Message message) {
-        final boolean unread = message.delivered && killedUs >= message.deliveredUs
+        final boolean unread = message.delivered && killedUs >= message.deliveredCallUs
                 && killedUs - message.deliveredUs <= UNREAD_US && firstByteUs > killedUs;
         final boolean repeatable = message.kind.effect() == Courier.Effect.SAFE
                 || message.kind.effect() == Courier.Effect.KEYED
@@ -311,6 +314,7 @@
         }
         if (end == End.DELIVERED) {
             message.deliveredUs = message.delivered ? message.deliveredUs : nowUs;
+            message.deliveredCallUs = message.delivered ? message.deliveredCallUs : firstByteUs;
             message.delivered = true;
             if (!message.over) {
                 close(nowUs, message, "delivered");
--- a/testkit/src/test/java/thistleturn/testkit/AuditorTest.java
+++ b/testkit/src/test/java/thistleturn/testkit/AuditorTest.java
@@ -110,6 +110,21 @@
         assertBroken(Rule.DOUBLE, Rule.DOUBLE);
     }
 
+    /** The call was out when the process ended, and its answer was written to nobody a moment later. */
+    @Test
+    void anAnswerWrittenAfterAKillToACallOfBeforeIsNotRead() {
+        take(0, "a", "safe");
+        take(0, "b", "safe");
+        auditor.restarted(50 * MS, false);
+        call(10 * MS, 52 * MS, "a", End.DELIVERED);
+        auditor.restarted(200 * MS, true);
+        call(300 * MS, 310 * MS, "a", End.DELIVERED);
+        // But what the next process was told, it knows.
+        call(300 * MS, 310 * MS, "b", End.DELIVERED);
+        call(400 * MS, 410 * MS, "b", End.DELIVERED);
+        assertBroken(Rule.LOST);
+    }
+
     @Test
     void twoDifferentEndsAreCaught() {
         take(0, "a", "safe");
