--- a/benchmarks/src/main/java/thistleturn/benchmarks/scale/MeasureFlood.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/scale/MeasureFlood.java
@@ -27,8 +27,6 @@
     private Path picture;
     @Option(names = "--core", defaultValue = "0", description = "the courier's core")
     private String core;
-    @Option(names = "--shed", defaultValue = "0", description = "ms of [front] shed; 0: off")
-    private int shedMs;
     @Option(names = "--connections", defaultValue = "2000", description = "${DEFAULT-VALUE}")
     private int connections;
     @Option(names = "--seconds", defaultValue = "6", description = "measured, after as many of warming up")
@@ -64,7 +62,7 @@
     private double[] play(final double perSecond) throws Exception {
         final EventLoopGroup group = new MultiThreadIoEventLoopGroup(DRIVER_LOOPS, NioIoHandler.newFactory());
         final CourierChild.Size plain = new CourierChild.Size(core, 512, SLOTS, HELD, 19_000, DESTINATIONS, 1, 10_000_000,
-                0.45, shedMs == 0 ? List.of() : List.of("-Dscale.shed=" + shedMs * 1000));
+                0.45, List.of());
         try (Endpoints endpoints = new Endpoints(group, 0); CourierChild courier = new CourierChild(plain,
                 endpoints.address())) {
             final Clients clients = new Clients(group, courier.address(), DESTINATIONS, () -> true);
--- a/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
+++ b/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
@@ -72,7 +72,6 @@
         final long idleUs = front.durationUs("idle", "10s", "1s", "24h");
         final double clients = front.share("clients", platform.clientShare());
         final double endpoints = front.share("endpoints", platform.endpointShare());
-        final long shedUs = front.durationUs("shed", "0s", "0s", "300ms");
         front.finish();
         final boolean several = shards.flag("enabled", false);
         final int count = shards.whole("count", 1, 1, 64);
@@ -81,10 +80,8 @@
             throw front.wrong("clients", clients, "shares above 0 that leave the process a twentieth of its descriptors, "
                     + "clients and endpoints together at most " + MOST_SOCKET_SHARE);
         }
-        final Tuning sized = ownFront ? new Tuning(idleUs, clients, endpoints,
-                shedUs == 0 ? Tuning.NEVER : shedUs, 1) : platform;
-        return new Tuning(sized.clientIdleUs(), sized.clientShare(), sized.endpointShare(), sized.shedUs(),
-                several ? count : 1);
+        final Tuning sized = ownFront ? new Tuning(idleUs, clients, endpoints, 1) : platform;
+        return new Tuning(sized.clientIdleUs(), sized.clientShare(), sized.endpointShare(), several ? count : 1);
     }
 
     private static InetSocketAddress admin(final StrictTable table) {
--- a/courier/src/main/java/thistleturn/courier/Tuning.java
+++ b/courier/src/main/java/thistleturn/courier/Tuning.java
@@ -8,16 +8,11 @@
  * @param clientShare share of the descriptors for clients' connections, above 0 and at most 0.95 together with
  *        {@code endpointShare}
  * @param endpointShare share of the descriptors for connections to endpoints
- * @param shedUs how long a turn of an event loop may have lasted when a message is still taken, us; those read later in
- *        that turn are refused before anything is done for them, since their clients would hear too late
  * @param shards event loops that share the destinations, 1 to 64
  */
-public record Tuning(long clientIdleUs, double clientShare, double endpointShare, long shedUs, int shards) {
-    /** For {@code shedUs}: nothing is refused for that. */
-    public static final long NEVER = Long.MAX_VALUE;
-
+public record Tuning(long clientIdleUs, double clientShare, double endpointShare, int shards) {
     /** What the platform's limits ask for: one core, and two fifths of the descriptors on either side. */
     public static Tuning platform() {
-        return new Tuning(10_000_000, 0.4, 0.4, NEVER, 1);
+        return new Tuning(10_000_000, 0.4, 0.4, 1);
     }
 }
--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -67,7 +67,6 @@
     private final EventLoop loop;
     private final int mostConnections;
     private final long idleUs;
-    private final long shedUs;
     private final Set<HttpSession> sessions = new HashSet<>();
     /** When each connection is looked at next: it is at least as late as what falls due for it. */
     private final TimeHeap<HttpSession.Look> looks = new TimeHeap<>();
@@ -90,7 +89,6 @@
         this.turns = turns;
         this.desk = desk;
         this.idleUs = tuning.clientIdleUs();
-        this.shedUs = tuning.shedUs();
         this.mostConnections = (int) Math.max(1, tuning.clientShare() * config.sockets() / tuning.shards());
     }
 
@@ -268,11 +266,6 @@
         }
     }
 
-    /** True when this turn has lasted so long that who is read now would hear too late. */
-    boolean isOverloaded() {
-        return shedUs != Tuning.NEVER && clock.nowUs() - turns.lookUs() > shedUs;
-    }
-
     boolean isDraining() {
         return draining;
     }
--- a/courier/src/main/java/thistleturn/courier/http/HttpSession.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpSession.java
@@ -53,8 +53,6 @@
     /** What is kept of a connection that waits for its turn to wake: it is read once, so hardly more than a request. */
     private static final int MOST_WAKING_BYTES = 1 << 10;
     private static final long GONE_RETRY_US = 500_000;
-    /** Who was refused because there were too many at once comes again when others have gone. */
-    private static final long SHED_RETRY_US = 1_000_000;
     private static final long US_PER_MS = 1000;
     private static final double US_PER_SECOND = 1_000_000;
 
@@ -392,10 +390,6 @@
     }
 
     private void handIn(final Request request, final Courier.MessageClass kind) {
-        if (front.isOverloaded()) {
-            answer(HttpResponseStatus.SERVICE_UNAVAILABLE, SHED_RETRY_US);
-            return;
-        }
         final HandIn handIn = HandIn.read(request.head().headers(), kind);
         if (handIn == null) {
             answer(HttpResponseStatus.BAD_REQUEST, 0);
