--- a/cli/src/test/java/thistleturn/cli/CommandTest.java
+++ b/cli/src/test/java/thistleturn/cli/CommandTest.java
@@ -61,6 +61,10 @@
         "[kafka]\\nenabled = true                            | kafka = {\"enabled\":true}: unknown key",
         "[membership.registration]\\nenabled = true          | membership.registration.registry = \"-\": expected the name",
         "[membership.registration]\\nlease = '10s'           | membership.registration.lease = 10000ms: expected more than",
+        "[shards]\\ncount = 0                                | shards.count = 0: expected a whole number",
+        "[front]\\nidle = '100ms'                            | front.idle = \"100ms\": expected a duration",
+        "[front]\\nclients = 0.7                             | front.clients = 0.7: expected shares above 0",
+        "[front]\\nendpoints = 0.0                           | front.clients = 0.4: expected shares above 0",
         "[membership                                         | line 1: no TOML",
         "[[membership.registries]]\\nname = 'r'              | membership.registries[0].urls = (absent): expected a list"})
     void whatCannotBeUsedIsOneLineThatNamesFileKeyValueAndWhatWasExpected(final String text, final String said)
