ShardsTest marks a kill once the endpoints have read all of the old process

Cause as far as the trace tells: under two shared cores a stand-in reads a call of the killed process only after the mark, so that the Auditor takes it for the new one's, and the resend for a double; the messages were handed in 240 ms before. Ruled out: the 1 s allowance (too young), two shards holding one message (placed by a map by id).

Change: HttpStandIn tells how many connections stand; the test marks the kill when none does, and only then starts the next process.

--- a/courier/src/test/java/thistleturn/courier/ShardsTest.java
+++ b/courier/src/test/java/thistleturn/courier/ShardsTest.java
@@ -64,7 +64,9 @@
     private void restart(final int shards) throws IOException, Config.BadConfigException {
         world.auditor.restarted(world.ticks.nowUs(), false);
         courier.kill();
-        // Ending the loops of one process takes a while here, and endpoints go on answering until all have ended.
+        // Endpoints go on reading what the old process said after it has ended; what they read later is the new one's.
+        world.await("the end of the old process at every endpoint",
+                () -> endpoints.stream().allMatch(endpoint -> endpoint.server().connections() == 0));
         world.auditor.restarted(world.ticks.nowUs(), false);
         start(shards);
         world.auditor.restarted(world.ticks.nowUs(), true);
--- a/testkit/src/main/java/thistleturn/testkit/HttpStandIn.java
+++ b/testkit/src/main/java/thistleturn/testkit/HttpStandIn.java
@@ -88,6 +88,11 @@
         resetAll();
     }
 
+    /** How many connections stand: one that its other side has ended does until all it said has been read. */
+    public int connections() {
+        return connections.size();
+    }
+
     /** Resets all connections that stand. */
     public void resetAll() {
         connections.forEach(HttpStandIn::reset);
