One way to make clients that keep so many messages held, for three measurements

Need: MeasureScale, MeasureShards and MeasureProfile each set up the same closed loop with an array to reach itself. Change: Clients.holding serves the three; nothing else changes.

--- a/benchmarks/src/main/java/thistleturn/benchmarks/scale/Clients.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/scale/Clients.java
@@ -58,6 +58,15 @@
         this.mayAsk = mayAsk;
     }
 
+    /** Clients that ask while fewer messages than {@code held} are taken on and not delivered. */
+    static Clients holding(final EventLoopGroup group, final InetSocketAddress address, final int destinations,
+            final Endpoints endpoints, final int held) {
+        final Clients[] made = new Clients[1];
+        made[0] = new Clients(group, address, destinations,
+                () -> made[0].accepted.get() - endpoints.calls.get() < held);
+        return made[0];
+    }
+
     /** So many connections in a closed loop. */
     void closed(final int connections) {
         for (int index = 0; index < connections; index++) {
--- a/benchmarks/src/main/java/thistleturn/benchmarks/scale/MeasureProfile.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/scale/MeasureProfile.java
@@ -35,10 +35,8 @@
                         + "filename=" + recording, "-XX:FlightRecorderOptions=stackdepth=64", "-Xlog:jfr+startup=off"));
         try (Endpoints endpoints = new Endpoints(group, 0); CourierChild courier = new CourierChild(size,
                 endpoints.address())) {
-            final Clients[] all = new Clients[1];
-            final Clients clients = new Clients(group, courier.address(), DESTINATIONS,
-                    () -> all[0].accepted.get() - endpoints.calls.get() < HELD);
-            all[0] = clients;
+            final Clients clients = Clients.holding(group, courier.address(), DESTINATIONS, endpoints,
+                    HELD);
             clients.closed(64);
             final long untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(RECORDING_S);
             while (Files.size(recording) == 0 && System.nanoTime() < untilNs) {
--- a/benchmarks/src/main/java/thistleturn/benchmarks/scale/MeasureScale.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/scale/MeasureScale.java
@@ -57,10 +57,8 @@
                 plain.maxOpen(), plain.sockets(), count, 1, plain.idleUs(), plain.clientShare(), java);
         try (Endpoints endpoints = new Endpoints(group, 0); CourierChild courier = new CourierChild(size,
                 endpoints.address())) {
-            final Clients[] all = new Clients[1];
-            final Clients clients = new Clients(group, courier.address(), count,
-                    () -> all[0].accepted.get() - endpoints.calls.get() < open);
-            all[0] = clients;
+            final Clients clients = Clients.holding(group, courier.address(), count, endpoints,
+                    open);
             clients.closed(CONNECTIONS);
             TimeUnit.SECONDS.sleep(seconds);
             clients.latencyUs.reset();
--- a/benchmarks/src/main/java/thistleturn/benchmarks/scale/MeasureShards.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/scale/MeasureShards.java
@@ -37,10 +37,8 @@
                     DESTINATIONS, count, 10_000_000, 0.4, List.of());
             try (Endpoints endpoints = new Endpoints(group, 0); CourierChild courier = new CourierChild(size,
                     endpoints.address())) {
-                final Clients[] all = new Clients[1];
-                final Clients clients = new Clients(group, courier.address(), DESTINATIONS,
-                        () -> all[0].accepted.get() - endpoints.calls.get() < HELD);
-                all[0] = clients;
+                final Clients clients = Clients.holding(group, courier.address(), DESTINATIONS, endpoints,
+                    HELD);
                 clients.closed(CONNECTIONS);
                 TimeUnit.SECONDS.sleep(seconds);
                 final long before = endpoints.calls.get();
