Operators' address: ready, figures, endpoints left out by hand and called back

Change: courier.operator answers one call a connection, with its own bounds; Host counts ends, the carrier whole writes; a ban is a drain to Control, is held whatever the list says (decisions.maintenance), is in a file of the lasting folder before the yes, and a lone endpoint comes back on a ramp.

--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -11,12 +11,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import thistleturn.courier.http.HttpCarrier;
 import thistleturn.courier.http.HttpFront;
 import thistleturn.courier.journal.Journal;
+import thistleturn.courier.operator.Figures;
+import thistleturn.courier.operator.MaintenanceFile;
+import thistleturn.courier.operator.OperatorDesk;
+import thistleturn.courier.operator.OperatorServer;
 import thistleturn.courier.platform.Discovery;
 import thistleturn.courier.platform.Notices;
 import thistleturn.courier.port.Carrier;
@@ -46,6 +53,8 @@
     /** What an extension has to take leave at least. */
     private static final long LEAVE_MS = 300;
     private static final long US_PER_MS = 1000;
+    /** How soon it is seen what another process of this courier was told by operators. */
+    private static final long LOOK_MS = 200;
 
     private final Clock clock = new Clock();
     private final List<Shard> shards = new ArrayList<>();
@@ -56,7 +65,12 @@
     private final Extension extension;
     private final Tuning tuning;
     private final Config config;
+    /** Null where operators have no address here. */
+    private final Operators operators;
+    /** Endpoints that operators have left out, as all shards were last told. */
+    private volatile Set<String> leftOut;
     private boolean running;
+    private boolean listening;
 
     /** What an extension is given to work with. */
     public record Surroundings(Config config, EventLoop loop, Clock clock) { }
@@ -124,6 +138,81 @@
             shards.add(new Shard(journal));
         }
         this.loop = shards.get(0).loop;
+        if (config.operator() == null) {
+            this.operators = null;
+            this.leftOut = Set.of();
+        } else {
+            this.operators = new Operators();
+            this.leftOut = operators.file.read();
+        }
+    }
+
+    /** What operators ask and tell, carried to all shards. Lives on the first one's loop. */
+    private final class Operators implements OperatorDesk {
+        private final MaintenanceFile file = new MaintenanceFile(config.state(), ProcessHandle.current().pid());
+
+        @Override
+        public boolean isReady() {
+            return listening;
+        }
+
+        @Override
+        public boolean isStarted() {
+            return running;
+        }
+
+        @Override
+        public CompletionStage<Figures> figures() {
+            return each(shard -> shard.host.figures()).thenApply(Figures::sum);
+        }
+
+        @Override
+        public CompletionStage<Boolean> maintain(final String endpoint, final boolean leaveOut) {
+            return each(shard -> shard.host.knows(endpoint)).thenComposeAsync(known -> {
+                if (!known.contains(true)) {
+                    return CompletableFuture.completedStage(false);
+                }
+                try {
+                    // Another process of this courier may have written since: its word counts too.
+                    final Set<String> names = file.read();
+                    if (leaveOut ? names.add(endpoint) : names.remove(endpoint)) {
+                        file.write(names);
+                        Log.info("operator: " + endpoint + (leaveOut ? " is left out" : " may serve again"));
+                    }
+                    return apply(names).thenApply(done -> true);
+                } catch (final IOException e) {
+                    return CompletableFuture.failedStage(e);
+                }
+            }, loop);
+        }
+
+        /** Takes over what another process of this courier has written. */
+        private void look() {
+            try {
+                final Set<String> names = file.read();
+                if (!names.equals(leftOut)) {
+                    apply(names);
+                }
+            } catch (final IOException e) {
+                Log.info("operator: cannot read who is left out: " + e.getMessage());
+            }
+        }
+
+        private CompletionStage<?> apply(final Set<String> names) {
+            leftOut = Set.copyOf(names);
+            return each(shard -> {
+                shard.host.leaveOut(names);
+                return true;
+            });
+        }
+
+        /** Asks each shard on its own loop. */
+        private <T> CompletionStage<List<T>> each(final Function<Shard, T> question) {
+            final List<CompletableFuture<T>> answers = shards.stream()
+                    .map(shard -> CompletableFuture.supplyAsync(() -> question.apply(shard), shard.loop)).toList();
+            return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+                    .thenApply(done -> answers.stream().map(CompletableFuture::join).toList());
+        }
     }
 
     /** One event loop with all that it owns. */
@@ -219,6 +308,9 @@
                     // An even part, until room is moved by need.
                     shard.host.limit(limits.slots() / shards.size(), limits.maxOpen() / shards.size());
                 }
+                if (operators != null) {
+                    shard.host.leaveOut(leftOut);
+                }
                 shard.host.start();
             }));
         }
@@ -239,7 +331,19 @@
             }
             running = true;
             listen(0, config.listen());
+            if (operators != null) {
+                loop.scheduleWithFixedDelay(operators::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+            }
         }, loop);
+        if (config.operator() != null) {
+            new OperatorServer(operators).listen(loop, config.operator()).whenComplete((bound, failure) -> {
+                if (failure == null) {
+                    Log.info(config.name() + " hears operators at " + bound);
+                } else {
+                    ready.completeExceptionally(failure);
+                }
+            });
+        }
     }
 
     /** Does something on a shard's loop, at once if that is this one. */
@@ -264,6 +368,7 @@
                 listen(index + 1, Config.address("listen", bound));
             } else {
                 Log.info(config.name() + " is ready at " + bound + (several ? " on " + shards.size() + " shards" : ""));
+                listening = true;
                 extension.ready(bound);
                 ready.complete(bound);
             }
@@ -296,6 +401,7 @@
                 return;
             }
             final long stopUs = clock.nowUs() + STOP_MS * US_PER_MS;
+            listening = false;
             shards.forEach(shard -> shard.loop.execute(() -> {
                 shard.front.drain();
                 shard.host.stopping(stopUs);
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -1,5 +1,6 @@
 package thistleturn.courier;
 
+import thistleturn.courier.operator.Figures;
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.port.Directory;
 import thistleturn.courier.port.Ends;
@@ -18,6 +19,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -89,6 +91,11 @@
     private int maxOpen;
     private boolean openPressed;
     private boolean slotsPressed;
+    /** What this process has done, by class where that says anything. */
+    private final long[] served;
+    private final long[] refused;
+    private final long[] failed;
+    private long attempts;
 
     /** The ports that a host is wired to; those that tell the host something are made for it. */
     interface Wiring {
@@ -111,6 +118,9 @@
         this.ends = wiring.ends(this);
         this.roster = new Roster(config.settings().kinds(), clock::nowUs);
         config.settings().classes().forEach(kind -> classes.put(kind.name(), classes.size()));
+        this.served = new long[classes.size()];
+        this.refused = new long[classes.size()];
+        this.failed = new long[classes.size()];
     }
 
     /** Takes up what an earlier process held, and begins to follow the list. Runs on the event loop. */
@@ -174,6 +184,7 @@
         }
         openPressed |= messages.size() >= PRESSED_SHARE * maxOpen;
         if (messages.size() >= maxOpen || !store.take(held)) {
+            refused[classes.get(held.className())]++;
             reply.refused(Front.Refusal.NO_ROOM, FULL_RETRY_US);
             return;
         }
@@ -220,6 +231,7 @@
         final boolean delivered = answer.result() == Courier.Result.DELIVERED;
         if (!open.over) {
             if (delivered || answer.over()) {
+                count(delivered ? served : failed, open);
                 forget(open);
             } else {
                 store.settle(open.held, answer.result().neverRan());
@@ -230,6 +242,11 @@
         touch();
     }
 
+    @Override
+    public void written(final int count) {
+        attempts += count;
+    }
+
     @Override
     public void confirmed(final List<Held> known) {
         final long nowUs = clock.nowUs();
@@ -243,6 +260,39 @@
         touch();
     }
 
+    private void count(final long[] ends, final Open open) {
+        ends[classes.get(open.held.className())]++;
+    }
+
+    // ---------------------------------------------------------------- operators
+
+    /** True if an endpoint of that name was ever listed here. */
+    boolean knows(final String endpoint) {
+        return roster.knows(endpoint);
+    }
+
+    /** Exactly these endpoints are left out by hand from now on, whatever the list says. */
+    void leaveOut(final Set<String> endpoints) {
+        final List<Courier.Endpoint> news = roster.leaveOut(endpoints);
+        if (!news.isEmpty()) {
+            // What is kept open to them dies with their restart.
+            news.forEach(entry -> carrier.closeIdle(entry.id()));
+            control.onList(clock.nowUs(), Courier.Update.ASIDE, news);
+            news.stream().filter(entry -> entry.condition() == Courier.Condition.LISTED)
+                    .forEach(entry -> control.onReturned(clock.nowUs(), entry.id()));
+            touch();
+        }
+    }
+
+    /** What this process has done, and what it has now. */
+    Figures figures() {
+        final List<Figures.Ends> ends = config.settings().classes().stream().map(kind -> {
+            final int index = classes.get(kind.name());
+            return new Figures.Ends(kind.name(), served[index], refused[index], failed[index]);
+        }).toList();
+        return new Figures(ends, attempts, messages.size(), roster.size(), roster.excluded(control.avoided()));
+    }
+
     // ---------------------------------------------------------------- room among shards
 
     @Override
@@ -318,6 +368,7 @@
                 reply.accepted();
             } else {
                 forget(open);
+                count(refused, open);
                 control.onExpired(clock.nowUs(), open.held.id());
                 reply.refused(Front.Refusal.NO_ROOM, FULL_RETRY_US);
             }
@@ -361,6 +412,7 @@
         if (open == null) {
             return;
         }
+        count(refused, open);
         if (open.reply == null) {
             end(open, new Held.Notice(false, retryAfterUs / US_PER_MS));
         } else {
@@ -376,6 +428,7 @@
         if (open == null) {
             return;
         }
+        count(failed, open);
         if (open.reply == null) {
             end(open, new Held.Notice(true, 0));
         } else {
--- a/courier/src/main/java/thistleturn/courier/Rehearsal.java
+++ b/courier/src/main/java/thistleturn/courier/Rehearsal.java
@@ -26,23 +26,28 @@
     public static void main(final String[] args) throws IOException, InterruptedException, thistleturn.courier.runtime.Config.BadConfigException {
         final Path folder = Files.createDirectories(Path.of(args[0]));
         final int port;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(ADDRESS))) {
+        final int operatorPort;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(ADDRESS));
+                ServerSocket second = new ServerSocket(0, 1, InetAddress.getByName(ADDRESS))) {
             port = free.getLocalPort();
+            operatorPort = second.getLocalPort();
         }
         final String own = ADDRESS + ":" + port;
         final Path config = Files.writeString(folder.resolve("config.json"), """
-                {"name":"rehearsal","listen":"%s","discovery":"%s","seed":"1","limits":{"sockets":256,"disk_mb":3},
+                {"name":"rehearsal","listen":"%s","operator":"127.0.0.1:%d","discovery":"%s","seed":"1","limits":{"sockets":256,"disk_mb":3},
                  "known":{"seq":1,"whole":true,"hosts":[{"host":"e","dial":"%s","site":"a","class":"std","block":1,
                   "health":"Ready","share":9.0,"born_ms":0}]},
                  "settings":{"balancers":1,"my_zone":"a","discovery":"on_request","weights":"nominal","flavors":["std"],
                   "classes":[{"name":"once","effect":"side_effect","target":500000,"deadline":1000000}],
                   "extra":{"calls_out":4,"per_call":[5],"routes_apart":[false]},
                   "limits":{"max_open":9,"most_tries":2,"idle_close":1000000}}}
-                """.formatted(own, own, own));
+                """.formatted(own, operatorPort, own, own));
         Main.serve(Map.of("PROXY_CONFIG", config.toString(), "PROXY_STATE", folder.resolve("state").toString()), null, Tuning.platform());
         ask(port, "GET /up HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
         ask(port, "POST /once HTTP/1.1\r\nHost: a\r\nX-Request-ID: r\r\nX-Priority-Class: once\r\nX-Timeout-Ms: 900\r\n"
                 + "X-Consignee: dest=1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi");
+        ask(operatorPort, "GET /-/metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+        ask(operatorPort, "POST /-/endpoints/nobody/disable HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
         System.exit(0);
     }
 
--- a/courier/src/main/java/thistleturn/courier/Roster.java
+++ b/courier/src/main/java/thistleturn/courier/Roster.java
@@ -2,16 +2,19 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.port.Directory;
 import thistleturn.decisions.Courier;
+import thistleturn.decisions.maintenance.Maintenance;
 
 /**
  * The endpoints that the directory named, under the numbers by which the decisions and the carrier know them. An
@@ -20,6 +23,8 @@
 final class Roster {
     /** How long a destination without an endpoint is still reckoned with. */
     private static final long VACANT_US = 120_000_000;
+    /** Names of endpoints that are remembered, though they are gone, as ones that operators may speak of. */
+    private static final int MOST_NAMES = 10_000;
 
     private final List<Courier.Kind> kinds;
     private final LongSupplier nowUs;
@@ -30,6 +35,8 @@
     private final Map<Long, Integer> staffed = new HashMap<>();
     /** Since when destinations that had endpoints have none, oldest first. */
     private final Map<Long, Long> vacant = new LinkedHashMap<>();
+    /** Who is left out by hand. */
+    private final Maintenance maintenance = new Maintenance(MOST_NAMES);
     private long nextId = 1;
 
     Roster(final List<Courier.Kind> kinds, final LongSupplier nowUs) {
@@ -49,7 +56,8 @@
         }
         for (final Directory.Listing listing : listings) {
             final Courier.Endpoint entry = entry(listing);
-            changed.add(entry);
+            maintenance.listed(listing.name());
+            changed.add(asToldToDecisions(entry));
             gone.remove(entry.id());
             if (entry.condition() == Courier.Condition.GONE) {
                 gone.add(entry.id());
@@ -62,6 +70,36 @@
         return new Applied(changed, gone);
     }
 
+    /** To the decisions, what is left out by hand drains. */
+    private Courier.Endpoint asToldToDecisions(final Courier.Endpoint entry) {
+        return entry.condition() != Courier.Condition.LISTED || !maintenance.isOut(names.get(entry.id())) ? entry
+                : new Courier.Endpoint(entry.id(), Courier.Condition.DRAINING, entry.zone(), entry.weight(),
+                        entry.kind(), entry.destination());
+    }
+
+    /** Exactly these names are left out from now on; tells the endpoints for which that is news. */
+    List<Courier.Endpoint> leaveOut(final Set<String> leftOut) {
+        return maintenance.set(leftOut).stream().map(ids::get).filter(Objects::nonNull).map(entries::get)
+                .filter(Objects::nonNull).map(this::asToldToDecisions).toList();
+    }
+
+    /** True if an endpoint of that name was ever listed, as far as that is remembered. */
+    boolean knows(final String name) {
+        return maintenance.knows(name);
+    }
+
+    /** How many endpoints are listed. */
+    int size() {
+        return entries.size();
+    }
+
+    /** How many of the listed endpoints are left out by hand, or are among those given. */
+    long excluded(final List<Long> avoided) {
+        final Set<Long> excluded = new HashSet<>(avoided);
+        maintenance.out().stream().map(ids::get).filter(entries::containsKey).forEach(excluded::add);
+        return excluded.size();
+    }
+
     /** Forgets an endpoint, and what has long been without any. */
     void forget(final long endpoint) {
         staff(entries.remove(endpoint), null);
--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -149,6 +149,7 @@
     void written(final HttpCall call) {
         call.written = true;
         unwritten.remove(call);
+        listener.written(call.parcels.size());
     }
 
     /** One timer for all calls, at the first deadline; a call that ends takes its deadline with it. */
--- a/courier/src/main/java/thistleturn/courier/port/Carrier.java
+++ b/courier/src/main/java/thistleturn/courier/port/Carrier.java
@@ -41,6 +41,9 @@
     interface Listener {
         /** The outcome of one message's part in a call. Its connection carries nothing of it any more. */
         void outcome(Parcel parcel, Call call, Answer answer);
+
+        /** A call with so many messages is written whole. */
+        void written(int messages);
     }
 
     /** The list names an endpoint, or its address has changed; {@code apart}: it is a route of its own. */
--- a/courier/src/main/java/thistleturn/courier/runtime/Config.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Config.java
@@ -17,7 +17,7 @@
  * What a courier is told at its start: the file of the configuration, with the environment's word on addresses and
  * folders. Unknown keys are ignored; a value that cannot be read ends the start with one line that names it.
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed, int sockets,
+public record Config(String name, InetSocketAddress listen, InetSocketAddress operator, InetSocketAddress discovery, Path state, long seed, int sockets,
               long diskBytes, JsonNode known, Courier.Settings settings, long connectTimeoutUs) {
 
     private static final int MOST_PORT = 65_535;
@@ -67,6 +67,7 @@
             switch (variable) {
                 case "PROXY_NAME" -> values.put("name", value);
                 case "PROXY_LISTEN" -> values.put("listen", value);
+                case "PROXY_OPERATOR" -> values.put("operator", value);
                 // The file can be replaced while the process runs; the environment then still has the old address.
                 case "PROXY_DISCOVERY" -> values.putIfAbsent("discovery", value);
                 case "PROXY_STATE" -> values.put("state", value);
@@ -76,7 +77,9 @@
         final Fields fields = Fields.of(values, SOURCE);
         final Fields settings = Fields.of(settingValues, SOURCE);
         try {
+            final String operator = fields.text("operator", "");
             return new Config(fields.text("name", "courier"), address("listen", fields.text("listen")),
+                    operator.isEmpty() ? null : address("operator", operator),
                     address("discovery", fields.text("discovery")), Path.of(fields.text("state")),
                     seed(fields.text("seed", "0")), (int) atLeastOne(fields, "limits.sockets", 1024),
                     atLeastOne(fields, "limits.disk_mb", 1) * BYTES_PER_MB, root.path("known"),
--- a/courier/src/test/java/thistleturn/courier/Rig.java
+++ b/courier/src/test/java/thistleturn/courier/Rig.java
@@ -49,6 +49,9 @@
     private final Path folder;
     private Process process;
     private int port;
+    /** Whether operators have an address, and its port. */
+    boolean operator;
+    int operatorPort;
 
     Rig(final Path folder) throws IOException {
         this.folder = folder;
@@ -91,9 +94,26 @@
         await("ready", () -> readyLine(before.size()) != null);
         final String ready = readyLine(before.size());
         port = Integer.parseInt(ready.substring(ready.lastIndexOf(':') + 1));
+        if (operator) {
+            final String hears = log.stream().skip(before.size()).filter(line -> line.contains("hears operators at"))
+                    .findFirst().orElseThrow();
+            operatorPort = Integer.parseInt(hears.substring(hears.lastIndexOf(':') + 1));
+        }
         return this;
     }
 
+    /** One call of an operator, and all that is answered. */
+    String ask(final String method, final String path) {
+        try (Socket socket = new Socket("127.0.0.1", operatorPort)) {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_S));
+            socket.getOutputStream().write((method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (final IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private String readyLine(final int from) {
         return log.stream().skip(from).filter(line -> line.contains("is ready at")).findFirst().orElse(null);
     }
@@ -105,6 +125,9 @@
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
                 "thistleturn.courier.Main");
         builder.environment().put("PROXY_CONFIG", config.toString());
+        if (operator) {
+            builder.environment().put("PROXY_OPERATOR", "127.0.0.1:0");
+        }
         builder.environment().put("PROXY_DISCOVERY", platform.address());
         builder.environment().put("PROXY_STATE", folder.resolve("state").toString());
         process = builder.redirectErrorStream(true).start();
--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -788,11 +788,7 @@
                 lane.stretch = Math.max(1, lane.stretch - STRETCH * SAMPLE_WEIGHT);
                 lane.failShare -= part * FAIL_WEIGHT * lane.failShare;
                 if (lane.phase == Phase.OUT) {
-                    lane.phase = Phase.RAMP;
-                    lane.rampFromUs = nowUs;
-                    looks.set(lane.rampEnd, nowUs + settings.guarantees().coldUs() + 1);
-                    lane.rampSpanUs = patienceUs(lane, nowUs);
-                    lane.failShare = 0;
+                    ramp(lane);
                 }
                 lane.troubleFromUs = NEVER;
             }
@@ -843,6 +839,15 @@
         }
     }
 
+    /** From now on a lane is paced as one that is cold. */
+    private void ramp(final Lane lane) {
+        lane.phase = Phase.RAMP;
+        lane.rampFromUs = nowUs;
+        looks.set(lane.rampEnd, nowUs + settings.guarantees().coldUs() + 1);
+        lane.rampSpanUs = patienceUs(lane, nowUs);
+        lane.failShare = 0;
+    }
+
     /** Adds to a lane's run of bad outcomes; a long run, or a high share of failures, is an outage. */
     private void suspect(final Lane lane, final double weight) {
         lane.badRun += weight;
@@ -1198,6 +1203,25 @@
         return destination.lanes.get(destination.lanes.size() - 1);
     }
 
+    /** An endpoint that was left out by hand comes back; it is cold, and so is its destination without others. */
+    public void onReturned(final long now, final long endpoint) {
+        nowUs = now;
+        final Node node = nodes.get(endpoint);
+        if (node != null && node.lane.phase == Phase.WELL && node.lane.nodes.stream().noneMatch(
+                other -> other != node && other.condition == Condition.LISTED)) {
+            touch(node.lane.destination);
+            ramp(node.lane);
+        }
+    }
+
+    /** Listed endpoints to which nothing goes now for trouble with them, or only single trials. */
+    public List<Long> avoided() {
+        return nodes.values().stream().filter(node -> node.condition == Condition.LISTED
+                && (node.lane.phase == Phase.OUT || node.silent > 0
+                || Arrays.stream(node.avoidUntilUs).allMatch(untilUs -> nowUs < untilUs)))
+                .map(node -> node.entry.id()).toList();
+    }
+
     /** Calls in flight. */
     public int callsOut() {
         return callsOut;
