A newer process takes over under load: the older becomes its front and carrier

Change: courier.handover: a lock on the state folder, a socket in it, and a protocol of lines. The older process decides nothing from the moment it is asked, passes on the list, what the decisions learnt (decisions.Memory) and the calls that are out (Control.onAdopted), and then carries offers and outcomes across. The listener accepts what waits before it closes. Ruled out: two deciders until SIGTERM (a wait told to one must bind the other within 100 ms).

--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -16,7 +16,14 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
+import thistleturn.courier.handover.Elder;
+import thistleturn.courier.handover.Giver;
+import thistleturn.courier.handover.Heir;
+import thistleturn.courier.handover.Inheritance;
+import thistleturn.courier.handover.Predecessor;
+import thistleturn.courier.handover.StateLock;
 import thistleturn.courier.http.HttpCarrier;
 import thistleturn.courier.http.HttpFront;
 import thistleturn.courier.journal.Journal;
@@ -55,6 +62,9 @@
     private static final long US_PER_MS = 1000;
     /** How soon it is seen what another process of this courier was told by operators. */
     private static final long LOOK_MS = 200;
+    /** How soon a process that cannot hand over now is asked again. */
+    private static final long RETRY_MS = 50;
+    private static final int HEIR_GONE_STATUS = 75;
 
     private final Clock clock = new Clock();
     private final List<Shard> shards = new ArrayList<>();
@@ -69,8 +79,12 @@
     private final Operators operators;
     /** Endpoints that operators have left out, as all shards were last told. */
     private volatile Set<String> leftOut;
+    /** What tells that this process writes in the folder; null while another one does. */
+    private StateLock lock;
+    private Directory own;
     private boolean running;
     private boolean listening;
+    private boolean stopping;
 
     /** What an extension is given to work with. */
     public record Surroundings(Config config, EventLoop loop, Clock clock) { }
@@ -134,8 +148,15 @@
             throw new Config.BadConfigException("shards: " + tuning.shards() + " of them need at least as many slots ("
                     + limits.slots() + ") and open messages (" + limits.maxOpen() + ")");
         }
-        for (final Journal journal : Layout.open(config.state(), config.diskBytes(), tuning.shards())) {
-            shards.add(new Shard(journal));
+        this.lock = StateLock.tryLock(config.state());
+        if (lock == null && (config.operator() == null || tuning.shards() > 1)) {
+            throw new IOException(config.state() + ": another courier that runs uses this folder");
+        }
+        for (int index = 0; index < tuning.shards(); index++) {
+            shards.add(new Shard());
+        }
+        if (lock != null) {
+            openJournals();
         }
         this.loop = shards.get(0).loop;
         if (config.operator() == null) {
@@ -147,6 +168,46 @@
         }
     }
 
+    private void openJournals() throws IOException {
+        final List<Journal> journals = Layout.open(config.state(), config.diskBytes(), shards.size());
+        for (int index = 0; index < shards.size(); index++) {
+            shards.get(index).journal = journals.get(index);
+        }
+    }
+
+    /** What a newer process is handed: all that this one decides, and its journal. */
+    private final class Estate implements Giver {
+        private final Shard only = shards.get(0);
+
+        @Override
+        public Inheritance yield(final Heir heir) throws IOException {
+            final Inheritance inheritance = only.host.yield(heir);
+            only.journal.close();
+            lock.close();
+            Log.info("handed over with " + inheritance.calls().size() + " calls out");
+            return inheritance;
+        }
+
+        @Override
+        public void abandon(final long call, final Courier.Result result) {
+            only.host.abandon(call, result);
+        }
+
+        @Override
+        public void heirListens() {
+            listening = false;
+            only.front.handOver();
+        }
+
+        @Override
+        public void heirGone() {
+            if (!stopping) {
+                Log.info("the newer process has ended: this one ends too, and the next resumes from the journal");
+                new Thread(() -> System.exit(HEIR_GONE_STATUS), "heir gone").start();
+            }
+        }
+    }
+
     /** What operators ask and tell, carried to all shards. Lives on the first one's loop. */
     private final class Operators implements OperatorDesk {
         private final MaintenanceFile file = new MaintenanceFile(config.state(), ProcessHandle.current().pid());
@@ -221,17 +282,13 @@
         private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
                 NioIoHandler.newFactory(SelectorProvider.provider(), turns));
         private final EventLoop loop = group.next();
-        private final Journal journal;
+        private Journal journal;
         private Directory directory;
         private Host host;
         private HttpFront front;
         /** Nothing is under way here; told across loops while the process ends. */
         private volatile boolean idle;
 
-        private Shard(final Journal journal) {
-            this.journal = journal;
-        }
-
         @Override
         public Carrier carrier(final Carrier.Listener listener) {
             return new HttpCarrier(config, loop, clock, listener, tuning);
@@ -293,9 +350,58 @@
 
     /** Builds everything, each shard's part on its event loop, which owns it from then on. */
     private void run() {
+        if (config.operator() != null) {
+            new OperatorServer(operators).listen(loop, config.operator()).whenComplete((bound, failure) -> {
+                if (failure == null) {
+                    Log.info(config.name() + " hears operators at " + bound);
+                } else {
+                    ready.completeExceptionally(failure);
+                }
+            });
+        }
+        own = extension.directory(new Discovery(config, loop, clock), new Surroundings(config, loop, clock));
+        if (lock != null) {
+            begin(null, null);
+        } else {
+            Log.info(config.name() + " takes over from the process that serves");
+            takeOver();
+        }
+    }
+
+    /** Asks the process that holds the folder to hand over; again, while it cannot; unless it has ended meanwhile. */
+    private void takeOver() {
+        final AtomicReference<Predecessor> asked = new AtomicReference<>();
+        asked.set(Predecessor.ask(loop, config.state(), inheritance -> succeed(inheritance, asked.get()), () -> {
+            try {
+                lock = StateLock.tryLock(config.state());
+                if (lock != null) {
+                    openJournals();
+                    begin(null, null);
+                } else {
+                    loop.schedule(this::takeOver, RETRY_MS, TimeUnit.MILLISECONDS);
+                }
+            } catch (final IOException e) {
+                ready.completeExceptionally(e);
+            }
+        }));
+    }
+
+    private void succeed(final Inheritance inheritance, final Predecessor predecessor) {
+        try {
+            lock = StateLock.tryLock(config.state());
+            if (lock == null) {
+                throw new IOException(config.state() + ": handed over, but still in use");
+            }
+            openJournals();
+            begin(inheritance, predecessor);
+        } catch (final IOException e) {
+            ready.completeExceptionally(e);
+        }
+    }
+
+    /** Begins to decide; where an older process handed over, with what it handed on. */
+    private void begin(final Inheritance inheritance, final Predecessor predecessor) {
         final List<EventLoop> loops = shards.stream().map(shard -> shard.loop).toList();
-        final Directory own = extension.directory(new Discovery(config, loop, clock),
-                new Surroundings(config, loop, clock));
         final SharedDirectory shared = shards.size() == 1 ? null : new SharedDirectory(own, loop, loops);
         final Courier.Limits limits = config.settings().limits();
         final List<CompletableFuture<Void>> built = new ArrayList<>();
@@ -311,7 +417,11 @@
                 if (operators != null) {
                     shard.host.leaveOut(leftOut);
                 }
-                shard.host.start();
+                if (inheritance == null) {
+                    shard.host.start();
+                } else {
+                    shard.host.start(inheritance, predecessor);
+                }
             }));
         }
         CompletableFuture.allOf(built.toArray(CompletableFuture[]::new)).whenCompleteAsync((done, failure) -> {
@@ -330,20 +440,16 @@
                 shard.front = new HttpFront(config, shard.group, shard.loop, clock, shard.turns, desk, tuning);
             }
             running = true;
+            ready.thenAccept(bound -> {
+                if (predecessor != null) {
+                    predecessor.listening();
+                }
+            });
             listen(0, config.listen());
             if (operators != null) {
                 loop.scheduleWithFixedDelay(operators::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
             }
         }, loop);
-        if (config.operator() != null) {
-            new OperatorServer(operators).listen(loop, config.operator()).whenComplete((bound, failure) -> {
-                if (failure == null) {
-                    Log.info(config.name() + " hears operators at " + bound);
-                } else {
-                    ready.completeExceptionally(failure);
-                }
-            });
-        }
     }
 
     /** Does something on a shard's loop, at once if that is this one. */
@@ -359,7 +465,8 @@
 
     /** One front after the other listens; the first one's port is that of all. */
     private void listen(final int index, final InetSocketAddress address) {
-        final boolean several = shards.size() > 1;
+        // A newer process will listen there beside this one.
+        final boolean several = shards.size() > 1 || operators != null;
         shards.get(index).front.listen(address, several).whenCompleteAsync((bound, failure) -> {
             if (failure != null) {
                 ready.completeExceptionally(new IOException(
@@ -367,8 +474,11 @@
             } else if (index + 1 < shards.size()) {
                 listen(index + 1, Config.address("listen", bound));
             } else {
-                Log.info(config.name() + " is ready at " + bound + (several ? " on " + shards.size() + " shards" : ""));
+                Log.info(config.name() + " is ready at " + bound + (shards.size() > 1 ? " on " + shards.size() + " shards" : ""));
                 listening = true;
+                if (operators != null && shards.size() == 1) {
+                    new Elder(new Estate()).listen(loop, config.state());
+                }
                 extension.ready(bound);
                 ready.complete(bound);
             }
@@ -402,11 +512,16 @@
             }
             final long stopUs = clock.nowUs() + STOP_MS * US_PER_MS;
             listening = false;
+            stopping = true;
+            extension.stopping();
+            if (shards.get(0).host.hasHeir()) {
+                leaveToHeir(stopUs);
+                return;
+            }
             shards.forEach(shard -> shard.loop.execute(() -> {
                 shard.front.drain();
                 shard.host.stopping(stopUs);
             }));
-            extension.stopping();
             loop.schedule(() -> leave(stopUs), LISTEN_MS, TimeUnit.MILLISECONDS);
         });
         try {
@@ -418,6 +533,18 @@
         }
     }
 
+    /** What is out ends here, and clients are served while they stay; what they keep open is closed last of all. */
+    private void leaveToHeir(final long stopUs) {
+        final Shard only = shards.get(0);
+        loop.schedule(only.front::drain, STOP_MS - LEAVE_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(() -> {
+            final boolean due = only.host.idle() && only.front.isEmpty();
+            if (due && extension.leave() || clock.nowUs() >= stopUs) {
+                stopped.countDown();
+            }
+        }, STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void leave(final long stopUs) {
         shards.forEach(shard -> shard.loop.execute(() -> {
             shard.front.stopListening();
@@ -443,10 +570,19 @@
         ending.forEach(Future::awaitUninterruptibly);
         for (final Shard shard : shards) {
             try {
-                shard.journal.close();
+                if (shard.journal != null) {
+                    shard.journal.close();
+                }
             } catch (final IOException e) {
                 Log.failure("closing the journal", e);
             }
         }
+        try {
+            if (lock != null) {
+                lock.close();
+            }
+        } catch (final IOException e) {
+            Log.failure("unlocking the folder", e);
+        }
     }
 }
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -1,5 +1,8 @@
 package thistleturn.courier;
 
+import thistleturn.courier.handover.Heir;
+import thistleturn.courier.handover.Inheritance;
+import thistleturn.courier.handover.Predecessor;
 import thistleturn.courier.operator.Figures;
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.port.Directory;
@@ -7,20 +10,27 @@
 import thistleturn.courier.port.Front;
 import thistleturn.courier.port.Held;
 import thistleturn.courier.port.Store;
+import thistleturn.courier.port.Way;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.shard.Room;
 import thistleturn.decisions.Control;
 import thistleturn.decisions.Courier;
+import thistleturn.decisions.Memory;
 import io.netty.channel.EventLoop;
+import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.LongUnaryOperator;
 
 /**
  * The one that calls {@link Control}: it tells it what the sockets brought in a pass of the event loop, lets it decide
@@ -28,7 +38,7 @@
  * promises something. All of it runs on the event loop's thread.
  */
 final class Host implements Courier.Actions, Front.Desk, Carrier.Listener, Ends.Listener,
-        Room.Tenant {
+        Room.Tenant, Predecessor.Listener {
     private static final long US_PER_MS = 1000;
     /** An end that the platform confirms so late after its message's time is worth a line: the limit is 300 ms. */
     private static final long LATE_US = 100_000;
@@ -70,6 +80,9 @@
         }
     }
 
+    /** A call that an older process of this courier has out. */
+    private record RemoteCall(long number, long endpoint, long sentUs) implements Carrier.Call { }
+
     private final Config config;
     private final EventLoop loop;
     private final Clock clock;
@@ -96,6 +109,14 @@
     private final long[] refused;
     private final long[] failed;
     private long attempts;
+    /** The newer process that decides now; null while this one does. */
+    private Heir heir;
+    /** Calls that were out when it took over, by their numbers. */
+    private final Map<Long, Carrier.Call> given = new HashMap<>();
+    private final Map<Carrier.Call, Long> givenNumbers = new IdentityHashMap<>();
+    /** The older process that this one took over from, or null; what it has out, by the messages' ids. */
+    private Predecessor predecessor;
+    private final Map<String, Part> remote = new HashMap<>();
 
     /** The ports that a host is wired to; those that tell the host something are made for it. */
     interface Wiring {
@@ -126,8 +147,81 @@
     /** Takes up what an earlier process held, and begins to follow the list. Runs on the event loop. */
     void start() {
         directory.start(this::listed);
+        takeUp();
+    }
+
+    /** The same, after an older process that goes on carrying out what it has begun. */
+    void start(final Inheritance inheritance, final Predecessor from) {
+        predecessor = from;
+        directory.start(this::listed);
+        listed(Courier.Update.RESTORED, inheritance.endpoints().stream().map(Inheritance.Named::listing).toList());
+        final Map<Long, Long> numbers = new HashMap<>();
+        for (final Inheritance.Named named : inheritance.endpoints()) {
+            numbers.put(named.number(), roster.number(named.listing().name()));
+        }
+        control.onMemory(clock.nowUs(), translated(inheritance.memory(), numbers::get, clock::fromWallUs));
+        final Map<String, Held> held = new HashMap<>();
+        store.live().forEach(one -> held.put(one.id(), one));
+        final List<Courier.Endpoint> unlisted = new ArrayList<>();
+        for (final Inheritance.CallOut out : inheritance.calls()) {
+            final long endpoint = numbers.computeIfAbsent(out.endpoint(), gone -> {
+                // Gone from the list, but not from the world: a call to it is still out.
+                final long number = roster.unlisted();
+                final Courier.Endpoint entry = new Courier.Endpoint(number, Courier.Condition.DRAINING, "", 0, -1,
+                        out.destination());
+                unlisted.add(entry);
+                control.onList(clock.nowUs(), Courier.Update.ASIDE, List.of(entry));
+                return number;
+            });
+            adopt(out, new RemoteCall(out.number(), endpoint, clock.fromWallUs(out.sentWallUs())), held);
+        }
+        control.onList(clock.nowUs(), Courier.Update.ASIDE, unlisted.stream().map(entry -> new Courier.Endpoint(
+                entry.id(), Courier.Condition.GONE, "", 0, -1, entry.destination())).toList());
+        Log.info("took over with " + remote.size() + " messages out");
+        from.serve(this);
+        takeUp();
+    }
+
+    private void adopt(final Inheritance.CallOut out, final RemoteCall call, final Map<String, Held> live) {
+        boolean sameCall = false;
+        for (final String id : out.messageIds()) {
+            final Held held = live.get(id);
+            final Integer index = held == null ? null : classes.get(held.className());
+            if (index == null || held.notice() != null || !held.isOut()) {
+                continue;
+            }
+            final Open open = new Open(held, config.settings().classes().get(index),
+                    clock.fromWallUs(held.validUntilWallUs()), null);
+            open.call = call;
+            messages.put(id, open);
+            remote.put(id, new Part(open, 0));
+            final boolean ran = held.firstRunWallUs() != Held.NEVER;
+            control.onAdopted(clock.nowUs(), message(open, index), new Courier.Past(held.attempts(), ran,
+                    ran ? clock.fromWallUs(held.firstRunWallUs()) : 0, held.runZone()), call.endpoint(),
+                    call.sentUs(), sameCall);
+            sameCall = true;
+        }
+    }
+
+    /** What is remembered, with other numbers for its endpoints and moments of another clock. */
+    private static Memory translated(final Memory memory, final Function<Long, Long> numbers,
+            final LongUnaryOperator clockUs) {
+        final LongUnaryOperator moment = us -> us == 0 || us == Long.MAX_VALUE ? us : clockUs.applyAsLong(us);
+        return new Memory(memory.classMeanUs(), memory.classSamples(), memory.trustUs(),
+                memory.lanes().stream().filter(one -> numbers.apply(one.endpoint()) != null)
+                        .map(one -> new Memory.OfLane(numbers.apply(one.endpoint()), one.figures(),
+                                Arrays.stream(one.moments()).map(moment).toArray())).toList(),
+                memory.nodes().stream().filter(one -> numbers.apply(one.endpoint()) != null)
+                        .map(one -> new Memory.OfNode(numbers.apply(one.endpoint()), one.figures(),
+                                Arrays.stream(one.moments()).map(moment).toArray())).toList());
+    }
+
+    private void takeUp() {
         int resumed = 0;
         for (final Held held : store.live()) {
+            if (messages.containsKey(held.id())) {
+                continue;
+            }
             final Integer index = classes.get(held.className());
             if (held.notice() != null) {
                 ends.add(held);
@@ -169,11 +263,15 @@
 
     @Override
     public boolean isOwn(final long destination) {
-        return true;
+        return heir == null;
     }
 
     @Override
     public void offer(final Held held, final long validUntilUs, final Front.Reply reply) {
+        if (heir != null) {
+            heir.offer(held, held.validUntilWallUs(), reply);
+            return;
+        }
         if (!roster.names(held.destination()) && directory.isFresh()) {
             reply.unusable(Front.Fault.NO_DESTINATION);
             return;
@@ -199,6 +297,10 @@
 
     @Override
     public void withdraw(final String id, final long destination) {
+        if (heir != null) {
+            heir.withdraw(id, destination);
+            return;
+        }
         final Open open = messages.get(id);
         if (open != null) {
             forget(open);
@@ -209,6 +311,9 @@
 
     /** The list has changed, or could not be had. */
     private void listed(final Courier.Update update, final List<Directory.Listing> listings) {
+        if (heir != null) {
+            return;
+        }
         final Roster.Applied applied = roster.apply(update, listings, carrier);
         control.onList(clock.nowUs(), update, applied.changed());
         for (final long endpoint : applied.gone()) {
@@ -225,6 +330,13 @@
     public void outcome(final Carrier.Parcel parcel, final Carrier.Call call, final Carrier.Answer answer) {
         final Open open = ((Part) parcel).open();
         open.call = null;
+        if (heir != null) {
+            // A message that was over before the handover is nobody's any more.
+            if (givenNumbers.containsKey(call) && messages.remove(open.held.id()) != null) {
+                heir.outcome(givenNumbers.get(call), open.held.id(), answer);
+            }
+            return;
+        }
         if (open.held.way() != null) {
             open.held.way().outcome(clock.nowUs());
         }
@@ -249,6 +361,10 @@
 
     @Override
     public void confirmed(final List<Held> known) {
+        if (heir != null) {
+            // The newer process tells them once more, which does no harm.
+            return;
+        }
         final long nowUs = clock.nowUs();
         for (final Held held : known) {
             if (held.way() != null && held.way().lateUs(nowUs) > LATE_US) {
@@ -273,6 +389,9 @@
 
     /** Exactly these endpoints are left out by hand from now on, whatever the list says. */
     void leaveOut(final Set<String> endpoints) {
+        if (heir != null) {
+            return;
+        }
         final List<Courier.Endpoint> news = roster.leaveOut(endpoints);
         if (!news.isEmpty()) {
             // What is kept open to them dies with their restart.
@@ -290,7 +409,80 @@
             final int index = classes.get(kind.name());
             return new Figures.Ends(kind.name(), served[index], refused[index], failed[index]);
         }).toList();
-        return new Figures(ends, attempts, messages.size(), roster.size(), roster.excluded(control.avoided()));
+        return new Figures(ends, attempts, heir == null ? messages.size() : 0, roster.size(), roster.excluded(control.avoided()));
+    }
+
+    // ---------------------------------------------------------------- a newer process, an older process
+
+    /**
+     * Decides nothing more: from now on this is a front and a carrier for another process.
+     *
+     * @throws IOException if the journal cannot be brought up to date; then all goes on as it was
+     */
+    Inheritance yield(final Heir to) throws IOException {
+        // What this turn brought is decided and answered here.
+        pass();
+        if (!store.flush()) {
+            throw new IOException("the journal cannot be written");
+        }
+        heir = to;
+        final Map<Carrier.Call, List<String>> out = new IdentityHashMap<>();
+        messages.values().removeIf(open -> open.call == null);
+        for (final Open open : messages.values()) {
+            out.computeIfAbsent(open.call, unused -> new ArrayList<>()).add(open.held.id());
+        }
+        final List<Inheritance.CallOut> calls = new ArrayList<>();
+        out.forEach((call, ids) -> {
+            final long number = given.size() + 1;
+            given.put(number, call);
+            givenNumbers.put(call, number);
+            calls.add(new Inheritance.CallOut(number, call.endpoint(), messages.get(ids.get(0)).held.destination(),
+                    clock.toWallUs(call.sentUs()), ids));
+        });
+        return new Inheritance(roster.listed(), translated(control.memory(), number -> number, clock::toWallUs), calls);
+    }
+
+    /** Gives up a call that was out when the newer process took over. */
+    void abandon(final long number, final Courier.Result result) {
+        final Carrier.Call call = given.get(number);
+        if (call != null && messages.values().stream().anyMatch(open -> open.call == call)) {
+            carrier.abandon(call, result);
+        }
+    }
+
+    /** True once another process decides. */
+    boolean hasHeir() {
+        return heir != null;
+    }
+
+    @Override
+    public void offer(final Held held, final Front.Reply reply) {
+        final long nowUs = clock.nowUs();
+        final long validUntilUs = clock.fromWallUs(held.validUntilWallUs());
+        held.began(new Way(nowUs, nowUs, nowUs, validUntilUs));
+        if (classes.containsKey(held.className())) {
+            offer(held, validUntilUs, reply);
+        } else {
+            reply.failed();
+        }
+    }
+
+    @Override
+    public void remoteOutcome(final String messageId, final Carrier.Answer answer) {
+        final Part part = remote.remove(messageId);
+        if (part != null) {
+            final Carrier.Call call = part.open.call;
+            if (answer.waitUs() > 0) {
+                carrier.holdBack(call.endpoint());
+            }
+            outcome(part, call, answer);
+        }
+    }
+
+    @Override
+    public void predecessorGone() {
+        List.copyOf(remote.keySet()).forEach(id ->
+                remoteOutcome(id, new Carrier.Answer(Courier.Result.RESET, false, 0, null)));
     }
 
     // ---------------------------------------------------------------- room among shards
@@ -314,13 +506,16 @@
 
     /** Lets the decisions be made once all that this pass of the loop brought has been told. */
     private void touch() {
-        if (!passDue) {
+        if (!passDue && heir == null) {
             passDue = true;
             loop.execute(this::pass);
         }
     }
 
     private void pass() {
+        if (!passDue || heir != null) {
+            return;
+        }
         passDue = false;
         try {
             control.decide(clock.nowUs());
@@ -459,7 +654,9 @@
     @Override
     public void cancel(final String messageId, final int attempt) {
         final Open open = messages.get(messageId);
-        if (open != null && open.call != null) {
+        if (open != null && open.call instanceof RemoteCall call) {
+            predecessor.abandon(call.number(), Courier.Result.CANCELLED);
+        } else if (open != null && open.call != null) {
             final Carrier.Call call = open.call;
             loop.execute(() -> carrier.abandon(call, Courier.Result.CANCELLED));
         }
@@ -495,12 +692,14 @@
 
     /** This process ends at that moment: nothing is begun that cannot end by then. */
     void stopping(final long stopUs) {
-        control.onStopping(clock.nowUs(), stopUs);
-        touch();
+        if (heir == null) {
+            control.onStopping(clock.nowUs(), stopUs);
+            touch();
+        }
     }
 
     /** True when nothing is under way that the end of the process would cut off. */
     boolean idle() {
-        return messages.isEmpty() && ends.isEmpty();
+        return messages.isEmpty() && (heir != null || ends.isEmpty());
     }
 }
--- a/courier/src/main/java/thistleturn/courier/Roster.java
+++ b/courier/src/main/java/thistleturn/courier/Roster.java
@@ -1,5 +1,6 @@
 package thistleturn.courier;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,6 +12,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import thistleturn.courier.handover.Inheritance;
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.port.Directory;
 import thistleturn.decisions.Courier;
@@ -31,6 +33,7 @@
     private final Map<String, Long> ids = new HashMap<>();
     private final Map<Long, String> names = new HashMap<>();
     private final Map<Long, Courier.Endpoint> entries = new HashMap<>();
+    private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
     /** How many endpoints each destination has. Between two of them it may have none for a while. */
     private final Map<Long, Integer> staffed = new HashMap<>();
     /** Since when destinations that had endpoints have none, oldest first. */
@@ -64,6 +67,7 @@
                 continue;
             }
             staff(entries.put(entry.id(), entry), entry);
+            addresses.put(entry.id(), listing.address());
             final boolean apart = entry.kind() >= 0 && kinds.get(entry.kind()).routesApart();
             carrier.listed(entry, apart, listing.address());
         }
@@ -88,6 +92,23 @@
         return maintenance.knows(name);
     }
 
+    /** The list as it was last told, with the numbers that stand for its entries. */
+    List<Inheritance.Named> listed() {
+        return entries.values().stream().map(entry -> new Inheritance.Named(entry.id(), new Directory.Listing(
+                names.get(entry.id()), entry.condition(), addresses.get(entry.id()), entry.zone(), entry.weight(),
+                entry.kind() < 0 ? "" : kinds.get(entry.kind()).name(), entry.destination()))).toList();
+    }
+
+    /** The number of a listed endpoint, or null. */
+    Long number(final String name) {
+        return ids.get(name);
+    }
+
+    /** A number for an endpoint that the list names no more. */
+    long unlisted() {
+        return nextId++;
+    }
+
     /** How many endpoints are listed. */
     int size() {
         return entries.size();
@@ -103,6 +124,7 @@
     /** Forgets an endpoint, and what has long been without any. */
     void forget(final long endpoint) {
         staff(entries.remove(endpoint), null);
+        addresses.remove(endpoint);
         ids.remove(names.remove(endpoint));
     }
 
--- /dev/null
+++ b/courier/src/main/java/thistleturn/courier/handover/Predecessor.java
@@ -0,0 +1,160 @@
+package thistleturn.courier.handover;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioDomainSocketChannel;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.function.Consumer;
+import thistleturn.courier.port.Carrier;
+import thistleturn.courier.port.Front;
+import thistleturn.courier.port.Held;
+import thistleturn.decisions.Courier;
+
+/** The older process, as the newer one sees it: first it hands over, then it is a front and a carrier for it. */
+public final class Predecessor {
+    private final Session session = new Session();
+    private Consumer<Inheritance> taken;
+    private Runnable failed;
+    private Listener listener;
+
+    /** Who decides now. Called on its event loop. */
+    public interface Listener {
+        /** A client has handed a message in at the older process. */
+        void offer(Held held, Front.Reply reply);
+
+        /** That client went before it was answered. */
+        void withdraw(String id, long destination);
+
+        /** The outcome of one message's part in a call that the older process has out. */
+        void remoteOutcome(String messageId, Carrier.Answer answer);
+
+        /** The older process has ended; what it had out may have run. */
+        void predecessorGone();
+    }
+
+    private Predecessor() { }
+
+    /**
+     * Asks the process that serves to hand over. Exactly one of the two is called, on the loop: {@code taken} when it
+     * has, and then the journal is free, or {@code failed}, and nothing has changed.
+     */
+    public static Predecessor ask(final EventLoop loop, final Path folder, final Consumer<Inheritance> taken,
+            final Runnable failed) {
+        final Predecessor predecessor = new Predecessor();
+        predecessor.taken = taken;
+        predecessor.failed = failed;
+        new Bootstrap().group(loop).channel(NioDomainSocketChannel.class).handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(final Channel channel) {
+                predecessor.session.addTo(channel);
+            }
+        }).connect(Wire.address(folder)).addListener(connected -> {
+            if (connected.isSuccess()) {
+                predecessor.session.say(Wire.line("hello").put("version", Wire.VERSION));
+                predecessor.session.flush();
+            } else {
+                predecessor.session.ended();
+            }
+        });
+        return predecessor;
+    }
+
+    /** From now on its events go there. */
+    public void serve(final Listener to) {
+        listener = to;
+    }
+
+    /** This process takes clients. */
+    public void listening() {
+        session.say(Wire.line("listening"));
+        session.flush();
+    }
+
+    /** Gives up a call that it has out. */
+    public void abandon(final long call, final Courier.Result result) {
+        session.say(Wire.line("abandon").put("call", call).put("result", result.name()));
+        session.flush();
+    }
+
+    private final class Session extends Wire.End {
+        private final Wire.Collector collector = new Wire.Collector();
+
+        @Override
+        void said(final String what, final JsonNode line) {
+            try {
+                if (taken == null) {
+                    hear(what, line);
+                } else if (collector.add(what, line)) {
+                    final Consumer<Inheritance> heir = taken;
+                    taken = null;
+                    heir.accept(collector.whole());
+                }
+            } catch (final IOException e) {
+                throw new IllegalArgumentException("handover: " + line, e);
+            }
+        }
+
+        private void hear(final String what, final JsonNode line) throws IOException {
+            switch (what) {
+                case "offer" -> listener.offer(Wire.held(line), new Answer(line.path("number").asLong()));
+                case "withdraw" -> listener.withdraw(line.path("id").asText(), line.path("dest").asLong());
+                case "outcome" -> listener.remoteOutcome(line.path("id").asText(), Wire.answer(line));
+                default -> throw new IOException("unknown line " + what);
+            }
+        }
+
+        @Override
+        void ended() {
+            if (taken != null) {
+                taken = null;
+                failed.run();
+            } else if (listener != null) {
+                listener.predecessorGone();
+            }
+        }
+    }
+
+    /** Takes an answer back to the process that the client is connected to. */
+    private final class Answer implements Front.Reply {
+        private final long number;
+
+        private Answer(final long number) {
+            this.number = number;
+        }
+
+        private void say(final String kind, final Enum<?> why, final long retryAfterUs) {
+            final ObjectNode line = Wire.line("reply").put("number", number).put("kind", kind)
+                    .put("retry", retryAfterUs);
+            if (why != null) {
+                line.put("why", why.name());
+            }
+            session.say(line);
+            session.flush();
+        }
+
+        @Override
+        public void accepted() {
+            say("accepted", null, 0);
+        }
+
+        @Override
+        public void refused(final Front.Refusal why, final long retryAfterUs) {
+            say("refused", why, retryAfterUs);
+        }
+
+        @Override
+        public void failed() {
+            say("failed", null, 0);
+        }
+
+        @Override
+        public void unusable(final Front.Fault fault) {
+            say("unusable", fault, 0);
+        }
+    }
+}
--- /dev/null
+++ b/courier/src/main/java/thistleturn/courier/handover/Wire.java
@@ -0,0 +1,228 @@
+package thistleturn.courier.handover;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.UnixDomainSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.Consumer;
+import thistleturn.courier.port.Carrier;
+import thistleturn.courier.port.Directory;
+import thistleturn.courier.port.Held;
+import thistleturn.courier.runtime.Log;
+import thistleturn.decisions.Courier;
+import thistleturn.decisions.Memory;
+
+/** What the two processes say to each other: JSON objects, one a line, each with what it is in {@code t}. */
+final class Wire {
+    /** The newer process says this first; one of another version is not handed anything. */
+    static final int VERSION = 1;
+    /** A message's body has 64 KiB at most, and a third more as text. */
+    private static final int MOST_LINE_BYTES = 1 << 18;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private Wire() { }
+
+    static UnixDomainSocketAddress address(final Path folder) {
+        return UnixDomainSocketAddress.of(folder.resolve("handover"));
+    }
+
+    /** One end of the connection. What cannot be read ends it. */
+    abstract static class End extends SimpleChannelInboundHandler<ByteBuf> {
+        private ChannelHandlerContext context;
+
+        abstract void said(String what, JsonNode line);
+
+        abstract void ended();
+
+        final void addTo(final Channel channel) {
+            channel.pipeline().addLast(new LineBasedFrameDecoder(MOST_LINE_BYTES), this);
+        }
+
+        final void say(final ObjectNode line) {
+            context.write(Unpooled.copiedBuffer(line + "\n", StandardCharsets.UTF_8));
+        }
+
+        final void flush() {
+            context.flush();
+        }
+
+        final void close() {
+            context.close();
+        }
+
+        @Override
+        public final void handlerAdded(final ChannelHandlerContext ctx) {
+            context = ctx;
+        }
+
+        @Override
+        protected final void channelRead0(final ChannelHandlerContext ctx, final ByteBuf bytes) throws IOException {
+            final JsonNode line = JSON.readTree(bytes.toString(StandardCharsets.UTF_8));
+            said(line.path("t").asText(), line);
+        }
+
+        @Override
+        public final void channelInactive(final ChannelHandlerContext ctx) {
+            ended();
+        }
+
+        @Override
+        public final void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                Log.failure("handover", cause);
+            }
+            ctx.close();
+        }
+    }
+
+    static ObjectNode line(final String what) {
+        return JsonNodeFactory.instance.objectNode().put("t", what);
+    }
+
+    // ---------------------------------------------------------------- what is handed on
+
+    static void tell(final Inheritance inheritance, final Consumer<ObjectNode> to) {
+        for (final Inheritance.Named named : inheritance.endpoints()) {
+            final Directory.Listing one = named.listing();
+            to.accept(line("endpoint").put("number", named.number()).put("name", one.name())
+                    .put("condition", one.condition().name()).put("host", one.address().getHostString())
+                    .put("port", one.address().getPort()).put("zone", one.zone()).put("weight", one.weight())
+                    .put("kind", one.kind()).put("dest", one.destination()));
+        }
+        final Memory memory = inheritance.memory();
+        final ObjectNode classes = line("classes").put("trust", memory.trustUs());
+        classes.set("mean", texts(memory.classMeanUs()));
+        final ArrayNode samples = classes.putArray("samples");
+        Arrays.stream(memory.classSamples()).forEach(samples::add);
+        to.accept(classes);
+        memory.lanes().forEach(one -> to.accept(figures("lane", one.endpoint(), one.figures(), one.moments())));
+        memory.nodes().forEach(one -> to.accept(figures("node", one.endpoint(), one.figures(), one.moments())));
+        for (final Inheritance.CallOut call : inheritance.calls()) {
+            final ObjectNode line = line("call").put("number", call.number()).put("endpoint", call.endpoint())
+                    .put("dest", call.destination()).put("sent", call.sentWallUs());
+            final ArrayNode ids = line.putArray("ids");
+            call.messageIds().forEach(ids::add);
+            to.accept(line);
+        }
+        to.accept(line("yours"));
+    }
+
+    private static ObjectNode figures(final String what, final long endpoint, final double[] figures,
+            final long[] moments) {
+        final ObjectNode line = line(what).put("endpoint", endpoint);
+        line.set("figures", texts(figures));
+        final ArrayNode times = line.putArray("moments");
+        Arrays.stream(moments).forEach(times::add);
+        return line;
+    }
+
+    /** As texts: JSON has no number for what is unlimited. */
+    private static ArrayNode texts(final double[] figures) {
+        final ArrayNode texts = JsonNodeFactory.instance.arrayNode();
+        Arrays.stream(figures).forEach(figure -> texts.add(Double.toString(figure)));
+        return texts;
+    }
+
+    private static double[] figures(final JsonNode texts) {
+        final double[] figures = new double[texts.size()];
+        Arrays.setAll(figures, index -> Double.parseDouble(texts.get(index).asText()));
+        return figures;
+    }
+
+    private static long[] moments(final JsonNode numbers) {
+        final long[] moments = new long[numbers.size()];
+        Arrays.setAll(moments, index -> numbers.get(index).asLong());
+        return moments;
+    }
+
+    /** Collects what is handed on, line by line. */
+    static final class Collector {
+        private final List<Inheritance.Named> endpoints = new ArrayList<>();
+        private final List<Memory.OfLane> lanes = new ArrayList<>();
+        private final List<Memory.OfNode> nodes = new ArrayList<>();
+        private final List<Inheritance.CallOut> calls = new ArrayList<>();
+        private double[] means = {};
+        private int[] samples = {};
+        private double trustUs;
+
+        /** Takes a line in; true once it was the last. */
+        boolean add(final String what, final JsonNode line) throws IOException {
+            switch (what) {
+                case "endpoint" -> endpoints.add(new Inheritance.Named(line.path("number").asLong(),
+                        new Directory.Listing(line.path("name").asText(),
+                                Courier.Condition.valueOf(line.path("condition").asText()),
+                                new InetSocketAddress(line.path("host").asText(), line.path("port").asInt()),
+                                line.path("zone").asText(), line.path("weight").asDouble(),
+                                line.path("kind").asText(), line.path("dest").asLong())));
+                case "classes" -> {
+                    means = figures(line.path("mean"));
+                    samples = Arrays.stream(moments(line.path("samples"))).mapToInt(count -> (int) count).toArray();
+                    trustUs = line.path("trust").asDouble();
+                }
+                case "lane" -> lanes.add(new Memory.OfLane(line.path("endpoint").asLong(),
+                        figures(line.path("figures")), moments(line.path("moments"))));
+                case "node" -> nodes.add(new Memory.OfNode(line.path("endpoint").asLong(),
+                        figures(line.path("figures")), moments(line.path("moments"))));
+                case "call" -> {
+                    final List<String> ids = new ArrayList<>();
+                    line.path("ids").forEach(id -> ids.add(id.asText()));
+                    calls.add(new Inheritance.CallOut(line.path("number").asLong(), line.path("endpoint").asLong(),
+                            line.path("dest").asLong(), line.path("sent").asLong(), ids));
+                }
+                case "yours" -> {
+                    return true;
+                }
+                default -> throw new IOException("handover: unknown line " + what);
+            }
+            return false;
+        }
+
+        Inheritance whole() {
+            return new Inheritance(endpoints, new Memory(means, samples, trustUs, lanes, nodes), calls);
+        }
+    }
+
+    // ---------------------------------------------------------------- messages and outcomes
+
+    static ObjectNode offer(final long number, final Held held, final long validUntilWallUs) {
+        return line("offer").put("number", number).put("id", held.id()).put("class", held.className())
+                .put("key", held.idempotencyKey()).put("dest", held.destination()).put("valid", validUntilWallUs)
+                .put("body", held.body());
+    }
+
+    static Held held(final JsonNode line) throws IOException {
+        return new Held(line.path("id").asText(), line.path("class").asText(),
+                line.path("key").isTextual() ? line.path("key").asText() : null, line.path("dest").asLong(),
+                line.path("valid").asLong(), line.path("body").binaryValue());
+    }
+
+    static ObjectNode outcome(final long call, final String messageId, final Carrier.Answer answer) {
+        final ObjectNode line = line("outcome").put("call", call).put("id", messageId)
+                .put("result", answer.result().name()).put("over", answer.over()).put("wait", answer.waitUs());
+        if (answer.allowance() != null) {
+            line.put("left", answer.allowance().shareLeft()).put("limit", answer.allowance().callsPerSecond());
+        }
+        return line;
+    }
+
+    static Carrier.Answer answer(final JsonNode line) {
+        return new Carrier.Answer(Courier.Result.valueOf(line.path("result").asText()), line.path("over").asBoolean(),
+                line.path("wait").asLong(), !line.has("left") ? null
+                : new Courier.Allowance(line.path("left").asDouble(), line.path("limit").asDouble()));
+    }
+}
--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -285,6 +285,14 @@
         }
     }
 
+    @Override
+    public void holdBack(final long endpoint) {
+        final HttpPool pool = pools.get(endpoint);
+        if (pool != null) {
+            holdBack(pool);
+        }
+    }
+
     /** Tells the outcome of one message of a call. */
     void tell(final Parcel parcel, final HttpCall call, final Answer answer) {
         listener.outcome(parcel, call, answer);
--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -13,9 +13,13 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -28,6 +32,7 @@
 import thistleturn.courier.port.Front;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
+import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.LoopTurns;
 import thistleturn.decisions.index.TimeHeap;
 
@@ -77,6 +82,7 @@
     private int wokenInTurn;
     private int heldBytes;
     private Channel listener;
+    private ServerSocketChannel accepts;
     private boolean draining;
 
     /** Accepts on the group; all that it accepts is owned by the loop. */
@@ -103,7 +109,13 @@
         final CompletableFuture<String> listening = new CompletableFuture<>();
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         final Accepting accepting = new Accepting();
-        final ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        try {
+            accepts = ServerSocketChannel.open();
+        } catch (final IOException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+        final ChannelFuture bound = new ServerBootstrap().group(group)
+                .channelFactory(() -> new NioServerSocketChannel(accepts))
                 .option(REUSE_PORT, several)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator()
@@ -139,8 +151,39 @@
 
     @Override
     public void stopListening() {
+        final List<HttpSession> before = List.copyOf(sessions);
+        closeListener();
+        before.forEach(HttpSession::closeIfIdle);
+    }
+
+    /**
+     * Another process takes new connections from now on. Those that stand are served until they are told, with their
+     * next answer, to end; what asks nothing may still ask, and is not closed.
+     */
+    public void handOver() {
+        draining = true;
+        closeListener();
+    }
+
+    /** True while no client is connected. */
+    public boolean isEmpty() {
+        return sessions.isEmpty();
+    }
+
+    /** What waits to be accepted is accepted first: the system would reset it. */
+    private void closeListener() {
+        if (!listener.isOpen()) {
+            return;
+        }
+        try {
+            for (SocketChannel next = accepts.accept(); next != null; next = accepts.accept()) {
+                listener.pipeline().fireChannelRead(new NioSocketChannel(listener, next));
+            }
+            listener.pipeline().fireChannelReadComplete();
+        } catch (final IOException e) {
+            Log.info("the last connections could not be accepted: " + e.getMessage());
+        }
         listener.close();
-        List.copyOf(sessions).forEach(HttpSession::closeIfIdle);
     }
 
     /** Closes what is of no use, and answers what does not come to an end, before anyone has to ask why. */
--- a/courier/src/main/java/thistleturn/courier/port/Carrier.java
+++ b/courier/src/main/java/thistleturn/courier/port/Carrier.java
@@ -61,6 +61,9 @@
     /** Ends a call from this side; its outcomes are told before this returns. */
     void abandon(Call call, Courier.Result result);
 
+    /** A wait was told elsewhere: calls that are on their way there and not written yet may not go. */
+    void holdBack(long endpoint);
+
     /** Closes what is kept open to an endpoint and carries no call. */
     void closeIdle(long endpoint);
 }
--- a/courier/src/test/java/thistleturn/courier/Rig.java
+++ b/courier/src/test/java/thistleturn/courier/Rig.java
@@ -47,11 +47,15 @@
     /** The whole list, where it is asked for. */
     volatile String movedHosts = "";
     private final Path folder;
+    /** The rig whose platform counts, where this is a further process of its courier. */
+    private Rig shared;
     private Process process;
     private int port;
     /** Whether operators have an address, and its port. */
     boolean operator;
     int operatorPort;
+    /** Where clients connect; 0: wherever the system says. */
+    int listenPort;
 
     Rig(final Path folder) throws IOException {
         this.folder = folder;
@@ -60,6 +64,16 @@
         this.hosts = host("e1", first, "Ready");
     }
 
+    /** A further process of the same courier: same addresses and folder, but another one for operators. */
+    Rig successor() throws IOException {
+        final Rig next = new Rig(folder);
+        next.shared = shared == null ? this : shared;
+        next.hosts = hosts;
+        next.operator = operator;
+        next.listenPort = listenPort;
+        return next;
+    }
+
     private void platform(final FakeServer.Request request, final FakeServer.Connection connection) {
         if (request.line().startsWith("POST")) {
             notices.addAll(request.text().lines().toList());
@@ -120,7 +134,7 @@
 
     /** Starts the program without waiting for anything. */
     Process launch() throws IOException {
-        final Path config = configure(platform.address());
+        final Path config = configure(discoveryAddress());
         final ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx64m",
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
                 "thistleturn.courier.Main");
@@ -128,7 +142,7 @@
         if (operator) {
             builder.environment().put("PROXY_OPERATOR", "127.0.0.1:0");
         }
-        builder.environment().put("PROXY_DISCOVERY", platform.address());
+        builder.environment().put("PROXY_DISCOVERY", discoveryAddress());
         builder.environment().put("PROXY_STATE", folder.resolve("state").toString());
         process = builder.redirectErrorStream(true).start();
         final BufferedReader out = new BufferedReader(
@@ -139,11 +153,15 @@
         return process;
     }
 
+    private String discoveryAddress() {
+        return (shared == null ? this : shared).platform.address();
+    }
+
     /** Writes the configuration in full, with the platform at that address, in the place of the one before. */
     Path configure(final String discovery) throws IOException {
         final Path config = folder.resolve("config.json");
         Files.writeString(config, """
-                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+                {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":%d},
                  "known":{"seq":41,"whole":true,"hosts":[%s]},
                  "settings":{"balancers":1,"my_zone":"a","discovery":"on_request","weights":"nominal",
@@ -151,7 +169,7 @@
                   "guarantees":{"must_ask_in":10000000,"cold_from":0.5,"cold":1000000,"tip_multiple":2.0},
                   "limits":{"max_open":%d,"most_tries":8,"cancel":true,"idle_close":10000000,"retry_after":true,
                    "connect_timeout":1000000,"max_retry_after":2000000},%s}}"""
-                .formatted(discovery, diskMb, hosts, CLASSES, maxOpen, extraSetting));
+                .formatted(listenPort, discovery, diskMb, hosts, CLASSES, maxOpen, extraSetting));
         return config;
     }
 
@@ -232,7 +250,7 @@
     }
 
     boolean noticed(final String id, final String status) {
-        return notices.stream().anyMatch(line -> line.contains('"' + id + '"') && line.contains(status));
+        return (shared == null ? this : shared).notices.stream().anyMatch(line -> line.contains('"' + id + '"') && line.contains(status));
     }
 
     @Override
--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -169,6 +169,7 @@
     private final long[] quotaUs;
     private final TreeSet<Long> wakes = new TreeSet<>();
     private int callsOut, open;
+    private Call adopted;
     /** What this courier may use now. */
     private int slots, maxOpen;
     private double trustUs;
@@ -241,6 +242,47 @@
         await(job);
     }
 
+    /**
+     * A message with a call that another process of this courier has out: its outcome is told here. Messages of one
+     * call come one behind the other, with the same moment of its sending; {@code past} does not reckon with it.
+     */
+    public void onAdopted(final long now, final Message message, final Past past, final long endpoint,
+            final long sentUs, final boolean sameCall) {
+        onResumed(now, message, past);
+        final Job job = jobs.get(message.id());
+        leave(job);
+        final Node node = nodes.get(endpoint);
+        final Call call = sameCall ? adopted : new Call();
+        if (!sameCall) {
+            adopted = call;
+            call.node = node;
+            call.sentUs = sentUs;
+            callsOut++;
+            node.lane.calls++;
+            node.inFlight++;
+        }
+        call.size = ++call.messages;
+        call.expectedUs = Math.max(call.expectedUs, (long) expectedUs(node.lane, job));
+        call.jobs.add(job);
+        job.call = call;
+        overdue.set(call, call.overdueUs());
+    }
+
+    /** What was learnt so far. */
+    public Memory memory() {
+        return Memory.of(classMeanUs, classSamples, trustUs, nodes.values());
+    }
+
+    /** Takes over what another process of this courier had learnt; the list must have been told before. */
+    public void onMemory(final long now, final Memory memory) {
+        nowUs = now;
+        trustUs = memory.recall(nodes, classMeanUs, classSamples);
+        noteMeans(0);
+        destinations.values().forEach(this::touch);
+        nodes.values().stream().filter(node -> node.lane.phase == Phase.RAMP).forEach(node ->
+                looks.set(node.lane.rampEnd, node.lane.rampFromUs + settings.guarantees().coldUs() + 1));
+    }
+
     @Override
     public void onStopping(final long now, final long atUs) {
         nowUs = now;
@@ -1216,10 +1258,7 @@
 
     /** Listed endpoints to which nothing goes now for trouble with them, or only single trials. */
     public List<Long> avoided() {
-        return nodes.values().stream().filter(node -> node.condition == Condition.LISTED
-                && (node.lane.phase == Phase.OUT || node.silent > 0
-                || Arrays.stream(node.avoidUntilUs).allMatch(untilUs -> nowUs < untilUs)))
-                .map(node -> node.entry.id()).toList();
+        return nodes.values().stream().filter(node -> node.isAvoided(nowUs)).map(node -> node.entry.id()).toList();
     }
 
     /** Calls in flight. */
--- a/decisions/src/main/java/thistleturn/decisions/Node.java
+++ b/decisions/src/main/java/thistleturn/decisions/Node.java
@@ -1,5 +1,7 @@
 package thistleturn.decisions;
 
+import java.util.Arrays;
+
 /** An endpoint. */
 final class Node {
     final Courier.Endpoint entry;
@@ -19,4 +21,10 @@
         this.entry = entry;
         this.lane = lane;
     }
+
+    /** True if nothing goes there though it is listed, for trouble with it, or only single trials. */
+    boolean isAvoided(final long nowUs) {
+        return condition == Courier.Condition.LISTED && (lane.phase == Phase.OUT || silent > 0
+                || Arrays.stream(avoidUntilUs).allMatch(untilUs -> nowUs < untilUs));
+    }
 }
