--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -243,8 +243,8 @@
     }
 
     /**
-     * A message with a call that another process of this courier has out: its outcome is told here. Messages of one
-     * call come one behind the other, with the same moment of its sending; {@code past} does not reckon with it.
+     * A message with a call that another process of this courier has out: its outcome is told here. Those of
+     * one call come one behind the other; {@code past} does not reckon with it.
      */
     public void onAdopted(final long now, final Message message, final Past past, final long endpoint,
             final long sentUs, final boolean sameCall) {
@@ -1245,7 +1245,7 @@
         return destination.lanes.get(destination.lanes.size() - 1);
     }
 
-    /** An endpoint that was left out by hand comes back; it is cold, and so is its destination without others. */
+    /** An endpoint that was left out by hand comes back cold, and so does a destination without others. */
     public void onReturned(final long now, final long endpoint) {
         nowUs = now;
         final Node node = nodes.get(endpoint);
@@ -1258,7 +1258,8 @@
 
     /** Listed endpoints to which nothing goes now for trouble with them, or only single trials. */
     public List<Long> avoided() {
-        return nodes.values().stream().filter(node -> node.isAvoided(nowUs)).map(node -> node.entry.id()).toList();
+        return nodes.values().stream().filter(node -> node.isAvoided(nowUs))
+                .map(node -> node.entry.id()).toList();
     }
 
     /** Calls in flight. */
