--- a/courier/src/main/java/thistleturn/courier/handover/Wire.java
+++ b/courier/src/main/java/thistleturn/courier/handover/Wire.java
@@ -1,7 +1,6 @@
 package thistleturn.courier.handover;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -23,6 +22,7 @@
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.port.Directory;
 import thistleturn.courier.port.Held;
+import thistleturn.courier.runtime.Json;
 import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.Courier;
 import thistleturn.decisions.Memory;
@@ -33,7 +33,6 @@
     static final int VERSION = 1;
     /** A message's body has 64 KiB at most, and a third more as text. */
     private static final int MOST_LINE_BYTES = 1 << 18;
-    private static final ObjectMapper JSON = new ObjectMapper();
 
     private Wire() { }
 
@@ -54,7 +53,7 @@
         }
 
         final void say(final ObjectNode line) {
-            context.write(Unpooled.copiedBuffer(line + "\n", StandardCharsets.UTF_8));
+            context.write(Unpooled.copiedBuffer(Json.text(line) + "\n", StandardCharsets.UTF_8));
         }
 
         final void flush() {
@@ -72,7 +71,7 @@
 
         @Override
         protected final void channelRead0(final ChannelHandlerContext ctx, final ByteBuf bytes) throws IOException {
-            final JsonNode line = JSON.readTree(bytes.toString(StandardCharsets.UTF_8));
+            final JsonNode line = Json.read(bytes.toString(StandardCharsets.UTF_8));
             said(line.path("t").asText(), line);
         }
 
@@ -126,9 +125,9 @@
     public static Inheritance copy(final Inheritance inheritance) throws IOException {
         final Collector collector = new Collector();
         final List<String> lines = new ArrayList<>();
-        tell(inheritance, line -> lines.add(line.toString()));
+        tell(inheritance, line -> lines.add(Json.text(line)));
         for (final String text : lines) {
-            final JsonNode line = JSON.readTree(text);
+            final JsonNode line = Json.read(text);
             collector.add(line.path("t").asText(), line);
         }
         return collector.whole();
--- a/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
@@ -1,7 +1,6 @@
 package thistleturn.courier.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
@@ -19,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.Json;
 import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.Courier.Result;
 
@@ -29,7 +29,6 @@
     private static final int MOST_STATUS = 599;
     /** An answer that has begun comes whole within this, ms: its sender has it all. */
     private static final long ANSWER_MS = 500;
-    private static final ObjectMapper JSON = new ObjectMapper();
 
     private final HttpCarrier carrier;
     private final EventLoop loop;
@@ -240,7 +239,7 @@
     private void tellEach(final HttpCall done, final Carrier.Answer all) {
         final Map<String, String> states = new HashMap<>();
         try {
-            for (final JsonNode item : JSON.readTree(body == null ? new byte[0] : body.toByteArray())) {
+            for (final JsonNode item : Json.read(body == null ? new byte[0] : body.toByteArray())) {
                 states.put(item.path("id").asText(), item.path("state").asText());
             }
         } catch (final IOException e) {
--- a/courier/src/main/java/thistleturn/courier/http/HttpRequests.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpRequests.java
@@ -1,20 +1,19 @@
 package thistleturn.courier.http;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.port.Held;
+import thistleturn.courier.runtime.Json;
 
 /** Calls as the protocol writes them: one message with its headers, or several in one JSON array. */
 final class HttpRequests {
     private static final long US_PER_MS = 1000;
     private static final int HEAD_CHARS = 256;
-    private static final ObjectMapper JSON = new ObjectMapper();
 
     private HttpRequests() { }
 
@@ -43,7 +42,7 @@
     }
 
     private static byte[] bulk(final HttpCall call) {
-        final ArrayNode items = JSON.createArrayNode();
+        final ArrayNode items = JsonNodeFactory.instance.arrayNode();
         for (final Carrier.Parcel parcel : call.parcels) {
             final Held held = parcel.held();
             final ObjectNode item = items.addObject().put("id", held.id());
@@ -52,10 +51,6 @@
             }
             item.put("body", held.body());
         }
-        try {
-            return JSON.writeValueAsString(items).getBytes(StandardCharsets.UTF_8);
-        } catch (final JsonProcessingException e) {
-            throw new IllegalStateException("writing to memory failed", e);
-        }
+        return Json.text(items).getBytes(StandardCharsets.UTF_8);
     }
 }
--- a/courier/src/main/java/thistleturn/courier/platform/Discovery.java
+++ b/courier/src/main/java/thistleturn/courier/platform/Discovery.java
@@ -1,12 +1,11 @@
 package thistleturn.courier.platform;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import thistleturn.decisions.Courier;
 import thistleturn.courier.port.Directory;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
+import thistleturn.courier.runtime.Json;
 import thistleturn.courier.runtime.Log;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -54,7 +53,6 @@
     private final EventLoop loop;
     private final Clock clock;
     private final JsonNode known;
-    private final ObjectMapper json = new ObjectMapper();
     private Listener listener;
     private InetSocketAddress address;
     /** When the list was last known to be up to date. */
@@ -225,10 +223,10 @@
 
         private void read(final String text) {
             try {
-                final JsonNode list = json.readTree(text);
+                final JsonNode list = Json.read(text);
                 apply(list, list.path("whole").asBoolean() ? Courier.Update.WHOLE : Courier.Update.CHANGES);
-            } catch (final JsonProcessingException e) {
-                throw new IllegalArgumentException("the list cannot be read: " + e.getOriginalMessage(), e);
+            } catch (final IOException e) {
+                throw new IllegalArgumentException("the list cannot be read: " + e.getMessage(), e);
             }
         }
 
--- a/courier/src/main/java/thistleturn/courier/platform/Notices.java
+++ b/courier/src/main/java/thistleturn/courier/platform/Notices.java
@@ -5,6 +5,7 @@
 import thistleturn.courier.port.Ends;
 import thistleturn.courier.port.Held;
 import thistleturn.courier.runtime.Config;
+import thistleturn.courier.runtime.Json;
 import thistleturn.courier.runtime.Log;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
@@ -121,7 +122,7 @@
         if (!held.notice().failed() && held.notice().againMs() > 0) {
             line.put("again_ms", held.notice().againMs());
         }
-        return line + "\n";
+        return Json.text(line) + "\n";
     }
 
     private void retryLater() {
--- a/courier/src/main/java/thistleturn/courier/runtime/Config.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Config.java
@@ -1,7 +1,6 @@
 package thistleturn.courier.runtime;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import thistleturn.decisions.Courier;
 import thistleturn.settings.Fields;
 import thistleturn.settings.MalformedLineException;
@@ -43,7 +42,7 @@
         }
         final JsonNode root;
         try {
-            root = new ObjectMapper().readTree(Files.readAllBytes(Path.of(file)));
+            root = Json.read(Files.readAllBytes(Path.of(file)));
         } catch (final IOException e) {
             throw new BadConfigException("cannot read " + file + ": " + e.getMessage().lines().findFirst().orElse(""));
         }
