A newer process that dies leaves all to the older one, which takes up again

Need: an upgrade that fails must be harmless; until now the older process ended with the newer one, and the courier was gone until somebody started it. Result: HandoverTest.aNewerOneThatDies...: what the newer one had out ends as one that may have run, what the older has out ends delivered, a third version takes over after that. HandoverTest and OperatorTest pass (11).

--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -23,6 +23,7 @@
 import thistleturn.courier.handover.Heir;
 import thistleturn.courier.handover.Inheritance;
 import thistleturn.courier.handover.Predecessor;
+import thistleturn.courier.handover.Remote;
 import thistleturn.courier.handover.StateLock;
 import thistleturn.courier.http.HttpCarrier;
 import thistleturn.courier.http.HttpFront;
@@ -37,6 +38,7 @@
 import thistleturn.courier.port.Directory;
 import thistleturn.courier.port.Ends;
 import thistleturn.courier.port.Front;
+import thistleturn.courier.port.Held;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Descriptors;
@@ -66,6 +68,8 @@
     /** How soon a process that cannot hand over now is asked again. */
     private static final long RETRY_MS = 50;
     private static final int HEIR_GONE_STATUS = 75;
+    /** How often a lock is tried that a process which has ended may still hold. */
+    private static final int LOCK_TRIES = 100;
 
     private final Clock clock = new Clock();
     private final List<Shard> shards = new ArrayList<>();
@@ -202,13 +206,101 @@
 
         @Override
         public void heirGone() {
-            if (!stopping) {
-                Log.info("the newer process has ended: this one ends too, and the next resumes from the journal");
+            takeUpAgain(LOCK_TRIES);
+        }
+
+        /** The system may lift the lock of a process that died a moment after it has closed its connections. */
+        private void takeUpAgain(final int tries) {
+            if (stopping) {
+                return;
+            }
+            try {
+                lock = StateLock.tryLock(config.state());
+                if (lock == null && tries > 0) {
+                    loop.schedule(() -> takeUpAgain(tries - 1), STOP_CHECK_MS, TimeUnit.MILLISECONDS);
+                    return;
+                }
+                if (lock == null) {
+                    throw new IOException("another process holds " + config.state());
+                }
+                openJournals();
+                Log.info("the newer process has ended: this one takes up again");
+                only.host = new Succession(only.host).next();
+                listen(0, config.listen());
+            } catch (final IOException e) {
+                Log.info("the newer process has ended, and so does this one: " + e.getMessage());
                 new Thread(() -> System.exit(HEIR_GONE_STATUS), "heir gone").start();
             }
         }
     }
 
+    /** A host of this process that decides for one that had handed over, and goes on carrying out what it has out. */
+    private final class Succession implements Heir, Remote {
+        private final Host before;
+        private final Host next;
+
+        private Succession(final Host before) {
+            this.before = before;
+            this.next = new Host(config, loop, clock, shards.get(0).journal, shards.get(0));
+        }
+
+        private Host next() {
+            next.countOnFrom(before);
+            next.leaveOut(leftOut);
+            final int resumed = next.start(before.passOn(this), this);
+            Log.info("resumed " + resumed + " messages");
+            return next;
+        }
+
+        @Override
+        public void offer(final Held held, final long validUntilWallUs, final Front.Reply reply) {
+            next.offer(held, reply);
+        }
+
+        @Override
+        public void withdraw(final String id, final long destination) {
+            next.withdraw(id, destination);
+        }
+
+        @Override
+        public void outcome(final long call, final String messageId, final Carrier.Answer answer) {
+            next.remoteOutcome(messageId, answer);
+        }
+
+        @Override
+        public void serve(final Predecessor.Listener to) {
+            // It is the next host, and known.
+        }
+
+        @Override
+        public void abandon(final long call, final Courier.Result result) {
+            before.abandon(call, result);
+        }
+    }
+
+    /** The desk of the host that counts: another may take its place. */
+    private record Counter(Shard shard) implements Front.Desk {
+        @Override
+        public Courier.MessageClass kind(final String className) {
+            return shard.host.kind(className);
+        }
+
+        @Override
+        public boolean isOwn(final long destination) {
+            return shard.host.isOwn(destination);
+        }
+
+        @Override
+        public void offer(final Held held, final long validUntilUs, final Front.Reply reply) {
+            shard.host.offer(held, validUntilUs, reply);
+        }
+
+        @Override
+        public void withdraw(final String id, final long destination) {
+            shard.host.withdraw(id, destination);
+        }
+    }
+
     /** What operators ask and tell, carried to all shards. Lives on the first one's loop. */
     private final class Operators implements OperatorDesk {
         private final MaintenanceFile file = new MaintenanceFile(config.state(), ProcessHandle.current().pid());
@@ -442,7 +534,7 @@
             }
             for (int index = 0; index < shards.size(); index++) {
                 final Shard shard = shards.get(index);
-                final Front.Desk desk = shared == null ? shard.host : new ShardDesk(index, loops, hosts);
+                final Front.Desk desk = shared == null ? new Counter(shard) : new ShardDesk(index, loops, hosts);
                 shard.front = new HttpFront(config, shard.group, shard.loop, clock, shard.turns, desk,
                         shard.descriptors, tuning);
             }
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -3,6 +3,7 @@
 import thistleturn.courier.handover.Heir;
 import thistleturn.courier.handover.Inheritance;
 import thistleturn.courier.handover.Predecessor;
+import thistleturn.courier.handover.Remote;
 import thistleturn.courier.operator.Figures;
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.port.Directory;
@@ -115,7 +116,7 @@
     private final Map<Long, Carrier.Call> given = new HashMap<>();
     private final Map<Carrier.Call, Long> givenNumbers = new IdentityHashMap<>();
     /** The older process that this one took over from, or null; what it has out, by the messages' ids. */
-    private Predecessor predecessor;
+    private Remote predecessor;
     private final Map<String, Part> remote = new HashMap<>();
 
     /** The ports that a host is wired to; those that tell the host something are made for it. */
@@ -155,7 +156,7 @@
     }
 
     /** The same, after an older process that goes on carrying out what it has begun. */
-    int start(final Inheritance inheritance, final Predecessor from) {
+    int start(final Inheritance inheritance, final Remote from) {
         predecessor = from;
         directory.start(this::listed);
         listed(Courier.Update.RESTORED, inheritance.endpoints().stream().map(Inheritance.Named::listing).toList());
@@ -312,10 +313,12 @@
 
     /** The list has changed, or could not be had. */
     private void listed(final Courier.Update update, final List<Directory.Listing> listings) {
+        final Roster.Applied applied = roster.apply(update, listings, carrier);
         if (heir != null) {
+            // It is kept up to date all the same: should the newer process end, this one takes up again.
+            applied.gone().forEach(roster::forget);
             return;
         }
-        final Roster.Applied applied = roster.apply(update, listings, carrier);
         control.onList(clock.nowUs(), update, applied.changed());
         for (final long endpoint : applied.gone()) {
             carrier.removed(endpoint);
@@ -427,16 +430,25 @@
             throw new IOException("the journal cannot be written");
         }
         heir = to;
-        final Map<Carrier.Call, List<String>> out = new IdentityHashMap<>();
         messages.values().removeIf(open -> open.call == null);
+        return inheritance();
+    }
+
+    /** Another one decides from now on, after the one that did has ended; what is out here goes on. */
+    Inheritance passOn(final Heir to) {
+        heir = to;
+        return inheritance();
+    }
+
+    private Inheritance inheritance() {
+        final Map<Carrier.Call, List<String>> out = new IdentityHashMap<>();
         for (final Open open : messages.values()) {
             out.computeIfAbsent(open.call, unused -> new ArrayList<>()).add(open.held.id());
         }
         final List<Inheritance.CallOut> calls = new ArrayList<>();
         out.forEach((call, ids) -> {
-            final long number = given.size() + 1;
+            final long number = givenNumbers.computeIfAbsent(call, unused -> givenNumbers.size() + 1L);
             given.put(number, call);
-            givenNumbers.put(call, number);
             calls.add(new Inheritance.CallOut(number, call.endpoint(), messages.get(ids.get(0)).held.destination(),
                     clock.toWallUs(call.sentUs()), ids));
         });
@@ -451,6 +463,14 @@
         }
     }
 
+    /** Goes on with the counts of another host of this process. */
+    void countOnFrom(final Host before) {
+        System.arraycopy(before.served, 0, served, 0, served.length);
+        System.arraycopy(before.refused, 0, refused, 0, refused.length);
+        System.arraycopy(before.failed, 0, failed, 0, failed.length);
+        attempts = before.attempts;
+    }
+
     /** True once another process decides. */
     boolean hasHeir() {
         return heir != null;
--- a/courier/src/main/java/thistleturn/courier/handover/Predecessor.java
+++ b/courier/src/main/java/thistleturn/courier/handover/Predecessor.java
@@ -16,7 +16,7 @@
 import thistleturn.decisions.Courier;
 
 /** The older process, as the newer one sees it: first it hands over, then it is a front and a carrier for it. */
-public final class Predecessor {
+public final class Predecessor implements Remote {
     private final Session session = new Session();
     private Consumer<Inheritance> taken;
     private Runnable failed;
@@ -69,7 +69,7 @@
         return predecessor;
     }
 
-    /** From now on its events go there. */
+    @Override
     public void serve(final Listener to) {
         listener = to;
     }
@@ -80,7 +80,7 @@
         session.flush();
     }
 
-    /** Gives up a call that it has out. */
+    @Override
     public void abandon(final long call, final Courier.Result result) {
         session.say(Wire.line("abandon").put("call", call).put("result", result.name()));
         session.flush();
--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -52,7 +52,6 @@
     private final TimeHeap<HttpCall> deadlines = new TimeHeap<>();
     /** For when the next look at deadlines is planned. */
     private long armedUs = Long.MAX_VALUE;
-    private int connections;
 
     /** No connection is made yet. */
     public HttpCarrier(final Config config, final EventLoop loop, final Clock clock, final Listener listener,
@@ -112,7 +111,7 @@
     }
 
     private void makeRoom() {
-        if (connections >= descriptors.mostEndpoints() && !idle.isEmpty()) {
+        if (descriptors.isFullOfEndpoints() && !idle.isEmpty()) {
             idle.iterator().next().close();
         }
     }
@@ -218,14 +217,14 @@
 
     private void connect(final HttpCall call) {
         makeRoom();
-        if (connections >= descriptors.mostEndpoints()) {
+        if (descriptors.isFullOfEndpoints()) {
             loop.execute(() -> abandon(call, Result.NOT_SENT));
             return;
         }
-        descriptors.endpoints(++connections);
+        descriptors.endpoints(1);
         final ChannelFuture connecting = bootstrap.connect(call.pool.address);
         call.channel = connecting.channel();
-        call.channel.closeFuture().addListener(closed -> descriptors.endpoints(--connections));
+        call.channel.closeFuture().addListener(closed -> descriptors.endpoints(-1));
         connecting.addListener(done -> {
             if (!calls.contains(call)) {
                 connecting.channel().close();
--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -89,6 +90,7 @@
     private Channel listener;
     private ServerSocketChannel accepts;
     private boolean draining;
+    private Future<?> sweeping;
 
     /** Accepts on the group; all that it accepts is owned by the loop. */
     public HttpFront(final Config config, final EventLoopGroup group, final EventLoop loop, final Clock clock,
@@ -112,7 +114,10 @@
     /** Listens on an address; {@code several}: other fronts listen on it too, and the system deals connections out. */
     public CompletionStage<String> listen(final InetSocketAddress address, final boolean several) {
         final CompletableFuture<String> listening = new CompletableFuture<>();
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        draining = false;
+        if (sweeping == null) {
+            sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        }
         final Accepting accepting = new Accepting();
         try {
             accepts = ServerSocketChannel.open();
--- a/courier/src/main/java/thistleturn/courier/runtime/Descriptors.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Descriptors.java
@@ -19,9 +19,14 @@
         this.endpointsPart = endpointsPart;
     }
 
-    /** So many connections to endpoints stand or come up. */
-    public void endpoints(final int now) {
-        endpoints = now;
+    /** So many more connections to endpoints stand or come up; below 0: fewer. */
+    public void endpoints(final int change) {
+        endpoints += change;
+    }
+
+    /** True if no further connection to an endpoint may be made now. */
+    public boolean isFullOfEndpoints() {
+        return endpoints >= mostEndpoints();
     }
 
     /** So many clients are connected. */
@@ -35,7 +40,7 @@
     }
 
     /** Connections to endpoints that may stand now; at least half of their part. */
-    public int mostEndpoints() {
+    private int mostEndpoints() {
         return Math.max((int) Math.max(1, KEPT_SHARE * endpointsPart),
                 endpointsPart - Math.max(0, clients - clientsPart));
     }
