Control: worth, quotas and the paper's table in files of their own

Change: arithmetic that decides no sending (worth and the times at which it turns, the Mamdani controller, the meter of quotas) moves to Worth, TableOne and Quotas.

--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -105,9 +105,6 @@
     /** How far ahead a line is looked along, us: the next call at least, and what fades at most. */
     static final long HORIZON_LEAST_US = SECOND_US;
     static final long HORIZON_MOST_US = 10 * SECOND_US;
-    /** Share of worth beyond a quota, of which we see a part; messages in a burst that chance may bring. */
-    private static final double OVER_QUOTA = 0.25;
-    private static final double QUOTA_BURST = 10;
     /** Share of the store that is kept free by refusing what has least to gain: the door refuses blindly. */
     private static final double STORE_RESERVE = 0.05;
     /** A class's mean time, as the choice among messages reckons with it, is noted anew at such a change. */
@@ -161,12 +158,12 @@
     private final List<Destination> touched = new ArrayList<>();
     /** Lanes on which a step is more than the passing of time. */
     private List<Lane> active = new ArrayList<>();
-    /** By class: mean service times as last noted, how late its worth has reached its floor; us. */
+    private final Worth worth;
+    private final Quotas quotas;
+    /** By class: mean service times as last noted, us. */
     private final double[] notedMeanUs;
-    private final long[] floorUs;
     private final double[] classMeanUs;
     private final int[] classSamples;
-    private final long[] quotaUs;
     private final TreeSet<Long> wakes = new TreeSet<>();
     private int callsOut, open;
     private Call adopted;
@@ -201,9 +198,9 @@
                 new Ranking<>(this::urgency, Ready.ORDER, lookUs));
         this.room = new Ranking<>(this::leastWorth, Destination.ORDER, lookUs);
         this.notedMeanUs = classMeanUs.clone();
-        this.floorUs = settings.classes().stream().mapToLong(this::floorUs).toArray();
+        this.worth = new Worth(settings);
         this.trustUs = settings.limits().idleCloseUs();
-        this.quotaUs = new long[settings.tenants().size()];
+        this.quotas = new Quotas(settings);
     }
 
     // ---------------------------------------------------------------- events
@@ -214,7 +211,7 @@
         final Job job = new Job(message, settings.classes().get(message.messageClass()), numbers++);
         jobs.put(message.id(), job);
         open++;
-        job.overQuota = overQuota(message.tenant());
+        job.overQuota = quotas.exceededBy(message.tenant(), nowUs);
         job.destination = destination(message.destination());
         job.destination.jobs++;
         if (job.kind.inTurn() && message.key() != null) {
@@ -503,7 +500,7 @@
                 continue;
             }
             final long doneUs = doneUs(lane, group.kind);
-            final Job job = group.greatest(turns(group, doneUs, horizonUs),
+            final Job job = group.greatest(worth.turns(group, doneUs, horizonUs),
                     one -> urgency(one, doneUs, horizonUs));
             final double urgency = urgency(job, doneUs, horizonUs);
             if (best == null || risk < bestRisk || urgency > bestUrgency
@@ -519,7 +516,7 @@
     /** What a message loses by waiting for as long as its destination's line takes. */
     private double urgency(final Job job, final long doneUs, final long horizonUs) {
         final double kept = KEPT / (1 + (double) horizonUs / HORIZON_MOST_US);
-        return worth(job, doneUs) - kept * worth(job, doneUs + horizonUs);
+        return worth.at(job, doneUs) - kept * worth.at(job, doneUs + horizonUs);
     }
 
     /** When a message would be done if it went now, with the class's time as it was last noted. */
@@ -531,46 +528,6 @@
         return notedMeanUs[kind] * Math.max(PACE_LEAST, lane.pace);
     }
 
-    /** The worth of a message delivered at a given time; a key's window ends it like the deadline does. */
-    private double worth(final Job job, final long atUs) {
-        return atUs >= job.keyEndUs() ? 0 : job.kind.worth() * (job.overQuota ? OVER_QUOTA : 1)
-                * faded(job.kind, Math.max(0, atUs - job.aimUs));
-    }
-
-    /** The share of its worth that is left of a message so late, us, before it ends. */
-    private double faded(final MessageClass kind, final long lateUs) {
-        return (settings.fade() == Fade.HALVING
-                ? Math.max(kind.lateWorth(), Math.pow(0.5, (double) lateUs / Math.max(1, kind.aimUs())))
-                : 1 - (1 - kind.lateWorth()) * lateUs / Math.max(1, kind.deadlineUs() - kind.aimUs()));
-    }
-
-    /** How late a message's worth has faded as far as it does, us after its aim; its end at the latest. */
-    private long floorUs(final MessageClass kind) {
-        final long lifeUs = kind.deadlineUs() - kind.aimUs();
-        long lowUs = -1;
-        long highUs = lifeUs;
-        while (highUs - lowUs > 1) {
-            final long middleUs = (lowUs + highUs) >>> 1;
-            final boolean faded = faded(kind, middleUs) <= kind.lateWorth();
-            lowUs = faded ? lowUs : middleUs;
-            highUs = faded ? middleUs : highUs;
-        }
-        return highUs;
-    }
-
-    /**
-     * The urgency of like messages follows from their aims alone. It only rises, only falls or stays the same
-     * between these aims: where worth turns when a message is done, and when it is done after the line.
-     */
-    private long[] turns(final Group group, final long doneUs, final long horizonUs) {
-        final long lifeUs = group.like.deadlineUs() - group.like.aimUs();
-        final long floorAimUs = doneUs - floorUs[group.kind] + 1;
-        final long[] turns = {doneUs + 1, floorAimUs, doneUs - lifeUs + 1, doneUs + 1 + horizonUs,
-            floorAimUs + horizonUs, doneUs - lifeUs + 1 + horizonUs};
-        Arrays.sort(turns);
-        return turns;
-    }
-
     /** Of a line, the worth (below nothing) of the message that is worth least when its turn comes. */
     private double leastWorth(final Destination destination) {
         destination.catchUp(steps);
@@ -581,13 +538,11 @@
             if (!group.mayRefuse()) {
                 continue;
             }
-            final long lifeUs = group.like.deadlineUs() - group.like.aimUs();
-            final long flatUs = Math.max(0, Math.min(floorUs[group.kind], lifeUs - 1));
-            final Job job = group.greatest(new long[] {atUs - flatUs + 1, atUs + 1},
-                    one -> -worth(one, Math.min(atUs, one.keyEndUs() - 1)));
-            final double worth = worth(job, Math.min(atUs, job.keyEndUs() - 1));
-            if (worth < least || worth == least && job.place < destination.least.place) {
-                least = worth;
+            final Job job = group.greatest(worth.turnsAt(group, atUs),
+                    one -> -worth.at(one, Math.min(atUs, one.keyEndUs() - 1)));
+            final double its = worth.at(job, Math.min(atUs, job.keyEndUs() - 1));
+            if (its < least || its == least && job.place < destination.least.place) {
+                least = its;
                 destination.least = job;
             }
         }
@@ -756,7 +711,7 @@
             if (lane.allowance != null && lane.allowance.callsPerSecond() > 0) {
                 refusal = Math.max(refusal, 1 - lane.allowance.shareLeft());
             }
-            final double change = Math.max(bad == 0 ? 0 : -1, tableOne(latency, clamp(refusal, 0, 1)));
+            final double change = Math.max(bad == 0 ? 0 : -1, TableOne.change(latency, clamp(refusal, 0, 1)));
             if (change < 0 || lane.peak >= USED_SHARE * Math.floor(lane.window)) {
                 lane.window = clamp(lane.window * (1 + change), WINDOW_FLOOR,
                         Math.max(1, Math.floor(HEALTHY_SHARE * slots)));
@@ -771,33 +726,6 @@
         lane.allowance = null;
     }
 
-    /** Table I, rows by latency, columns by refusals, each Low, Medium, High: places in the outputs. */
-    private static final double[] OUTPUTS = {0.4, 0.2, 0, -0.2, -0.4, -0.6};
-    private static final int[][] TABLE_ONE = {{0, 1, 3}, {1, 2, 4}, {3, 4, 5}};
-
-    /** The paper's Mamdani controller: triangles, min for AND, max for an output's rules, central average. */
-    static double tableOne(final double latency, final double refusal) {
-        final double[] union = new double[OUTPUTS.length];
-        for (int row = 0; row < TABLE_ONE.length; row++) {
-            for (int column = 0; column < TABLE_ONE.length; column++) {
-                final double both = Math.min(member(row, latency), member(column, refusal));
-                union[TABLE_ONE[row][column]] = Math.max(union[TABLE_ONE[row][column]], both);
-            }
-        }
-        double sum = 0;
-        double weights = 0;
-        for (int output = 0; output < OUTPUTS.length; output++) {
-            sum += OUTPUTS[output] * union[output];
-            weights += union[output];
-        }
-        return sum / weights;
-    }
-
-    /** Triangles with their peaks at 0, 0.5 and 1: how Low, Medium or High an input is. */
-    private static double member(final int set, final double input) {
-        return Math.max(0, 1 - Math.abs(2 * input - set));
-    }
-
     // ---------------------------------------------------------------- health and return from outage
 
     /**
@@ -1141,17 +1069,6 @@
         }
     }
 
-    /** Meters a tenant at this courier's even part of its quota; true for a message beyond it. */
-    private boolean overQuota(final int tenant) {
-        final double whole = tenant < 0 ? 0 : settings.tenants().get(tenant).quotaPerSecond();
-        final double quota = whole / settings.couriers();
-        if (quota <= 0 || quotaUs[tenant] > nowUs + QUOTA_BURST * SECOND_US / quota) {
-            return quota > 0;
-        }
-        quotaUs[tenant] = Math.max(quotaUs[tenant], nowUs) + (long) (SECOND_US / quota);
-        return false;
-    }
-
     /** Asks to be woken when something can change by time alone: a guard, a deadline, a silence, a step. */
     private void sleep() {
         long next = Math.min(Math.min(nextStepUs, askAgainUs), Math.min(ends.firstUs(), overdue.firstUs()));
--- a/decisions/src/test/java/thistleturn/decisions/ControlTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/ControlTest.java
@@ -30,14 +30,14 @@
     @CsvSource({"0,0,0.4", "0,0.5,0.2", "0,1,-0.2", "0.5,0,0.2", "0.5,0.5,0", "0.5,1,-0.4", "1,0,-0.2", "1,0.5,-0.4",
         "1,1,-0.6"})
     void everyCellOfTableOneAtTheMembershipPeaks(final double latency, final double refusal, final double change) {
-        assertEquals(change, Control.tableOne(latency, refusal), 1e-9);
+        assertEquals(change, TableOne.change(latency, refusal), 1e-9);
     }
 
     @Test
     void theTableStaysInThePapersRange() {
         for (int row = 0; row <= 20; row++) {
             for (int column = 0; column <= 20; column++) {
-                final double change = Control.tableOne(row / 20.0, column / 20.0);
+                final double change = TableOne.change(row / 20.0, column / 20.0);
                 assertTrue(change >= -0.6 && change <= 0.4, row + "," + column + ": " + change);
             }
         }
