Decisions that read their refusals, single failures and first seconds; a virtual evening

Change: decisions.noise (a sequential test of refusals, a retry budget, slow start, learnt time-outs, cells that refuse alone), asked by Control; module lab plays partners and decisions in virtual time. The frozen oracle agrees with reading switched off.

--- /dev/null
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/noise/Worlds.java
@@ -0,0 +1,84 @@
+package thistleturn.benchmarks.noise;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.LongFunction;
+import java.util.function.Supplier;
+import thistleturn.decisions.Courier;
+import thistleturn.lab.model.Fault;
+import thistleturn.lab.model.Limit;
+import thistleturn.lab.model.Partner;
+import thistleturn.lab.virtual.Evening;
+
+/** Evenings that are played: trouble that answers to nothing of ours, and limits that do. */
+final class Worlds {
+    static final long SECOND_US = 1_000_000;
+    private static final int PARTNERS = 3;
+    private static final double PER_SECOND = 200;
+    /** The rate told for an endpoint where rates are told. */
+    private static final double TOLD = 500;
+
+    private Worlds() { }
+
+    /** Three partners alike, as the table of the issue has them. */
+    static Evening evening(final LongFunction<Partner> partner, final double perSecond, final long lengthUs,
+            final boolean told) {
+        final List<Partner> partners = new ArrayList<>();
+        for (long id = 1; id <= PARTNERS; id++) {
+            partners.add(partner.apply(id));
+        }
+        return new Evening(partners, perSecond, lengthUs,
+                Evening.settings(told ? Courier.Weights.NOMINAL : Courier.Weights.NONE), told ? TOLD : 0);
+    }
+
+    /** Random trouble; the key names it, the value is its shares refused, reset, in error, silent. */
+    static Map<String, double[]> troubles() {
+        final Map<String, double[]> troubles = new LinkedHashMap<>();
+        troubles.put("none", new double[] {0, 0, 0, 0});
+        troubles.put("4% reset", new double[] {0, 0.04, 0, 0});
+        troubles.put("4% answered 500", new double[] {0, 0, 0.04, 0});
+        troubles.put("1% silent", new double[] {0, 0, 0, 0.01});
+        troubles.put("3% silent", new double[] {0, 0, 0, 0.03});
+        troubles.put("1% refused", new double[] {0.01, 0, 0, 0});
+        troubles.put("3% refused", new double[] {0.03, 0, 0, 0});
+        troubles.put("10% refused", new double[] {0.10, 0, 0, 0});
+        return troubles;
+    }
+
+    static Evening troubled(final double[] shares, final long lengthUs, final boolean told) {
+        final Fault fault = Fault.shares(shares[0], shares[1], shares[2], shares[3]);
+        return evening(id -> Partner.plain(id).faulty(fault), PER_SECOND, lengthUs, told);
+    }
+
+    /** True limits, each with what it can do a second for one partner, with and without 5% noise, at several loads. */
+    static Map<String, Supplier<Evening>> limits(final long lengthUs) {
+        final Map<String, Supplier<Evening>> worlds = new LinkedHashMap<>();
+        final Fault noise = Fault.shares(0.05, 0, 0, 0);
+        for (final double load : new double[] {0.7, 1.3, 3}) {
+            for (final boolean noisy : new boolean[] {false, true}) {
+                final String name = String.format(Locale.ROOT, ", load %.1f%s", load, noisy ? ", 5% noise" : "");
+                final Fault fault = noisy ? noise : Fault.NONE;
+                worlds.put("spans of 1 s, 30 a span" + name, () -> limited(() -> Limit.spans(30, SECOND_US, false),
+                        fault, load, lengthUs));
+                worlds.put("spans that tell waits" + name, () -> limited(() -> Limit.spans(30, SECOND_US, true),
+                        fault, load, lengthUs));
+                worlds.put("tokens, 30/s" + name, () -> limited(() -> Limit.tokens(30, 5), fault, load, lengthUs));
+                worlds.put("3 at once, 100 ms" + name, () -> limited(() -> Limit.concurrency(3), fault, load, lengthUs));
+                worlds.put("3 servers, 6 places" + name, () -> limited(() -> Limit.queue(3, 6), fault, load, lengthUs));
+            }
+        }
+        return worlds;
+    }
+
+    /** Each can do 30 a second for each partner. */
+    static final double CAPACITY = 30;
+
+    private static Evening limited(final Supplier<Limit> limit, final Fault fault, final double load,
+            final long lengthUs) {
+        return evening(id -> Partner.plain(id).serving(Partner.Service.exponential(100_000)).limited(limit.get())
+                .faulty(fault), PARTNERS * CAPACITY * load, lengthUs, false);
+    }
+}
--- a/decisions/src/main/java/thistleturn/decisions/Call.java
+++ b/decisions/src/main/java/thistleturn/decisions/Call.java
@@ -15,6 +15,10 @@
     /** It went over a connection that was kept, as far as is known here; and that alone made it fail. */
     boolean reused, stale;
     boolean calledOff, fallen;
+    /** It was sent to learn what a refusal answered to. */
+    boolean probe;
+    /** A message of it was refused; and that was found not to answer to what is sent. */
+    boolean refused, stray;
 
     /** True while it is worth calling off. */
     boolean isSilent() {
--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -13,6 +13,8 @@
 import java.util.TreeSet;
 import thistleturn.decisions.index.Ranking;
 import thistleturn.decisions.index.TimeHeap;
+import thistleturn.decisions.noise.Cell;
+import thistleturn.decisions.noise.RefusalReading.Cause;
 
 /**
  * Every decision of one courier; its interface is {@code Courier.java}. How it decides, from the top:
@@ -22,7 +24,8 @@
  * <li>Once a second the paper's Table I moves the window from latency and refusals ({@link #step}).
  * <li>Of the messages that may go, the one that loses most by waiting goes first ({@link #urgency}), to the
  * endpoint with least of ours in flight, recent trouble, handshakes and zones to cross ({@link #choose}).
- * <li>A told wait is heeded by the whole lane; a refusal without one makes the lane pause by itself.
+ * <li>A told wait is heeded by the whole lane; a refusal without one makes the lane pause by itself, unless it is
+ * read as noise ({@code decisions.noise}): then the message goes again at once, elsewhere first, within a budget.
  * <li>A lane that returns nothing but trouble is OUT: single trials, as many as a cold one bears; after the
  * first success it is on a RAMP, paced under the tipping rate until it is surely warm.
  * <li>What can be in time no more, or gains least when the store is full, is refused where that is harmless.
@@ -55,10 +58,6 @@
     // Service times.
     /** Least weight of a new sample, or of a step, in a slow average: about ten of memory. */
     static final double SAMPLE_WEIGHT = 0.1;
-    /** Service time of a class before any was seen, as a share of its aim: the aim was set to be met. */
-    private static final double UNSEEN_SHARE = 0.25;
-    /** Least pace of a lane, times the usual: no answer is so quick that the next must be quicker still. */
-    private static final double PACE_LEAST = 0.1;
     /** A call is overdue after so many times what is expected (one in 150, by chance), and so long, us. */
     static final double OVERDUE_TIMES = 5;
     static final long OVERDUE_LEAST_US = SECOND_US;
@@ -129,11 +128,18 @@
     private static final long POLL_US = 20_000;
     /** A destination or route without an endpoint is forgotten so long after its last use, us. A default. */
     private static final long FORGET_US = 60 * SECOND_US;
+    /** A failure is a single one while less than this share of the lane's calls fails, and its endpoint serves. */
+    private static final double SINGLE_SHARE = 0.3;
+    /** What the endpoint that refused a message last weighs in the choice of the next, in calls in flight. */
+    private static final double REFUSED_LOAD = 2;
+    /** Messages beside the refused one that must wait for a call to be made only to learn. */
+    private static final int LEAST_LINE = 2;
     static final long NEVER = Long.MAX_VALUE;
 
     private final Settings settings;
     private final Actions actions;
     private final Random random;
+    private final boolean learns;
     private final Map<Long, Destination> destinations = new HashMap<>();
     private final Map<Long, Node> nodes = new HashMap<>();
     /** Endpoints that are gone, and destinations without messages or endpoints: to be forgotten. */
@@ -160,10 +166,7 @@
     private List<Lane> active = new ArrayList<>();
     private final Worth worth;
     private final Quotas quotas;
-    /** By class: mean service times as last noted, us. */
-    private final double[] notedMeanUs;
-    private final double[] classMeanUs;
-    private final int[] classSamples;
+    private final ServiceTimes times;
     private final TreeSet<Long> wakes = new TreeSet<>();
     private int callsOut, open;
     private Call adopted;
@@ -182,22 +185,30 @@
 
     /** A courier that knows nothing yet but its settings; {@code seed} is its only source of chance. */
     public Control(final Settings settings, final long seed, final Actions actions) {
-        this(settings, seed, actions, LOOK_US);
+        this(settings, seed, actions, LOOK_US, true);
     }
 
-    /** The same, with the time that is given to a look at what time alone has changed, us; 0: all, always. */
-    Control(final Settings settings, final long seed, final Actions actions, final long lookUs) {
+    /** One that takes refusals, failures and first seconds as they come, to be compared with. */
+    public static Courier withoutReading(final Settings settings, final long seed, final Actions actions) {
+        return new Control(settings, seed, actions, LOOK_US, false);
+    }
+
+    /**
+     * As told, with the time that is given to a look at what time alone has changed, us (0: all, always), and
+     * whether refusals, single failures and first seconds are read ({@code decisions.noise}) or taken as they come.
+     */
+    Control(final Settings settings, final long seed, final Actions actions, final long lookUs,
+            final boolean learns) {
+        this.learns = learns;
         this.settings = settings;
         this.slots = settings.limits().slots();
         this.maxOpen = settings.limits().maxOpen();
         this.actions = actions;
         this.random = new Random(seed);
-        this.classMeanUs = settings.classes().stream().mapToDouble(k -> UNSEEN_SHARE * k.aimUs()).toArray();
-        this.classSamples = new int[classMeanUs.length];
+        this.times = new ServiceTimes(settings.classes());
         this.ready = List.of(new Ranking<>(this::urgency, Ready.ORDER, lookUs),
                 new Ranking<>(this::urgency, Ready.ORDER, lookUs));
         this.room = new Ranking<>(this::leastWorth, Destination.ORDER, lookUs);
-        this.notedMeanUs = classMeanUs.clone();
         this.worth = new Worth(settings);
         this.trustUs = settings.limits().idleCloseUs();
         this.quotas = new Quotas(settings);
@@ -267,13 +278,13 @@
 
     /** What was learnt so far. */
     public Memory memory() {
-        return Memory.of(classMeanUs, classSamples, trustUs, nodes.values());
+        return Memory.of(times.meanUs, times.samples, trustUs, nodes.values());
     }
 
     /** Takes over what another process of this courier had learnt; the list must have been told before. */
     public void onMemory(final long now, final Memory memory) {
         nowUs = now;
-        trustUs = memory.recall(nodes, classMeanUs, classSamples);
+        trustUs = memory.recall(nodes, times.meanUs, times.samples);
         noteMeans(0);
         destinations.values().forEach(this::touch);
         nodes.values().stream().filter(node -> node.lane.phase == Phase.RAMP).forEach(node ->
@@ -329,6 +340,7 @@
             node.inFlight--;
             node.lane.calls--;
             overdue.remove(call);
+            node.lane.fallen -= call.fallen ? 1 : 0;
             if (call.fallen && node.lastServedUs < call.sentUs) {
                 node.silent--;
                 node.lane.silent--;
@@ -434,7 +446,7 @@
         final int kind = entry.picked.message.messageClass();
         final double urgency = urgency(entry.picked, doneUs(lane, kind), lane.destination.horizonUs());
         // Where not all can be served, slots go where they serve most.
-        return entry.mode == 0 ? urgency : urgency / notedUs(lane, kind);
+        return entry.mode == 0 ? urgency : urgency / times.notedUs(lane, kind);
     }
 
     /** When a lane's waits and guards let a call go; never, while its window is full. */
@@ -444,7 +456,9 @@
 
     /** The same, as it is reckoned at that moment: a ramp gets steeper with time. */
     private long openAtUs(final Lane lane, final long atUs) {
-        if (lane.calls >= cap(lane)) {
+        // Single calls that are silent while others are served hold slots, but not the lane's window.
+        final int stray = learns ? lane.fallen - lane.silent : 0;
+        if (lane.calls - stray >= cap(lane) || lane.calls >= most(lane)) {
             return NEVER;
         }
         final boolean exact = settings.weights() == Weights.NOMINAL && lane.told > 0;
@@ -455,7 +469,7 @@
             case RAMP -> lane.lastSendUs + (long) (lane.rampSpanUs * lane.lastWeight
                     / tippingShare(atUs - lane.rampFromUs));
         };
-        return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.pauseUntilUs));
+        return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.mayProbe ? 0 : lane.pauseUntilUs));
     }
 
     /** When a lane may be able to send more than now by the passing of time alone. */
@@ -482,8 +496,13 @@
 
     /** Calls that a lane may have in flight now: its window, within its share of the slots. */
     private int cap(final Lane lane) {
+        return (int) Math.max(1, Math.min(Math.floor(lane.window), most(lane)));
+    }
+
+    /** Calls that a lane may have in flight at all: its share of the slots. */
+    private int most(final Lane lane) {
         final double share = lane.phase == Phase.WELL && !lane.slow ? HEALTHY_SHARE : SICK_SHARE;
-        return (int) Math.max(1, Math.floor(Math.min(lane.window, share * slots)));
+        return (int) Math.max(1, Math.floor(share * slots));
     }
 
     /** The most urgent message for a lane (a node, if given); trials risk first what is lost anyway. */
@@ -495,7 +514,7 @@
         for (final Group group : destination.groups) {
             final int risk = lane.phase != Phase.OUT || group.mayHaveRun ? 0 : 1 + group.effect().ordinal();
             if (group.blocked || best != null && risk > bestRisk || !endsInTime(lane, group)
-                    || node == null && choose(lane, group) == null
+                    || node == null && choose(lane, group, null) == null
                     || node != null && (!group.zoneAllows(node) || group.effect() == Effect.UNSAFE)) {
                 continue;
             }
@@ -521,11 +540,7 @@
 
     /** When a message would be done if it went now, with the class's time as it was last noted. */
     private long doneUs(final Lane lane, final int kind) {
-        return nowUs + (long) notedUs(lane, kind);
-    }
-
-    private double notedUs(final Lane lane, final int kind) {
-        return notedMeanUs[kind] * Math.max(PACE_LEAST, lane.pace);
+        return nowUs + (long) times.notedUs(lane, kind);
     }
 
     /** Of a line, the worth (below nothing) of the message that is worth least when its turn comes. */
@@ -552,7 +567,7 @@
     // ------------------------------------------------------------- endpoints and calls
 
     /** The best endpoint of a lane for a message now, or null. */
-    private Node choose(final Lane lane, final Group group) {
+    private Node choose(final Lane lane, final Group group, final Node refusedBy) {
         Node best = null;
         double bestLoad = 0;
         final int kind = group.kind;
@@ -565,7 +580,8 @@
                     || node.inFlight == 0 && nowUs - node.lastUseUs >= settings.limits().idleCloseUs();
             final boolean cross = !node.entry.zone().equals(settings.zone());
             final double load = lane.phase == Phase.OUT ? node.lastSendUs : node.inFlight + node.badRun[kind]
-                    + (handshake ? HANDSHAKE_LOAD : 0) + (cross ? CROSS_LOAD : 0);
+                    + (handshake ? HANDSHAKE_LOAD : 0) + (cross ? CROSS_LOAD : 0)
+                    + (node == refusedBy ? REFUSED_LOAD : 0);
             if (best == null || load < bestLoad) {
                 best = node;
                 bestLoad = load;
@@ -583,14 +599,16 @@
     /** False for a call that the end of this process would likely cut off: the next one may send it. */
     private boolean endsInTime(final Lane lane, final Group group) {
         return stopUs == NEVER || nowUs + (group.effect() == Effect.UNSAFE
-                ? OVERDUE_TIMES : STOP_TIMES) * notedUs(lane, group.kind) < stopUs;
+                ? OVERDUE_TIMES : STOP_TIMES) * times.notedUs(lane, group.kind) < stopUs;
     }
 
     /** Sends a message and, where calls are shared, those that wait with it. */
     private void send(final Job first, final Lane lane) {
-        final Node node = choose(lane, first.group);
+        final Node node = choose(lane, first.group, first.refusedBy);
         touch(lane.destination);
         final Call call = new Call();
+        call.probe = lane.mayProbe && lane.pauseUntilUs > nowUs;
+        lane.mayProbe = false;
         call.node = node;
         call.sentUs = nowUs;
         callsOut++;
@@ -614,7 +632,8 @@
             call.jobs.add(job);
             job.attempts++;
             leave(job);
-            actions.send(job.message.id(), node.entry.id(), timeoutUs(lane, job));
+            actions.send(job.message.id(), node.entry.id(),
+                    timeoutUs(lane, node.cells[job.message.messageClass()], job));
             final boolean full = alone || call.messages >= lane.kind.messagesPerCall();
             job = full ? null : pick(job.destination, lane, node);
         }
@@ -678,14 +697,7 @@
 
     /** Notes the classes' mean times that have changed by more than a share; looks anew at what follows. */
     private void noteMeans(final double change) {
-        boolean noted = false;
-        for (int kind = 0; kind < notedMeanUs.length; kind++) {
-            if (Math.abs(classMeanUs[kind] - notedMeanUs[kind]) > change * notedMeanUs[kind]) {
-                notedMeanUs[kind] = classMeanUs[kind];
-                noted = true;
-            }
-        }
-        if (noted) {
+        if (times.note(change)) {
             ready.forEach(Ranking::touchAll);
         }
     }
@@ -746,7 +758,8 @@
         lane.waitUntilUs = Math.max(lane.waitUntilUs, nowUs + outcome.waitUs());
         switch (outcome.result()) {
             case DELIVERED -> {
-                learn(lane, job, outcome.durationUs());
+                final double ratio = times.learn(lane, kind, outcome.durationUs());
+                lane.ratioSum += ratio;
                 lane.delivered++;
                 lane.served += part;
                 node.lastServedUs = nowUs;
@@ -754,6 +767,10 @@
                 node.silent = 0;
                 node.badRun[kind] = 0;
                 node.avoidUntilUs[kind] = 0;
+                node.cells[kind].served(outcome.durationUs());
+                if (learns) {
+                    readServed(lane, call, part, ratio);
+                }
                 lane.badRun = 0;
                 lane.stretch = Math.max(1, lane.stretch - STRETCH * SAMPLE_WEIGHT);
                 lane.failShare -= part * FAIL_WEIGHT * lane.failShare;
@@ -763,6 +780,10 @@
                 lane.troubleFromUs = NEVER;
             }
             case REFUSED -> {
+                if (learns && outcome.waitUs() == 0 && isStray(lane, node, job, call)) {
+                    lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
+                    return;
+                }
                 lane.bad += part;
                 lane.refused++;
                 final long fromUs = Math.max(nowUs, lane.waitUntilUs);
@@ -786,6 +807,15 @@
                     actions.closeIdle(node.entry.id());
                     return;
                 }
+                if (learns && isSingle(lane, node, kind, call, outcome.result())) {
+                    lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
+                    node.badRun[kind] += part;
+                    node.connections -= call.messages == 0 ? Math.min(1, node.connections) : 0;
+                    lane.failShare += part * FAIL_WEIGHT * (1 - lane.failShare);
+                    suspect(lane, part);
+                    return;
+                }
+                lane.growth.crowded();
                 lane.bad += part;
                 if (outcome.result() == Result.TIMED_OUT || outcome.result() == Result.CANCELLED) {
                     lane.stretch = STRETCH;
@@ -809,6 +839,72 @@
         }
     }
 
+    /** True for one call that was lost while others came through: that says little of its endpoint. */
+    private static boolean isSingle(final Lane lane, final Node node, final int kind, final Call call,
+            final Result result) {
+        // A reset comes at once, before another call can have been served.
+        final boolean among = node.lastServedUs >= call.sentUs
+                || result != Result.TIMED_OUT && lane.badRun == 0 && node.lastServedUs > 0;
+        return among && lane.phase == Phase.WELL && node.badRun[kind] == 0 && lane.failShare < SINGLE_SHARE;
+    }
+
+    /** A call served says whether there was room, and that there may be more. */
+    private void readServed(final Lane lane, final Call call, final double part, final double ratio) {
+        // Only a window that held up a line has anything to prove (RFC 7661).
+        if (lane.growth.served(ratio) && lane.phase == Phase.WELL && lane.destination.waiting > 0
+                && lane.calls + 1 >= Math.floor(lane.window)) {
+            lane.window = clamp(lane.window + part, WINDOW_FLOOR, Math.max(1, Math.floor(HEALTHY_SHARE * slots)));
+        }
+        if (call.messages == 0) {
+            lane.servedCalls++;
+            lane.reading.served(call.sentUs, nowUs);
+            lane.budget.served();
+            if (call.probe) {
+                // There is room: the pause was for nothing.
+                lane.reading.probed(true, nowUs);
+                lane.pauseUntilUs = nowUs;
+            }
+            if (lane.reading.hasJustSettled()) {
+                lane.pauseUntilUs = nowUs;
+                lane.spacing = Double.POSITIVE_INFINITY;
+                lane.growth.again();
+            }
+        }
+    }
+
+    /**
+     * True for a refusal that does not answer to what is sent to this lane: its message goes again at once. One of an
+     * endpoint or class that alone refuses leaves only these alone; noise is borne within a budget.
+     */
+    private boolean isStray(final Lane lane, final Node node, final Job job, final Call call) {
+        job.refusedBy = node;
+        if (call.refused || lane.phase != Phase.WELL) {
+            return call.stray;
+        }
+        call.refused = true;
+        call.stray = reads(lane, node, job.message.messageClass(), call);
+        return call.stray;
+    }
+
+    private boolean reads(final Lane lane, final Node node, final int kind, final Call call) {
+        final long restUs = node.cells[kind].refused(lane.servedCalls, ++lane.refusedCalls);
+        if (restUs > 0) {
+            node.avoidUntilUs[kind] = nowUs + jitter(restUs);
+            return true;
+        }
+        lane.reading.refused(call.sentUs, nowUs);
+        if (lane.reading.cause(nowUs) == Cause.NOISE && lane.budget.take()) {
+            return true;
+        }
+        lane.growth.crowded();
+        if (call.probe) {
+            lane.reading.probed(false, nowUs);
+        }
+        // Where nothing else waits, a pause costs less than a refusal more.
+        lane.mayProbe = lane.destination.waiting >= LEAST_LINE && lane.reading.takeProbe(nowUs);
+        return false;
+    }
+
     /** From now on a lane is paced as one that is cold. */
     private void ramp(final Lane lane) {
         lane.phase = Phase.RAMP;
@@ -836,6 +932,8 @@
     private void fallOverdue() {
         for (Call call = overdue.poll(nowUs); call != null; call = overdue.poll(nowUs)) {
             call.fallen = true;
+            call.node.lane.fallen++;
+            touch(call.node.lane.destination);
             if (call.isSilent()) {
                 silent.add(call);
             }
@@ -843,7 +941,6 @@
             if (node.lastServedUs < call.sentUs) {
                 node.lane.silent++;
                 node.avoidTick = node.silent++ == 0 ? tick : node.avoidTick;
-                touch(node.lane.destination);
             }
         }
     }
@@ -908,17 +1005,8 @@
         return settings.guarantees().tipMultiple() * (coldFrom + (1 - coldFrom) * clamp(warm, 0, 1));
     }
 
-    private void learn(final Lane lane, final Job job, final long durationUs) {
-        final int kind = job.message.messageClass();
-        final double ratio = durationUs / Math.max(1, classMeanUs[kind]);
-        lane.ratioSum += ratio;
-        final double weight = Math.max(SAMPLE_WEIGHT, 1.0 / ++classSamples[kind]);
-        classMeanUs[kind] += weight * (durationUs / Math.max(PACE_LEAST, lane.pace) - classMeanUs[kind]);
-        lane.pace += Math.max(SAMPLE_WEIGHT, 1.0 / (1 + ++lane.paceSamples)) * (ratio - lane.pace);
-    }
-
     private double expectedUs(final Lane lane, final Job job) {
-        return classMeanUs[job.message.messageClass()] * Math.max(PACE_LEAST, lane.pace);
+        return times.expectedUs(lane, job.message.messageClass());
     }
 
     private long jitter(final long us) {
@@ -932,13 +1020,14 @@
     // ---------------------------------------------------------------- deadlines and further attempts
 
     /** How long an attempt may take. */
-    private long timeoutUs(final Lane lane, final Job job) {
+    private long timeoutUs(final Lane lane, final Cell cell, final Job job) {
         final double expectedUs = expectedUs(lane, job);
         final long leftUs = job.message.validUntilUs() - nowUs;
         long timeoutUs = (long) Math.max(TIMEOUT_LEAST_US, TIMEOUT_TIMES * lane.stretch * expectedUs);
         if (job.kind.effect() == Effect.UNSAFE) {
             return leftUs;
         }
+        timeoutUs = learns ? cell.timeoutUs(timeoutUs, lane.stretch) : timeoutUs;
         if (job.kind.effect() == Effect.KEYED && !job.mayHaveRun) {
             final long againUs = (long) ((1 - KEY_MARGIN) * job.kind.keyWindowUs()) - OVERDUE_LEAST_US / 2;
             timeoutUs = Math.min(timeoutUs, Math.max(OVERDUE_LEAST_US, againUs));
@@ -1107,7 +1196,7 @@
         for (final Endpoint entry : entries) {
             Node node = nodes.get(entry.id());
             if (node == null) {
-                node = new Node(entry, lane(entry), classMeanUs.length);
+                node = new Node(entry, lane(entry), settings.classes().size());
                 node.lane.nodes.add(node);
                 // A new endpoint has no part in an outage of those before it: it may be tried at once.
                 node.lane.nextTrialUs = Math.min(node.lane.nextTrialUs, nowUs);
--- a/decisions/src/main/java/thistleturn/decisions/Job.java
+++ b/decisions/src/main/java/thistleturn/decisions/Job.java
@@ -12,6 +12,8 @@
     Destination destination;
     KeyLine line;
     Call call;
+    /** The endpoint that refused it last. */
+    Node refusedBy;
     /** While it waits: among which, and its place in the line of its destination. */
     Group group;
     long place;
--- a/decisions/src/main/java/thistleturn/decisions/Lane.java
+++ b/decisions/src/main/java/thistleturn/decisions/Lane.java
@@ -2,6 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import thistleturn.decisions.noise.Growth;
+import thistleturn.decisions.noise.RefusalReading;
+import thistleturn.decisions.noise.RetryBudget;
 
 /** The unit of the window: a destination, or a route of it. */
 final class Lane {
@@ -14,8 +17,16 @@
     final List<Ready> ready = List.of(new Ready(this, 0), new Ready(this, 1));
     final LaneTimer look = new LaneTimer(this), rampEnd = new LaneTimer(this);
     double window;
-    /** Calls in flight, and those of them that are overdue with no success on their endpoint since. */
-    int calls, silent;
+    /** What its refusals answer to, what may be tried again at once, its first seconds. */
+    final RefusalReading reading = new RefusalReading();
+    final RetryBudget budget = new RetryBudget();
+    final Growth growth = new Growth();
+    /** Calls in flight, those of them that are overdue, and of these those with no success on their endpoint since. */
+    int calls, fallen, silent;
+    /** Calls served and refused in all. */
+    long servedCalls, refusedCalls;
+    /** One call may go in spite of the pause, to learn what the refusal answered to. */
+    boolean mayProbe;
     boolean active;
     long stepsTaken, lookTick, lookUs;
     /** This step's counts and sum of latency ratios. */
--- a/decisions/src/main/java/thistleturn/decisions/Node.java
+++ b/decisions/src/main/java/thistleturn/decisions/Node.java
@@ -1,6 +1,7 @@
 package thistleturn.decisions;
 
 import java.util.Arrays;
+import thistleturn.decisions.noise.Cell;
 
 /** An endpoint. */
 final class Node {
@@ -13,11 +14,15 @@
     /** Failures in a row of each class, and until when that class goes elsewhere. */
     final double[] badRun;
     final long[] avoidUntilUs;
+    /** By class: its tail and its own refusals. */
+    final Cell[] cells;
     long lastUseUs, lastSendUs, lastServedUs;
 
     Node(final Courier.Endpoint entry, final Lane lane, final int classes) {
         this.badRun = new double[classes];
         this.avoidUntilUs = new long[classes];
+        this.cells = new Cell[classes];
+        Arrays.setAll(cells, kind -> new Cell());
         this.entry = entry;
         this.lane = lane;
     }
--- a/decisions/src/test/java/thistleturn/decisions/ControlAccess.java
+++ b/decisions/src/test/java/thistleturn/decisions/ControlAccess.java
@@ -7,6 +7,6 @@
     /** One that looks at all lanes whenever time has passed, as the frozen module does. */
     public static Courier lookingAtAll(final Courier.Settings settings, final long seed,
                                        final Courier.Actions actions) {
-        return new Control(settings, seed, actions, 0);
+        return new Control(settings, seed, actions, 0, false);
     }
 }
--- /dev/null
+++ b/lab/src/main/java/thistleturn/lab/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Plain senders that the courier is compared with. */
+package thistleturn.lab.policy;
