--- a/decisions/src/main/java/thistleturn/decisions/Call.java
+++ b/decisions/src/main/java/thistleturn/decisions/Call.java
@@ -6,6 +6,9 @@
 
 /** A call in flight, with one or more messages. */
 final class Call extends TimeHeap.Entry {
+    /** A failure is a single one while less than this share of the lane's calls fails, and its endpoint serves. */
+    static final double SINGLE_SHARE = 0.3;
+
     Node node;
     /** Its messages without an outcome, in the order taken. */
     final List<Job> jobs = new ArrayList<>(1);
@@ -20,6 +23,15 @@
     /** A message of it was refused; and that was found not to answer to what is sent. */
     boolean refused, stray;
 
+    /** True if it alone was lost while others came through: that says little of its endpoint. */
+    boolean isSingle(final int kind, final Courier.Result result) {
+        final Lane lane = node.lane;
+        // A reset comes at once, before another call can have been served.
+        final boolean among = node.lastServedUs >= sentUs
+                || result != Courier.Result.TIMED_OUT && lane.badRun == 0 && node.lastServedUs > 0;
+        return among && lane.phase == Phase.WELL && node.badRun[kind] == 0 && lane.failShare < SINGLE_SHARE;
+    }
+
     /** True while it is worth calling off. */
     boolean isSilent() {
         return fallen && !calledOff;
--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -24,8 +24,8 @@
  * <li>Once a second the paper's Table I moves the window from latency and refusals ({@link #step}).
  * <li>Of the messages that may go, the one that loses most by waiting goes first ({@link #urgency}), to the
  * endpoint with least of ours in flight, recent trouble, handshakes and zones to cross ({@link #choose}).
- * <li>A told wait is heeded by the whole lane; a refusal without one makes the lane pause by itself, unless it is
- * read as noise ({@code decisions.noise}): then the message goes again at once, elsewhere first, within a budget.
+ * <li>A told wait is heeded by the whole lane; a refusal without one makes the lane pause by itself, unless
+ * it is read as noise ({@code decisions.noise}): then it goes again at once, elsewhere first, in a budget.
  * <li>A lane that returns nothing but trouble is OUT: single trials, as many as a cold one bears; after the
  * first success it is on a RAMP, paced under the tipping rate until it is surely warm.
  * <li>What can be in time no more, or gains least when the store is full, is refused where that is harmless.
@@ -75,6 +75,8 @@
     /** After refusals, sends go at so many times the rate served and so many a second more: room may come. */
     static final double SPACING = 1.2;
     private static final double SPACING_LEAST = 0.5;
+    /** Refusals under this share of a step's calls would be as many with that spacing. */
+    private static final double FEW_REFUSED = 0.05;
     /** A told wait above this, us, is no limit's, whose spans are a second or two: it is shut. */
     private static final long LIMIT_WAIT_US = 5 * SECOND_US / 2;
     /** Weights in the run of bad outcomes, where a failure weighs 1: crowding refuses too, errors mix. */
@@ -128,12 +130,8 @@
     private static final long POLL_US = 20_000;
     /** A destination or route without an endpoint is forgotten so long after its last use, us. A default. */
     private static final long FORGET_US = 60 * SECOND_US;
-    /** A failure is a single one while less than this share of the lane's calls fails, and its endpoint serves. */
-    private static final double SINGLE_SHARE = 0.3;
     /** What the endpoint that refused a message last weighs in the choice of the next, in calls in flight. */
     private static final double REFUSED_LOAD = 2;
-    /** Messages beside the refused one that must wait for a call to be made only to learn. */
-    private static final int LEAST_LINE = 2;
     static final long NEVER = Long.MAX_VALUE;
 
     private final Settings settings;
@@ -195,7 +193,7 @@
 
     /**
      * As told, with the time that is given to a look at what time alone has changed, us (0: all, always), and
-     * whether refusals, single failures and first seconds are read ({@code decisions.noise}) or taken as they come.
+     * whether refusals, single failures and first seconds are read ({@code decisions.noise}) or as they come.
      */
     Control(final Settings settings, final long seed, final Actions actions, final long lookUs,
             final boolean learns) {
@@ -469,7 +467,7 @@
             case RAMP -> lane.lastSendUs + (long) (lane.rampSpanUs * lane.lastWeight
                     / tippingShare(atUs - lane.rampFromUs));
         };
-        return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.mayProbe ? 0 : lane.pauseUntilUs));
+        return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.pausedUntilUs()));
     }
 
     /** When a lane may be able to send more than now by the passing of time alone. */
@@ -607,8 +605,7 @@
         final Node node = choose(lane, first.group, first.refusedBy);
         touch(lane.destination);
         final Call call = new Call();
-        call.probe = lane.mayProbe && lane.pauseUntilUs > nowUs;
-        lane.mayProbe = false;
+        call.probe = lane.takeProbe(nowUs);
         call.node = node;
         call.sentUs = nowUs;
         callsOut++;
@@ -731,7 +728,9 @@
             lane.slow = latency > SLOW_INPUT || refusal > SLOW_INPUT;
         }
         final double refusing = SPACING_LEAST + SPACING * Math.max(lane.served, lane.callRate);
-        lane.spacing = lane.refused > 0 ? refusing : SPACING * lane.spacing;
+        final boolean heeded = lane.refused > (learns ? FEW_REFUSED * read : 0)
+                && lane.reading.cause(nowUs) != Cause.NOISE;
+        lane.spacing = heeded ? refusing : SPACING * lane.spacing;
         lane.peak = lane.calls;
         lane.ratioSum = lane.refused = lane.delivered = 0;
         lane.served = lane.bad = lane.errors = 0;
@@ -807,7 +806,7 @@
                     actions.closeIdle(node.entry.id());
                     return;
                 }
-                if (learns && isSingle(lane, node, kind, call, outcome.result())) {
+                if (learns && call.isSingle(kind, outcome.result())) {
                     lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
                     node.badRun[kind] += part;
                     node.connections -= call.messages == 0 ? Math.min(1, node.connections) : 0;
@@ -815,7 +814,6 @@
                     suspect(lane, part);
                     return;
                 }
-                lane.growth.crowded();
                 lane.bad += part;
                 if (outcome.result() == Result.TIMED_OUT || outcome.result() == Result.CANCELLED) {
                     lane.stretch = STRETCH;
@@ -832,6 +830,9 @@
                 node.connections -= call.messages == 0 ? Math.min(1, node.connections) : 0;
                 if (outcome.result() != Result.NO_CONNECTION || node.lastServedUs <= call.sentUs) {
                     lane.failShare += part * FAIL_WEIGHT * (1 - lane.failShare);
+                    if (lane.failShare > Call.SINGLE_SHARE) {
+                        lane.growth.crowded();
+                    }
                     suspect(lane, part);
                 }
             }
@@ -839,42 +840,21 @@
         }
     }
 
-    /** True for one call that was lost while others came through: that says little of its endpoint. */
-    private static boolean isSingle(final Lane lane, final Node node, final int kind, final Call call,
-            final Result result) {
-        // A reset comes at once, before another call can have been served.
-        final boolean among = node.lastServedUs >= call.sentUs
-                || result != Result.TIMED_OUT && lane.badRun == 0 && node.lastServedUs > 0;
-        return among && lane.phase == Phase.WELL && node.badRun[kind] == 0 && lane.failShare < SINGLE_SHARE;
-    }
-
     /** A call served says whether there was room, and that there may be more. */
     private void readServed(final Lane lane, final Call call, final double part, final double ratio) {
         // Only a window that held up a line has anything to prove (RFC 7661).
         if (lane.growth.served(ratio) && lane.phase == Phase.WELL && lane.destination.waiting > 0
                 && lane.calls + 1 >= Math.floor(lane.window)) {
-            lane.window = clamp(lane.window + part, WINDOW_FLOOR, Math.max(1, Math.floor(HEALTHY_SHARE * slots)));
+            lane.window = Math.min(lane.window + part, Math.max(1, Math.floor(HEALTHY_SHARE * slots)));
         }
         if (call.messages == 0) {
-            lane.servedCalls++;
-            lane.reading.served(call.sentUs, nowUs);
-            lane.budget.served();
-            if (call.probe) {
-                // There is room: the pause was for nothing.
-                lane.reading.probed(true, nowUs);
-                lane.pauseUntilUs = nowUs;
-            }
-            if (lane.reading.hasJustSettled()) {
-                lane.pauseUntilUs = nowUs;
-                lane.spacing = Double.POSITIVE_INFINITY;
-                lane.growth.again();
-            }
+            lane.served(call, nowUs);
         }
     }
 
     /**
-     * True for a refusal that does not answer to what is sent to this lane: its message goes again at once. One of an
-     * endpoint or class that alone refuses leaves only these alone; noise is borne within a budget.
+     * True for a refusal that does not answer to what is sent to this lane: its message goes again at once. One
+     * of an endpoint or class that alone refuses leaves only these alone; noise is borne within a budget.
      */
     private boolean isStray(final Lane lane, final Node node, final Job job, final Call call) {
         job.refusedBy = node;
@@ -893,15 +873,19 @@
             return true;
         }
         lane.reading.refused(call.sentUs, nowUs);
-        if (lane.reading.cause(nowUs) == Cause.NOISE && lane.budget.take()) {
-            return true;
+        if (lane.reading.cause(nowUs) == Cause.NOISE) {
+            if (lane.budget.take()) {
+                return true;
+            }
+            lane.takeForLoad(nowUs);
+        }
+        if (lane.growth.refused()) {
+            lane.window = Math.max(Math.min(lane.window, WINDOW_START), lane.window / 2);
         }
-        lane.growth.crowded();
         if (call.probe) {
             lane.reading.probed(false, nowUs);
         }
-        // Where nothing else waits, a pause costs less than a refusal more.
-        lane.mayProbe = lane.destination.waiting >= LEAST_LINE && lane.reading.takeProbe(nowUs);
+        lane.mayProbe = true;
         return false;
     }
 
--- a/decisions/src/main/java/thistleturn/decisions/Lane.java
+++ b/decisions/src/main/java/thistleturn/decisions/Lane.java
@@ -10,6 +10,8 @@
 final class Lane {
     /** Steps of an idle lane that are taken one by one; further ones at once, since little is left by then. */
     private static final long STEPS_TAKEN = 200;
+    /** Messages, the refused one too, that must wait for a call to be made only to learn. */
+    private static final int LEAST_LINE = 3;
 
     final Destination destination;
     final Courier.Kind kind;
@@ -25,6 +27,8 @@
     int calls, fallen, silent;
     /** Calls served and refused in all. */
     long servedCalls, refusedCalls;
+    /** Window and spacing before its refusals were taken for noise. */
+    double windowBefore, spacingBefore;
     /** One call may go in spite of the pause, to learn what the refusal answered to. */
     boolean mayProbe;
     boolean active;
@@ -56,6 +60,51 @@
         this.stepsTaken = stepsTaken;
     }
 
+    /** Its pause; one call may go sooner, to learn, where more waits than one refusal more would cost. */
+    long pausedUntilUs() {
+        return mayProbe && destination.waiting >= LEAST_LINE ? Math.min(pauseUntilUs, reading.probeAtUs())
+                : pauseUntilUs;
+    }
+
+    /** True if the call that goes now does so to learn. */
+    boolean takeProbe(final long nowUs) {
+        if (pauseUntilUs <= nowUs) {
+            return false;
+        }
+        mayProbe = false;
+        return true;
+    }
+
+    /** A call was served whole: what that says of its refusals. */
+    void served(final Call call, final long nowUs) {
+        servedCalls++;
+        reading.served(call.sentUs, nowUs);
+        budget.served();
+        if (call.probe) {
+            reading.probed(true, nowUs);
+            pauseUntilUs = nowUs;
+        }
+        if (reading.hasJustSettled()) {
+            takeForNoise(nowUs);
+        }
+    }
+
+    /** There was room: the pause was for nothing, and so was all else that refusals brought. */
+    private void takeForNoise(final long nowUs) {
+        windowBefore = window;
+        spacingBefore = spacing;
+        pauseUntilUs = nowUs;
+        spacing = Double.POSITIVE_INFINITY;
+        growth.again();
+    }
+
+    /** It was load after all: back to what was known before. */
+    void takeForLoad(final long nowUs) {
+        reading.outran(nowUs);
+        window = Math.min(window, windowBefore);
+        spacing = Math.min(spacing, spacingBefore);
+    }
+
     /** Makes up for the steps that it was idle for: nothing was served, and nothing stood in the way. */
     void catchUp(final long stepsNow) {
         final long missed = stepsNow - stepsTaken;
--- a/decisions/src/main/java/thistleturn/decisions/noise/Growth.java
+++ b/decisions/src/main/java/thistleturn/decisions/noise/Growth.java
@@ -8,12 +8,14 @@
 public final class Growth {
     /** Times of service over their average, on this many calls, that point to a queue. */
     private static final double CROWDED = 2;
-    private static final int LEAST_CALLS = 8;
-    private static final double FAST_WEIGHT = 0.2;
-    private static final double SLOW_WEIGHT = 0.03;
-
+    private static final int LEAST_CALLS = 24;
+    private static final double FAST_WEIGHT = 0.1;
+    private static final double SLOW_WEIGHT = 0.02;
     private boolean growing = true;
-    private int calls;
+    /** Refusals for each call served that are too few to point to crowding; a first one is, in any case. */
+    private static final double FEW = 0.05;
+
+    private int calls, refusals;
     private double fast, slow;
 
     /** A call was served in so many times the usual; true if the window may grow for it. */
@@ -25,7 +27,15 @@
         return growing;
     }
 
-    /** There was a sign of crowding. */
+    /** A call was refused; true if that ends the growth: where many more are served, it points to nothing. */
+    public boolean refused() {
+        refusals++;
+        final boolean ends = growing && refusals > Math.max(1, FEW * calls);
+        growing &= !ends;
+        return ends;
+    }
+
+    /** There was another sign of crowding. */
     public void crowded() {
         growing = false;
     }
--- a/decisions/src/main/java/thistleturn/decisions/noise/RefusalReading.java
+++ b/decisions/src/main/java/thistleturn/decisions/noise/RefusalReading.java
@@ -1,5 +1,7 @@
 package thistleturn.decisions.noise;
 
+import java.util.Arrays;
+
 /**
  * Reads what one destination's refusals without a wait answer to: to what is sent there (a limit, a full queue), or to
  * nothing of ours. A sequential test in the manner of Wald: of each call that was sent soon after a refused one, how much
@@ -33,17 +35,26 @@
     private static final double FIRST_SHARE = 0.05;
     private static final double FADE_US = 30_000_000;
     /** First and longest time between two calls that are made to learn, us. */
-    private static final long PROBE_LEAST_US = 500_000;
+    private static final long PROBE_LEAST_US = 100_000;
     private static final long PROBE_MOST_US = 64_000_000;
     private static final int KEPT = 8;
+    /** After noise outran its budget, it is taken for load so long, us: first, longest; and what ends the doubling. */
+    private static final long HOLD_LEAST_US = 5_000_000;
+    private static final long HOLD_MOST_US = 80_000_000;
 
     private final long[] refusedAtUs = new long[KEPT];
     private int refusals;
     private double evidence;
     private double share = FIRST_SHARE;
     private long evidenceUs, probeAtUs, probeGapUs = PROBE_LEAST_US;
+    private long holdUs = HOLD_LEAST_US, holdUntilUs;
     private boolean noise, settledNow;
 
+    /** Of a destination of which nothing is known. */
+    public RefusalReading() {
+        Arrays.fill(refusedAtUs, Long.MAX_VALUE);
+    }
+
     /** A call sent at that moment was served. */
     public void served(final long sentUs, final long nowUs) {
         final double room = room(sentUs);
@@ -63,15 +74,20 @@
         refusedAtUs[refusals++ % KEPT] = sentUs;
     }
 
-    /** How likely room is at a call's moment where a limit holds and an earlier call was refused; 1: nothing is told. */
+    /**
+     * How likely room is at a call's moment where a limit holds and an earlier call was refused; 1: nothing is told. Each
+     * refusal is asked once, by the first call sent after it of which the outcome is known: once there is room again,
+     * all that follows is served in any case.
+     */
     private double room(final long sentUs) {
         long lastUs = Long.MIN_VALUE;
-        for (int index = 0; index < Math.min(refusals, KEPT); index++) {
+        for (int index = 0; index < KEPT; index++) {
             if (refusedAtUs[index] < sentUs) {
                 lastUs = Math.max(lastUs, refusedAtUs[index]);
+                refusedAtUs[index] = Long.MAX_VALUE;
             }
         }
-        return lastUs < sentUs - CLOSE_US ? 1 : ROOM_AT_ONCE + (sentUs - lastUs) / SPAN_US;
+        return lastUs == Long.MIN_VALUE || lastUs < sentUs - CLOSE_US ? 1 : ROOM_AT_ONCE + (sentUs - lastUs) / SPAN_US;
     }
 
     private double likely() {
@@ -82,7 +98,7 @@
         evidence = Math.max(-MOST, Math.min(MOST, evidence(nowUs) + nats));
         evidenceUs = nowUs;
         final boolean before = noise;
-        noise = evidence >= SETTLED || noise && evidence > 0;
+        noise = nowUs >= holdUntilUs && (evidence >= SETTLED || noise && evidence > 0);
         settledNow = noise && !before;
     }
 
@@ -106,25 +122,32 @@
         if (noise && share <= MOST_SHARE) {
             return Cause.NOISE;
         }
-        return evidence(nowUs) <= -SETTLED || share > MOST_SHARE ? Cause.LOAD : Cause.UNSURE;
+        return evidence(nowUs) <= -SETTLED || share > MOST_SHARE || nowUs < holdUntilUs ? Cause.LOAD : Cause.UNSURE;
     }
 
-    /** True if one more call is worth what it teaches; the next one is let go only after some time. */
-    public boolean takeProbe(final long nowUs) {
-        if (nowUs < probeAtUs) {
-            return false;
-        }
-        probeAtUs = nowUs + probeGapUs;
-        return true;
+    /**
+     * What was taken for noise came more often than the budget for it: so it rises with what is sent, and is load. Noise
+     * is not believed again for a while, twice as long each time.
+     */
+    public void outran(final long nowUs) {
+        holdUs = nowUs > holdUntilUs + HOLD_MOST_US ? HOLD_LEAST_US : holdUs;
+        holdUntilUs = nowUs + holdUs;
+        holdUs = Math.min(HOLD_MOST_US, 2 * holdUs);
+        noise = false;
+        evidence = 0;
+        evidenceUs = nowUs;
+    }
+
+    /** When one more call is worth what it teaches. */
+    public long probeAtUs() {
+        return probeAtUs;
     }
 
-    /** How the call ended that was made to learn: those that taught load come ever more rarely. */
+    /** How the call ended that was made to learn: those that taught load come ever more rarely, the more so once it is settled. */
     public void probed(final boolean served, final long nowUs) {
-        probeGapUs = served ? PROBE_LEAST_US : Math.min(PROBE_MOST_US, 4 * probeGapUs);
-        probeAtUs = Math.min(probeAtUs, nowUs + probeGapUs);
-        if (!served) {
-            probeAtUs = nowUs + probeGapUs;
-        }
+        final long times = evidence(nowUs) <= -SETTLED ? 8 : 2;
+        probeGapUs = served ? PROBE_LEAST_US : Math.min(PROBE_MOST_US, times * probeGapUs);
+        probeAtUs = nowUs + probeGapUs;
     }
 
     /** What is learnt, to be handed on: see {@link #recall}. */
