--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -853,7 +853,7 @@
     }
 
     /**
-     * True for a refusal that does not answer to what is sent to this lane: its message goes again at once. One
+     * True for a refusal that does not answer to what this lane is sent: its message goes again at once. One
      * of an endpoint or class that alone refuses leaves only these alone; noise is borne within a budget.
      */
     private boolean isStray(final Lane lane, final Node node, final Job job, final Call call) {
--- a/decisions/src/test/java/thistleturn/decisions/oracle/FrozenControl.java
+++ b/decisions/src/test/java/thistleturn/decisions/oracle/FrozenControl.java
@@ -11,11 +11,15 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import thistleturn.decisions.noise.Cell;
+import thistleturn.decisions.noise.Growth;
+import thistleturn.decisions.noise.RefusalReading;
+import thistleturn.decisions.noise.RetryBudget;
 
 /**
- * The decisions as they were on 2026-12-01, but for three changes made on purpose and named in {@code docs/design/scale.md}
+ * The decisions as they were on 2026-12-01, but for changes made on purpose: three that {@code docs/design/scale.md} names
  * (class means are noted once a second where messages are compared; a route's pick keeps its own urgency; rates are
- * added up plainly), word for word: the oracle for every later {@link thistleturn.decisions.Control}
+ * added up plainly), and what {@code docs/design/noise.md} names, where it {@code learns}: the oracle for every later {@link thistleturn.decisions.Control}
  * that is to decide the same with less work. It is not changed; when decisions are changed on purpose, that change is
  * made here too and named in the commit.
  */
@@ -87,6 +91,10 @@
     /** What a handshake and a crossing of zones weigh in the choice of an endpoint, in calls in flight. */
     private static final double HANDSHAKE_LOAD = 0.8;
     private static final double CROSS_LOAD = 0.6;
+    private static final double REFUSED_LOAD = 2;
+    private static final double SINGLE_SHARE = 0.3;
+    private static final double FEW_REFUSED = 0.05;
+    private static final int LEAST_LINE = 3;
     /** Chance that a message put off is served after all, in a short line; half of it in a long one. */
     private static final double KEPT = 0.9;
     /** How far ahead a line is looked along, us: the next call at least, and what fades at most. */
@@ -120,6 +128,7 @@
     private final Settings settings;
     private final Actions actions;
     private final Random random;
+    private final boolean learns;
     private final Map<Long, Destination> destinations = new LinkedHashMap<>();
     /** Destinations with messages: all that a decision looks at, however long the list is. */
     private final Map<Long, Destination> busy = new TreeMap<>();
@@ -140,6 +149,11 @@
 
     /** A courier that knows nothing yet but its settings; {@code seed} is its only source of chance. */
     FrozenControl(final Settings settings, final long seed, final Actions actions) {
+        this(settings, seed, actions, true);
+    }
+
+    FrozenControl(final Settings settings, final long seed, final Actions actions, final boolean learns) {
+        this.learns = learns;
         this.settings = settings;
         this.actions = actions;
         this.random = new Random(seed);
@@ -292,7 +306,9 @@
 
     /** When a lane's waits and guards let a call go; never, while its window is full. */
     private long openAtUs(final Lane lane) {
-        if (lane.calls.size() >= cap(lane)) {
+        final long stray = learns ? lane.calls.stream().filter(call -> nowUs >= call.overdueUs()
+                && call.node.lastServedUs >= call.sentUs).count() : 0;
+        if (lane.calls.size() - stray >= cap(lane) || lane.calls.size() >= most(lane)) {
             return NEVER;
         }
         final boolean exact = settings.weights() == Weights.NOMINAL && lane.told > 0;
@@ -303,13 +319,19 @@
             case RAMP -> lane.lastSendUs + (long) (lane.rampSpanUs * lane.lastWeight
                     / tippingShare(nowUs - lane.rampFromUs));
         };
-        return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.pauseUntilUs));
+        final long pausedUntilUs = lane.mayProbe && destinations.get(lane.destination).waiting.size() >= LEAST_LINE
+                ? Math.min(lane.pauseUntilUs, lane.reading.probeAtUs()) : lane.pauseUntilUs;
+        return Math.max(guardUs, Math.max(lane.waitUntilUs, pausedUntilUs));
     }
 
     /** Calls that a lane may have in flight now: its window, within its share of the slots. */
     private int cap(final Lane lane) {
+        return (int) Math.max(1, Math.min(Math.floor(lane.window), most(lane)));
+    }
+
+    private int most(final Lane lane) {
         final double share = lane.phase == Phase.WELL && !lane.slow ? HEALTHY_SHARE : SICK_SHARE;
-        return (int) Math.max(1, Math.floor(Math.min(lane.window, share * settings.limits().slots())));
+        return (int) Math.max(1, Math.floor(share * settings.limits().slots()));
     }
 
     /** The most urgent message for a lane (a node, if given); trials risk first what is lost anyway. */
@@ -319,7 +341,7 @@
         double bestUrgency = 0;
         final long lineUs = destination.lineUs();
         for (final Job job : destination.waiting) {
-            if (!inTurn(job) || !endsInTime(lane, job) || node == null && choose(lane, job) == null
+            if (!inTurn(job) || !endsInTime(lane, job) || node == null && choose(lane, job, null) == null
                     || node != null && (!zoneAllows(job, node) || job.kind.effect() == Effect.UNSAFE)) {
                 continue;
             }
@@ -358,7 +380,7 @@
     }
 
     /** The best endpoint of a lane for a message now, or null. */
-    private Node choose(final Lane lane, final Job job) {
+    private Node choose(final Lane lane, final Job job, final Node refusedBy) {
         Node best = null;
         double bestLoad = 0;
         final int kind = job.message.messageClass();
@@ -371,7 +393,8 @@
                     || node.inFlight == 0 && nowUs - node.lastUseUs >= settings.limits().idleCloseUs();
             final boolean cross = !node.entry.zone().equals(settings.zone());
             final double load = lane.phase == Phase.OUT ? node.lastSendUs : node.inFlight + node.badRun[kind]
-                    + (handshake ? HANDSHAKE_LOAD : 0) + (cross ? CROSS_LOAD : 0);
+                    + (handshake ? HANDSHAKE_LOAD : 0) + (cross ? CROSS_LOAD : 0)
+                    + (node == refusedBy ? REFUSED_LOAD : 0);
             if (best == null || load < bestLoad) {
                 best = node;
                 bestLoad = load;
@@ -399,10 +422,12 @@
 
     /** Sends a message and, where calls are shared, those that wait with it. */
     private void send(final Job first, final Lane lane) {
-        final Node node = choose(lane, first);
+        final Node node = choose(lane, first, first.refusedBy);
         final Call call = new Call();
         call.node = node;
         call.sentUs = nowUs;
+        call.probe = lane.pauseUntilUs > nowUs;
+        lane.mayProbe &= !call.probe;
         callsOut++;
         lane.calls.add(call);
         lane.peak = Math.max(lane.peak, lane.calls.size());
@@ -424,7 +449,7 @@
             job.call = call;
             job.attempts++;
             job.destination.waiting.remove(job);
-            actions.send(job.message.id(), node.entry.id(), timeoutUs(lane, job));
+            actions.send(job.message.id(), node.entry.id(), timeoutUs(lane, node, job));
             final boolean full = alone || call.messages >= lane.kind.messagesPerCall();
             job = full ? null : pick(job.destination, lane, node);
         }
@@ -489,7 +514,9 @@
             lane.slow = latency > SLOW_INPUT || refusal > SLOW_INPUT;
         }
         final double refusing = SPACING_LEAST + SPACING * Math.max(lane.served, lane.callRate);
-        lane.spacing = lane.refused > 0 ? refusing : SPACING * lane.spacing;
+        final boolean heeded = lane.refused > (learns ? FEW_REFUSED * read : 0)
+                && lane.reading.cause(nowUs) != RefusalReading.Cause.NOISE;
+        lane.spacing = heeded ? refusing : SPACING * lane.spacing;
         lane.peak = lane.calls.size();
         lane.ratioSum = lane.refused = lane.delivered = 0;
         lane.served = lane.bad = lane.errors = 0;
@@ -543,12 +570,16 @@
         lane.waitUntilUs = Math.max(lane.waitUntilUs, nowUs + outcome.waitUs());
         switch (outcome.result()) {
             case DELIVERED -> {
-                learn(lane, job, outcome.durationUs());
+                final double ratio = learn(lane, job, outcome.durationUs());
                 lane.delivered++;
                 lane.served += part;
                 node.lastServedUs = nowUs;
                 node.badRun[kind] = 0;
                 node.avoidUntilUs[kind] = 0;
+                node.cells[kind].served(outcome.durationUs());
+                if (learns) {
+                    readServed(lane, call, part, ratio);
+                }
                 lane.badRun = 0;
                 lane.stretch = Math.max(1, lane.stretch - STRETCH * SAMPLE_WEIGHT);
                 lane.failShare -= part * FAIL_WEIGHT * lane.failShare;
@@ -561,6 +592,10 @@
                 lane.troubleFromUs = NEVER;
             }
             case REFUSED -> {
+                if (learns && outcome.waitUs() == 0 && isStray(lane, node, job, call)) {
+                    lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
+                    return;
+                }
                 lane.bad += part;
                 lane.refused++;
                 final long fromUs = Math.max(nowUs, lane.waitUntilUs);
@@ -584,6 +619,17 @@
                     actions.closeIdle(node.entry.id());
                     return;
                 }
+                final boolean among = node.lastServedUs >= call.sentUs
+                        || outcome.result() != Result.TIMED_OUT && lane.badRun == 0 && node.lastServedUs > 0;
+                if (learns && among && lane.phase == Phase.WELL && node.badRun[kind] == 0
+                        && lane.failShare < SINGLE_SHARE) {
+                    lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
+                    node.badRun[kind] += part;
+                    node.connections -= call.messages == 0 ? Math.min(1, node.connections) : 0;
+                    lane.failShare += part * FAIL_WEIGHT * (1 - lane.failShare);
+                    suspect(lane, part);
+                    return;
+                }
                 lane.bad += part;
                 if (outcome.result() == Result.TIMED_OUT || outcome.result() == Result.CANCELLED) {
                     lane.stretch = STRETCH;
@@ -600,6 +646,9 @@
                 node.connections -= call.messages == 0 ? Math.min(1, node.connections) : 0;
                 if (outcome.result() != Result.NO_CONNECTION || node.lastServedUs <= call.sentUs) {
                     lane.failShare += part * FAIL_WEIGHT * (1 - lane.failShare);
+                    if (lane.failShare > SINGLE_SHARE) {
+                        lane.growth.crowded();
+                    }
                     suspect(lane, part);
                 }
             }
@@ -607,6 +656,66 @@
         }
     }
 
+    private void readServed(final Lane lane, final Call call, final double part, final double ratio) {
+        if (lane.growth.served(ratio) && lane.phase == Phase.WELL
+                && !destinations.get(lane.destination).waiting.isEmpty()
+                && lane.calls.size() + 1 >= Math.floor(lane.window)) {
+            lane.window = Math.min(lane.window + part,
+                    Math.max(1, Math.floor(HEALTHY_SHARE * settings.limits().slots())));
+        }
+        if (call.messages > 0) {
+            return;
+        }
+        lane.servedCalls++;
+        lane.reading.served(call.sentUs, nowUs);
+        lane.budget.served();
+        if (call.probe) {
+            lane.reading.probed(true, nowUs);
+            lane.pauseUntilUs = nowUs;
+        }
+        if (lane.reading.hasJustSettled()) {
+            lane.windowBefore = lane.window;
+            lane.spacingBefore = lane.spacing;
+            lane.pauseUntilUs = nowUs;
+            lane.spacing = Double.POSITIVE_INFINITY;
+            lane.growth.again();
+        }
+    }
+
+    private boolean isStray(final Lane lane, final Node node, final Job job, final Call call) {
+        job.refusedBy = node;
+        if (!call.refused && lane.phase == Phase.WELL) {
+            call.refused = true;
+            call.stray = reads(lane, node, job.message.messageClass(), call);
+        }
+        return call.stray;
+    }
+
+    private boolean reads(final Lane lane, final Node node, final int kind, final Call call) {
+        final long restUs = node.cells[kind].refused(lane.servedCalls, ++lane.refusedCalls);
+        if (restUs > 0) {
+            node.avoidUntilUs[kind] = nowUs + jitter(restUs);
+            return true;
+        }
+        lane.reading.refused(call.sentUs, nowUs);
+        if (lane.reading.cause(nowUs) == RefusalReading.Cause.NOISE) {
+            if (lane.budget.take()) {
+                return true;
+            }
+            lane.reading.outran(nowUs);
+            lane.window = Math.min(lane.window, lane.windowBefore);
+            lane.spacing = Math.min(lane.spacing, lane.spacingBefore);
+        }
+        if (lane.growth.refused()) {
+            lane.window = Math.max(Math.min(lane.window, WINDOW_START), lane.window / 2);
+        }
+        if (call.probe) {
+            lane.reading.probed(false, nowUs);
+        }
+        lane.mayProbe = true;
+        return false;
+    }
+
     /** Adds to a lane's run of bad outcomes; a long run, or a high share of failures, is an outage. */
     private void suspect(final Lane lane, final double weight) {
         lane.badRun += weight;
@@ -682,13 +791,14 @@
         return settings.guarantees().tipMultiple() * (coldFrom + (1 - coldFrom) * clamp(warm, 0, 1));
     }
 
-    private void learn(final Lane lane, final Job job, final long durationUs) {
+    private double learn(final Lane lane, final Job job, final long durationUs) {
         final int kind = job.message.messageClass();
         final double ratio = durationUs / Math.max(1, classMeanUs[kind]);
         lane.ratioSum += ratio;
         final double weight = Math.max(SAMPLE_WEIGHT, 1.0 / ++classSamples[kind]);
         classMeanUs[kind] += weight * (durationUs / Math.max(PACE_LEAST, lane.pace) - classMeanUs[kind]);
         lane.pace += Math.max(SAMPLE_WEIGHT, 1.0 / (1 + ++lane.paceSamples)) * (ratio - lane.pace);
+        return ratio;
     }
 
     private double notedUs(final Lane lane, final Job job) {
@@ -710,13 +820,14 @@
     // ---------------------------------------------------------------- deadlines and further attempts
 
     /** How long an attempt may take. */
-    private long timeoutUs(final Lane lane, final Job job) {
+    private long timeoutUs(final Lane lane, final Node node, final Job job) {
         final double expectedUs = expectedUs(lane, job);
         final long leftUs = job.message.validUntilUs() - nowUs;
         long timeoutUs = (long) Math.max(TIMEOUT_LEAST_US, TIMEOUT_TIMES * lane.stretch * expectedUs);
         if (job.kind.effect() == Effect.UNSAFE) {
             return leftUs;
         }
+        timeoutUs = learns ? node.cells[job.message.messageClass()].timeoutUs(timeoutUs, lane.stretch) : timeoutUs;
         if (job.kind.effect() == Effect.KEYED && !job.mayHaveRun) {
             final long againUs = (long) ((1 - KEY_MARGIN) * job.kind.keyWindowUs()) - OVERDUE_LEAST_US / 2;
             timeoutUs = Math.min(timeoutUs, Math.max(OVERDUE_LEAST_US, againUs));
@@ -885,7 +996,7 @@
         final Kind kind = entry.kind() < 0 ? new Kind("", false, 1) : settings.kinds().get(entry.kind());
         if (kind.routesApart() || destination.lanes.isEmpty()) {
             final boolean few = settings.couriers() <= FEW_COURIERS;
-            destination.lanes.add(new Lane(kind, few ? WINDOW_START : WINDOW_RARE));
+            destination.lanes.add(new Lane(kind, entry.destination(), few ? WINDOW_START : WINDOW_RARE));
         }
         return destination.lanes.get(destination.lanes.size() - 1);
     }
@@ -933,6 +1044,13 @@
     /** The unit of the window: a destination, or a route of it. */
     private static final class Lane {
         private final Kind kind;
+        private final long destination;
+        private final RefusalReading reading = new RefusalReading();
+        private final RetryBudget budget = new RetryBudget();
+        private final Growth growth = new Growth();
+        private long servedCalls, refusedCalls;
+        private boolean mayProbe;
+        private double windowBefore, spacingBefore;
         private final List<Node> nodes = new ArrayList<>();
         private final List<Call> calls = new ArrayList<>();
         private double window;
@@ -956,8 +1074,9 @@
         private long troubleFromUs = NEVER;
         private long waitUntilUs, pauseUntilUs, nextTrialUs, rampFromUs, lastSendUs;
 
-        private Lane(final Kind kind, final double window) {
+        private Lane(final Kind kind, final long destination, final double window) {
             this.kind = kind;
+            this.destination = destination;
             this.window = window;
         }
     }
@@ -971,11 +1090,14 @@
         /** Failures in a row of each class, and until when that class goes elsewhere. */
         private final double[] badRun;
         private final long[] avoidUntilUs;
+        private final Cell[] cells;
         private long lastUseUs, lastSendUs, lastServedUs;
 
         private Node(final Endpoint entry, final Lane lane, final int classes) {
             this.badRun = new double[classes];
             this.avoidUntilUs = new long[classes];
+            this.cells = new Cell[classes];
+            Arrays.setAll(cells, kind -> new Cell());
             this.entry = entry;
             this.lane = lane;
         }
@@ -989,7 +1111,7 @@
         private long sentUs, expectedUs, idleUs;
         /** It went over a connection that was kept, as far as is known here; and that alone made it fail. */
         private boolean reused, stale;
-        private boolean calledOff;
+        private boolean calledOff, probe, refused, stray;
 
         private long overdueUs() {
             return sentUs + Math.max(OVERDUE_LEAST_US, (long) (OVERDUE_TIMES * expectedUs));
@@ -1004,6 +1126,7 @@
         private Destination destination;
         private KeyLine line;
         private Call call;
+        private Node refusedBy;
         /** How urgently it may go, when last looked at. */
         private double urgency;
         private int attempts;
--- a/decisions/src/test/java/thistleturn/decisions/oracle/OracleTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/oracle/OracleTest.java
@@ -35,6 +35,15 @@
         assertTrue(actions > 200L * DAYS, "actions compared: " + actions);
     }
 
+    /** Without reading, all is as it was before there was any. */
+    @Test
+    void withoutReadingAllIsAsItWas() {
+        final RandomDay.Maker frozen = (settings, seed, actions) -> new FrozenControl(settings, seed, actions, false);
+        for (long seed = 1; seed <= DAYS / 4; seed++) {
+            assertTrue(new RandomDay(seed, ControlAccess::withoutReading, frozen).play(EVENTS) > 0);
+        }
+    }
+
     /** A courier that decides otherwise is caught: here one whose settings allow it one attempt less. */
     @Test
     void aCourierThatDecidesOtherwiseIsCaught() {
--- a/decisions/src/test/java/thistleturn/decisions/oracle/RandomDay.java
+++ b/decisions/src/test/java/thistleturn/decisions/oracle/RandomDay.java
@@ -21,6 +21,8 @@
 
     private final Random random;
     private final Courier.Settings settings;
+    /** On half of the days refusals without a wait come at random, so that there is noise to be read. */
+    private final boolean noisy;
     private final Recorder ours = new Recorder();
     private final Recorder oracle = new Recorder();
     private final Courier first;
@@ -102,6 +104,7 @@
     RandomDay(final long seed, final Maker ourMaker, final Maker oracleMaker) {
         this.random = new Random(seed);
         this.settings = settings();
+        this.noisy = chance(0.5);
         this.first = ourMaker.make(settings, seed, ours);
         this.second = oracleMaker.make(settings, seed, oracle);
     }
@@ -231,14 +234,14 @@
         }
         final Sent sent = out.remove(random.nextInt(out.size()));
         final boolean well = (sent.endpoint() + nowUs / (20 * SECOND)) % 4 != 0;
-        final Result result = chance(well ? 0.85 : 0.1) ? Result.DELIVERED
+        final Result result = noisy && chance(0.15) ? Result.REFUSED : chance(well ? 0.85 : 0.1) ? Result.DELIVERED
                 : Result.values()[random.nextInt(Result.values().length)];
         final boolean over = result == Result.DELIVERED || !open.contains(sent.messageId()) || chance(0.01);
         if (over) {
             open.remove(sent.messageId());
         }
         final Courier.Outcome outcome = new Courier.Outcome(sent.messageId(), result, over, sent.endpoint(),
-                nowUs - sent.atUs(), result == Result.REFUSED && chance(0.5) ? random.nextInt(2000) * MS : 0,
+                nowUs - sent.atUs(), result == Result.REFUSED && chance(noisy ? 0.1 : 0.5) ? random.nextInt(2000) * MS : 0,
                 chance(0.05) ? new Courier.Allowance(random.nextDouble(), random.nextInt(20)) : null);
         first.onOutcome(nowUs, outcome);
         second.onOutcome(nowUs, outcome);
