--- a/benchmarks/src/main/java/thistleturn/benchmarks/scale/ScaleCourier.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/scale/ScaleCourier.java
@@ -13,6 +13,6 @@
     public static void main(final String[] args) throws Exception {
         final double clients = Double.parseDouble(args[2]);
         Main.serve(System.getenv(), null, new Tuning(Long.parseLong(args[1]), clients,
-                Math.min(MOST_ENDPOINTS, ALL - clients), Integer.parseInt(args[0])));
+                Math.min(MOST_ENDPOINTS, ALL - clients), Integer.parseInt(args[0]), false));
     }
 }
--- a/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
+++ b/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
@@ -61,12 +61,12 @@
         final StrictTable table = new StrictTable(file, "", root);
         final InetSocketAddress admin = admin(table.table("admin"));
         final MembershipSettings membership = membership(table.table("membership"));
-        final Tuning tuning = tuning(table.table("front"), table.table("shards"));
+        final Tuning tuning = tuning(table.table("front"), table.table("shards"), table.table("memory"));
         table.finish();
         return new ProductConfig(admin, membership, tuning);
     }
 
-    private static Tuning tuning(final StrictTable front, final StrictTable shards) {
+    private static Tuning tuning(final StrictTable front, final StrictTable shards, final StrictTable memory) {
         final Tuning platform = Tuning.platform();
         final boolean ownFront = front.flag("enabled", false);
         final long idleUs = front.durationUs("idle", "10s", "1s", "24h");
@@ -76,12 +76,15 @@
         final boolean several = shards.flag("enabled", false);
         final int count = shards.whole("count", 1, 1, 64);
         shards.finish();
+        final boolean remembers = memory.flag("enabled", false);
+        memory.finish();
         if (clients <= 0 || endpoints <= 0 || clients + endpoints > MOST_SOCKET_SHARE) {
             throw front.wrong("clients", clients, "shares above 0 that leave the process a twentieth of its descriptors, "
                     + "clients and endpoints together at most " + MOST_SOCKET_SHARE);
         }
-        final Tuning sized = ownFront ? new Tuning(idleUs, clients, endpoints, 1) : platform;
-        return new Tuning(sized.clientIdleUs(), sized.clientShare(), sized.endpointShare(), several ? count : 1);
+        final Tuning sized = ownFront ? new Tuning(idleUs, clients, endpoints, 1, remembers) : platform;
+        return new Tuning(sized.clientIdleUs(), sized.clientShare(), sized.endpointShare(), several ? count : 1,
+                remembers);
     }
 
     private static InetSocketAddress admin(final StrictTable table) {
--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -48,6 +48,8 @@
 import thistleturn.courier.shard.Room;
 import thistleturn.courier.shard.ShardDesk;
 import thistleturn.courier.shard.SharedDirectory;
+import thistleturn.courier.warm.LearntFile;
+import thistleturn.courier.warm.LearntKeeper;
 import thistleturn.decisions.Courier;
 
 /**
@@ -65,6 +67,8 @@
     private static final long US_PER_MS = 1000;
     /** How soon it is seen what another process of this courier was told by operators. */
     private static final long LOOK_MS = 200;
+    /** Looks after which what was learnt is put down in any case: once a second. */
+    private static final int LOOKS_A_KEEPING = 5;
     /** How soon a process that cannot hand over now is asked again. */
     private static final long RETRY_MS = 50;
     private static final int HEIR_GONE_STATUS = 75;
@@ -377,12 +381,32 @@
         private final EventLoop loop = group.next();
         private final Descriptors descriptors = new Descriptors(part(tuning.clientShare()), part(tuning.endpointShare()));
         private Journal journal;
+        /** Where what was learnt is kept; null where it is not. */
+        private LearntFile learnt;
+        private long keptTurns;
+        private int looksSinceKept;
         private Directory directory;
         private Host host;
         private HttpFront front;
         /** Nothing is under way here; told across loops while the process ends. */
         private volatile boolean idle;
 
+        /** From now on what is learnt is put down: now and then, and soon after a lane went out or returns. */
+        private void keepLearnt() {
+            final LearntKeeper keeper = new LearntKeeper(learnt, clock);
+            loop.scheduleWithFixedDelay(() -> {
+                if (++looksSinceKept < LOOKS_A_KEEPING && host.turns() == keptTurns) {
+                    return;
+                }
+                looksSinceKept = 0;
+                keptTurns = host.turns();
+                final Inheritance now = host.learnt();
+                if (now != null) {
+                    keeper.keep(now);
+                }
+            }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+
         private int part(final double share) {
             return (int) Math.max(1, share * config.sockets() / tuning.shards());
         }
@@ -503,8 +527,10 @@
         final SharedDirectory shared = shards.size() == 1 ? null : new SharedDirectory(own, loop, loops);
         final Courier.Limits limits = config.settings().limits();
         final List<CompletableFuture<Void>> built = new ArrayList<>();
+        final List<String> classes = config.settings().classes().stream().map(Courier.MessageClass::name).toList();
         for (int index = 0; index < shards.size(); index++) {
             final Shard shard = shards.get(index);
+            shard.learnt = tuning.remembers() ? new LearntFile(config.state(), index, classes) : null;
             shard.directory = shared == null ? own : shared.view(index);
             built.add(on(shard, () -> {
                 shard.host = new Host(config, shard.loop, clock, shard.journal, shard);
@@ -515,6 +541,9 @@
                 if (operators != null) {
                     shard.host.leaveOut(leftOut);
                 }
+                if (inheritance == null && shard.learnt != null) {
+                    shard.host.recall(shard.learnt.read(clock.wallUs(), LearntKeeper.upUs()));
+                }
                 final int resumed = inheritance == null ? shard.host.start()
                         : shard.host.start(inheritance, predecessor);
                 if (resumed > 0) {
@@ -538,6 +567,7 @@
                 shard.front = new HttpFront(config, shard.group, shard.loop, clock, shard.turns, desk,
                         shard.descriptors, tuning);
             }
+            shards.stream().filter(shard -> shard.learnt != null).forEach(Shard::keepLearnt);
             running = true;
             ready.thenAccept(bound -> {
                 if (predecessor != null) {
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -16,6 +16,7 @@
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.shard.Room;
+import thistleturn.courier.warm.LearntFile;
 import thistleturn.decisions.Control;
 import thistleturn.decisions.Courier;
 import thistleturn.decisions.Memory;
@@ -118,6 +119,8 @@
     /** The older process that this one took over from, or null; what it has out, by the messages' ids. */
     private Remote predecessor;
     private final Map<String, Part> remote = new HashMap<>();
+    /** What an earlier process had learnt, until it is taken up; else null. */
+    private LearntFile.Found recalled;
 
     /** The ports that a host is wired to; those that tell the host something are made for it. */
     interface Wiring {
@@ -320,6 +323,9 @@
             return;
         }
         control.onList(clock.nowUs(), update, applied.changed());
+        if (recalled != null && roster.size() > 0) {
+            recallNow();
+        }
         for (final long endpoint : applied.gone()) {
             carrier.removed(endpoint);
             roster.forget(endpoint);
@@ -440,6 +446,41 @@
         return inheritance();
     }
 
+    /** What was learnt so far, with moments in Unix time; null while another process decides, or nothing is listed. */
+    Inheritance learnt() {
+        return heir != null || roster.size() == 0 ? null
+                : new Inheritance(roster.listed(), translated(control.memory(), number -> number, clock::toWallUs),
+                        List.of());
+    }
+
+    /** Changes whenever what was learnt has changed so much that it is worth putting down. */
+    long turns() {
+        return control.turns();
+    }
+
+    /** What the process before this one had learnt is taken up as soon as the list is told. */
+    void recall(final LearntFile.Found found) {
+        recalled = found;
+    }
+
+    private void recallNow() {
+        final Map<Long, Long> numbers = new HashMap<>();
+        final Map<String, Directory.Listing> now = new HashMap<>();
+        roster.listed().forEach(named -> now.put(named.listing().name(), named.listing()));
+        for (final Inheritance.Named named : recalled.learnt().endpoints()) {
+            final Directory.Listing listing = now.get(named.listing().name());
+            // Another endpoint under the same name has nothing to do with what was learnt.
+            if (listing != null && listing.address().equals(named.listing().address())
+                    && listing.destination() == named.listing().destination()) {
+                numbers.put(named.number(), roster.number(listing.name()));
+            }
+        }
+        control.onMemory(clock.nowUs(), translated(recalled.learnt().memory(), numbers::get, clock::fromWallUs)
+                .aged(clock.fromWallUs(recalled.takenWallUs()), clock.nowUs()));
+        Log.info("recalled what was learnt of " + numbers.size() + " endpoints");
+        recalled = null;
+    }
+
     private Inheritance inheritance() {
         final Map<Carrier.Call, List<String>> out = new IdentityHashMap<>();
         for (final Open open : messages.values()) {
--- a/courier/src/main/java/thistleturn/courier/Tuning.java
+++ b/courier/src/main/java/thistleturn/courier/Tuning.java
@@ -9,10 +9,11 @@
  *        {@code endpointShare}
  * @param endpointShare share of the descriptors for connections to endpoints
  * @param shards event loops that share the destinations, 1 to 64
+ * @param remembers whether what was learnt is kept in the state folder for the process after this one
  */
-public record Tuning(long clientIdleUs, double clientShare, double endpointShare, int shards) {
+public record Tuning(long clientIdleUs, double clientShare, double endpointShare, int shards, boolean remembers) {
     /** What the platform's limits ask for: one core, and two fifths of the descriptors on either side. */
     public static Tuning platform() {
-        return new Tuning(10_000_000, 0.4, 0.4, 1);
+        return new Tuning(10_000_000, 0.4, 0.4, 1, !"false".equals(System.getProperty("thistleturn.remembers")));
     }
 }
--- a/courier/src/main/java/thistleturn/courier/handover/Wire.java
+++ b/courier/src/main/java/thistleturn/courier/handover/Wire.java
@@ -30,7 +30,7 @@
 /** What the two processes say to each other: JSON objects, one a line, each with what it is in {@code t}. */
 public final class Wire {
     /** The newer process says this first; one of another version is not handed anything. */
-    static final int VERSION = 1;
+    static final int VERSION = 2;
     /** A message's body has 64 KiB at most, and a third more as text. */
     private static final int MOST_LINE_BYTES = 1 << 18;
 
@@ -121,11 +121,16 @@
         to.accept(line("yours"));
     }
 
-    /** The same, through its text and back. */
-    public static Inheritance copy(final Inheritance inheritance) throws IOException {
-        final Collector collector = new Collector();
+    /** The same as lines of text. */
+    public static List<String> lines(final Inheritance inheritance) {
         final List<String> lines = new ArrayList<>();
         tell(inheritance, line -> lines.add(Json.text(line)));
+        return lines;
+    }
+
+    /** What such lines tell; what cannot be read is an error. */
+    public static Inheritance read(final List<String> lines) throws IOException {
+        final Collector collector = new Collector();
         for (final String text : lines) {
             final JsonNode line = Json.read(text);
             collector.add(line.path("t").asText(), line);
@@ -133,6 +138,11 @@
         return collector.whole();
     }
 
+    /** The same, through its text and back. */
+    public static Inheritance copy(final Inheritance inheritance) throws IOException {
+        return read(lines(inheritance));
+    }
+
     private static ObjectNode figures(final String what, final long endpoint, final double[] figures,
             final long[] moments) {
         final ObjectNode line = line(what).put("endpoint", endpoint);
--- /dev/null
+++ b/courier/src/main/java/thistleturn/courier/warm/LearntFile.java
@@ -0,0 +1,110 @@
+package thistleturn.courier.warm;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.CRC32C;
+import thistleturn.courier.handover.Inheritance;
+import thistleturn.courier.handover.Wire;
+import thistleturn.courier.runtime.Json;
+import thistleturn.courier.runtime.Log;
+import thistleturn.decisions.Memory;
+
+/**
+ * What the decisions had learnt, on disk, for the process that starts after this one has died. A file of lines: a head
+ * (version, classes, both clocks), what {@link Wire} says of endpoints and memory, and a checksum of all before it. It is
+ * put in place by a rename, so that it is whole or the one before; a torn, old or foreign one is not used. Nothing of
+ * any rule hangs on it: losing it costs what a new courier costs.
+ */
+public final class LearntFile {
+    /** Bytes at most: some two thousand endpoints. What is larger is not kept. */
+    static final int MOST_BYTES = 1 << 20;
+    /** How far the two clocks may have gone apart since it was written, us: else one of them was set, or began anew. */
+    private static final long CLOCKS_APART_US = 1_000_000;
+    private static final String END = "{\"t\":\"end\",\"crc\":";
+
+    private final Path file;
+    private final String classes;
+
+    /** Where it is kept, and the names of the classes in their order: what was learnt of others means nothing. */
+    public LearntFile(final Path folder, final int shard, final List<String> classes) {
+        this.file = folder.resolve(shard == 0 ? "learnt" : "learnt-" + shard);
+        this.classes = String.join(" ", classes);
+    }
+
+    /**
+     * What was learnt, and when that was.
+     *
+     * @param learnt its moments are in Unix time, us
+     * @param takenWallUs when it was put down, Unix time, us
+     */
+    public record Found(Inheritance learnt, long takenWallUs) { }
+
+    /** The bytes of a file that tells what was learnt by now; null if it would be too large. */
+    byte[] bytes(final Inheritance learnt, final long wallUs, final long upUs) {
+        final StringBuilder text = new StringBuilder(Json.text(JsonNodeFactory.instance.objectNode().put("t", "learnt")
+                .put("version", Memory.VERSION).put("classes", classes).put("wall", wallUs).put("up", upUs))).append('\n');
+        Wire.lines(learnt).forEach(line -> text.append(line).append('\n'));
+        final byte[] body = text.toString().getBytes(StandardCharsets.UTF_8);
+        if (body.length > MOST_BYTES) {
+            return null;
+        }
+        return text.append(END).append(crc(body, body.length)).append("}\n").toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Puts a file in the place of the one before. */
+    void write(final byte[] bytes) throws IOException {
+        final Path fresh = file.resolveSibling(file.getFileName() + ".new");
+        Files.write(fresh, bytes);
+        Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** What the process before had learnt, if that can be trusted now; else null, with a line in the log unless there is none. */
+    public Found read(final long wallUs, final long upUs) {
+        try {
+            if (Files.size(file) > MOST_BYTES + END.length() + Long.SIZE) {
+                throw new IOException("more than " + MOST_BYTES + " bytes");
+            }
+            return parse(Files.readAllBytes(file), wallUs, upUs);
+        } catch (final NoSuchFileException e) {
+            return null;
+        } catch (final IOException | RuntimeException e) {
+            Log.info(file + " is not used: " + e.getMessage());
+            return null;
+        }
+    }
+
+    private Found parse(final byte[] bytes, final long wallUs, final long upUs) throws IOException {
+        final String text = new String(bytes, StandardCharsets.UTF_8);
+        final int last = text.lastIndexOf(END);
+        final int bodyBytes = last < 0 ? 0 : text.substring(0, last).getBytes(StandardCharsets.UTF_8).length;
+        if (last < 0 || !text.substring(last).equals(END + crc(bytes, bodyBytes) + "}\n")) {
+            throw new IOException("torn, or changed since it was written");
+        }
+        final List<String> lines = new ArrayList<>(text.substring(0, last).lines().toList());
+        final JsonNode head = Json.read(lines.remove(0));
+        if (head.path("version").asInt() != Memory.VERSION || !head.path("classes").asText().equals(classes)) {
+            throw new IOException("written by another version, or for other classes");
+        }
+        final long ageUs = wallUs - head.path("wall").asLong();
+        final long upAgeUs = upUs - head.path("up").asLong();
+        if (ageUs < 0 || ageUs > Memory.MOST_AGE_US || Math.abs(ageUs - upAgeUs) > CLOCKS_APART_US) {
+            throw new IOException(ageUs < 0 || Math.abs(ageUs - upAgeUs) > CLOCKS_APART_US
+                    ? "a clock was set since it was written" : "it is " + ageUs / 1_000_000 + " s old");
+        }
+        return new Found(Wire.read(lines), head.path("wall").asLong());
+    }
+
+    private static long crc(final byte[] bytes, final int length) {
+        final CRC32C crc = new CRC32C();
+        crc.update(bytes, 0, length);
+        return crc.getValue();
+    }
+}
--- a/courier/src/test/java/thistleturn/courier/ShardsTest.java
+++ b/courier/src/test/java/thistleturn/courier/ShardsTest.java
@@ -57,7 +57,7 @@
     private void start(final int shards) throws IOException, Config.BadConfigException {
         final Tuning platform = Tuning.platform();
         courier = CourierProcess.start(world.environment(CourierFiles.Size.usual()), null, new Tuning(
-                platform.clientIdleUs(), platform.clientShare(), platform.endpointShare(), shards));
+                platform.clientIdleUs(), platform.clientShare(), platform.endpointShare(), shards, true));
         world.client.courier(courier.ready().orTimeout(30, TimeUnit.SECONDS).join());
     }
 
--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -172,8 +172,8 @@
     private int slots, maxOpen;
     private double trustUs;
     private long nowUs, nextStepUs, stopUs = NEVER;
-    /** Steps taken; messages taken; waits begun; events and passes so far. */
-    private long steps, numbers, places, tick;
+    /** Steps taken; messages taken; waits begun; events and passes so far; lanes gone out or returning. */
+    private long steps, numbers, places, tick, turns;
     /** The last look at all that is overdue. */
     private long passTick, passUs;
     /** When a pass is wanted that no event and no heap would bring. */
@@ -282,7 +282,7 @@
     /** Takes over what another process of this courier had learnt; the list must have been told before. */
     public void onMemory(final long now, final Memory memory) {
         nowUs = now;
-        trustUs = memory.recall(nodes, times.meanUs, times.samples);
+        trustUs = memory.recall(nodes, times.meanUs, times.samples, now);
         noteMeans(0);
         destinations.values().forEach(this::touch);
         nodes.values().stream().filter(node -> node.lane.phase == Phase.RAMP).forEach(node ->
@@ -891,6 +891,7 @@
 
     /** From now on a lane is paced as one that is cold. */
     private void ramp(final Lane lane) {
+        turns++;
         lane.phase = Phase.RAMP;
         lane.rampFromUs = nowUs;
         looks.set(lane.rampEnd, nowUs + settings.guarantees().coldUs() + 1);
@@ -905,6 +906,7 @@
         lane.lookUs = nowUs;
         final boolean out = lane.badRun + lane.silent >= OUT_WEIGHT || lane.failShare > OUT_SHARE;
         if (out && lane.phase != Phase.OUT) {
+            turns++;
             lane.phase = Phase.OUT;
             lane.window = WINDOW_FLOOR;
             lane.troubleFromUs = Math.min(lane.troubleFromUs, nowUs);
@@ -1252,6 +1254,11 @@
                 .map(node -> node.entry.id()).toList();
     }
 
+    /** Changes whenever a lane goes out or begins to return: what is remembered is then worth putting down. */
+    public long turns() {
+        return turns;
+    }
+
     /** Calls in flight. */
     public int callsOut() {
         return callsOut;
--- a/decisions/src/main/java/thistleturn/decisions/Memory.java
+++ b/decisions/src/main/java/thistleturn/decisions/Memory.java
@@ -19,7 +19,19 @@
  */
 public record Memory(double[] classMeanUs, int[] classSamples, double trustUs, List<OfLane> lanes, List<OfNode> nodes) {
     /** To be raised when what the figures mean changes. */
-    public static final int VERSION = 1;
+    public static final int VERSION = 2;
+    /** What is older, us, is not worth trusting: destinations change within minutes. */
+    public static final long MOST_AGE_US = 60_000_000;
+    /** Time in which a window that was learnt loses half of its worth, us; how far ahead guards of our own may reach. */
+    private static final double HALF_LIFE_US = 10_000_000;
+    private static final long MOST_PAUSE_US = 20_000_000;
+    /** Places in a lane's figures and moments. */
+    private static final int WINDOW = 0;
+    private static final int PHASE = 12;
+    private static final int OF_READING = 16;
+    private static final int TROUBLE = 0;
+    private static final int PAUSE = 2;
+    private static final int RAMP_FROM = 4;
 
     /** A lane, known by one of its endpoints. */
     public record OfLane(long endpoint, double[] figures, long[] moments) { }
@@ -40,15 +52,31 @@
             if (lane.nodes.get(0) == node) {
                 lanes.add(new OfLane(node.entry.id(), figures(lane), moments(lane)));
             }
-            nodes.add(new OfNode(node.entry.id(), node.badRun.clone(), momentsOf(node)));
+            nodes.add(new OfNode(node.entry.id(), figures(node), momentsOf(node)));
         }
         return new Memory(classMeanUs.clone(), classSamples.clone(), trustUs, lanes, nodes);
     }
 
     private static double[] figures(final Lane lane) {
-        return new double[] {lane.window, lane.steps, lane.paceSamples, lane.rate, lane.callRate, lane.slowRatio,
+        final double[] own = {lane.window, lane.steps, lane.paceSamples, lane.rate, lane.callRate, lane.slowRatio,
             lane.pace, lane.stretch, lane.lastWeight, lane.told, lane.spacing, lane.slow ? 1 : 0,
             lane.phase.ordinal(), lane.badRun, lane.failShare, lane.rampSpanUs};
+        final double[] read = lane.reading.figures();
+        final double[] all = Arrays.copyOf(own, own.length + read.length);
+        System.arraycopy(read, 0, all, own.length, read.length);
+        return all;
+    }
+
+    /** By class: failures in a row; then the longest of recent times and how many were seen. */
+    private static double[] figures(final Node node) {
+        final int classes = node.badRun.length;
+        final double[] figures = Arrays.copyOf(node.badRun, 3 * classes);
+        for (int kind = 0; kind < classes; kind++) {
+            final double[] tail = node.cells[kind].figures();
+            figures[classes + 2 * kind] = tail[0];
+            figures[classes + 2 * kind + 1] = tail[1];
+        }
+        return figures;
     }
 
     private static long[] moments(final Lane lane) {
@@ -63,19 +91,50 @@
         return moments;
     }
 
+    /**
+     * The same as a process takes it up that starts after another has died: moments are on the clock of {@code nowUs}.
+     * What was learnt of a window fades; a lane in trouble is one that returns, since it may have come back cold
+     * meanwhile; one that was out stays out. Waits that were told stand.
+     *
+     * @param takenUs when it was put down
+     */
+    public Memory aged(final long takenUs, final long nowUs) {
+        final double kept = Math.pow(0.5, Math.max(0, nowUs - takenUs) / HALF_LIFE_US);
+        final List<OfLane> older = new ArrayList<>();
+        for (final OfLane one : lanes) {
+            final double[] figures = one.figures.clone();
+            final long[] moments = one.moments.clone();
+            figures[WINDOW] = Math.max(1, kept * figures[WINDOW]);
+            if (figures[PHASE] != Phase.OUT.ordinal()
+                    && (figures[PHASE] == Phase.RAMP.ordinal() || moments[TROUBLE] != Control.NEVER)) {
+                figures[PHASE] = Phase.RAMP.ordinal();
+                moments[RAMP_FROM] = nowUs;
+            }
+            moments[PAUSE] = Math.min(moments[PAUSE], nowUs + MOST_PAUSE_US);
+            older.add(new OfLane(one.endpoint, figures, moments));
+        }
+        final List<OfNode> ends = nodes.stream().map(one -> new OfNode(one.endpoint, one.figures,
+                Arrays.stream(one.moments).map(us -> Math.min(us, nowUs + MOST_PAUSE_US)).toArray())).toList();
+        return new Memory(classMeanUs, classSamples, trustUs, older, ends);
+    }
+
     /** Gives the endpoints that are known here, their lanes, and the classes what is remembered of them; tells the trust. */
-    double recall(final Map<Long, Node> known, final double[] meanUs, final int[] samples) {
+    double recall(final Map<Long, Node> known, final double[] meanUs, final int[] samples, final long nowUs) {
         System.arraycopy(classMeanUs, 0, meanUs, 0, meanUs.length);
         System.arraycopy(classSamples, 0, samples, 0, samples.length);
         for (final OfLane one : lanes) {
             if (known.containsKey(one.endpoint)) {
-                recall(known.get(one.endpoint).lane, one.figures, one.moments);
+                recall(known.get(one.endpoint).lane, one.figures, one.moments, nowUs);
             }
         }
         for (final OfNode one : nodes) {
             final Node node = known.get(one.endpoint);
             if (node != null) {
-                System.arraycopy(one.figures, 0, node.badRun, 0, node.badRun.length);
+                final int classes = node.badRun.length;
+                System.arraycopy(one.figures, 0, node.badRun, 0, classes);
+                for (int kind = 0; kind < classes; kind++) {
+                    node.cells[kind].recall(one.figures[classes + 2 * kind], one.figures[classes + 2 * kind + 1]);
+                }
                 System.arraycopy(one.moments, 0, node.avoidUntilUs, 0, node.avoidUntilUs.length);
                 node.lastSendUs = one.moments[node.avoidUntilUs.length];
                 node.lastServedUs = one.moments[node.avoidUntilUs.length + 1];
@@ -84,7 +143,7 @@
         return trustUs;
     }
 
-    private static void recall(final Lane lane, final double[] figures, final long[] moments) {
+    private static void recall(final Lane lane, final double[] figures, final long[] moments, final long nowUs) {
         lane.window = figures[0];
         lane.steps = (int) figures[1];
         lane.paceSamples = (int) figures[2];
@@ -101,6 +160,7 @@
         lane.badRun = figures[13];
         lane.failShare = figures[14];
         lane.rampSpanUs = figures[15];
+        lane.reading.recall(Arrays.copyOfRange(figures, OF_READING, figures.length), nowUs);
         lane.troubleFromUs = moments[0];
         lane.waitUntilUs = moments[1];
         lane.pauseUntilUs = moments[2];
--- /dev/null
+++ b/lab/src/test/java/thistleturn/lab/HardWeatherTest.java
@@ -0,0 +1,187 @@
+package thistleturn.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongFunction;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import thistleturn.decisions.Control;
+import thistleturn.decisions.Courier;
+import thistleturn.decisions.noise.RetryBudget;
+import thistleturn.lab.model.ColdReturn;
+import thistleturn.lab.model.Fate;
+import thistleturn.lab.model.Fault;
+import thistleturn.lab.model.Limit;
+import thistleturn.lab.model.Partner;
+import thistleturn.lab.virtual.Evening;
+import thistleturn.lab.virtual.Tally;
+import thistleturn.lab.virtual.VirtualCourier;
+
+/** The hard cases of reading refusals, each an evening in virtual time; the rules are watched in all of them. */
+@Tag("noise")
+final class HardWeatherTest {
+    private static final long SECOND = 1_000_000;
+    private static final long LENGTH = 20 * SECOND;
+    private static final int SEEDS = 3;
+
+    private static Tally play(final LongFunction<Partner> partner, final double perSecond, final long seed) {
+        return play(partner, perSecond, LENGTH, seed, Control::new);
+    }
+
+    private static Tally play(final LongFunction<Partner> partner, final double perSecond, final long lengthUs,
+            final long seed, final VirtualCourier.Maker maker) {
+        final List<Partner> partners = new ArrayList<>();
+        for (long id = 1; id <= 3; id++) {
+            partners.add(partner.apply(id));
+        }
+        final Tally tally = VirtualCourier.play(new Evening(partners, perSecond, lengthUs,
+                Evening.settings(Courier.Weights.NONE), 0), seed, maker);
+        assertEquals(List.of(), tally.broken(), "seed " + seed);
+        return tally;
+    }
+
+    private static double goodput(final LongFunction<Partner> partner, final double perSecond) {
+        double least = 1;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            least = Math.min(least, play(partner, perSecond, seed).goodput());
+        }
+        return least;
+    }
+
+    private static Fault refusing(final double share) {
+        return Fault.shares(share, 0, 0, 0);
+    }
+
+    @Test
+    void theSameSeedPlaysTheSameEvening() {
+        final Tally one = play(id -> Partner.plain(id).faulty(refusing(0.1)), 200, 7);
+        final Tally other = play(id -> Partner.plain(id).faulty(refusing(0.1)), 200, 7);
+        assertEquals(one.calls(), other.calls());
+        assertEquals(one.delivered(), other.delivered());
+        assertTrue(one.handed() > 3500);
+    }
+
+    @Test
+    void withoutTroubleAllIsDeliveredFromTheFirstSecondOn() {
+        assertTrue(goodput(Partner::plain, 200) >= 0.995);
+    }
+
+    @Test
+    void aTenthRefusedAtRandomIsDeliveredAlmostAtOnce() {
+        double goodput = 0;
+        double calls = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            final Tally tally = play(id -> Partner.plain(id).faulty(refusing(0.1)), 200, seed);
+            goodput += tally.goodput() / SEEDS;
+            calls += tally.callsAMessage() / SEEDS;
+        }
+        assertTrue(goodput >= 0.97, "delivered " + goodput);
+        // One call in ten is refused: 1.11 a message is the least.
+        assertTrue(calls <= 1.15 * 1.112, "calls a message " + calls);
+    }
+
+    @Test
+    void singleSilenceIsNoOutage() {
+        assertTrue(goodput(id -> Partner.plain(id).faulty(Fault.shares(0, 0, 0, 0.03)), 200) >= 0.97);
+    }
+
+    @Test
+    void aStallOfAllForAThirdOfASecondLosesNothing() {
+        final Fault stall = (nowUs, endpoint, kind, random) -> nowUs % (5 * SECOND) < 300_000
+                ? Fate.REFUSE : Fate.SERVE;
+        assertTrue(goodput(id -> Partner.plain(id).faulty(stall), 200) >= 0.95);
+    }
+
+    @Test
+    void noiseThatTurnsIntoALimitAndBack() {
+        final Limit none = Limit.none();
+        final Tally tally = play(id -> Partner.plain(id).faulty(refusing(0.1)).limited(
+                none.until(10 * SECOND, Limit.spans(20, SECOND, false).until(16 * SECOND, none))), 150, 30 * SECOND, 1,
+                Control::new);
+        assertTrue(share(tally, 0, 4) >= 0.95, "noise before: " + share(tally, 0, 4));
+        // 20 of 50 a second are what the limit lets through, less a tenth.
+        assertTrue(share(tally, 6, 10) >= 0.25, "limit: " + share(tally, 6, 10));
+        assertTrue(share(tally, 24, 29) >= 0.95, "noise after: " + share(tally, 24, 29));
+    }
+
+    private static double share(final Tally tally, final int from, final int to) {
+        final List<Tally.Second> seconds = tally.seconds().subList(from, to);
+        return seconds.stream().mapToInt(Tally.Second::delivered).sum()
+                / (double) seconds.stream().mapToInt(Tally.Second::handed).sum();
+    }
+
+    @Test
+    void aLimitThatFallsToAFifthIsHeeded() {
+        final Tally tally = play(id -> Partner.plain(id).limited(Limit.spans(100, SECOND, false)
+                .until(15 * SECOND, Limit.spans(10, SECOND, false))), 150, 1);
+        assertTrue(share(tally, 0, 9) >= 0.98, "before " + share(tally, 0, 9));
+        final double refusedASecond = tally.seconds().subList(13, 19).stream().mapToInt(Tally.Second::refusedCalls)
+                .average().orElse(0);
+        // Without backing off, some hundred a second would be refused for each of the three.
+        assertTrue(refusedASecond <= 30, "refused calls a second " + refusedASecond);
+    }
+
+    @Test
+    void oneOfTwoEndpointsThatRefusesAllHalfOrLittle() {
+        for (final double share : new double[] {1, 0.5, 0.03}) {
+            final double goodput = goodput(id -> Partner.plain(id).faulty(refusing(share).atEndpoint(0)), 200);
+            assertTrue(goodput >= 0.95, "refusing " + share + ": " + goodput);
+        }
+    }
+
+    @Test
+    void refusalsForOneClassAloneLeaveTheOthers() {
+        final Tally tally = play(id -> Partner.plain(id).faulty(refusing(1).forClass(0)), 150, 1);
+        // A third of the messages cannot be delivered at all.
+        assertTrue(tally.goodput() >= 0.6, "delivered " + tally.goodput());
+    }
+
+    @Test
+    void aSharedLimitThatIsUnknownIsHeededByBoth() {
+        final Limit shared = Limit.spans(40, SECOND, false);
+        final Tally tally = play(id -> Partner.plain(id).limited(shared), 150, 1);
+        assertTrue(tally.delivered() >= 0.7 * 40 * 20, "delivered " + tally.delivered());
+        assertTrue(tally.refusedAMessage() <= 0.3, "refused calls a message " + tally.refusedAMessage());
+    }
+
+    @Test
+    void mostRefusedForLoadIsBackedOffFrom() {
+        final Tally tally = play(id -> Partner.plain(id).faulty(refusing(0.6)), 200, 1);
+        assertTrue(tally.callsAMessage() <= 4, "calls a message " + tally.callsAMessage());
+        assertTrue(tally.seconds().stream().skip(3).limit(15).allMatch(second -> second.calls() <= 150));
+    }
+
+    @Test
+    void noiseAtOneCallInTenSeconds() {
+        final Tally tally = play(id -> Partner.plain(id).faulty(refusing(0.2)), 0.3, 300 * SECOND, 1, Control::new);
+        assertEquals(1, tally.goodput(), 1e-9);
+    }
+
+    /** All refuse everything at ten times the load: what goes on is single trials. */
+    @Test
+    void aStormIsNotMadeAndServiceIsBackSoon() {
+        final Fault all = refusing(1).between(5 * SECOND, 35 * SECOND, Fault.NONE);
+        final Tally tally = play(id -> Partner.plain(id).faulty(all), 400, 60 * SECOND, 1, Control::new);
+        final int most = tally.seconds().subList(3, 29).stream().mapToInt(Tally.Second::calls).max().orElse(0);
+        assertTrue(most <= 3 * 2 + 3 * RetryBudget.BURST, "calls in a second " + most);
+        assertTrue(share(tally, 40, 55) >= 0.99, "after it " + share(tally, 40, 55));
+    }
+
+    @Test
+    void noReturningDestinationIsPushedOverAmidNoise() {
+        for (long seed = 1; seed <= 20; seed++) {
+            final List<ColdReturn> returns = new ArrayList<>();
+            play(id -> {
+                final long from = (6 + id) * SECOND;
+                final ColdReturn cold = new ColdReturn(from, from + 6 * SECOND, 60, 0.3, 8 * SECOND, 2, 3 * SECOND);
+                returns.add(cold);
+                return Partner.plain(id).faulty(refusing(0.05)).returning(cold);
+            }, 120, 30 * SECOND, seed, Control::new);
+            returns.forEach(cold -> assertFalse(cold.isFallen()));
+        }
+    }
+}
