--- a/decisions/src/main/java/thistleturn/decisions/Memory.java
+++ b/decisions/src/main/java/thistleturn/decisions/Memory.java
@@ -28,6 +28,7 @@
     /** Places in a lane's figures and moments. */
     private static final int WINDOW = 0;
     private static final int PHASE = 12;
+    private static final int BAD_RUN = 13;
     private static final int OF_READING = 16;
     private static final int TROUBLE = 0;
     private static final int PAUSE = 2;
@@ -105,8 +106,8 @@
             final double[] figures = one.figures.clone();
             final long[] moments = one.moments.clone();
             figures[WINDOW] = Math.max(1, kept * figures[WINDOW]);
-            if (figures[PHASE] != Phase.OUT.ordinal()
-                    && (figures[PHASE] == Phase.RAMP.ordinal() || moments[TROUBLE] != Control.NEVER)) {
+            final boolean trouble = moments[TROUBLE] != Control.NEVER || figures[BAD_RUN] >= 1;
+            if (figures[PHASE] != Phase.OUT.ordinal() && (trouble || figures[PHASE] == Phase.RAMP.ordinal())) {
                 figures[PHASE] = Phase.RAMP.ordinal();
                 moments[RAMP_FROM] = nowUs;
             }
