A lane that is taken up in trouble is paced by the rate that it had

Need: WarmStartTest showed that a lane taken for a returning one had no span to be paced by (it had never been out), so that all its messages went at once. Change: Memory.aged gives it the span that a return would have had.

--- a/decisions/src/main/java/thistleturn/decisions/Memory.java
+++ b/decisions/src/main/java/thistleturn/decisions/Memory.java
@@ -29,6 +29,8 @@
     private static final int WINDOW = 0;
     private static final int PHASE = 12;
     private static final int BAD_RUN = 13;
+    private static final int RAMP_SPAN = 15;
+    private static final int CALL_RATE = 4;
     private static final int OF_READING = 16;
     private static final int TROUBLE = 0;
     private static final int PAUSE = 2;
@@ -110,6 +112,9 @@
             if (figures[PHASE] != Phase.OUT.ordinal() && (trouble || figures[PHASE] == Phase.RAMP.ordinal())) {
                 figures[PHASE] = Phase.RAMP.ordinal();
                 moments[RAMP_FROM] = nowUs;
+                // As far apart as its calls were, if it was never paced so far.
+                figures[RAMP_SPAN] = Math.max(figures[RAMP_SPAN], Math.min(Control.SECOND_US / 2.0,
+                        Control.SECOND_US / Math.max(Control.LEAST_RATE, figures[CALL_RATE])));
             }
             moments[PAUSE] = Math.min(moments[PAUSE], nowUs + MOST_PAUSE_US);
             older.add(new OfLane(one.endpoint, figures, moments));
