measure noise: storms and returns; a cold partner is limited before its outage too

Need: the bounds of the retry budget and the rule on returning destinations are to be shown at size. Change: two further tables in virtual time.

--- a/benchmarks/src/main/java/thistleturn/benchmarks/noise/MeasureNoise.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/noise/MeasureNoise.java
@@ -9,6 +9,7 @@
 import java.util.function.ToDoubleFunction;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import thistleturn.lab.model.ColdReturn;
 import thistleturn.lab.virtual.Evening;
 import thistleturn.lab.virtual.Tally;
 import thistleturn.lab.virtual.VirtualCourier;
@@ -18,7 +19,7 @@
         + "limits, in virtual time: the decisions as they are, without reading, and plain senders, by the same seeds.")
 public final class MeasureNoise implements Callable<Integer> {
     /** A table of the page. */
-    enum Part { TROUBLES, LIMITS }
+    enum Part { TROUBLES, LIMITS, STORM, RETURNS }
 
     @Option(names = "--part", description = "${COMPLETION-CANDIDATES}; all of them unless told")
     private Part part;
@@ -26,6 +27,10 @@
     private int seeds;
     @Option(names = "--seconds", defaultValue = "25", description = "length of one; ${DEFAULT-VALUE} unless told")
     private int seconds;
+    @Option(names = "--returns", defaultValue = "10000", description = "seeded evenings; ${DEFAULT-VALUE} unless told")
+    private int returns;
+    /** Seconds of traffic of a stormy evening. */
+    private static final int STORM_EVENING_S = 60;
     private int broken;
 
     @Override
@@ -36,9 +41,62 @@
         if (part == null || part == Part.LIMITS) {
             limits();
         }
+        if (part == null || part == Part.STORM) {
+            storm();
+        }
+        if (part == null || part == Part.RETURNS) {
+            returns();
+        }
         return broken == 0 ? 0 : 1;
     }
 
+    private void storm() {
+        System.out.println("| messages a second | sender | calls a second before | in the storm, most | seconds after it "
+                + "until 99% are delivered |");
+        System.out.println("| --- | --- | --- | --- | --- |");
+        for (final double perSecond : new double[] {40, 400}) {
+            Senders.all().forEach((name, maker) -> {
+                final List<Tally> tallies = play(() -> Worlds.storm(perSecond), maker);
+                System.out.println("| " + (int) perSecond + " | " + name + " | " + spread(tallies, tally ->
+                        tally.seconds().subList(5, Worlds.STORM_FROM_S).stream().mapToInt(Tally.Second::calls).average()
+                                .orElse(0)) + " | " + spread(tallies, tally -> tally.seconds().subList(
+                        Worlds.STORM_FROM_S + 2, Worlds.STORM_TO_S - 1).stream().mapToInt(Tally.Second::calls).max()
+                        .orElse(0)) + " | " + spread(tallies, MeasureNoise::secondsUntilServed) + " |");
+            });
+        }
+    }
+
+    private static double secondsUntilServed(final Tally tally) {
+        int second = tally.seconds().size() - 1;
+        while (second > Worlds.STORM_TO_S && (second >= STORM_EVENING_S
+                || tally.seconds().get(second - 1).delivered() >= 0.99 * tally.seconds().get(second - 1).handed())) {
+            second--;
+        }
+        return second - Worlds.STORM_TO_S;
+    }
+
+    private void returns() {
+        System.out.println("| sender | noise | returns | pushed over | rules broken | delivered |");
+        System.out.println("| --- | --- | --- | --- | --- | --- |");
+        for (final double noise : new double[] {0, 0.05}) {
+            Senders.all().forEach((name, maker) -> {
+                final List<ColdReturn> all = new ArrayList<>();
+                final int before = broken;
+                double goodput = 0;
+                for (long seed = 1; seed <= returns / 2; seed++) {
+                    final Tally tally = VirtualCourier.play(Worlds.returns(seed, all, noise), seed, maker);
+                    broken += tally.broken().size();
+                    goodput += tally.goodput() / (returns / 2);
+                    if (seed % 1000 == 0) {
+                        System.err.println(name + ": " + 2 * seed + " of " + returns + " returns");
+                    }
+                }
+                System.out.println(String.format(Locale.ROOT, "| %s | %.0f%% | %,d | %d | %d | %.3f |", name, 100 * noise,
+                        all.size(), all.stream().filter(ColdReturn::isFallen).count(), broken - before, goodput));
+            });
+        }
+    }
+
     private List<Tally> play(final Supplier<Evening> evening, final VirtualCourier.Maker maker) {
         final List<Tally> tallies = new ArrayList<>();
         for (long seed = 1; seed <= seeds; seed++) {
--- a/benchmarks/src/main/java/thistleturn/benchmarks/noise/Worlds.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/noise/Worlds.java
@@ -7,7 +7,10 @@
 import java.util.Map;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
 import thistleturn.decisions.Courier;
+import thistleturn.lab.model.ColdReturn;
 import thistleturn.lab.model.Fault;
 import thistleturn.lab.model.Limit;
 import thistleturn.lab.model.Partner;
@@ -73,6 +76,37 @@
         return worlds;
     }
 
+    /** All partners refuse everything for half a minute, ten seconds after the start, at a given rate of messages. */
+    static Evening storm(final double perSecond) {
+        final Fault all = Fault.shares(1, 0, 0, 0).between(STORM_FROM_US, STORM_TO_US, Fault.NONE);
+        return evening(id -> Partner.plain(id).faulty(all), perSecond, 60 * SECOND_US, false);
+    }
+
+    /** Seconds of traffic at which the storm begins and ends: the clock of an evening starts at five. */
+    static final int STORM_FROM_S = 10;
+    static final int STORM_TO_S = 40;
+    private static final long STORM_FROM_US = (STORM_FROM_S + 5) * SECOND_US;
+    private static final long STORM_TO_US = (STORM_TO_S + 5) * SECOND_US;
+
+    /** Two partners that go down and come back cold, one after the other, amid 5% noise; sizes and moments by the seed. */
+    static Evening returns(final long seed, final List<ColdReturn> returns, final double noise) {
+        final RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        final List<Partner> partners = new ArrayList<>();
+        for (long id = 1; id <= 2; id++) {
+            final double capacity = 20 + 60 * random.nextDouble();
+            final long fromUs = (long) ((7 + 3 * random.nextDouble()) * SECOND_US);
+            final long toUs = fromUs + (long) ((1 + 8 * random.nextDouble()) * SECOND_US);
+            final ColdReturn cold = new ColdReturn(fromUs, toUs, capacity, COLD_FROM, COLD_US, 2, 3 * SECOND_US);
+            returns.add(cold);
+            partners.add(Partner.plain(id).faulty(Fault.shares(noise, 0, 0, 0)).returning(cold));
+        }
+        return new Evening(partners, 20 + 80 * random.nextDouble(), 24 * SECOND_US,
+                Evening.settings(Courier.Weights.NONE, COLD_US), 0);
+    }
+
+    private static final double COLD_FROM = 0.3;
+    private static final long COLD_US = 8 * SECOND_US;
+
     /** Each can do 30 a second for each partner. */
     static final double CAPACITY = 30;
 
--- a/lab/src/main/java/thistleturn/lab/model/ColdReturn.java
+++ b/lab/src/main/java/thistleturn/lab/model/ColdReturn.java
@@ -38,9 +38,6 @@
         if (fallen || nowUs >= fromUs && nowUs < toUs) {
             return Fate.UNREACHABLE;
         }
-        if (nowUs < fromUs) {
-            return Fate.SERVE;
-        }
         arrivals.add(nowUs);
         while (arrivals.peekFirst() <= nowUs - fallUs) {
             arrivals.removeFirst();
@@ -51,7 +48,7 @@
             return Fate.UNREACHABLE;
         }
         // A small queue: what is over the present capacity is refused.
-        room = Math.min(Math.max(1, perSecond / 4), room + capacity(Math.max(toUs, roomUs), nowUs));
+        room = Math.min(Math.max(1, perSecond / 4), room + capacity(Math.max(nowUs < fromUs ? 0 : toUs, roomUs), nowUs));
         roomUs = nowUs;
         if (room < 1) {
             return Fate.REFUSE;
@@ -66,7 +63,7 @@
     }
 
     private double share(final long atUs) {
-        return coldFrom + (1 - coldFrom) * Math.min(1, Math.max(0, atUs - toUs) / (double) coldUs);
+        return atUs < fromUs ? 1 : coldFrom + (1 - coldFrom) * Math.min(1, Math.max(0, atUs - toUs) / (double) coldUs);
     }
 
     /** True if it was pushed over. */
