bin/thistleturn lanes; a returned lane is paced by its earlier rate for a while

Cause, by a trace of one: the backlog of the outage went at the window's rate once the ramp was over, more so where refusals settled as noise. Change: LaneView, /lanes on the operators' page and the command; for another warm-up the sends of a lane that has returned grow from the rate that it had, by a fifth a second.

--- /dev/null
+++ b/cli/src/main/java/thistleturn/cli/LanesCommand.java
@@ -0,0 +1,55 @@
+package thistleturn.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** How a running courier's destinations are, and why nothing goes there now. */
+@Command(name = "lanes", mixinStandardHelpOptions = true, description = "How each destination is: its window, what its "
+        + "refusals answer to, and what keeps the next message.")
+final class LanesCommand implements Callable<Integer> {
+    @Option(names = "--at", paramLabel = "ADDRESS", defaultValue = "127.0.0.1:7071",
+            description = "where operators ask (admin.listen); ${DEFAULT-VALUE} unless told")
+    private String address;
+    @Option(names = "--json", description = "as JSON")
+    private boolean json;
+    @Option(names = "--destination", paramLabel = "N", description = "of one destination only")
+    private Long destination;
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        final JsonNode lanes = AdminClient.ask(address, "lanes", "it is of a version without this page");
+        final PrintWriter out = spec.commandLine().getOut();
+        if (json) {
+            out.println(lanes.toPrettyString());
+            return 0;
+        }
+        final List<String[]> rows = new ArrayList<>();
+        rows.add(new String[] {"DESTINATION", "PHASE", "IN FLIGHT", "WINDOW", "WAITING", "SERVED/S", "SPACED/S", "REFUSED",
+            "READ AS", "EVIDENCE", "NOW"});
+        for (final JsonNode lane : lanes) {
+            if (destination == null || destination == lane.path("destination").asLong()) {
+                rows.add(new String[] {lane.path("destination").asText(), lane.path("phase").asText(),
+                    lane.path("in_flight").asText(), figure(lane, "window", "%.1f"), lane.path("waiting").asText(),
+                    figure(lane, "served_per_s", "%.1f"), lane.has("spacing_per_s")
+                            ? figure(lane, "spacing_per_s", "%.1f") : "-", figure(lane, "refused_share", "%.3f"),
+                    lane.path("cause").asText(), figure(lane, "evidence", "%+.1f"), lane.path("why").asText()});
+            }
+        }
+        Table.print(out, rows);
+        return 0;
+    }
+
+    private static String figure(final JsonNode lane, final String name, final String format) {
+        return String.format(Locale.ROOT, format, lane.path(name).asDouble());
+    }
+}
--- a/cli/src/main/java/thistleturn/cli/MembersCommand.java
+++ b/cli/src/main/java/thistleturn/cli/MembersCommand.java
@@ -1,14 +1,7 @@
 package thistleturn.cli;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -22,7 +15,6 @@
         description = {"Who is in a running courier's pool, in which state, told by whom, how old, and why.",
             "The courier needs [admin] and [membership] in its file."})
 final class MembersCommand implements Callable<Integer> {
-    private static final Duration PATIENCE = Duration.ofSeconds(5);
     private static final long SECOND_MS = 1000;
     private static final long MINUTE_MS = 60 * SECOND_MS;
     private static final long HOUR_MS = 60 * MINUTE_MS;
@@ -39,19 +31,7 @@
 
     @Override
     public Integer call() throws InterruptedException {
-        final JsonNode status;
-        try {
-            final HttpResponse<String> answer = HttpClient.newBuilder().connectTimeout(PATIENCE).build().send(
-                    HttpRequest.newBuilder(URI.create("http://" + address + "/members")).timeout(PATIENCE).build(),
-                    HttpResponse.BodyHandlers.ofString());
-            if (answer.statusCode() != 200) {
-                throw new IllegalStateException("the courier at " + address + " answers " + answer.statusCode()
-                        + ": membership is off there");
-            }
-            status = new ObjectMapper().readTree(answer.body());
-        } catch (final IOException e) {
-            throw new IllegalStateException("no courier answers at " + address + " (admin.listen): " + e, e);
-        }
+        final JsonNode status = AdminClient.ask(address, "members", "membership is off there");
         final PrintWriter out = spec.commandLine().getOut();
         if (json) {
             out.println(status.toPrettyString());
--- a/cli/src/main/java/thistleturn/cli/ProductExtension.java
+++ b/cli/src/main/java/thistleturn/cli/ProductExtension.java
@@ -45,6 +45,7 @@
             pages.put("/members", membership::status);
         }
         if (config.admin() != null) {
+            pages.put("/lanes", surroundings.lanes());
             new AdminServer(pages).listen(surroundings.loop(), config.admin());
         }
     }
--- a/cli/src/test/java/thistleturn/cli/ServeTest.java
+++ b/cli/src/test/java/thistleturn/cli/ServeTest.java
@@ -120,6 +120,10 @@
                 final JsonNode member = new ObjectMapper().readTree(members(admin, "--json")).path("members").get(0);
                 assertEquals("up installers said", member.path("state").asText() + " " + member.path("by").asText()
                         + " " + member.path("because").asText());
+                final JsonNode lane = new ObjectMapper().readTree(asked("lanes", admin, "--json")).get(0);
+                assertEquals("WELL UNSURE nothing waits", lane.path("phase").asText() + " " + lane.path("cause").asText()
+                        + " " + lane.path("why").asText());
+                assertTrue(asked("lanes", admin).contains("READ AS"));
                 world.registry.status("heat", "i", "DOWN");
                 world.await("the drain", () -> members(admin).contains("draining"));
                 // A file that cannot be used changes nothing.
@@ -139,8 +143,12 @@
     }
 
     private static String members(final int port, final String... more) {
+        return asked("members", port, more);
+    }
+
+    private static String asked(final String what, final int port, final String... more) {
         final StringWriter out = new StringWriter();
-        final List<String> args = new ArrayList<>(List.of("members", "--at", "127.0.0.1:" + port));
+        final List<String> args = new ArrayList<>(List.of(what, "--at", "127.0.0.1:" + port));
         args.addAll(Arrays.asList(more));
         final int code = Main.commandLine().setOut(new PrintWriter(out)).execute(args.toArray(String[]::new));
         assertEquals(0, code);
--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -1,5 +1,6 @@
 package thistleturn.courier;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -18,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import thistleturn.courier.handover.Elder;
 import thistleturn.courier.handover.Giver;
 import thistleturn.courier.handover.Heir;
@@ -95,8 +97,8 @@
     private boolean listening;
     private boolean stopping;
 
-    /** What an extension is given to work with. */
-    public record Surroundings(Config config, EventLoop loop, Clock clock) { }
+    /** What an extension is given to work with; {@code lanes} tells how each destination is, to be asked on the loop. */
+    public record Surroundings(Config config, EventLoop loop, Clock clock, Supplier<JsonNode> lanes) { }
 
     /** A subsystem beside the platform's own; without one nothing of it is loaded. */
     public interface Extension {
@@ -481,7 +483,7 @@
                 }
             });
         }
-        own = extension.directory(new Discovery(config, loop, clock), new Surroundings(config, loop, clock));
+        own = extension.directory(new Discovery(config, loop, clock), new Surroundings(config, loop, clock, this::lanes));
         if (lock != null) {
             begin(null, null);
         } else {
@@ -581,6 +583,11 @@
         }, loop);
     }
 
+    /** How each destination is; those of other shards are left out, since only their loops may ask. */
+    private JsonNode lanes() {
+        return shards.get(0).host.lanes();
+    }
+
     /** Does something on a shard's loop, at once if that is this one. */
     private static CompletableFuture<Void> on(final Shard shard, final Runnable action) {
         return CompletableFuture.runAsync(action, task -> {
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -19,7 +19,11 @@
 import thistleturn.courier.warm.LearntFile;
 import thistleturn.decisions.Control;
 import thistleturn.decisions.Courier;
+import thistleturn.decisions.LaneView;
 import thistleturn.decisions.Memory;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -453,6 +457,25 @@
                         List.of());
     }
 
+    /** How each destination is, with the names of its endpoints in place of their numbers; as JSON for operators. */
+    ArrayNode lanes() {
+        final ArrayNode lanes = JsonNodeFactory.instance.arrayNode();
+        for (final LaneView lane : control.lanes()) {
+            final ObjectNode one = lanes.addObject().put("destination", lane.destination()).put("phase", lane.phase())
+                    .put("window", lane.window()).put("in_flight", lane.inFlight()).put("silent", lane.silent())
+                    .put("waiting", lane.waiting()).put("served_per_s", lane.servedPerSecond())
+                    .put("cause", lane.cause()).put("evidence", lane.evidence())
+                    .put("refused_share", lane.refusedShare()).put("further_calls", lane.furtherCalls())
+                    .put("growing", lane.growing()).put("why", lane.why());
+            if (Double.isFinite(lane.spacingPerSecond())) {
+                one.put("spacing_per_s", lane.spacingPerSecond());
+            }
+            final ArrayNode endpoints = one.putArray("endpoints");
+            lane.endpoints().forEach(number -> endpoints.add(roster.name(number)));
+        }
+        return lanes;
+    }
+
     /** Changes whenever what was learnt has changed so much that it is worth putting down. */
     long turns() {
         return control.turns();
--- a/courier/src/main/java/thistleturn/courier/Roster.java
+++ b/courier/src/main/java/thistleturn/courier/Roster.java
@@ -99,6 +99,11 @@
                 entry.kind() < 0 ? "" : kinds.get(entry.kind()).name(), entry.destination()))).toList();
     }
 
+    /** The name of an endpoint by its number, or null. */
+    String name(final long number) {
+        return names.get(number);
+    }
+
     /** The number of a listed endpoint, or null. */
     Long number(final String name) {
         return ids.get(name);
--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -75,8 +75,7 @@
     /** After refusals, sends go at so many times the rate served and so many a second more: room may come. */
     static final double SPACING = 1.2;
     private static final double SPACING_LEAST = 0.5;
-    /** Where so many wait after a second without a refusal, sends may go at so many times the rate. */
-    private static final int LONG_LINE = 10;
+    /** Where a long line waits after a second without a refusal, sends may go at so many times the rate. */
     private static final double REGAIN = 2;
     /** Refusals under this share of a step's calls would be as many with that spacing. */
     private static final double FEW_REFUSED = 0.05;
@@ -578,10 +577,9 @@
             }
             final boolean handshake = node.inFlight >= node.connections * settings.limits().multiplex()
                     || node.inFlight == 0 && nowUs - node.lastUseUs >= settings.limits().idleCloseUs();
-            final boolean cross = !node.entry.zone().equals(settings.zone());
             final double load = lane.phase == Phase.OUT ? node.lastSendUs : node.inFlight + node.badRun[kind]
-                    + (handshake ? HANDSHAKE_LOAD : 0) + (cross ? CROSS_LOAD : 0)
-                    + node.refusalLoad(kind, refusedBy);
+                    + (handshake ? HANDSHAKE_LOAD : 0) + node.refusalLoad(kind, refusedBy)
+                    + (node.entry.zone().equals(settings.zone()) ? 0 : CROSS_LOAD);
             if (best == null || load < bestLoad) {
                 best = node;
                 bestLoad = load;
@@ -651,8 +649,8 @@
         if (node.connections > 0 && idleUs >= trustUs / (job.kind.effect() == Effect.UNSAFE ? 2 : 1)) {
             node.connections = 0;
             actions.closeIdle(node.entry.id());
-        } else if (node.connections > 0) {
-            call.idleUs = idleUs;
+        } else {
+            call.idleUs = node.connections > 0 ? idleUs : 0;
         }
     }
 
@@ -715,16 +713,16 @@
             if (lane.delivered > 0) {
                 final double mean = lane.ratioSum / lane.delivered;
                 final double trust = lane.delivered / (lane.delivered + LATENCY_PRIOR);
-                latency = clamp(trust * (mean / lane.slowRatio - 1), 0, 1);
+                latency = Worth.clamp(trust * (mean / lane.slowRatio - 1), 0, 1);
                 lane.slowRatio += SAMPLE_WEIGHT * trust * (mean - lane.slowRatio);
             }
             double refusal = bad / read;
             if (lane.allowance != null && lane.allowance.callsPerSecond() > 0) {
                 refusal = Math.max(refusal, 1 - lane.allowance.shareLeft());
             }
-            final double change = Math.max(bad == 0 ? 0 : -1, TableOne.change(latency, clamp(refusal, 0, 1)));
+            final double change = Math.max(bad == 0 ? 0 : -1, TableOne.change(latency, refusal));
             if (change < 0 || lane.peak >= USED_SHARE * Math.floor(lane.window)) {
-                lane.window = clamp(lane.window * (1 + change), WINDOW_FLOOR,
+                lane.window = Worth.clamp(lane.window * (1 + change), WINDOW_FLOOR,
                         Math.max(1, Math.floor(HEALTHY_SHARE * slots)));
             }
             lane.slow = latency > SLOW_INPUT || refusal > SLOW_INPUT;
@@ -732,7 +730,7 @@
         final double refusing = SPACING_LEAST + SPACING * Math.max(lane.served, lane.callRate);
         final boolean heeded = lane.refused > (learns ? FEW_REFUSED * read : 0)
                 && lane.reading.cause(nowUs) != Cause.NOISE;
-        final boolean regains = learns && lane.refused == 0 && lane.destination.waiting >= LONG_LINE;
+        final boolean regains = learns && lane.mayRegain(nowUs);
         lane.spacing = heeded ? refusing : (regains ? REGAIN : SPACING) * lane.spacing;
         lane.beginStep();
     }
@@ -782,8 +780,8 @@
                 lane.refused++;
                 final long fromUs = Math.max(nowUs, lane.waitUntilUs);
                 final long gapUs = patienceUs(lane, fromUs);
-                final boolean told = outcome.waitUs() > 0;
-                lane.pauseUntilUs = fromUs + (told ? (long) (random.nextDouble() * gapUs) : jitter(gapUs));
+                lane.pauseUntilUs = fromUs + (outcome.waitUs() > 0 ? (long) (random.nextDouble() * gapUs)
+                        : jitter(gapUs));
                 final boolean same = learns && lane.isSameSign(call.sentUs, nowUs);
                 suspect(lane, outcome.waitUs() > LIMIT_WAIT_US ? OUT_WEIGHT
                         : same ? 0 : part * REFUSED_WEIGHT);
@@ -986,7 +984,7 @@
     private double tippingShare(final long warmingUs) {
         final double coldFrom = settings.guarantees().coldFrom();
         final double warm = (double) warmingUs / Math.max(1, settings.guarantees().coldUs());
-        return settings.guarantees().tipMultiple() * (coldFrom + (1 - coldFrom) * clamp(warm, 0, 1));
+        return settings.guarantees().tipMultiple() * (coldFrom + (1 - coldFrom) * Worth.clamp(warm, 0, 1));
     }
 
     private double expectedUs(final Lane lane, final Job job) {
@@ -997,10 +995,6 @@
         return (long) (us * (1 - JITTER + 2 * JITTER * random.nextDouble()));
     }
 
-    static double clamp(final double value, final double least, final double most) {
-        return Math.max(least, Math.min(most, value));
-    }
-
     // ---------------------------------------------------------------- deadlines and further attempts
 
     /** How long an attempt may take. */
@@ -1037,7 +1031,7 @@
                 if (lane.phase == Phase.RAMP && nowUs - lane.rampFromUs > settings.guarantees().coldUs()) {
                     lane.phase = Phase.WELL;
                     if (learns) {
-                        lane.returned();
+                        lane.returned(nowUs + settings.guarantees().coldUs());
                     }
                 }
             }
@@ -1251,8 +1245,7 @@
 
     /** Listed endpoints to which nothing goes now for trouble with them, or only single trials. */
     public List<Long> avoided() {
-        return nodes.values().stream().filter(node -> node.isAvoided(nowUs))
-                .map(node -> node.entry.id()).toList();
+        return nodes.values().stream().filter(node -> node.isAvoided(nowUs)).map(Node::id).toList();
     }
 
     /** Changes when a lane goes out or begins to return: what is remembered is then worth putting down. */
@@ -1270,6 +1263,12 @@
         return callsOut >= slots && ready().size() > 0;
     }
 
+    /** How each destination (or route) is, and why nothing goes there now; of vacant ones, nothing. */
+    public List<LaneView> lanes() {
+        return destinations.values().stream().flatMap(destination -> destination.lanes.stream())
+                .map(lane -> LaneView.of(lane, nowUs, openAtUs(lane), cap(lane))).toList();
+    }
+
     /** How many destinations are kept in mind. */
     int destinationsKnown() {
         return destinations.size();
--- a/decisions/src/main/java/thistleturn/decisions/Destination.java
+++ b/decisions/src/main/java/thistleturn/decisions/Destination.java
@@ -32,7 +32,7 @@
     }
 
     long horizonUs() {
-        return (long) Control.clamp(lineUs(), Control.HORIZON_LEAST_US, Control.HORIZON_MOST_US);
+        return (long) Worth.clamp(lineUs(), Control.HORIZON_LEAST_US, Control.HORIZON_MOST_US);
     }
 
     /** Puts a message that waits among those like it; {@code blocked}: another of its key goes first. */
--- a/decisions/src/main/java/thistleturn/decisions/Lane.java
+++ b/decisions/src/main/java/thistleturn/decisions/Lane.java
@@ -12,6 +12,7 @@
     private static final long STEPS_TAKEN = 200;
     /** Messages, the refused one too, that must wait for a call to be made only to learn. */
     private static final int LEAST_LINE = 3;
+    private static final int LONG_LINE = 10;
 
     final Destination destination;
     final Courier.Kind kind;
@@ -27,6 +28,8 @@
     int calls, fallen, silent;
     /** Calls served and refused in all. */
     long servedCalls, refusedCalls;
+    /** Until when the rate that it had before its last outage grows by a fifth a second only. */
+    long freeFromUs;
     /** When the first refusal came of those that are one sign. */
     long refusedUs;
     /** Window and spacing before its refusals were taken for noise. */
@@ -96,7 +99,7 @@
         windowBefore = window;
         spacingBefore = spacing;
         pauseUntilUs = nowUs;
-        spacing = Double.POSITIVE_INFINITY;
+        spacing = nowUs < freeFromUs ? spacing : Double.POSITIVE_INFINITY;
         growth.again();
     }
 
@@ -107,10 +110,14 @@
         return same;
     }
 
-    /** It has returned from an outage, and is surely warm: what its refusals answered to is past. */
-    void returned() {
+    /**
+     * It has returned from an outage, and is surely warm: what its refusals answered to is past. All that waited meanwhile
+     * does not go at once: that could still push it over.
+     */
+    void returned(final long pacedUntilUs) {
+        freeFromUs = pacedUntilUs;
         reading.forget();
-        spacing = Double.POSITIVE_INFINITY;
+        spacing = Control.SPACING * Math.max(1, callRate);
         growth.again();
     }
 
@@ -121,6 +128,11 @@
         spacing = Math.min(spacing, spacingBefore);
     }
 
+    /** True where a long line waits after a step without a refusal, and no outage is so near that it might be tipped. */
+    boolean mayRegain(final long nowUs) {
+        return refused == 0 && destination.waiting >= LONG_LINE && nowUs >= freeFromUs;
+    }
+
     /** What is counted within a step begins anew. */
     void beginStep() {
         peak = calls;
--- a/decisions/src/main/java/thistleturn/decisions/Node.java
+++ b/decisions/src/main/java/thistleturn/decisions/Node.java
@@ -28,6 +28,10 @@
         this.lane = lane;
     }
 
+    long id() {
+        return entry.id();
+    }
+
     /** What its refusals weigh in the choice for a message, in calls in flight; more where it refused this one. */
     double refusalLoad(final int kind, final Node refusedBy) {
         return cells[kind].refusedInARow() + (this == refusedBy ? REFUSED_LOAD : 0);
--- a/decisions/src/main/java/thistleturn/decisions/TableOne.java
+++ b/decisions/src/main/java/thistleturn/decisions/TableOne.java
@@ -8,12 +8,12 @@
 
     private TableOne() { }
 
-    /** The change of a window, as a share of it, from two inputs between 0 and 1; defuzzified by central average. */
+    /** The change of a window, as a share of it, from latency between 0 and 1 and refusals, cut to that; defuzzified by central average. */
     static double change(final double latency, final double refusal) {
         final double[] union = new double[OUTPUTS.length];
         for (int row = 0; row < RULES.length; row++) {
             for (int column = 0; column < RULES.length; column++) {
-                final double both = Math.min(member(row, latency), member(column, refusal));
+                final double both = Math.min(member(row, latency), member(column, Worth.clamp(refusal, 0, 1)));
                 union[RULES[row][column]] = Math.max(union[RULES[row][column]], both);
             }
         }
--- a/decisions/src/main/java/thistleturn/decisions/Worth.java
+++ b/decisions/src/main/java/thistleturn/decisions/Worth.java
@@ -15,6 +15,10 @@
         this.floorUs = settings.classes().stream().mapToLong(this::floorUs).toArray();
     }
 
+    static double clamp(final double value, final double least, final double most) {
+        return Math.max(least, Math.min(most, value));
+    }
+
     /** The worth of a message delivered at a given time; a key's window ends it like the deadline does. */
     double at(final Job job, final long atUs) {
         return atUs >= job.keyEndUs() ? 0 : job.kind.worth() * (job.overQuota ? OVER_QUOTA : 1)
--- a/decisions/src/test/java/thistleturn/decisions/oracle/FrozenControl.java
+++ b/decisions/src/test/java/thistleturn/decisions/oracle/FrozenControl.java
@@ -519,6 +519,7 @@
         final boolean heeded = lane.refused > (learns ? FEW_REFUSED * read : 0)
                 && lane.reading.cause(nowUs) != RefusalReading.Cause.NOISE;
         final boolean regains = learns && lane.refused == 0
+                && nowUs >= lane.freeFromUs
                 && destinations.get(lane.destination).waiting.size() >= LONG_LINE;
         lane.spacing = heeded ? refusing : (regains ? REGAIN : SPACING) * lane.spacing;
         lane.peak = lane.calls.size();
@@ -683,7 +684,7 @@
             lane.windowBefore = lane.window;
             lane.spacingBefore = lane.spacing;
             lane.pauseUntilUs = nowUs;
-            lane.spacing = Double.POSITIVE_INFINITY;
+            lane.spacing = nowUs < lane.freeFromUs ? lane.spacing : Double.POSITIVE_INFINITY;
             lane.growth.again();
         }
     }
@@ -850,8 +851,9 @@
                 if (lane.phase == Phase.RAMP && nowUs - lane.rampFromUs > settings.guarantees().coldUs()) {
                     lane.phase = Phase.WELL;
                     if (learns) {
+                        lane.freeFromUs = nowUs + settings.guarantees().coldUs();
                         lane.reading.forget();
-                        lane.spacing = Double.POSITIVE_INFINITY;
+                        lane.spacing = SPACING * Math.max(1, lane.callRate);
                         lane.growth.again();
                     }
                 }
@@ -1063,7 +1065,7 @@
         private long servedCalls, refusedCalls;
         private boolean mayProbe;
         private double windowBefore, spacingBefore;
-        private long refusedUs;
+        private long refusedUs, freeFromUs;
         private final List<Node> nodes = new ArrayList<>();
         private final List<Call> calls = new ArrayList<>();
         private double window;
