--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -532,7 +532,8 @@
         final List<String> classes = config.settings().classes().stream().map(Courier.MessageClass::name).toList();
         for (int index = 0; index < shards.size(); index++) {
             final Shard shard = shards.get(index);
-            shard.learnt = tuning.remembers() ? new LearntFile(config.state(), index, classes) : null;
+            shard.learnt = tuning.remembers() ? new LearntFile(config.state(), index, classes,
+                    config.diskBytes() / shards.size()) : null;
             shard.directory = shared == null ? own : shared.view(index);
             built.add(on(shard, () -> {
                 shard.host = new Host(config, shard.loop, clock, shard.journal, shard);
--- a/courier/src/main/java/thistleturn/courier/warm/LearntFile.java
+++ b/courier/src/main/java/thistleturn/courier/warm/LearntFile.java
@@ -24,17 +24,20 @@
  * any rule hangs on it: losing it costs what a new courier costs.
  */
 public final class LearntFile {
-    /** Bytes at most: some two thousand endpoints. What is larger is not kept. */
-    static final int MOST_BYTES = 1 << 20;
+    /** Bytes at most: some two thousand endpoints, and a twentieth of the disk, since it is written beside the one before. */
+    private static final int MOST_BYTES = 1 << 20;
+    private static final int DISK_PART = 20;
     /** How far the two clocks may have gone apart since it was written, us: else one of them was set, or began anew. */
     private static final long CLOCKS_APART_US = 1_000_000;
     private static final String END = "{\"t\":\"end\",\"crc\":";
 
     private final Path file;
     private final String classes;
+    private final long mostBytes;
 
-    /** Where it is kept, and the names of the classes in their order: what was learnt of others means nothing. */
-    public LearntFile(final Path folder, final int shard, final List<String> classes) {
+    /** Where it is kept, how large the disk is, and the names of the classes in their order: what was learnt of others means nothing. */
+    public LearntFile(final Path folder, final int shard, final List<String> classes, final long diskBytes) {
+        this.mostBytes = Math.min(MOST_BYTES, diskBytes / DISK_PART);
         this.file = folder.resolve(shard == 0 ? "learnt" : "learnt-" + shard);
         this.classes = String.join(" ", classes);
     }
@@ -53,12 +56,16 @@
                 .put("version", Memory.VERSION).put("classes", classes).put("wall", wallUs).put("up", upUs))).append('\n');
         Wire.lines(learnt).forEach(line -> text.append(line).append('\n'));
         final byte[] body = text.toString().getBytes(StandardCharsets.UTF_8);
-        if (body.length > MOST_BYTES) {
+        if (body.length > mostBytes) {
             return null;
         }
         return text.append(END).append(crc(body, body.length)).append("}\n").toString().getBytes(StandardCharsets.UTF_8);
     }
 
+    long mostBytes() {
+        return mostBytes;
+    }
+
     /** Puts a file in the place of the one before. */
     void write(final byte[] bytes) throws IOException {
         final Path fresh = file.resolveSibling(file.getFileName() + ".new");
@@ -69,8 +76,8 @@
     /** What the process before had learnt, if that can be trusted now; else null, with a line in the log unless there is none. */
     public Found read(final long wallUs, final long upUs) {
         try {
-            if (Files.size(file) > MOST_BYTES + END.length() + Long.SIZE) {
-                throw new IOException("more than " + MOST_BYTES + " bytes");
+            if (Files.size(file) > mostBytes + END.length() + Long.SIZE) {
+                throw new IOException("more than " + mostBytes + " bytes");
             }
             return parse(Files.readAllBytes(file), wallUs, upUs);
         } catch (final NoSuchFileException e) {
--- a/courier/src/main/java/thistleturn/courier/warm/LearntKeeper.java
+++ b/courier/src/main/java/thistleturn/courier/warm/LearntKeeper.java
@@ -55,7 +55,7 @@
                 file.write(bytes);
                 told.set(false);
             } else if (!told.getAndSet(true)) {
-                Log.info("what was learnt is not kept: more than " + LearntFile.MOST_BYTES + " bytes");
+                Log.info("what was learnt is not kept: more than " + file.mostBytes() + " bytes");
             }
         } catch (final IOException e) {
             if (!told.getAndSet(true)) {
--- a/courier/src/test/java/thistleturn/courier/warm/LearntFileTest.java
+++ b/courier/src/test/java/thistleturn/courier/warm/LearntFileTest.java
@@ -26,6 +26,7 @@
     private static final long WALL_US = 1_796_000_000_000_000L;
     private static final long UP_US = 5_000_000_000L;
     private static final long SECOND = 1_000_000;
+    private static final long DISK_BYTES = 3 << 20;
     private static final List<String> CLASSES = List.of("safe", "once");
 
     @TempDir
@@ -42,7 +43,7 @@
 
     @BeforeEach
     void write() throws IOException {
-        file = new LearntFile(folder, 0, CLASSES);
+        file = new LearntFile(folder, 0, CLASSES, DISK_BYTES);
         file.write(file.bytes(learnt(), WALL_US, UP_US));
     }
 
@@ -94,8 +95,8 @@
 
     @Test
     void oneForOtherClassesIsNotUsed() {
-        assertNull(new LearntFile(folder, 0, List.of("once", "safe")).read(WALL_US, UP_US));
-        assertNull(new LearntFile(folder, 1, CLASSES).read(WALL_US, UP_US), "another shard's");
+        assertNull(new LearntFile(folder, 0, List.of("once", "safe"), DISK_BYTES).read(WALL_US, UP_US));
+        assertNull(new LearntFile(folder, 1, CLASSES, DISK_BYTES).read(WALL_US, UP_US), "another shard's");
     }
 
     @Test
