--- a/lab/src/main/java/thistleturn/lab/policy/SimpleSender.java
+++ b/lab/src/main/java/thistleturn/lab/policy/SimpleSender.java
@@ -42,7 +42,6 @@
         private int attempts;
         private long firstRunUs = Long.MAX_VALUE;
         private long sentUs;
-        private boolean out;
 
         Item(final Message message, final MessageClass kind) {
             this.message = message;
@@ -108,7 +107,6 @@
         final Lane lane = lane(item.message.destination());
         out--;
         lane.out--;
-        item.out = false;
         lane.waitUntilUs = Math.max(lane.waitUntilUs, nowUs + outcome.waitUs());
         if (outcome.result() == Result.DELIVERED) {
             lane.window += moves ? 1 / lane.window : 0;
@@ -134,7 +132,6 @@
                 final Item item = lane.waiting.poll();
                 item.attempts++;
                 item.sentUs = nowUs;
-                item.out = true;
                 out++;
                 lane.out++;
                 final long leftUs = item.message.validUntilUs() - nowUs;
