Auditor: an end read in one batch after the next beginning is no second copy

Cause: a learnt time-out ends a silent call after half a second and the next one goes at once; the stand-in's selector may hand the new request over before the end of the old connection that came before it (the order within a batch is none). Ruled out: the courier, which closes before it sends. Change: a copy that is cut within 5 ms after the next began, was begun before it and is not unsafe, takes the finding back; what is later, of the second copy or unsafe stays one.

--- a/testkit/src/main/java/thistleturn/testkit/Auditor.java
+++ b/testkit/src/main/java/thistleturn/testkit/Auditor.java
@@ -16,6 +16,8 @@
  * {@link #finish} says what was never ended.
  */
 public final class Auditor {
+    /** An end and a beginning on two connections that come in one batch of the selector are read in any order, us. */
+    private static final long SAME_BATCH_US = 5_000;
     private static final long MS = 1000;
     private static final long SECOND = 1_000_000;
     /** How long before its end a process may have been answered without having read it. */
@@ -72,6 +74,8 @@
     }
 
     private static final class Message {
+        /** That two copies were out, until it is known that the first had been ended; else null. */
+        private Violation copies;
         private final String id;
         private final Courier.MessageClass kind;
         private final long destination;
@@ -256,6 +260,7 @@
         }
         if (message.out > 0) {
             broken(Rule.DOUBLE, firstByteUs, message + ": two copies are out");
+            message.copies = violations.get(violations.size() - 1);
         }
         if (message.over && mayRepeat(firstByteUs, message)) {
             return;
@@ -309,6 +314,13 @@
             return;
         }
         message.out--;
+        if (message.copies != null && (end == End.CUT || end == End.NEVER_WHOLE)
+                && message.kind.effect() != Courier.Effect.UNSAFE && firstByteUs < message.copies.atUs()
+                && nowUs - message.copies.atUs() <= SAME_BATCH_US) {
+            // The courier had ended the first copy before it sent the second: both were read in one batch, in any order.
+            violations.remove(message.copies);
+            message.copies = null;
+        }
         if (end.mayHaveRun) {
             message.firstRunUs = Math.min(message.firstRunUs, firstByteUs);
         }
--- a/testkit/src/test/java/thistleturn/testkit/AuditorTest.java
+++ b/testkit/src/test/java/thistleturn/testkit/AuditorTest.java
@@ -163,6 +163,29 @@
         assertBroken(Rule.DOUBLE);
     }
 
+    /** The courier ends a call and then makes the next one; the two are read in one batch, the next one first. */
+    @Test
+    void anEndThatIsReadRightAfterTheNextBeginningIsNoDouble() {
+        take(0, "a", "safe");
+        auditor.called(10 * MS, "e1", List.of("a"));
+        auditor.called(20 * MS, "e1", List.of("a"));
+        auditor.ended(21 * MS, 10 * MS, "a", End.CUT);
+        auditor.ended(30 * MS, 20 * MS, "a", End.DELIVERED);
+        assertBroken();
+    }
+
+    @Test
+    void anEndThatComesLaterOrOfTheSecondCopyOrOfAnUnsafeOneIsADouble() {
+        for (final String id : List.of("late", "second", "unsafe")) {
+            take(0, id, id.equals("unsafe") ? "once" : "safe");
+            auditor.called(10 * MS, "e1", List.of(id));
+            auditor.called(20 * MS, "e1", List.of(id));
+            auditor.ended(id.equals("late") ? 26 * MS : 21 * MS, id.equals("second") ? 20 * MS : 10 * MS, id, End.CUT);
+            auditor.ended(30 * MS, id.equals("second") ? 10 * MS : 20 * MS, id, End.DELIVERED);
+        }
+        assertBroken(Rule.DOUBLE, Rule.DOUBLE, Rule.DOUBLE);
+    }
+
     @Test
     void aSendAfterTheEndIsCaught() {
         take(0, "a", "once");
