--- a/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
+++ b/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
@@ -38,7 +38,7 @@
 
     /** Everything off. */
     public static ProductConfig off() {
-        return new ProductConfig(null, null, Tuning.platform());
+        return new ProductConfig(null, null, Tuning.plain());
     }
 
     /**
@@ -61,13 +61,13 @@
         final StrictTable table = new StrictTable(file, "", root);
         final InetSocketAddress admin = admin(table.table("admin"));
         final MembershipSettings membership = membership(table.table("membership"));
-        final Tuning tuning = tuning(table.table("front"), table.table("shards"));
+        final Tuning tuning = tuning(table.table("front"), table.table("shards"), table.table("memory"));
         table.finish();
         return new ProductConfig(admin, membership, tuning);
     }
 
-    private static Tuning tuning(final StrictTable front, final StrictTable shards) {
-        final Tuning platform = Tuning.platform();
+    private static Tuning tuning(final StrictTable front, final StrictTable shards, final StrictTable memory) {
+        final Tuning platform = Tuning.plain();
         final boolean ownFront = front.flag("enabled", false);
         final long idleUs = front.durationUs("idle", "10s", "1s", "24h");
         final double clients = front.share("clients", platform.clientShare());
@@ -76,12 +76,15 @@
         final boolean several = shards.flag("enabled", false);
         final int count = shards.whole("count", 1, 1, 64);
         shards.finish();
+        final boolean remembers = memory.flag("enabled", false);
+        memory.finish();
         if (clients <= 0 || endpoints <= 0 || clients + endpoints > MOST_SOCKET_SHARE) {
             throw front.wrong("clients", clients, "shares above 0 that leave the process a twentieth of its descriptors, "
                     + "clients and endpoints together at most " + MOST_SOCKET_SHARE);
         }
-        final Tuning sized = ownFront ? new Tuning(idleUs, clients, endpoints, 1) : platform;
-        return new Tuning(sized.clientIdleUs(), sized.clientShare(), sized.endpointShare(), several ? count : 1);
+        final Tuning sized = ownFront ? new Tuning(idleUs, clients, endpoints, 1, remembers) : platform;
+        return new Tuning(sized.clientIdleUs(), sized.clientShare(), sized.endpointShare(), several ? count : 1,
+                remembers);
     }
 
     private static InetSocketAddress admin(final StrictTable table) {
--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -13,6 +13,8 @@
 import java.util.TreeSet;
 import thistleturn.decisions.index.Ranking;
 import thistleturn.decisions.index.TimeHeap;
+import thistleturn.decisions.noise.Cell;
+import thistleturn.decisions.noise.RefusalReading.Cause;
 
 /**
  * Every decision of one courier; its interface is {@code Courier.java}. How it decides, from the top:
@@ -22,7 +24,8 @@
  * <li>Once a second the paper's Table I moves the window from latency and refusals ({@link #step}).
  * <li>Of the messages that may go, the one that loses most by waiting goes first ({@link #urgency}), to the
  * endpoint with least of ours in flight, recent trouble, handshakes and zones to cross ({@link #choose}).
- * <li>A told wait is heeded by the whole lane; a refusal without one makes the lane pause by itself.
+ * <li>A told wait is heeded by the whole lane; a refusal without one makes the lane pause by itself, unless
+ * it is read as noise ({@code decisions.noise}): then it goes again at once, elsewhere first, in a budget.
  * <li>A lane that returns nothing but trouble is OUT: single trials, as many as a cold one bears; after the
  * first success it is on a RAMP, paced under the tipping rate until it is surely warm.
  * <li>What can be in time no more, or gains least when the store is full, is refused where that is harmless.
@@ -55,10 +58,6 @@
     // Service times.
     /** Least weight of a new sample, or of a step, in a slow average: about ten of memory. */
     static final double SAMPLE_WEIGHT = 0.1;
-    /** Service time of a class before any was seen, as a share of its aim: the aim was set to be met. */
-    private static final double UNSEEN_SHARE = 0.25;
-    /** Least pace of a lane, times the usual: no answer is so quick that the next must be quicker still. */
-    private static final double PACE_LEAST = 0.1;
     /** A call is overdue after so many times what is expected (one in 150, by chance), and so long, us. */
     static final double OVERDUE_TIMES = 5;
     static final long OVERDUE_LEAST_US = SECOND_US;
@@ -76,6 +75,10 @@
     /** After refusals, sends go at so many times the rate served and so many a second more: room may come. */
     static final double SPACING = 1.2;
     private static final double SPACING_LEAST = 0.5;
+    /** Where a long line waits after a second without a refusal, sends may go at so many times the rate. */
+    private static final double REGAIN = 2;
+    /** Refusals under this share of a step's calls would be as many with that spacing. */
+    private static final double FEW_REFUSED = 0.05;
     /** A told wait above this, us, is no limit's, whose spans are a second or two: it is shut. */
     private static final long LIMIT_WAIT_US = 5 * SECOND_US / 2;
     /** Weights in the run of bad outcomes, where a failure weighs 1: crowding refuses too, errors mix. */
@@ -93,6 +96,8 @@
     private static final double FURTHER_WEIGHT = 0.2;
     /** An endpoint that failed is left alone so long, us; after that its failures in a row count as calls. */
     private static final long AVOID_US = SECOND_US;
+    /** Trials of a lane that is out are so far apart, us, however many messages there are. */
+    private static final long TRIAL_LEAST_US = SECOND_US / 10;
     /** Share by which gaps are drawn longer or shorter, so that couriers do not keep step. */
     private static final double JITTER = 0.2;
 
@@ -105,9 +110,6 @@
     /** How far ahead a line is looked along, us: the next call at least, and what fades at most. */
     static final long HORIZON_LEAST_US = SECOND_US;
     static final long HORIZON_MOST_US = 10 * SECOND_US;
-    /** Share of worth beyond a quota, of which we see a part; messages in a burst that chance may bring. */
-    private static final double OVER_QUOTA = 0.25;
-    private static final double QUOTA_BURST = 10;
     /** Share of the store that is kept free by refusing what has least to gain: the door refuses blindly. */
     private static final double STORE_RESERVE = 0.05;
     /** A class's mean time, as the choice among messages reckons with it, is noted anew at such a change. */
@@ -137,6 +139,7 @@
     private final Settings settings;
     private final Actions actions;
     private final Random random;
+    private final boolean learns;
     private final Map<Long, Destination> destinations = new HashMap<>();
     private final Map<Long, Node> nodes = new HashMap<>();
     /** Endpoints that are gone, and destinations without messages or endpoints: to be forgotten. */
@@ -161,12 +164,9 @@
     private final List<Destination> touched = new ArrayList<>();
     /** Lanes on which a step is more than the passing of time. */
     private List<Lane> active = new ArrayList<>();
-    /** By class: mean service times as last noted, how late its worth has reached its floor; us. */
-    private final double[] notedMeanUs;
-    private final long[] floorUs;
-    private final double[] classMeanUs;
-    private final int[] classSamples;
-    private final long[] quotaUs;
+    private final Worth worth;
+    private final Quotas quotas;
+    private final ServiceTimes times;
     private final TreeSet<Long> wakes = new TreeSet<>();
     private int callsOut, open;
     private Call adopted;
@@ -174,8 +174,8 @@
     private int slots, maxOpen;
     private double trustUs;
     private long nowUs, nextStepUs, stopUs = NEVER;
-    /** Steps taken; messages taken; waits begun; events and passes so far. */
-    private long steps, numbers, places, tick;
+    /** Steps taken; messages taken; waits begun; events and passes so far; lanes gone out or returning. */
+    private long steps, numbers, places, tick, turns;
     /** The last look at all that is overdue. */
     private long passTick, passUs;
     /** When a pass is wanted that no event and no heap would bring. */
@@ -185,25 +185,33 @@
 
     /** A courier that knows nothing yet but its settings; {@code seed} is its only source of chance. */
     public Control(final Settings settings, final long seed, final Actions actions) {
-        this(settings, seed, actions, LOOK_US);
+        this(settings, seed, actions, LOOK_US, true);
     }
 
-    /** The same, with the time that is given to a look at what time alone has changed, us; 0: all, always. */
-    Control(final Settings settings, final long seed, final Actions actions, final long lookUs) {
+    /** One that takes refusals, failures and first seconds as they come: to compare with. */
+    public static Courier withoutReading(final Settings settings, final long seed, final Actions actions) {
+        return new Control(settings, seed, actions, LOOK_US, false);
+    }
+
+    /**
+     * As told, with the time that is given to a look at what time alone has changed, us (0: all, always), and
+     * whether refusals, single failures and first seconds are read ({@code decisions.noise}) or as they come.
+     */
+    Control(final Settings settings, final long seed, final Actions actions, final long lookUs,
+            final boolean learns) {
+        this.learns = learns;
         this.settings = settings;
         this.slots = settings.limits().slots();
         this.maxOpen = settings.limits().maxOpen();
         this.actions = actions;
         this.random = new Random(seed);
-        this.classMeanUs = settings.classes().stream().mapToDouble(k -> UNSEEN_SHARE * k.aimUs()).toArray();
-        this.classSamples = new int[classMeanUs.length];
+        this.times = new ServiceTimes(settings.classes());
         this.ready = List.of(new Ranking<>(this::urgency, Ready.ORDER, lookUs),
                 new Ranking<>(this::urgency, Ready.ORDER, lookUs));
         this.room = new Ranking<>(this::leastWorth, Destination.ORDER, lookUs);
-        this.notedMeanUs = classMeanUs.clone();
-        this.floorUs = settings.classes().stream().mapToLong(this::floorUs).toArray();
+        this.worth = new Worth(settings);
         this.trustUs = settings.limits().idleCloseUs();
-        this.quotaUs = new long[settings.tenants().size()];
+        this.quotas = new Quotas(settings);
     }
 
     // ---------------------------------------------------------------- events
@@ -214,7 +222,7 @@
         final Job job = new Job(message, settings.classes().get(message.messageClass()), numbers++);
         jobs.put(message.id(), job);
         open++;
-        job.overQuota = overQuota(message.tenant());
+        job.overQuota = quotas.exceededBy(message.tenant(), nowUs);
         job.destination = destination(message.destination());
         job.destination.jobs++;
         if (job.kind.inTurn() && message.key() != null) {
@@ -270,13 +278,13 @@
 
     /** What was learnt so far. */
     public Memory memory() {
-        return Memory.of(classMeanUs, classSamples, trustUs, nodes.values());
+        return Memory.of(times.meanUs, times.samples, trustUs, nodes.values());
     }
 
     /** Takes over what another process of this courier had learnt; the list must have been told before. */
     public void onMemory(final long now, final Memory memory) {
         nowUs = now;
-        trustUs = memory.recall(nodes, classMeanUs, classSamples);
+        trustUs = memory.recall(nodes, times.meanUs, times.samples, now);
         noteMeans(0);
         destinations.values().forEach(this::touch);
         nodes.values().stream().filter(node -> node.lane.phase == Phase.RAMP).forEach(node ->
@@ -296,7 +304,6 @@
         nowUs = now;
         slots = slotsNow;
         maxOpen = maxOpenNow;
-        // What a lane may hold of the slots matters where it holds some.
         List.copyOf(active).forEach(lane -> touch(lane.destination));
     }
 
@@ -332,6 +339,7 @@
             node.inFlight--;
             node.lane.calls--;
             overdue.remove(call);
+            node.lane.fallen -= call.fallen ? 1 : 0;
             if (call.fallen && node.lastServedUs < call.sentUs) {
                 node.silent--;
                 node.lane.silent--;
@@ -437,7 +445,7 @@
         final int kind = entry.picked.message.messageClass();
         final double urgency = urgency(entry.picked, doneUs(lane, kind), lane.destination.horizonUs());
         // Where not all can be served, slots go where they serve most.
-        return entry.mode == 0 ? urgency : urgency / notedUs(lane, kind);
+        return entry.mode == 0 ? urgency : urgency / times.notedUs(lane, kind);
     }
 
     /** When a lane's waits and guards let a call go; never, while its window is full. */
@@ -447,7 +455,9 @@
 
     /** The same, as it is reckoned at that moment: a ramp gets steeper with time. */
     private long openAtUs(final Lane lane, final long atUs) {
-        if (lane.calls >= cap(lane)) {
+        // Single calls that are silent while others are served hold slots, but not the lane's window.
+        final int stray = learns ? lane.fallen - lane.silent : 0;
+        if (lane.calls - stray >= cap(lane) || lane.calls >= most(lane)) {
             return NEVER;
         }
         final boolean exact = settings.weights() == Weights.NOMINAL && lane.told > 0;
@@ -458,7 +468,7 @@
             case RAMP -> lane.lastSendUs + (long) (lane.rampSpanUs * lane.lastWeight
                     / tippingShare(atUs - lane.rampFromUs));
         };
-        return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.pauseUntilUs));
+        return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.pausedUntilUs()));
     }
 
     /** When a lane may be able to send more than now by the passing of time alone. */
@@ -485,8 +495,13 @@
 
     /** Calls that a lane may have in flight now: its window, within its share of the slots. */
     private int cap(final Lane lane) {
+        return (int) Math.max(1, Math.min(Math.floor(lane.window), most(lane)));
+    }
+
+    /** Calls that a lane may have in flight at all: its share of the slots. */
+    private int most(final Lane lane) {
         final double share = lane.phase == Phase.WELL && !lane.slow ? HEALTHY_SHARE : SICK_SHARE;
-        return (int) Math.max(1, Math.floor(Math.min(lane.window, share * slots)));
+        return (int) Math.max(1, Math.floor(share * slots));
     }
 
     /** The most urgent message for a lane (a node, if given); trials risk first what is lost anyway. */
@@ -498,12 +513,12 @@
         for (final Group group : destination.groups) {
             final int risk = lane.phase != Phase.OUT || group.mayHaveRun ? 0 : 1 + group.effect().ordinal();
             if (group.blocked || best != null && risk > bestRisk || !endsInTime(lane, group)
-                    || node == null && choose(lane, group) == null
+                    || node == null && choose(lane, group, null) == null
                     || node != null && (!group.zoneAllows(node) || group.effect() == Effect.UNSAFE)) {
                 continue;
             }
             final long doneUs = doneUs(lane, group.kind);
-            final Job job = group.greatest(turns(group, doneUs, horizonUs),
+            final Job job = group.greatest(worth.turns(group, doneUs, horizonUs),
                     one -> urgency(one, doneUs, horizonUs));
             final double urgency = urgency(job, doneUs, horizonUs);
             if (best == null || risk < bestRisk || urgency > bestUrgency
@@ -519,56 +534,12 @@
     /** What a message loses by waiting for as long as its destination's line takes. */
     private double urgency(final Job job, final long doneUs, final long horizonUs) {
         final double kept = KEPT / (1 + (double) horizonUs / HORIZON_MOST_US);
-        return worth(job, doneUs) - kept * worth(job, doneUs + horizonUs);
+        return worth.at(job, doneUs) - kept * worth.at(job, doneUs + horizonUs);
     }
 
     /** When a message would be done if it went now, with the class's time as it was last noted. */
     private long doneUs(final Lane lane, final int kind) {
-        return nowUs + (long) notedUs(lane, kind);
-    }
-
-    private double notedUs(final Lane lane, final int kind) {
-        return notedMeanUs[kind] * Math.max(PACE_LEAST, lane.pace);
-    }
-
-    /** The worth of a message delivered at a given time; a key's window ends it like the deadline does. */
-    private double worth(final Job job, final long atUs) {
-        return atUs >= job.keyEndUs() ? 0 : job.kind.worth() * (job.overQuota ? OVER_QUOTA : 1)
-                * faded(job.kind, Math.max(0, atUs - job.aimUs));
-    }
-
-    /** The share of its worth that is left of a message so late, us, before it ends. */
-    private double faded(final MessageClass kind, final long lateUs) {
-        return (settings.fade() == Fade.HALVING
-                ? Math.max(kind.lateWorth(), Math.pow(0.5, (double) lateUs / Math.max(1, kind.aimUs())))
-                : 1 - (1 - kind.lateWorth()) * lateUs / Math.max(1, kind.deadlineUs() - kind.aimUs()));
-    }
-
-    /** How late a message's worth has faded as far as it does, us after its aim; its end at the latest. */
-    private long floorUs(final MessageClass kind) {
-        final long lifeUs = kind.deadlineUs() - kind.aimUs();
-        long lowUs = -1;
-        long highUs = lifeUs;
-        while (highUs - lowUs > 1) {
-            final long middleUs = (lowUs + highUs) >>> 1;
-            final boolean faded = faded(kind, middleUs) <= kind.lateWorth();
-            lowUs = faded ? lowUs : middleUs;
-            highUs = faded ? middleUs : highUs;
-        }
-        return highUs;
-    }
-
-    /**
-     * The urgency of like messages follows from their aims alone. It only rises, only falls or stays the same
-     * between these aims: where worth turns when a message is done, and when it is done after the line.
-     */
-    private long[] turns(final Group group, final long doneUs, final long horizonUs) {
-        final long lifeUs = group.like.deadlineUs() - group.like.aimUs();
-        final long floorAimUs = doneUs - floorUs[group.kind] + 1;
-        final long[] turns = {doneUs + 1, floorAimUs, doneUs - lifeUs + 1, doneUs + 1 + horizonUs,
-            floorAimUs + horizonUs, doneUs - lifeUs + 1 + horizonUs};
-        Arrays.sort(turns);
-        return turns;
+        return nowUs + (long) times.notedUs(lane, kind);
     }
 
     /** Of a line, the worth (below nothing) of the message that is worth least when its turn comes. */
@@ -581,13 +552,11 @@
             if (!group.mayRefuse()) {
                 continue;
             }
-            final long lifeUs = group.like.deadlineUs() - group.like.aimUs();
-            final long flatUs = Math.max(0, Math.min(floorUs[group.kind], lifeUs - 1));
-            final Job job = group.greatest(new long[] {atUs - flatUs + 1, atUs + 1},
-                    one -> -worth(one, Math.min(atUs, one.keyEndUs() - 1)));
-            final double worth = worth(job, Math.min(atUs, job.keyEndUs() - 1));
-            if (worth < least || worth == least && job.place < destination.least.place) {
-                least = worth;
+            final Job job = group.greatest(worth.turnsAt(group, atUs),
+                    one -> -worth.at(one, Math.min(atUs, one.keyEndUs() - 1)));
+            final double its = worth.at(job, Math.min(atUs, job.keyEndUs() - 1));
+            if (its < least || its == least && job.place < destination.least.place) {
+                least = its;
                 destination.least = job;
             }
         }
@@ -597,7 +566,7 @@
     // ------------------------------------------------------------- endpoints and calls
 
     /** The best endpoint of a lane for a message now, or null. */
-    private Node choose(final Lane lane, final Group group) {
+    private Node choose(final Lane lane, final Group group, final Node refusedBy) {
         Node best = null;
         double bestLoad = 0;
         final int kind = group.kind;
@@ -608,9 +577,9 @@
             }
             final boolean handshake = node.inFlight >= node.connections * settings.limits().multiplex()
                     || node.inFlight == 0 && nowUs - node.lastUseUs >= settings.limits().idleCloseUs();
-            final boolean cross = !node.entry.zone().equals(settings.zone());
             final double load = lane.phase == Phase.OUT ? node.lastSendUs : node.inFlight + node.badRun[kind]
-                    + (handshake ? HANDSHAKE_LOAD : 0) + (cross ? CROSS_LOAD : 0);
+                    + (handshake ? HANDSHAKE_LOAD : 0) + node.refusalLoad(kind, refusedBy)
+                    + (node.entry.zone().equals(settings.zone()) ? 0 : CROSS_LOAD);
             if (best == null || load < bestLoad) {
                 best = node;
                 bestLoad = load;
@@ -628,14 +597,15 @@
     /** False for a call that the end of this process would likely cut off: the next one may send it. */
     private boolean endsInTime(final Lane lane, final Group group) {
         return stopUs == NEVER || nowUs + (group.effect() == Effect.UNSAFE
-                ? OVERDUE_TIMES : STOP_TIMES) * notedUs(lane, group.kind) < stopUs;
+                ? OVERDUE_TIMES : STOP_TIMES) * times.notedUs(lane, group.kind) < stopUs;
     }
 
     /** Sends a message and, where calls are shared, those that wait with it. */
     private void send(final Job first, final Lane lane) {
-        final Node node = choose(lane, first.group);
+        final Node node = choose(lane, first.group, first.refusedBy);
         touch(lane.destination);
         final Call call = new Call();
+        call.probe = lane.takeProbe(nowUs);
         call.node = node;
         call.sentUs = nowUs;
         callsOut++;
@@ -659,7 +629,8 @@
             call.jobs.add(job);
             job.attempts++;
             leave(job);
-            actions.send(job.message.id(), node.entry.id(), timeoutUs(lane, job));
+            actions.send(job.message.id(), node.entry.id(),
+                    timeoutUs(lane, node.cells[job.message.messageClass()], job));
             final boolean full = alone || call.messages >= lane.kind.messagesPerCall();
             job = full ? null : pick(job.destination, lane, node);
         }
@@ -678,8 +649,8 @@
         if (node.connections > 0 && idleUs >= trustUs / (job.kind.effect() == Effect.UNSAFE ? 2 : 1)) {
             node.connections = 0;
             actions.closeIdle(node.entry.id());
-        } else if (node.connections > 0) {
-            call.idleUs = idleUs;
+        } else {
+            call.idleUs = node.connections > 0 ? idleUs : 0;
         }
     }
 
@@ -723,14 +694,7 @@
 
     /** Notes the classes' mean times that have changed by more than a share; looks anew at what follows. */
     private void noteMeans(final double change) {
-        boolean noted = false;
-        for (int kind = 0; kind < notedMeanUs.length; kind++) {
-            if (Math.abs(classMeanUs[kind] - notedMeanUs[kind]) > change * notedMeanUs[kind]) {
-                notedMeanUs[kind] = classMeanUs[kind];
-                noted = true;
-            }
-        }
-        if (noted) {
+        if (times.note(change)) {
             ready.forEach(Ranking::touchAll);
         }
     }
@@ -749,53 +713,26 @@
             if (lane.delivered > 0) {
                 final double mean = lane.ratioSum / lane.delivered;
                 final double trust = lane.delivered / (lane.delivered + LATENCY_PRIOR);
-                latency = clamp(trust * (mean / lane.slowRatio - 1), 0, 1);
+                latency = Worth.clamp(trust * (mean / lane.slowRatio - 1), 0, 1);
                 lane.slowRatio += SAMPLE_WEIGHT * trust * (mean - lane.slowRatio);
             }
             double refusal = bad / read;
             if (lane.allowance != null && lane.allowance.callsPerSecond() > 0) {
                 refusal = Math.max(refusal, 1 - lane.allowance.shareLeft());
             }
-            final double change = Math.max(bad == 0 ? 0 : -1, tableOne(latency, clamp(refusal, 0, 1)));
+            final double change = Math.max(bad == 0 ? 0 : -1, TableOne.change(latency, refusal));
             if (change < 0 || lane.peak >= USED_SHARE * Math.floor(lane.window)) {
-                lane.window = clamp(lane.window * (1 + change), WINDOW_FLOOR,
+                lane.window = Worth.clamp(lane.window * (1 + change), WINDOW_FLOOR,
                         Math.max(1, Math.floor(HEALTHY_SHARE * slots)));
             }
             lane.slow = latency > SLOW_INPUT || refusal > SLOW_INPUT;
         }
         final double refusing = SPACING_LEAST + SPACING * Math.max(lane.served, lane.callRate);
-        lane.spacing = lane.refused > 0 ? refusing : SPACING * lane.spacing;
-        lane.peak = lane.calls;
-        lane.ratioSum = lane.refused = lane.delivered = 0;
-        lane.served = lane.bad = lane.errors = 0;
-        lane.allowance = null;
-    }
-
-    /** Table I, rows by latency, columns by refusals, each Low, Medium, High: places in the outputs. */
-    private static final double[] OUTPUTS = {0.4, 0.2, 0, -0.2, -0.4, -0.6};
-    private static final int[][] TABLE_ONE = {{0, 1, 3}, {1, 2, 4}, {3, 4, 5}};
-
-    /** The paper's Mamdani controller: triangles, min for AND, max for an output's rules, central average. */
-    static double tableOne(final double latency, final double refusal) {
-        final double[] union = new double[OUTPUTS.length];
-        for (int row = 0; row < TABLE_ONE.length; row++) {
-            for (int column = 0; column < TABLE_ONE.length; column++) {
-                final double both = Math.min(member(row, latency), member(column, refusal));
-                union[TABLE_ONE[row][column]] = Math.max(union[TABLE_ONE[row][column]], both);
-            }
-        }
-        double sum = 0;
-        double weights = 0;
-        for (int output = 0; output < OUTPUTS.length; output++) {
-            sum += OUTPUTS[output] * union[output];
-            weights += union[output];
-        }
-        return sum / weights;
-    }
-
-    /** Triangles with their peaks at 0, 0.5 and 1: how Low, Medium or High an input is. */
-    private static double member(final int set, final double input) {
-        return Math.max(0, 1 - Math.abs(2 * input - set));
+        final boolean heeded = lane.refused > (learns ? FEW_REFUSED * read : 0)
+                && lane.reading.cause(nowUs) != Cause.NOISE;
+        final boolean regains = learns && lane.mayRegain(nowUs);
+        lane.spacing = heeded ? refusing : (regains ? REGAIN : SPACING) * lane.spacing;
+        lane.beginStep();
     }
 
     // ---------------------------------------------------------------- health and return from outage
@@ -818,14 +755,14 @@
         lane.waitUntilUs = Math.max(lane.waitUntilUs, nowUs + outcome.waitUs());
         switch (outcome.result()) {
             case DELIVERED -> {
-                learn(lane, job, outcome.durationUs());
+                final double ratio = times.learn(lane, kind, outcome.durationUs());
+                lane.ratioSum += ratio;
                 lane.delivered++;
                 lane.served += part;
-                node.lastServedUs = nowUs;
-                lane.silent -= node.silent;
-                node.silent = 0;
-                node.badRun[kind] = 0;
-                node.avoidUntilUs[kind] = 0;
+                node.served(kind, nowUs, outcome.durationUs());
+                if (learns) {
+                    readServed(lane, call, part, ratio);
+                }
                 lane.badRun = 0;
                 lane.stretch = Math.max(1, lane.stretch - STRETCH * SAMPLE_WEIGHT);
                 lane.failShare -= part * FAIL_WEIGHT * lane.failShare;
@@ -835,13 +772,19 @@
                 lane.troubleFromUs = NEVER;
             }
             case REFUSED -> {
+                if (learns && outcome.waitUs() == 0 && isStray(lane, node, job, call)) {
+                    lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
+                    return;
+                }
                 lane.bad += part;
                 lane.refused++;
                 final long fromUs = Math.max(nowUs, lane.waitUntilUs);
                 final long gapUs = patienceUs(lane, fromUs);
-                final boolean told = outcome.waitUs() > 0;
-                lane.pauseUntilUs = fromUs + (told ? (long) (random.nextDouble() * gapUs) : jitter(gapUs));
-                suspect(lane, outcome.waitUs() > LIMIT_WAIT_US ? OUT_WEIGHT : part * REFUSED_WEIGHT);
+                lane.pauseUntilUs = fromUs + (outcome.waitUs() > 0 ? (long) (random.nextDouble() * gapUs)
+                        : jitter(gapUs));
+                final boolean same = learns && lane.isSameSign(call.sentUs, nowUs);
+                suspect(lane, outcome.waitUs() > LIMIT_WAIT_US ? OUT_WEIGHT
+                        : same ? 0 : part * REFUSED_WEIGHT);
             }
             case ERROR -> {
                 lane.errors += part;
@@ -858,6 +801,14 @@
                     actions.closeIdle(node.entry.id());
                     return;
                 }
+                if (learns && call.isSingle(kind, outcome.result())) {
+                    lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
+                    node.badRun[kind] += part;
+                    node.connections -= call.messages == 0 ? Math.min(1, node.connections) : 0;
+                    lane.failShare += part * FAIL_WEIGHT * (1 - lane.failShare);
+                    suspect(lane, part);
+                    return;
+                }
                 lane.bad += part;
                 if (outcome.result() == Result.TIMED_OUT || outcome.result() == Result.CANCELLED) {
                     lane.stretch = STRETCH;
@@ -874,6 +825,9 @@
                 node.connections -= call.messages == 0 ? Math.min(1, node.connections) : 0;
                 if (outcome.result() != Result.NO_CONNECTION || node.lastServedUs <= call.sentUs) {
                     lane.failShare += part * FAIL_WEIGHT * (1 - lane.failShare);
+                    if (lane.failShare > Call.SINGLE_SHARE) {
+                        lane.growth.crowded();
+                    }
                     suspect(lane, part);
                 }
             }
@@ -881,8 +835,58 @@
         }
     }
 
+    /** A call served says whether there was room, and that there may be more. */
+    private void readServed(final Lane lane, final Call call, final double part, final double ratio) {
+        // Only a window that held up a line has anything to prove (RFC 7661).
+        if (lane.growth.served(ratio) && lane.phase == Phase.WELL && lane.destination.waiting > 0
+                && lane.calls + 1 >= Math.floor(lane.window)) {
+            lane.window = Math.min(lane.window + part, Math.max(1, Math.floor(HEALTHY_SHARE * slots)));
+        }
+        if (call.messages == 0) {
+            lane.served(call, nowUs);
+        }
+    }
+
+    /**
+     * True for a refusal that does not answer to what this lane is sent: its message goes again at once. One
+     * of an endpoint or class that alone refuses leaves only these alone; noise is borne within a budget.
+     */
+    private boolean isStray(final Lane lane, final Node node, final Job job, final Call call) {
+        job.refusedBy = node;
+        if (call.refused || lane.phase != Phase.WELL) {
+            return call.stray;
+        }
+        call.refused = true;
+        call.stray = reads(lane, node, job.message.messageClass(), call);
+        return call.stray;
+    }
+
+    private boolean reads(final Lane lane, final Node node, final int kind, final Call call) {
+        final long restUs = node.cells[kind].refused(lane.servedCalls, ++lane.refusedCalls);
+        if (restUs > 0) {
+            node.avoidUntilUs[kind] = nowUs + jitter(restUs);
+            return true;
+        }
+        lane.reading.refused(call.sentUs, nowUs);
+        if (lane.reading.cause(nowUs) == Cause.NOISE) {
+            if (lane.budget.take()) {
+                return true;
+            }
+            lane.takeForLoad(nowUs);
+        }
+        if (lane.growth.refused()) {
+            lane.window = Math.max(Math.min(lane.window, WINDOW_START), lane.window / 2);
+        }
+        if (call.probe) {
+            lane.reading.probed(false, nowUs);
+        }
+        lane.mayProbe = true;
+        return false;
+    }
+
     /** From now on a lane is paced as one that is cold. */
     private void ramp(final Lane lane) {
+        turns++;
         lane.phase = Phase.RAMP;
         lane.rampFromUs = nowUs;
         looks.set(lane.rampEnd, nowUs + settings.guarantees().coldUs() + 1);
@@ -897,6 +901,7 @@
         lane.lookUs = nowUs;
         final boolean out = lane.badRun + lane.silent >= OUT_WEIGHT || lane.failShare > OUT_SHARE;
         if (out && lane.phase != Phase.OUT) {
+            turns++;
             lane.phase = Phase.OUT;
             lane.window = WINDOW_FLOOR;
             lane.troubleFromUs = Math.min(lane.troubleFromUs, nowUs);
@@ -908,6 +913,8 @@
     private void fallOverdue() {
         for (Call call = overdue.poll(nowUs); call != null; call = overdue.poll(nowUs)) {
             call.fallen = true;
+            call.node.lane.fallen++;
+            touch(call.node.lane.destination);
             if (call.isSilent()) {
                 silent.add(call);
             }
@@ -915,7 +922,6 @@
             if (node.lastServedUs < call.sentUs) {
                 node.lane.silent++;
                 node.avoidTick = node.silent++ == 0 ? tick : node.avoidTick;
-                touch(node.lane.destination);
             }
         }
     }
@@ -970,47 +976,36 @@
         final long fromUs = Math.max(nowUs, lane.waitUntilUs);
         final double ageUs = Math.max(PAUSE_US, fromUs - lane.troubleFromUs);
         final double gapUs = ageUs * (Math.pow(1 - random.nextDouble(), -1 / tippingShare(0)) - 1);
-        return fromUs + (long) Math.min(gapUs, jitter((long) (apartUs(lane) / tippingShare(0))));
+        return fromUs + (long) Math.min(gapUs,
+                jitter((long) Math.max(learns ? TRIAL_LEAST_US : 0, apartUs(lane) / tippingShare(0))));
     }
 
     /** What tips a destination so far on its way to being warm, as a share of its whole capacity. */
     private double tippingShare(final long warmingUs) {
         final double coldFrom = settings.guarantees().coldFrom();
         final double warm = (double) warmingUs / Math.max(1, settings.guarantees().coldUs());
-        return settings.guarantees().tipMultiple() * (coldFrom + (1 - coldFrom) * clamp(warm, 0, 1));
-    }
-
-    private void learn(final Lane lane, final Job job, final long durationUs) {
-        final int kind = job.message.messageClass();
-        final double ratio = durationUs / Math.max(1, classMeanUs[kind]);
-        lane.ratioSum += ratio;
-        final double weight = Math.max(SAMPLE_WEIGHT, 1.0 / ++classSamples[kind]);
-        classMeanUs[kind] += weight * (durationUs / Math.max(PACE_LEAST, lane.pace) - classMeanUs[kind]);
-        lane.pace += Math.max(SAMPLE_WEIGHT, 1.0 / (1 + ++lane.paceSamples)) * (ratio - lane.pace);
+        return settings.guarantees().tipMultiple() * (coldFrom + (1 - coldFrom) * Worth.clamp(warm, 0, 1));
     }
 
     private double expectedUs(final Lane lane, final Job job) {
-        return classMeanUs[job.message.messageClass()] * Math.max(PACE_LEAST, lane.pace);
+        return times.expectedUs(lane, job.message.messageClass());
     }
 
     private long jitter(final long us) {
         return (long) (us * (1 - JITTER + 2 * JITTER * random.nextDouble()));
     }
 
-    static double clamp(final double value, final double least, final double most) {
-        return Math.max(least, Math.min(most, value));
-    }
-
     // ---------------------------------------------------------------- deadlines and further attempts
 
     /** How long an attempt may take. */
-    private long timeoutUs(final Lane lane, final Job job) {
+    private long timeoutUs(final Lane lane, final Cell cell, final Job job) {
         final double expectedUs = expectedUs(lane, job);
         final long leftUs = job.message.validUntilUs() - nowUs;
         long timeoutUs = (long) Math.max(TIMEOUT_LEAST_US, TIMEOUT_TIMES * lane.stretch * expectedUs);
         if (job.kind.effect() == Effect.UNSAFE) {
             return leftUs;
         }
+        timeoutUs = learns ? cell.timeoutUs(timeoutUs, lane.stretch) : timeoutUs;
         if (job.kind.effect() == Effect.KEYED && !job.mayHaveRun) {
             final long againUs = (long) ((1 - KEY_MARGIN) * job.kind.keyWindowUs()) - OVERDUE_LEAST_US / 2;
             timeoutUs = Math.min(timeoutUs, Math.max(OVERDUE_LEAST_US, againUs));
@@ -1035,6 +1030,9 @@
                 suspect(lane, 0);
                 if (lane.phase == Phase.RAMP && nowUs - lane.rampFromUs > settings.guarantees().coldUs()) {
                     lane.phase = Phase.WELL;
+                    if (learns) {
+                        lane.returned(nowUs + settings.guarantees().coldUs());
+                    }
                 }
             }
         }
@@ -1141,17 +1139,6 @@
         }
     }
 
-    /** Meters a tenant at this courier's even part of its quota; true for a message beyond it. */
-    private boolean overQuota(final int tenant) {
-        final double whole = tenant < 0 ? 0 : settings.tenants().get(tenant).quotaPerSecond();
-        final double quota = whole / settings.couriers();
-        if (quota <= 0 || quotaUs[tenant] > nowUs + QUOTA_BURST * SECOND_US / quota) {
-            return quota > 0;
-        }
-        quotaUs[tenant] = Math.max(quotaUs[tenant], nowUs) + (long) (SECOND_US / quota);
-        return false;
-    }
-
     /** Asks to be woken when something can change by time alone: a guard, a deadline, a silence, a step. */
     private void sleep() {
         long next = Math.min(Math.min(nextStepUs, askAgainUs), Math.min(ends.firstUs(), overdue.firstUs()));
@@ -1190,7 +1177,7 @@
         for (final Endpoint entry : entries) {
             Node node = nodes.get(entry.id());
             if (node == null) {
-                node = new Node(entry, lane(entry), classMeanUs.length);
+                node = new Node(entry, lane(entry), settings.classes().size());
                 node.lane.nodes.add(node);
                 // A new endpoint has no part in an outage of those before it: it may be tried at once.
                 node.lane.nextTrialUs = Math.min(node.lane.nextTrialUs, nowUs);
@@ -1258,8 +1245,12 @@
 
     /** Listed endpoints to which nothing goes now for trouble with them, or only single trials. */
     public List<Long> avoided() {
-        return nodes.values().stream().filter(node -> node.isAvoided(nowUs))
-                .map(node -> node.entry.id()).toList();
+        return nodes.values().stream().filter(node -> node.isAvoided(nowUs)).map(Node::id).toList();
+    }
+
+    /** Changes when a lane goes out or begins to return: what is remembered is then worth putting down. */
+    public long turns() {
+        return turns;
     }
 
     /** Calls in flight. */
@@ -1272,6 +1263,12 @@
         return callsOut >= slots && ready().size() > 0;
     }
 
+    /** How each destination (or route) is, and why nothing goes there now; of vacant ones, nothing. */
+    public List<LaneView> lanes() {
+        return destinations.values().stream().flatMap(destination -> destination.lanes.stream())
+                .map(lane -> LaneView.of(lane, nowUs, openAtUs(lane), cap(lane))).toList();
+    }
+
     /** How many destinations are kept in mind. */
     int destinationsKnown() {
         return destinations.size();
--- a/decisions/src/main/java/thistleturn/decisions/Lane.java
+++ b/decisions/src/main/java/thistleturn/decisions/Lane.java
@@ -2,11 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import thistleturn.decisions.noise.Growth;
+import thistleturn.decisions.noise.RefusalReading;
+import thistleturn.decisions.noise.RetryBudget;
 
 /** The unit of the window: a destination, or a route of it. */
 final class Lane {
     /** Steps of an idle lane that are taken one by one; further ones at once, since little is left by then. */
     private static final long STEPS_TAKEN = 200;
+    /** Messages, the refused one too, that must wait for a call to be made only to learn. */
+    private static final int LEAST_LINE = 3;
+    private static final int LONG_LINE = 10;
 
     final Destination destination;
     final Courier.Kind kind;
@@ -14,8 +20,22 @@
     final List<Ready> ready = List.of(new Ready(this, 0), new Ready(this, 1));
     final LaneTimer look = new LaneTimer(this), rampEnd = new LaneTimer(this);
     double window;
-    /** Calls in flight, and those of them that are overdue with no success on their endpoint since. */
-    int calls, silent;
+    /** What its refusals answer to, what may be tried again at once, its first seconds. */
+    final RefusalReading reading = new RefusalReading();
+    final RetryBudget budget = new RetryBudget();
+    final Growth growth = new Growth();
+    /** Calls in flight, those of them that are overdue, and of these those with no success on their endpoint since. */
+    int calls, fallen, silent;
+    /** Calls served and refused in all. */
+    long servedCalls, refusedCalls;
+    /** Until when the rate that it had before its last outage grows by a fifth a second only. */
+    long freeFromUs;
+    /** When the first refusal came of those that are one sign. */
+    long refusedUs;
+    /** Window and spacing before its refusals were taken for noise. */
+    double windowBefore, spacingBefore;
+    /** One call may go in spite of the pause, to learn what the refusal answered to. */
+    boolean mayProbe;
     boolean active;
     long stepsTaken, lookTick, lookUs;
     /** This step's counts and sum of latency ratios. */
@@ -45,6 +65,82 @@
         this.stepsTaken = stepsTaken;
     }
 
+    /** Its pause; one call may go sooner, to learn, where more waits than one refusal more would cost. */
+    long pausedUntilUs() {
+        return mayProbe && destination.waiting >= LEAST_LINE ? Math.min(pauseUntilUs, reading.probeAtUs())
+                : pauseUntilUs;
+    }
+
+    /** True if the call that goes now does so to learn. */
+    boolean takeProbe(final long nowUs) {
+        if (pauseUntilUs <= nowUs) {
+            return false;
+        }
+        mayProbe = false;
+        return true;
+    }
+
+    /** A call was served whole: what that says of its refusals. */
+    void served(final Call call, final long nowUs) {
+        servedCalls++;
+        reading.served(call.sentUs, nowUs);
+        budget.served();
+        if (call.probe) {
+            reading.probed(true, nowUs);
+            pauseUntilUs = nowUs;
+        }
+        if (reading.hasJustSettled()) {
+            takeForNoise(nowUs);
+        }
+    }
+
+    /** There was room: the pause was for nothing, and so was all else that refusals brought. */
+    private void takeForNoise(final long nowUs) {
+        windowBefore = window;
+        spacingBefore = spacing;
+        pauseUntilUs = nowUs;
+        spacing = nowUs < freeFromUs ? spacing : Double.POSITIVE_INFINITY;
+        growth.again();
+    }
+
+    /** True for the refusal of a call that was sent before the last refusal came: it says the same as that one. */
+    boolean isSameSign(final long sentUs, final long nowUs) {
+        final boolean same = sentUs < refusedUs;
+        refusedUs = same ? refusedUs : nowUs;
+        return same;
+    }
+
+    /**
+     * It has returned from an outage, and is surely warm: what its refusals answered to is past. All that waited meanwhile
+     * does not go at once: that could still push it over.
+     */
+    void returned(final long pacedUntilUs) {
+        freeFromUs = pacedUntilUs;
+        reading.forget();
+        spacing = Control.SPACING * Math.max(1, callRate);
+        growth.again();
+    }
+
+    /** It was load after all: back to what was known before. */
+    void takeForLoad(final long nowUs) {
+        reading.outran(nowUs);
+        window = Math.min(window, windowBefore);
+        spacing = Math.min(spacing, spacingBefore);
+    }
+
+    /** True where a long line waits after a step without a refusal, and no outage is so near that it might be tipped. */
+    boolean mayRegain(final long nowUs) {
+        return refused == 0 && destination.waiting >= LONG_LINE && nowUs >= freeFromUs;
+    }
+
+    /** What is counted within a step begins anew. */
+    void beginStep() {
+        peak = calls;
+        ratioSum = refused = delivered = 0;
+        served = bad = errors = 0;
+        allowance = null;
+    }
+
     /** Makes up for the steps that it was idle for: nothing was served, and nothing stood in the way. */
     void catchUp(final long stepsNow) {
         final long missed = stepsNow - stepsTaken;
