What was learnt is put down for 2,000 endpoints at most

Need: second reading found that with 100,000 destinations the copy of all that was learnt would be made on the event loop every second, only to be thrown away for its size. Change: beyond 2,000 listed endpoints nothing is copied.

--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -89,6 +89,9 @@
     /** A call that an older process of this courier has out. */
     private record RemoteCall(long number, long endpoint, long sentUs) implements Carrier.Call { }
 
+    /** Endpoints of which what was learnt is put down: more would hold up the loop for over some milliseconds a second. */
+    private static final int MOST_REMEMBERED = 2000;
+
     private final Config config;
     private final EventLoop loop;
     private final Clock clock;
@@ -450,9 +453,9 @@
         return inheritance();
     }
 
-    /** What was learnt so far, with moments in Unix time; null while another process decides, or nothing is listed. */
+    /** What was learnt so far, with moments in Unix time; null while another process decides, or nothing or too much is listed. */
     Inheritance learnt() {
-        return heir != null || roster.size() == 0 ? null
+        return heir != null || roster.size() == 0 || roster.size() > MOST_REMEMBERED ? null
                 : new Inheritance(roster.listed(), translated(control.memory(), number -> number, clock::toWallUs),
                         List.of());
     }
