--- a/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
+++ b/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
@@ -38,7 +38,7 @@
 
     /** Everything off. */
     public static ProductConfig off() {
-        return new ProductConfig(null, null, Tuning.plain());
+        return new ProductConfig(null, null, Tuning.platform());
     }
 
     /**
@@ -67,7 +67,7 @@
     }
 
     private static Tuning tuning(final StrictTable front, final StrictTable shards, final StrictTable memory) {
-        final Tuning platform = Tuning.plain();
+        final Tuning platform = Tuning.platform();
         final boolean ownFront = front.flag("enabled", false);
         final long idleUs = front.durationUs("idle", "10s", "1s", "24h");
         final double clients = front.share("clients", platform.clientShare());
--- a/courier/src/main/java/thistleturn/courier/Tuning.java
+++ b/courier/src/main/java/thistleturn/courier/Tuning.java
@@ -13,14 +13,7 @@
  */
 public record Tuning(long clientIdleUs, double clientShare, double endpointShare, int shards, boolean remembers) {
     /** What the platform's limits ask for: one core, and two fifths of the descriptors on either side. */
-    public static Tuning plain() {
-        return new Tuning(10_000_000, 0.4, 0.4, 1, false);
-    }
-
-    /** The same for the platform's line, where what was learnt is kept, too; {@code -Dthistleturn.remembers=false}: not. */
     public static Tuning platform() {
-        final Tuning plain = plain();
-        return new Tuning(plain.clientIdleUs, plain.clientShare, plain.endpointShare, plain.shards,
-                !"false".equals(System.getProperty("thistleturn.remembers")));
+        return new Tuning(10_000_000, 0.4, 0.4, 1, Boolean.getBoolean("thistleturn.remembers"));
     }
 }
--- a/decisions/src/main/java/thistleturn/decisions/Memory.java
+++ b/decisions/src/main/java/thistleturn/decisions/Memory.java
@@ -25,6 +25,9 @@
     /** Time in which a window that was learnt loses half of its worth, us; how far ahead guards of our own may reach. */
     private static final double HALF_LIFE_US = 10_000_000;
     private static final long MOST_PAUSE_US = 20_000_000;
+    /** Failures in a row, short of an outage by one, that make a lane one in trouble; a gap too short for an outage, us. */
+    private static final double TROUBLE_RUN = 2;
+    private static final long SHORT_US = 3_000_000;
     /** Places in a lane's figures and moments. */
     private static final int WINDOW = 0;
     private static final int PHASE = 12;
@@ -32,7 +35,6 @@
     private static final int RAMP_SPAN = 15;
     private static final int CALL_RATE = 4;
     private static final int OF_READING = 16;
-    private static final int TROUBLE = 0;
     private static final int PAUSE = 2;
     private static final int RAMP_FROM = 4;
 
@@ -108,8 +110,10 @@
             final double[] figures = one.figures.clone();
             final long[] moments = one.moments.clone();
             figures[WINDOW] = Math.max(1, kept * figures[WINDOW]);
-            final boolean trouble = moments[TROUBLE] != Control.NEVER || figures[BAD_RUN] >= 1;
-            if (figures[PHASE] != Phase.OUT.ordinal() && (trouble || figures[PHASE] == Phase.RAMP.ordinal())) {
+            final boolean trouble = figures[PHASE] == Phase.WELL.ordinal() && figures[BAD_RUN] >= TROUBLE_RUN;
+            // A ramp that was under way goes on, unless there was time for another outage.
+            final boolean again = figures[PHASE] == Phase.RAMP.ordinal() && nowUs - takenUs > SHORT_US;
+            if (trouble || again) {
                 figures[PHASE] = Phase.RAMP.ordinal();
                 moments[RAMP_FROM] = nowUs;
                 // As far apart as its calls were, if it was never paced so far.
