DirectoryContractTest: the watch is broken once there is one

Need: a run of the whole suite beside much else waited 30 s for a loss that never came. Cause: the list had been told before the watch on it began, and there was none yet to break. Change: the test awaits the watch.

--- a/eureka/src/test/java/thistleturn/membership/DirectoryContractTest.java
+++ b/eureka/src/test/java/thistleturn/membership/DirectoryContractTest.java
@@ -130,6 +130,8 @@
         start(kind);
         follow();
         world.await("fresh", this::isFresh);
+        // The list may have been told before the watch on it has begun.
+        world.await("the watch", world.platform::isWatched);
         world.platform.breakWatches();
         world.await("the loss", () -> updates.contains(Courier.Update.LOST));
         assertEquals(Courier.Condition.LISTED, view.get(first.address()), "a loss takes nothing");
--- a/testkit/src/main/java/thistleturn/testkit/StandInPlatform.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInPlatform.java
@@ -44,6 +44,11 @@
         silent = on;
     }
 
+    /** True while somebody follows the list. */
+    public boolean isWatched() {
+        return !watches.isEmpty();
+    }
+
     /** Breaks all watches. */
     public void breakWatches() {
         watches.forEach(Exchange::reset);
