--- a/cli/src/main/java/thistleturn/cli/LanesCommand.java
+++ b/cli/src/main/java/thistleturn/cli/LanesCommand.java
@@ -8,28 +8,23 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
-import picocli.CommandLine.Option;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Spec;
 
 /** How a running courier's destinations are, and why nothing goes there now. */
 @Command(name = "lanes", mixinStandardHelpOptions = true, description = "How each destination is: its window, what its "
         + "refusals answer to, and what keeps the next message.")
 final class LanesCommand implements Callable<Integer> {
-    @Option(names = "--at", paramLabel = "ADDRESS", defaultValue = "127.0.0.1:7071",
-            description = "where operators ask (admin.listen); ${DEFAULT-VALUE} unless told")
-    private String address;
-    @Option(names = "--json", description = "as JSON")
-    private boolean json;
-    @Option(names = "--destination", paramLabel = "N", description = "of one destination only")
-    private Long destination;
+    @Mixin
+    private AdminOptions asked;
     @Spec
     private CommandSpec spec;
 
     @Override
     public Integer call() throws InterruptedException {
-        final JsonNode lanes = AdminClient.ask(address, "lanes", "it is of a version without this page");
+        final JsonNode lanes = AdminClient.ask(asked.address, "lanes", "it is of a version without this page");
         final PrintWriter out = spec.commandLine().getOut();
-        if (json) {
+        if (asked.json) {
             out.println(lanes.toPrettyString());
             return 0;
         }
@@ -37,7 +32,7 @@
         rows.add(new String[] {"DESTINATION", "PHASE", "IN FLIGHT", "WINDOW", "WAITING", "SERVED/S", "SPACED/S", "REFUSED",
             "READ AS", "EVIDENCE", "NOW"});
         for (final JsonNode lane : lanes) {
-            if (destination == null || destination == lane.path("destination").asLong()) {
+            if (asked.wants(lane)) {
                 rows.add(new String[] {lane.path("destination").asText(), lane.path("phase").asText(),
                     lane.path("in_flight").asText(), figure(lane, "window", "%.1f"), lane.path("waiting").asText(),
                     figure(lane, "served_per_s", "%.1f"), lane.has("spacing_per_s")
--- a/cli/src/main/java/thistleturn/cli/MembersCommand.java
+++ b/cli/src/main/java/thistleturn/cli/MembersCommand.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
-import picocli.CommandLine.Option;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Spec;
 
 /** Who is in a running courier's pool. */
@@ -19,21 +19,16 @@
     private static final long MINUTE_MS = 60 * SECOND_MS;
     private static final long HOUR_MS = 60 * MINUTE_MS;
 
-    @Option(names = "--at", paramLabel = "ADDRESS", defaultValue = "127.0.0.1:7071",
-            description = "where operators ask (admin.listen); ${DEFAULT-VALUE} unless told")
-    private String address;
-    @Option(names = "--json", description = "as JSON")
-    private boolean json;
-    @Option(names = "--destination", paramLabel = "N", description = "of one destination only")
-    private Long destination;
+    @Mixin
+    private AdminOptions asked;
     @Spec
     private CommandSpec spec;
 
     @Override
     public Integer call() throws InterruptedException {
-        final JsonNode status = AdminClient.ask(address, "members", "membership is off there");
+        final JsonNode status = AdminClient.ask(asked.address, "members", "membership is off there");
         final PrintWriter out = spec.commandLine().getOut();
-        if (json) {
+        if (asked.json) {
             out.println(status.toPrettyString());
         } else {
             print(out, status);
@@ -55,7 +50,7 @@
         final List<String[]> members = new ArrayList<>();
         members.add(new String[] {"DESTINATION", "ADDRESS", "ZONE", "STATE", "SINCE", "TOLD BY", "HEARD", "WHY"});
         for (final JsonNode member : status.path("members")) {
-            if (destination == null || destination == member.path("destination").asLong()) {
+            if (asked.wants(member)) {
                 members.add(new String[] {member.path("destination").asText(), member.path("address").asText(),
                     member.path("zone").asText(), member.path("state").asText(),
                     age(member.path("since_ms_ago").asLong()), member.path("by").asText(),
