A large fleet keeps to each courier's even part of a told rate, learnt from refusals

A refused call uses the limit up, over a span that slides (a threshold on calls of the last second, refused ones too, explains refusals better than fixed spans or served calls alone). All couriers stayed under the whole rate, each alone: Control.openAtUs took min(told, spacing), and step's spacing after refusals, 0.5 + 1.2 x its own rate, adds up over 14 couriers to a third over the limit. Ruled out: list calls (14 at the start, 10 after the kill), CPU (0.5 of a core only while starting), probes (none).

Change: decisions.fleet.FairShare, a bucket that fills at nine tenths of told rate / couriers; refusals lower it, quiet seconds raise it. Fleets of six or fewer decide as before.

--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
+import thistleturn.decisions.fleet.Fleet;
 import thistleturn.decisions.index.Ranking;
 import thistleturn.decisions.index.TimeHeap;
 import thistleturn.decisions.noise.Cell;
@@ -42,9 +43,8 @@
     // The window (DESIGN; the paper's section V).
     /** Floor of a window, calls: a lane must always be able to learn. */
     private static final double WINDOW_FLOOR = 1;
-    /** A new lane's window, calls: one slow answer may not block it; in a large fleet clumps come first. */
-    private static final double WINDOW_START = 2;
-    private static final double WINDOW_RARE = 4;
+    /** A new lane's window, calls: one slow answer may not block it. */
+    static final double WINDOW_START = 2;
     /** Shares of the slots that one lane may hold, healthy and sick: the design's. */
     private static final double HEALTHY_SHARE = 0.75;
     private static final double SICK_SHARE = 0.5;
@@ -121,8 +121,6 @@
     private static final double TRUST_GROWTH = 1.02;
     /** Idle for less, us, a connection dies of something else than its idleness. */
     private static final long TRUST_LEAST_US = SECOND_US;
-    /** Couriers that each meet all destinations often, and may all keep idle connections. A default. */
-    private static final int FEW_COURIERS = 6;
     /** Calls' time within which a connection waits for its next use: a few for each call in flight. */
     private static final double REUSE_CALLS = 2;
     /** First and longest back-off of asking for the list again, us: soon, but without burdening it. */
@@ -463,7 +461,7 @@
         final boolean exact = settings.weights() == Weights.NOMINAL && lane.told > 0;
         final double rate = exact ? Math.min(lane.told, lane.spacing) : lane.spacing;
         final long guardUs = switch (lane.phase) {
-            case WELL -> lane.lastSendUs + (long) (SECOND_US / rate);
+            case WELL -> lane.spacedUntilUs(rate, atUs);
             case OUT -> lane.calls == 0 ? lane.nextTrialUs : NEVER;
             case RAMP -> lane.lastSendUs + (long) (lane.rampSpanUs * lane.lastWeight
                     / tippingShare(atUs - lane.rampFromUs));
@@ -638,6 +636,7 @@
         call.jobs.sort(Comparator.comparingLong(sent -> sent.number));
         overdue.set(call, call.overdueUs());
         lane.lastWeight = 1 + FURTHER_WEIGHT * (call.size - 1);
+        lane.share.called(nowUs);
     }
 
     /**
@@ -660,7 +659,7 @@
      */
     private void shareConnections(final Node node, final Call call) {
         final double usesInReach = node.lane.callRate * REUSE_CALLS * call.expectedUs / SECOND_US;
-        if (settings.couriers() > FEW_COURIERS && usesInReach < node.lane.nodes.size()) {
+        if (Fleet.isLarge(settings.couriers()) && usesInReach < node.lane.nodes.size()) {
             node.connections = 0;
             actions.closeIdle(node.entry.id());
         }
@@ -701,6 +700,7 @@
 
     /** Moves a lane's window by Table I. */
     private void step(final Lane lane) {
+        lane.share.step(lane.destination.waiting, nowUs);
         final double bad = lane.bad + lane.silent;
         final double read = lane.served + lane.errors + bad;
         if (lane.phase == Phase.WELL) {
@@ -745,7 +745,7 @@
         final Lane lane = node.lane;
         if (outcome.allowance() != null) {
             lane.allowance = outcome.allowance();
-            lane.told = lane.allowance.callsPerSecond();
+            lane.tell(lane.allowance.callsPerSecond(), nowUs);
         }
         final int kind = job.message.messageClass();
         final double part = 1.0 / call.size;
@@ -778,6 +778,7 @@
                 }
                 lane.bad += part;
                 lane.refused++;
+                lane.share.refused(nowUs);
                 final long fromUs = Math.max(nowUs, lane.waitUntilUs);
                 final long gapUs = patienceUs(lane, fromUs);
                 lane.pauseUntilUs = fromUs + (outcome.waitUs() > 0 ? (long) (random.nextDouble() * gapUs)
@@ -1190,7 +1191,7 @@
                 gone.remove(node);
             }
             touch(node.lane.destination);
-            node.lane.told = settings.weights() == Weights.NONE ? node.lane.told : entry.weight();
+            node.lane.tell(settings.weights() == Weights.NONE ? node.lane.told : entry.weight(), nowUs);
         }
         // A route apart is not forgotten soon: listed again, it still has its wait and its outage.
         gone.removeIf(node -> node.inFlight == 0 && !node.lane.kind.routesApart() && drop(node));
@@ -1226,8 +1227,7 @@
         final Destination destination = destination(entry.destination());
         final Kind kind = entry.kind() < 0 ? new Kind("", false, 1) : settings.kinds().get(entry.kind());
         if (kind.routesApart() || destination.lanes.isEmpty()) {
-            final boolean few = settings.couriers() <= FEW_COURIERS;
-            destination.lanes.add(new Lane(destination, kind, few ? WINDOW_START : WINDOW_RARE, steps));
+            destination.lanes.add(new Lane(destination, kind, steps, settings));
         }
         return destination.lanes.get(destination.lanes.size() - 1);
     }
--- a/decisions/src/main/java/thistleturn/decisions/Lane.java
+++ b/decisions/src/main/java/thistleturn/decisions/Lane.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import thistleturn.decisions.fleet.FairShare;
+import thistleturn.decisions.fleet.Fleet;
 import thistleturn.decisions.noise.Growth;
 import thistleturn.decisions.noise.RefusalReading;
 import thistleturn.decisions.noise.RetryBudget;
@@ -13,6 +15,8 @@
     /** Messages, the refused one too, that must wait for a call to be made only to learn. */
     private static final int LEAST_LINE = 3;
     private static final int LONG_LINE = 10;
+    /** A new lane's window in a large fleet, calls: clumps come first. */
+    private static final double WINDOW_RARE = 4;
 
     final Destination destination;
     final Courier.Kind kind;
@@ -24,6 +28,9 @@
     final RefusalReading reading = new RefusalReading();
     final RetryBudget budget = new RetryBudget();
     final Growth growth = new Growth();
+    /** This courier's part of the rate told; never told of it in a fleet so small that it need not be kept to. */
+    final FairShare share = new FairShare();
+    private final int sharers;
     /** Calls in flight, those of them that are overdue, and of these those with no success on their endpoint since. */
     int calls, fallen, silent;
     /** Calls served and refused in all. */
@@ -58,13 +65,27 @@
     long troubleFromUs = Control.NEVER;
     long waitUntilUs, pauseUntilUs, nextTrialUs, rampFromUs, lastSendUs;
 
-    Lane(final Destination destination, final Courier.Kind kind, final double window, final long stepsTaken) {
+    Lane(final Destination destination, final Courier.Kind kind, final long stepsTaken,
+            final Courier.Settings settings) {
+        final boolean large = Fleet.isLarge(settings.couriers());
         this.destination = destination;
         this.kind = kind;
-        this.window = window;
+        this.sharers = large && settings.weights() == Courier.Weights.NOMINAL ? settings.couriers() : 0;
+        this.window = large ? WINDOW_RARE : Control.WINDOW_START;
         this.stepsTaken = stepsTaken;
     }
 
+    /** The rate that it takes from all couriers is told, calls a second. */
+    void tell(final double ratePerSecond, final long nowUs) {
+        told = ratePerSecond;
+        share.told(sharers == 0 ? 0 : told / sharers, nowUs);
+    }
+
+    /** When its rate lets the next call go: so many a second at most, and this courier's part of what is told. */
+    long spacedUntilUs(final double ratePerSecond, final long atUs) {
+        return share.isKept() ? share.openAtUs(atUs) : lastSendUs + (long) (Control.SECOND_US / ratePerSecond);
+    }
+
     /** Its pause; one call may go sooner, to learn, where more waits than one refusal more would cost. */
     long pausedUntilUs() {
         return mayProbe && destination.waiting >= LEAST_LINE ? Math.min(pauseUntilUs, reading.probeAtUs())
