A few couriers of a large fleet keep an idle connection, bounded at each endpoint

At fault: Control.shareConnections closed every connection of a fleet over six couriers whose next use is not within two calls' time. Ruled out: endpoints that are short of connections (10 refused connects of 8,500). Change: a lane draws from the courier's seed whether it is one of those that keep one connection, of a near endpoint, so that all couriers together keep four an endpoint; half of what the smallest endpoints take.

--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -655,12 +655,13 @@
 
     /**
      * An idle connection takes the place of another courier's: where they are many, it is closed unless its
-     * next use is near. Guards against refused connections at well endpoints; costs a handshake a call.
+     * next use is near or few keep one. Guards against refused connections; costs a handshake a call.
      */
     private void shareConnections(final Node node, final Call call) {
         final double usesInReach = node.lane.callRate * REUSE_CALLS * call.expectedUs / SECOND_US;
-        if (Fleet.isLarge(settings.couriers()) && usesInReach < node.lane.nodes.size()) {
-            node.connections = 0;
+        if (Fleet.isLarge(settings.couriers()) && usesInReach < node.lane.nodes.size()
+                && !node.lane.keepsConnection(node)) {
+            node.connections = Math.min(node.connections, node.inFlight);
             actions.closeIdle(node.entry.id());
         }
     }
@@ -1227,7 +1228,7 @@
         final Destination destination = destination(entry.destination());
         final Kind kind = entry.kind() < 0 ? new Kind("", false, 1) : settings.kinds().get(entry.kind());
         if (kind.routesApart() || destination.lanes.isEmpty()) {
-            destination.lanes.add(new Lane(destination, kind, steps, settings));
+            destination.lanes.add(new Lane(destination, kind, steps, settings, random));
         }
         return destination.lanes.get(destination.lanes.size() - 1);
     }
--- a/decisions/src/main/java/thistleturn/decisions/Lane.java
+++ b/decisions/src/main/java/thistleturn/decisions/Lane.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import thistleturn.decisions.fleet.FairShare;
 import thistleturn.decisions.fleet.Fleet;
 import thistleturn.decisions.noise.Growth;
@@ -31,6 +32,9 @@
     /** This courier's part of the rate told; never told of it in a fleet so small that it need not be kept to. */
     final FairShare share = new FairShare();
     private final int sharers;
+    private final Courier.Settings settings;
+    /** Drawn once: an idle connection is kept where the share of the fleet that may keep one is above it. */
+    private final double keepsBelow;
     /** Calls in flight, those of them that are overdue, and of these those with no success on their endpoint since. */
     int calls, fallen, silent;
     /** Calls served and refused in all. */
@@ -66,10 +70,12 @@
     long waitUntilUs, pauseUntilUs, nextTrialUs, rampFromUs, lastSendUs;
 
     Lane(final Destination destination, final Courier.Kind kind, final long stepsTaken,
-            final Courier.Settings settings) {
+            final Courier.Settings settings, final Random random) {
         final boolean large = Fleet.isLarge(settings.couriers());
         this.destination = destination;
         this.kind = kind;
+        this.settings = settings;
+        this.keepsBelow = large ? random.nextDouble() : 0;
         this.sharers = large && settings.weights() == Courier.Weights.NOMINAL ? settings.couriers() : 0;
         this.window = large ? WINDOW_RARE : Control.WINDOW_START;
         this.stepsTaken = stepsTaken;
@@ -81,6 +87,17 @@
         share.told(sharers == 0 ? 0 : told / sharers, nowUs);
     }
 
+    /** True if this courier is one of those that keep a connection of this lane open, and it is this endpoint's. */
+    boolean keepsConnection(final Node node) {
+        return keepsBelow < Fleet.keepingShare(nodes.size(), settings.couriers()) && node.connections == 1
+                && nodes.stream().allMatch(other -> other == node
+                || (isNear(node) == isNear(other) ? other.connections == 0 : isNear(node)));
+    }
+
+    private boolean isNear(final Node node) {
+        return node.entry.zone().equals(settings.zone());
+    }
+
     /** When its rate lets the next call go: so many a second at most, and this courier's part of what is told. */
     long spacedUntilUs(final double ratePerSecond, final long atUs) {
         return share.isKept() ? share.openAtUs(atUs) : lastSendUs + (long) (Control.SECOND_US / ratePerSecond);
--- a/decisions/src/main/java/thistleturn/decisions/fleet/Fleet.java
+++ b/decisions/src/main/java/thistleturn/decisions/fleet/Fleet.java
@@ -5,10 +5,18 @@
     /** Couriers that each meet all destinations often, and may all keep idle connections. A default. */
     private static final int FEW = 6;
 
+    /** Connections that all couriers together keep idle at an endpoint: half of what the smallest take. A default. */
+    private static final double KEPT = 4;
+
     private Fleet() { }
 
     /** True where what each courier may do alone is too much if all do it. */
     public static boolean isLarge(final int couriers) {
         return couriers > FEW;
     }
+
+    /** The share of the couriers that may each keep one connection to a destination of so many endpoints. */
+    public static double keepingShare(final int endpoints, final int couriers) {
+        return KEPT * endpoints / couriers;
+    }
 }
--- /dev/null
+++ b/decisions/src/test/java/thistleturn/decisions/FleetTest.java
@@ -0,0 +1,73 @@
+package thistleturn.decisions;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import thistleturn.decisions.Courier.Result;
+
+/** What is harmless in one courier and harmful when all of a fleet do it: several, each with a seed of its own. */
+@Tag("fleet")
+final class FleetTest {
+    private static final long MS = 1000;
+    private static final long SECOND = 1_000_000;
+    private static final int SAFE = 0;
+
+    /** Couriers that have each had one call served, and what each then keeps open, by endpoint. */
+    private static Map<Long, Integer> kept(final int couriers) {
+        final Map<Long, Integer> kept = new HashMap<>();
+        for (int index = 0; index < couriers; index++) {
+            final Scene one = new Scene(Scene.fleetOf(couriers), Scene.seed(index));
+            one.list(Courier.Update.RESTORED, Scene.endpoint(1, Scene.DEST, "a"), Scene.endpoint(2, Scene.DEST, "b"));
+            one.take("m", SAFE);
+            one.pass(200 * MS);
+            one.end("m", Result.DELIVERED);
+            if (one.closed.isEmpty()) {
+                kept.merge(one.last("m").endpoint(), 1, Integer::sum);
+            }
+        }
+        return kept;
+    }
+
+    /** Fleet days: each call of fourteen couriers paid a handshake, since none kept a connection. */
+    @Test
+    void aFewOfAManyKeepAConnectionAndNoMoreThanAnEndpointBears() {
+        for (final int couriers : List.of(14, 50, 200)) {
+            final int most = kept(couriers).values().stream().mapToInt(Integer::intValue).sum();
+            assertTrue(most >= 3 && most <= 14, couriers + " couriers keep " + most + " connections to two endpoints");
+        }
+    }
+
+    /** Of a lane's endpoints one is kept open, a near one: the next message goes there again. */
+    @Test
+    void whoKeepsAConnectionUsesItAgain() {
+        final List<Scene> keepers = new ArrayList<>();
+        for (int index = 0; index < 14; index++) {
+            final Scene one = new Scene(Scene.fleetOf(14), Scene.seed(index));
+            one.list(Courier.Update.RESTORED, Scene.endpoint(1, Scene.DEST, "b"), Scene.endpoint(2, Scene.DEST, "a"));
+            one.take("m0", SAFE);
+            one.pass(200 * MS);
+            one.end("m0", Result.DELIVERED);
+            if (one.closed.isEmpty()) {
+                keepers.add(one);
+            }
+        }
+        assertTrue(keepers.size() >= 2, "keepers: " + keepers.size());
+        for (final Scene one : keepers) {
+            assertEquals(2, one.last("m0").endpoint(), "the near one");
+            one.pass(SECOND);
+            one.take("m1", SAFE);
+            one.take("m2", SAFE);
+            assertEquals(2, one.last("m1").endpoint());
+            one.pass(200 * MS);
+            one.end("m1", Result.DELIVERED);
+            one.end("m2", Result.DELIVERED);
+            assertEquals(1, one.closed.size(), "of two that were open at once one is closed: " + one.closed);
+        }
+    }
+}
