A virtual fleet: many couriers against partners and a discovery that they share

Control.withoutSharing is what it is compared with; the tipping share moved to the guarantees to make room.

--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -137,7 +137,7 @@
     private final Settings settings;
     private final Actions actions;
     private final Random random;
-    private final boolean learns;
+    private final boolean learns, shares;
     private final Map<Long, Destination> destinations = new HashMap<>();
     private final Map<Long, Node> nodes = new HashMap<>();
     /** Endpoints that are gone, and destinations without messages or endpoints: to be forgotten. */
@@ -183,21 +183,27 @@
 
     /** A courier that knows nothing yet but its settings; {@code seed} is its only source of chance. */
     public Control(final Settings settings, final long seed, final Actions actions) {
-        this(settings, seed, actions, LOOK_US, true);
+        this(settings, seed, actions, LOOK_US, true, true);
     }
 
     /** One that takes refusals, failures and first seconds as they come: to compare with. */
     public static Courier withoutReading(final Settings settings, final long seed, final Actions actions) {
-        return new Control(settings, seed, actions, LOOK_US, false);
+        return new Control(settings, seed, actions, LOOK_US, false, true);
+    }
+
+    /** One that keeps to no even part, and keeps no connection for it is one of many: to compare with. */
+    public static Courier withoutSharing(final Settings settings, final long seed, final Actions actions) {
+        return new Control(settings, seed, actions, LOOK_US, true, false);
     }
 
     /**
-     * As told, with the time that is given to a look at what time alone has changed, us (0: all, always), and
-     * whether refusals, single failures and first seconds are read ({@code decisions.noise}) or as they come.
+     * As told, with the time that is given to a look at what time alone has changed, us (0: all, always), whether
+     * refusals, failures and first seconds are read ({@code decisions.noise}), and rates shared ({@code fleet}).
      */
     Control(final Settings settings, final long seed, final Actions actions, final long lookUs,
-            final boolean learns) {
+            final boolean learns, final boolean shares) {
         this.learns = learns;
+        this.shares = shares;
         this.settings = settings;
         this.slots = settings.limits().slots();
         this.maxOpen = settings.limits().maxOpen();
@@ -464,7 +470,7 @@
             case WELL -> lane.spacedUntilUs(rate, atUs);
             case OUT -> lane.calls == 0 ? lane.nextTrialUs : NEVER;
             case RAMP -> lane.lastSendUs + (long) (lane.rampSpanUs * lane.lastWeight
-                    / tippingShare(atUs - lane.rampFromUs));
+                    / settings.guarantees().tippingShare(atUs - lane.rampFromUs));
         };
         return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.pausedUntilUs()));
     }
@@ -977,16 +983,9 @@
     private long trialUs(final Lane lane) {
         final long fromUs = Math.max(nowUs, lane.waitUntilUs);
         final double ageUs = Math.max(PAUSE_US, fromUs - lane.troubleFromUs);
-        final double gapUs = ageUs * (Math.pow(1 - random.nextDouble(), -1 / tippingShare(0)) - 1);
+        final double gapUs = ageUs * (Math.pow(1 - random.nextDouble(), -1 / settings.guarantees().tippingShare(0)) - 1);
         return fromUs + (long) Math.min(gapUs,
-                jitter((long) Math.max(learns ? TRIAL_LEAST_US : 0, apartUs(lane) / tippingShare(0))));
-    }
-
-    /** What tips a destination so far on its way to being warm, as a share of its whole capacity. */
-    private double tippingShare(final long warmingUs) {
-        final double coldFrom = settings.guarantees().coldFrom();
-        final double warm = (double) warmingUs / Math.max(1, settings.guarantees().coldUs());
-        return settings.guarantees().tipMultiple() * (coldFrom + (1 - coldFrom) * Worth.clamp(warm, 0, 1));
+                jitter((long) Math.max(learns ? TRIAL_LEAST_US : 0, apartUs(lane) / settings.guarantees().tippingShare(0))));
     }
 
     private double expectedUs(final Lane lane, final Job job) {
@@ -1228,7 +1227,7 @@
         final Destination destination = destination(entry.destination());
         final Kind kind = entry.kind() < 0 ? new Kind("", false, 1) : settings.kinds().get(entry.kind());
         if (kind.routesApart() || destination.lanes.isEmpty()) {
-            destination.lanes.add(new Lane(destination, kind, steps, settings, random));
+            destination.lanes.add(new Lane(destination, kind, steps, settings, shares ? random : null));
         }
         return destination.lanes.get(destination.lanes.size() - 1);
     }
--- a/decisions/src/main/java/thistleturn/decisions/Courier.java
+++ b/decisions/src/main/java/thistleturn/decisions/Courier.java
@@ -53,7 +53,13 @@
     record Kind(String name, boolean routesApart, int messagesPerCall) { }
 
     /** The figures of the rules. */
-    record Guarantees(long mustAskUs, double coldFrom, long coldUs, double tipMultiple, long orderSettleUs) { }
+    record Guarantees(long mustAskUs, double coldFrom, long coldUs, double tipMultiple, long orderSettleUs) {
+        /** What tips a destination so far on its way to being warm, as a share of its whole capacity. */
+        double tippingShare(final long warmingUs) {
+            final double warm = (double) warmingUs / Math.max(1, coldUs);
+            return tipMultiple * (coldFrom + (1 - coldFrom) * Worth.clamp(warm, 0, 1));
+        }
+    }
 
     /** What this courier may use. */
     record Limits(int slots, int maxOpen, int mostAttempts, boolean mayCancel, long idleCloseUs, int multiplex,
--- a/decisions/src/main/java/thistleturn/decisions/Lane.java
+++ b/decisions/src/main/java/thistleturn/decisions/Lane.java
@@ -75,8 +75,8 @@
         this.destination = destination;
         this.kind = kind;
         this.settings = settings;
-        this.keepsBelow = large ? random.nextDouble() : 0;
-        this.sharers = large && settings.weights() == Courier.Weights.NOMINAL ? settings.couriers() : 0;
+        this.keepsBelow = large && random != null ? random.nextDouble() : Double.POSITIVE_INFINITY;
+        this.sharers = large && random != null && settings.weights() == Courier.Weights.NOMINAL ? settings.couriers() : 0;
         this.window = large ? WINDOW_RARE : Control.WINDOW_START;
         this.stepsTaken = stepsTaken;
     }
--- /dev/null
+++ b/lab/src/main/java/thistleturn/lab/fleet/FleetDay.java
@@ -0,0 +1,99 @@
+package thistleturn.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import thistleturn.decisions.Courier;
+
+/**
+ * What a fleet is played on.
+ *
+ * @param couriers how many, in two zones in turn
+ * @param destinations what they deliver to
+ * @param perSecond messages a second, over the whole fleet, as a Poisson process
+ * @param lengthUs how long traffic lasts, us; then all that is open comes to its end
+ * @param trouble what happens
+ * @param fromUs when that begins, us from the start of the traffic
+ * @param settings what each courier is handed; its zone is its own
+ */
+public record FleetDay(int couriers, List<Destination> destinations, double perSecond, long lengthUs, Trouble trouble,
+                       long fromUs, Courier.Settings settings) {
+    static final long SECOND_US = 1_000_000;
+    /** Fills about six tenths of what the destinations take from all couriers. */
+    private static final double LOAD = 0.6;
+    private static final int DESTINATIONS = 8;
+    /** Destinations that the troubles of partners strike: about half of the traffic. */
+    private static final int STRUCK = 2;
+
+    /** The troubles of a large fleet. */
+    public enum Trouble {
+        /** None. */
+        NONE,
+        /** Two couriers in three are killed at once and start again 1.6 s later; discovery turns callers away. */
+        HERD,
+        /** Destinations with half of the traffic are down for 5 s and return cold. */
+        ZONE,
+        /** Destinations with half of the traffic take half of their rate for 9 s, and nobody is told. */
+        JOIN
+    }
+
+    /**
+     * One destination.
+     *
+     * @param ratePerSecond calls that it takes from all couriers, refused ones included
+     * @param endpoints how many it has, in two zones in turn
+     * @param connections how many an endpoint takes, idle ones counted
+     * @param messagesPerCall how many messages may share a call
+     * @param serviceUs mean time of a call, exponential
+     * @param waitUs what a refusal tells, 0: nothing
+     * @param share its part of the messages
+     */
+    public record Destination(double ratePerSecond, int endpoints, int connections, int messagesPerCall, long serviceUs,
+                              long waitUs, double share) { }
+
+    /** A day for so many couriers, with traffic in proportion, drawn from a seed. */
+    public static FleetDay drawn(final int couriers, final Trouble trouble, final RandomGenerator random) {
+        final double perSecond = 17.0 * couriers;
+        final List<Destination> destinations = new ArrayList<>();
+        double shares = 0;
+        for (int index = 0; index < DESTINATIONS; index++) {
+            shares += 1.0 / (1 + index);
+        }
+        for (int index = 0; index < DESTINATIONS; index++) {
+            final double share = 1.0 / (1 + index) / shares;
+            final int perCall = index % 4 == 0 ? 5 : 1;
+            final double calls = perSecond * share / (perCall == 1 ? 1 : 2);
+            final double rate = Math.max(4, Math.ceil(calls / (LOAD + 0.5 * random.nextDouble())));
+            final int endpoints = (int) Math.max(2, Math.ceil(rate / 12));
+            destinations.add(new Destination(rate, endpoints, perCall == 1 ? 10 : Integer.MAX_VALUE, perCall,
+                    60_000 + random.nextInt(120_000), random.nextBoolean() ? 300_000 : 0, share));
+        }
+        final List<Courier.MessageClass> classes = List.of(
+                new Courier.MessageClass("order", Courier.Effect.KEYED, false, false, 1, 0.5, 4 * SECOND_US,
+                        12 * SECOND_US, 7 * SECOND_US),
+                new Courier.MessageClass("update", Courier.Effect.SAFE, false, false, 2, 0, SECOND_US, 5 * SECOND_US,
+                        5 * SECOND_US));
+        return new FleetDay(couriers, destinations, perSecond, 30 * SECOND_US, trouble, 10 * SECOND_US,
+                new Courier.Settings(couriers, "a", true, Courier.Weights.NOMINAL, Courier.Fade.LINEAR, classes,
+                        List.of(), List.of(new Courier.Kind("one", false, 1), new Courier.Kind("several", false, 5)),
+                        new Courier.Guarantees(10 * SECOND_US, 0.22, 9 * SECOND_US, 2, 0),
+                        new Courier.Limits(6, 240, 12, true, 10 * SECOND_US, 1, 2 * SECOND_US)));
+    }
+
+    /** True for a destination that the trouble strikes. */
+    boolean isStruck(final int destination) {
+        return destination < STRUCK;
+    }
+
+    /** The settings of one courier. */
+    Courier.Settings settingsOf(final int courier) {
+        return new Courier.Settings(couriers, zone(courier), settings.listOnRequest(), settings.weights(),
+                settings.fade(), settings.classes(), settings.tenants(), settings.kinds(), settings.guarantees(),
+                settings.limits());
+    }
+
+    /** Zones in turn. */
+    static String zone(final int index) {
+        return index % 2 == 0 ? "a" : "b";
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/thistleturn/lab/fleet/Member.java
@@ -0,0 +1,324 @@
+package thistleturn.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import thistleturn.decisions.Courier;
+import thistleturn.decisions.Courier.Effect;
+import thistleturn.decisions.Courier.Result;
+import thistleturn.lab.fleet.FleetTally.Count;
+import thistleturn.lab.model.Fate;
+
+/**
+ * One courier of the fleet: its decisions, and what a host does for them. It can be killed at any moment; what its
+ * journal holds is taken up by the next process. Its connections are its process's.
+ */
+final class Member implements Courier.Actions {
+    /** Round trips that a handshake takes. */
+    private static final int HANDSHAKE_TRIPS = 2;
+    /** An end is late so long after a message's time, us; none is until so long after a start. */
+    private static final long GRACE_US = 300_000;
+    private static final long SETTLED_US = 1_500_000;
+
+    final int index;
+    private final VirtualFleet fleet;
+    private Courier courier;
+    /** Distinguishes processes: what was planned for one that is dead does not happen. */
+    private int life;
+    private long startedUs;
+    private boolean believedUp = true;
+    private boolean touched;
+    private final Map<String, Open> open = new LinkedHashMap<>();
+    private final Map<Long, Integer> idle = new HashMap<>();
+    private final Map<Integer, Long> waitUntilUs = new HashMap<>();
+    private final Map<Long, List<Open>> outbox = new LinkedHashMap<>();
+    private final Map<String, Long> timeouts = new HashMap<>();
+
+    Member(final VirtualFleet fleet, final int index) {
+        this.fleet = fleet;
+        this.index = index;
+    }
+
+    boolean isUp() {
+        return courier != null;
+    }
+
+    boolean isBelievedUp() {
+        return believedUp;
+    }
+
+    void start() {
+        courier = fleet.make(index, this);
+        startedUs = now();
+        believedUp = true;
+        courier.onList(now(), Courier.Update.RESTORED, fleet.list());
+        open.values().forEach(one -> courier.onResumed(now(), one.message(), one.past()));
+        touched = true;
+    }
+
+    /** Its connections break, and what was out may have run. */
+    void kill() {
+        life++;
+        courier = null;
+        touched = false;
+        for (final Open one : open.values()) {
+            if (one.out != null) {
+                mayHaveRun(one, one.out);
+                hangUp(one.out);
+                one.out.over = true;
+                one.out = null;
+            }
+        }
+        idle.forEach((endpoint, count) -> disconnect(endpoint, count));
+        idle.clear();
+        waitUntilUs.clear();
+        outbox.clear();
+    }
+
+    /** The front has seen that it is dead. */
+    void noticed() {
+        believedUp = isUp();
+    }
+
+    /** Every message has had its end. */
+    void close() {
+        open.values().forEach(one -> fleet.tally.broke("no end for " + one.id));
+    }
+
+    void take(final Open one) {
+        if (open.size() >= fleet.day.settings().limits().maxOpen()) {
+            return;
+        }
+        open.put(one.id, one);
+        courier.onMessage(now(), one.message());
+        touched = true;
+    }
+
+    /** Lets it decide, if something was told. */
+    void pass() {
+        if (!touched || courier == null) {
+            return;
+        }
+        touched = false;
+        courier.decide(now());
+        final Map<Long, List<Open>> sends = new LinkedHashMap<>(outbox);
+        outbox.clear();
+        sends.forEach(this::call);
+    }
+
+    private long now() {
+        return fleet.agenda.nowUs();
+    }
+
+    /** Plans something for this process. */
+    private void in(final long delayUs, final Runnable what) {
+        final int planned = life;
+        fleet.agenda.in(delayUs, () -> {
+            if (life == planned && courier != null) {
+                what.run();
+            }
+        });
+    }
+
+    // ---------------------------------------------------------------- calls
+
+    private void call(final long endpoint, final List<Open> messages) {
+        final Service service = fleet.services.get(VirtualFleet.destination(endpoint));
+        for (int from = 0; from < messages.size(); from += service.shape.messagesPerCall()) {
+            final CallOut call = new CallOut(endpoint, now());
+            call.messages.addAll(messages.subList(from, Math.min(messages.size(), from + service.shape.messagesPerCall())));
+            for (final Open one : call.messages) {
+                watch(one, endpoint);
+                one.out = call;
+                in(timeouts.remove(one.id), () -> giveUp(call, Result.TIMED_OUT));
+            }
+            final long wayUs = fleet.wayUs(index, endpoint);
+            if (idle.merge(endpoint, 0, Integer::sum) > 0) {
+                idle.merge(endpoint, -1, Integer::sum);
+                call.connected = true;
+                fleet.agenda.in(wayUs, () -> reach(call, service));
+            } else {
+                fleet.agenda.in(wayUs, () -> connect(call, service));
+            }
+        }
+    }
+
+    /** What a send must not do. */
+    private void watch(final Open one, final long endpoint) {
+        if (one.out != null) {
+            fleet.tally.broke("two copies out: " + one.id);
+        }
+        if (++one.attempts > fleet.day.settings().limits().mostAttempts()) {
+            fleet.tally.broke("attempt " + one.attempts + ": " + one.id);
+        }
+        if (VirtualFleet.destination(endpoint) != one.destination) {
+            fleet.tally.broke("to another destination: " + one.id);
+        }
+        if (now() < waitUntilUs.getOrDefault(one.destination, 0L)) {
+            fleet.tally.broke("a wait not heeded: " + one.id);
+        }
+        if (one.ranUs >= 0 && one.kind.effect() == Effect.KEYED && now() > one.ranUs + one.kind.keyWindowUs()) {
+            fleet.tally.broke("again after its key was forgotten: " + one.id);
+        }
+    }
+
+    private void connect(final CallOut call, final Service service) {
+        if (call.over) {
+            return;
+        }
+        count(Count.HANDSHAKES);
+        if (!service.connects(VirtualFleet.place(call.endpoint))) {
+            count(Count.REFUSED_CONNECTIONS);
+            back(call, Result.NO_CONNECTION, 0);
+            return;
+        }
+        call.connected = true;
+        fleet.agenda.in(HANDSHAKE_TRIPS * 2 * fleet.wayUs(index, call.endpoint), () -> reach(call, service));
+    }
+
+    /** Its last byte comes to the endpoint. */
+    private void reach(final CallOut call, final Service service) {
+        if (call.over) {
+            return;
+        }
+        count(Count.CALLS);
+        final Fate fate = service.takes(now());
+        if (fate == Fate.UNREACHABLE) {
+            hangUp(call);
+            back(call, Result.NO_CONNECTION, 0);
+        } else if (fate == Fate.REFUSE) {
+            count(Count.REFUSED_CALLS);
+            back(call, Result.REFUSED, service.shape.waitUs());
+        } else {
+            final double items = 1 + 0.15 * (call.messages.size() - 1);
+            fleet.agenda.in((long) (fleet.random.nextExponential() * service.shape.serviceUs() * items),
+                    () -> back(call, Result.DELIVERED, 0));
+        }
+    }
+
+    private void back(final CallOut call, final Result result, final long waitUs) {
+        fleet.agenda.in(fleet.wayUs(index, call.endpoint), () -> {
+            if (!call.over) {
+                over(call, result, waitUs);
+            }
+        });
+    }
+
+    /** Nobody waits for it any more: its connection is closed. */
+    private void giveUp(final CallOut call, final Result result) {
+        if (!call.over) {
+            call.messages.forEach(one -> mayHaveRun(one, call));
+            hangUp(call);
+            over(call, result, 0);
+        }
+    }
+
+    private void over(final CallOut call, final Result result, final long waitUs) {
+        call.over = true;
+        if (call.connected) {
+            call.connected = false;
+            idle.merge(call.endpoint, 1, Integer::sum);
+        }
+        if (waitUs > 0) {
+            waitUntilUs.merge(VirtualFleet.destination(call.endpoint), now() + waitUs, Math::max);
+        }
+        for (final Open one : call.messages) {
+            one.out = null;
+            final boolean delivered = result == Result.DELIVERED;
+            if (delivered && open.remove(one.id) != null) {
+                fleet.tally.delivered(fleet.worth(one));
+            }
+            courier.onOutcome(now(), new Courier.Outcome(one.id, result, delivered, call.endpoint, now() - call.sentUs,
+                    waitUs, null));
+        }
+        touched = true;
+    }
+
+    private void mayHaveRun(final Open one, final CallOut call) {
+        one.ranUs = one.ranUs < 0 ? call.sentUs : one.ranUs;
+        one.ranZone = FleetDay.zone(VirtualFleet.place(call.endpoint));
+    }
+
+    private void hangUp(final CallOut call) {
+        if (call.connected) {
+            call.connected = false;
+            disconnect(call.endpoint, 1);
+        }
+    }
+
+    private void disconnect(final long endpoint, final int connections) {
+        for (int count = 0; count < connections; count++) {
+            fleet.services.get(VirtualFleet.destination(endpoint)).disconnected(VirtualFleet.place(endpoint));
+        }
+    }
+
+    private void count(final Count what) {
+        fleet.tally.count(what, index, now() - VirtualFleet.START_US);
+    }
+
+    // ---------------------------------------------------------------- what the decisions ask for
+
+    @Override
+    public void send(final String messageId, final long endpoint, final long timeoutUs) {
+        outbox.computeIfAbsent(endpoint, unused -> new ArrayList<>()).add(open.get(messageId));
+        timeouts.put(messageId, timeoutUs);
+    }
+
+    @Override
+    public void refuse(final String messageId, final long retryAfterUs) {
+        end(messageId);
+    }
+
+    @Override
+    public void fail(final String messageId) {
+        end(messageId);
+    }
+
+    private void end(final String messageId) {
+        final Open one = open.remove(messageId);
+        if (one == null) {
+            fleet.tally.broke("a second end: " + messageId);
+        } else if (now() > Math.max(one.untilUs + GRACE_US, startedUs + SETTLED_US)) {
+            fleet.tally.broke("a late end: " + messageId);
+        }
+    }
+
+    @Override
+    public void cancel(final String messageId, final int attempt) {
+        final Open one = open.get(messageId);
+        if (one != null && one.out != null) {
+            final CallOut out = one.out;
+            in(0, () -> giveUp(out, Result.CANCELLED));
+        }
+    }
+
+    @Override
+    public void closeIdle(final long endpoint) {
+        disconnect(endpoint, idle.getOrDefault(endpoint, 0));
+        idle.remove(endpoint);
+    }
+
+    @Override
+    public void follow() {
+        count(Count.LIST_CALLS);
+        final long answeredUs = fleet.listing.answeredUs(now());
+        if (answeredUs < 0) {
+            count(Count.LIST_CALLS_TURNED_AWAY);
+            in(1, () -> listed(Courier.Update.LOST));
+        } else {
+            in(answeredUs - now(), () -> listed(Courier.Update.WHOLE));
+        }
+    }
+
+    private void listed(final Courier.Update update) {
+        courier.onList(now(), update, update == Courier.Update.LOST ? List.of() : fleet.list());
+        touched = true;
+    }
+
+    @Override
+    public void wake(final long delayUs) {
+        in(delayUs, () -> touched = true);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/thistleturn/lab/fleet/Service.java
@@ -0,0 +1,84 @@
+package thistleturn.lab.fleet;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import thistleturn.lab.model.ColdReturn;
+import thistleturn.lab.model.Fate;
+import thistleturn.lab.model.Limit;
+
+/** One destination as all couriers meet it: its rate, its endpoints' connections, its trouble. */
+final class Service {
+    private static final double CAPACITY = 1.3;
+    private static final long DOWN_US = 5 * FleetDay.SECOND_US;
+    private static final long LOWERED_US = 9 * FleetDay.SECOND_US;
+
+    final FleetDay.Destination shape;
+    /** Connections open at each endpoint, idle ones too. */
+    private final int[] connections;
+    private final Limit limit;
+    private final Limit lowered;
+    private final long loweredFromUs;
+    private final ColdReturn outage;
+
+    /** Its trouble begins at that moment of the clock, if there is one. */
+    Service(final FleetDay.Destination shape, final FleetDay.Trouble trouble, final long fromUs) {
+        this.shape = shape;
+        this.connections = new int[shape.endpoints()];
+        this.limit = Limit.sliding(shape.ratePerSecond(), FleetDay.SECOND_US, shape.waitUs());
+        this.lowered = Limit.sliding(Math.max(1, shape.ratePerSecond() / 2), FleetDay.SECOND_US, shape.waitUs());
+        this.loweredFromUs = trouble == FleetDay.Trouble.JOIN ? fromUs : Long.MAX_VALUE / 2;
+        this.outage = trouble != FleetDay.Trouble.ZONE ? null : new ColdReturn(fromUs, fromUs + DOWN_US,
+                CAPACITY * shape.ratePerSecond(), 0.22, 9 * FleetDay.SECOND_US, 2, 3 * FleetDay.SECOND_US);
+    }
+
+    /** True if an endpoint takes one connection more. */
+    boolean connects(final int endpoint) {
+        if (connections[endpoint] >= shape.connections()) {
+            return false;
+        }
+        connections[endpoint]++;
+        return true;
+    }
+
+    void disconnected(final int endpoint) {
+        connections[endpoint]--;
+    }
+
+    /** What becomes of a call that comes now. */
+    Fate takes(final long nowUs) {
+        final Fate fate = outage == null ? Fate.SERVE : outage.arrives(nowUs);
+        if (fate != Fate.SERVE) {
+            return fate;
+        }
+        final boolean isLowered = nowUs >= loweredFromUs && nowUs < loweredFromUs + LOWERED_US;
+        return (isLowered ? lowered : limit).takes(nowUs) ? Fate.SERVE : Fate.REFUSE;
+    }
+
+    boolean isFallen() {
+        return outage != null && outage.isFallen();
+    }
+
+    /** Discovery, as all couriers meet it: it works through calls in turn, and turns away what would wait too long. */
+    static final class Listing {
+        private static final long MOST_WAIT_US = FleetDay.SECOND_US;
+        private final long callUs;
+        private final Deque<Long> ends = new ArrayDeque<>();
+
+        Listing(final long callUs) {
+            this.callUs = callUs;
+        }
+
+        /** When a call that comes now is answered, or -1: it is turned away. */
+        long answeredUs(final long nowUs) {
+            while (!ends.isEmpty() && ends.peekFirst() <= nowUs) {
+                ends.removeFirst();
+            }
+            final long endUs = Math.max(nowUs, ends.isEmpty() ? nowUs : ends.peekLast()) + callUs;
+            if (endUs > nowUs + MOST_WAIT_US) {
+                return -1;
+            }
+            ends.addLast(endUs);
+            return endUs;
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/thistleturn/lab/fleet/VirtualFleet.java
@@ -0,0 +1,180 @@
+package thistleturn.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import thistleturn.decisions.Courier;
+import thistleturn.lab.virtual.Agenda;
+import thistleturn.lab.virtual.VirtualCourier;
+
+/**
+ * Plays a day of many couriers in virtual time, against destinations and a discovery that they share. Clients hand each
+ * message to one of the couriers that a front believes to be up; one that meets a dead courier is handed in again a
+ * second later. The rules are watched from outside. The same seed plays the same day, bit for bit.
+ */
+public final class VirtualFleet {
+    static final long SECOND_US = FleetDay.SECOND_US;
+    /** Traffic begins so long after the clock's zero, us: lists have been had by then. */
+    static final long START_US = 5 * SECOND_US;
+    /** One way within a zone and between two, us. */
+    private static final long NEAR_US = 15_000;
+    private static final long FAR_US = 45_000;
+    private static final long LIST_CALL_US = 60_000;
+    /** Of a herd's couriers so many in three are killed, for so long; the front notices after so long. */
+    private static final int KILLED_OF_THREE = 2;
+    private static final long DEAD_US = 1_600_000;
+    private static final long NOTICED_US = 1_000_000;
+    private static final long AGAIN_US = SECOND_US;
+    /** More endpoints than a destination has. */
+    private static final int MOST_PLACES = 1000;
+
+    final FleetDay day;
+    final Agenda agenda = new Agenda(0);
+    final RandomGenerator random;
+    final FleetTally tally;
+    final List<Service> services = new ArrayList<>();
+    final Service.Listing listing;
+    private final List<Member> members = new ArrayList<>();
+    private final VirtualCourier.Maker maker;
+    private int messages;
+
+    private VirtualFleet(final FleetDay day, final long seed, final VirtualCourier.Maker maker) {
+        this.day = day;
+        this.random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        this.tally = new FleetTally(day.couriers());
+        this.maker = maker;
+        this.listing = new Service.Listing(day.trouble() == FleetDay.Trouble.HERD ? 3 * LIST_CALL_US : LIST_CALL_US);
+        for (int index = 0; index < day.destinations().size(); index++) {
+            services.add(new Service(day.destinations().get(index), day.isStruck(index) ? day.trouble()
+                    : FleetDay.Trouble.NONE, START_US + day.fromUs()));
+        }
+        for (int index = 0; index < day.couriers(); index++) {
+            members.add(new Member(this, index));
+        }
+    }
+
+    /** Plays a day to its end. */
+    public static FleetTally play(final FleetDay day, final long seed, final VirtualCourier.Maker maker) {
+        final VirtualFleet fleet = new VirtualFleet(day, seed, maker);
+        fleet.run();
+        return fleet.tally;
+    }
+
+    private void run() {
+        members.forEach(Member::start);
+        agenda.at(START_US, this::arrive);
+        if (day.trouble() == FleetDay.Trouble.HERD) {
+            agenda.at(START_US + day.fromUs(), this::kill);
+        }
+        long lifeUs = 0;
+        for (final Courier.MessageClass kind : day.settings().classes()) {
+            lifeUs = Math.max(lifeUs, kind.deadlineUs());
+        }
+        final long endUs = START_US + day.lengthUs() + 2 * lifeUs;
+        boolean goesOn = true;
+        while (goesOn) {
+            goesOn = agenda.step(endUs);
+            members.forEach(Member::pass);
+        }
+        members.forEach(Member::close);
+        services.stream().filter(Service::isFallen).forEach(fallen -> tally.broke("a returning destination was pushed over"));
+    }
+
+    Courier make(final int courier, final Courier.Actions actions) {
+        return maker.make(day.settingsOf(courier), random.nextLong(), actions);
+    }
+
+    /** The list as a courier is given it. */
+    List<Courier.Endpoint> list() {
+        final List<Courier.Endpoint> entries = new ArrayList<>();
+        for (int index = 0; index < services.size(); index++) {
+            final FleetDay.Destination shape = services.get(index).shape;
+            for (int place = 0; place < shape.endpoints(); place++) {
+                entries.add(new Courier.Endpoint(number(index, place), Courier.Condition.LISTED, FleetDay.zone(place),
+                        shape.ratePerSecond(), shape.messagesPerCall() > 1 ? 1 : 0, index));
+            }
+        }
+        return entries;
+    }
+
+    private static long number(final int destination, final int place) {
+        return 1L + (long) destination * MOST_PLACES + place;
+    }
+
+    static int destination(final long endpoint) {
+        return (int) ((endpoint - 1) / MOST_PLACES);
+    }
+
+    static int place(final long endpoint) {
+        return (int) ((endpoint - 1) % MOST_PLACES);
+    }
+
+    /** One way between a courier and an endpoint, with some jitter, us. */
+    long wayUs(final int courier, final long endpoint) {
+        final long meanUs = FleetDay.zone(courier).equals(FleetDay.zone(place(endpoint))) ? NEAR_US : FAR_US;
+        return (long) (meanUs * (0.9 + 0.2 * random.nextDouble()));
+    }
+
+    // ---------------------------------------------------------------- clients
+
+    private void arrive() {
+        final long gapUs = (long) (random.nextExponential() / day.perSecond() * SECOND_US);
+        if (agenda.nowUs() + gapUs < START_US + day.lengthUs()) {
+            agenda.in(gapUs, () -> {
+                final int kind = random.nextInt(day.settings().classes().size());
+                tally.handed(day.settings().classes().get(kind).worth());
+                hand(kind, destination(), agenda.nowUs());
+                arrive();
+            });
+        }
+    }
+
+    private int destination() {
+        double draw = random.nextDouble();
+        int index = 0;
+        while (index < services.size() - 1 && draw >= services.get(index).shape.share()) {
+            draw -= services.get(index++).shape.share();
+        }
+        return index;
+    }
+
+    /** A message first handed in at that moment; its time goes on running while it finds no courier. */
+    void hand(final int kind, final int destination, final long handedUs) {
+        final Courier.MessageClass its = day.settings().classes().get(kind);
+        final long untilUs = handedUs + its.deadlineUs();
+        if (agenda.nowUs() >= untilUs) {
+            return;
+        }
+        final List<Member> seen = members.stream().filter(Member::isBelievedUp).toList();
+        final Member member = seen.isEmpty() ? null : seen.get(random.nextInt(seen.size()));
+        if (member != null && member.isUp()) {
+            member.take(new Open("m" + messages++, kind, its, destination, handedUs, untilUs));
+        } else {
+            agenda.in(AGAIN_US, () -> hand(kind, destination, handedUs));
+        }
+    }
+
+    /** What a message is worth that is delivered now. */
+    double worth(final Open open) {
+        final long ageUs = agenda.nowUs() - open.handedUs;
+        final Courier.MessageClass kind = open.kind;
+        if (ageUs <= kind.aimUs()) {
+            return kind.worth();
+        }
+        final double late = Math.min(1, (double) (ageUs - kind.aimUs()) / (kind.deadlineUs() - kind.aimUs()));
+        return kind.worth() * (1 - late * (1 - kind.lateWorth()));
+    }
+
+    // ---------------------------------------------------------------- trouble
+
+    private void kill() {
+        for (final Member member : members) {
+            if (member.index % 3 < KILLED_OF_THREE && day.couriers() > 1) {
+                member.kill();
+                agenda.in(NOTICED_US, member::noticed);
+                agenda.in(DEAD_US, member::start);
+            }
+        }
+    }
+}
--- a/lab/src/main/java/thistleturn/lab/model/Limit.java
+++ b/lab/src/main/java/thistleturn/lab/model/Limit.java
@@ -1,5 +1,8 @@
 package thistleturn.lab.model;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 /** What a partner takes: calls in spans, tokens, calls at once, or a queue before so many servers. Refused ones may count. */
 public interface Limit {
     /** A second, us. */
@@ -31,6 +34,14 @@
         return new Spans(calls, spanUs, tellsWait);
     }
 
+    /**
+     * So many calls in any span, those it refused included: one that is called at just its rate refuses for as long as
+     * that goes on. A refusal tells a wait, us, or (0) nothing.
+     */
+    static Limit sliding(final double calls, final long spanUs, final long waitUs) {
+        return new Sliding(calls, spanUs, waitUs);
+    }
+
     /** So many calls a second, and so many at once after a rest. */
     static Limit tokens(final double perSecond, final double burst) {
         return new Tokens(perSecond, burst);
@@ -91,6 +102,34 @@
         }
     }
 
+    /** Calls counted in the span that ends now, refused ones too. */
+    final class Sliding implements Limit {
+        private final double most;
+        private final long spanUs;
+        private final long waitUs;
+        private final Deque<Long> came = new ArrayDeque<>();
+
+        Sliding(final double most, final long spanUs, final long waitUs) {
+            this.most = most;
+            this.spanUs = spanUs;
+            this.waitUs = waitUs;
+        }
+
+        @Override
+        public boolean takes(final long nowUs) {
+            while (!came.isEmpty() && came.peekFirst() <= nowUs - spanUs) {
+                came.removeFirst();
+            }
+            came.addLast(nowUs);
+            return came.size() <= most;
+        }
+
+        @Override
+        public long waitUs(final long nowUs) {
+            return waitUs;
+        }
+    }
+
     /** A token bucket. */
     final class Tokens implements Limit {
         private final double perSecond;
