--- /dev/null
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/fleet/MeasureFleet.java
@@ -0,0 +1,92 @@
+package thistleturn.benchmarks.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.concurrent.Callable;
+import java.util.function.ToDoubleFunction;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import thistleturn.decisions.Control;
+import thistleturn.lab.fleet.FleetDay;
+import thistleturn.lab.fleet.FleetTally;
+import thistleturn.lab.fleet.FleetTally.Count;
+import thistleturn.lab.fleet.VirtualFleet;
+import thistleturn.lab.virtual.VirtualCourier;
+
+/** Goodput and calls of fleets of several sizes, with and without sharing, by the same seeds in virtual time. */
+@Command(name = "fleet", mixinStandardHelpOptions = true, description = "Worth delivered, calls, refusals, handshakes and "
+        + "list calls of fleets in virtual time: the decisions as they are, and without sharing, by the same seeds.")
+public final class MeasureFleet implements Callable<Integer> {
+    /** Student's t for a two-sided interval of 95%, from two pairs on; beyond the last, the normal one's 1.96. */
+    private static final double[] STUDENT = {12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201,
+        2.179, 2.160, 2.145, 2.131, 2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052,
+        2.048, 2.045};
+    private static final double NORMAL = 1.96;
+
+    @Option(names = "--seeds", defaultValue = "30", description = "days a row, 2 at least; ${DEFAULT-VALUE} unless told")
+    private int seeds;
+    @Option(names = "--couriers", split = ",", defaultValue = "1,2,8,14,50", description = "sizes; ${DEFAULT-VALUE} unless told")
+    private List<Integer> sizes;
+    @Option(names = "--trouble", description = "${COMPLETION-CANDIDATES}; all of them unless told")
+    private FleetDay.Trouble only;
+    private int broken;
+
+    @Override
+    public Integer call() {
+        if (seeds < 2 || sizes.stream().anyMatch(size -> size < 1)) {
+            System.err.println("measure fleet: --seeds is 2 at least, and each of --couriers 1 at least");
+            return 2;
+        }
+        System.out.println("| trouble | couriers | worth delivered | without sharing | paired difference, 95% | calls a message "
+                + "| without | refused calls | without | handshakes | without | list calls | most calls in 100 ms | without |");
+        System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        for (final FleetDay.Trouble trouble : only == null ? FleetDay.Trouble.values() : new FleetDay.Trouble[] {only}) {
+            sizes.forEach(size -> row(trouble, size));
+        }
+        return broken == 0 ? 0 : 1;
+    }
+
+    private void row(final FleetDay.Trouble trouble, final int size) {
+        final List<FleetTally> with = play(trouble, size, Control::new);
+        final List<FleetTally> without = play(trouble, size, Control::withoutSharing);
+        double sum = 0;
+        double squares = 0;
+        for (int index = 0; index < seeds; index++) {
+            final double difference = with.get(index).goodput() - without.get(index).goodput();
+            sum += difference;
+            squares += difference * difference;
+        }
+        final double mean = sum / seeds;
+        final double deviation = Math.sqrt(Math.max(0, squares - seeds * mean * mean) / (seeds - 1));
+        final double student = seeds - 2 < STUDENT.length ? STUDENT[seeds - 2] : NORMAL;
+        System.out.println(String.format(Locale.ROOT, "| %s | %d | %.3f | %.3f | %+.3f ± %.3f | %.2f | %.2f | %s | %s | %s | %s | %s "
+                + "| %.0f | %.0f |", trouble.name().toLowerCase(Locale.ROOT), size, mean(with, FleetTally::goodput),
+                mean(without, FleetTally::goodput), mean, student * deviation / Math.sqrt(seeds),
+                mean(with, FleetTally::callsAMessage), mean(without, FleetTally::callsAMessage),
+                share(with, Count.REFUSED_CALLS), share(without, Count.REFUSED_CALLS), share(with, Count.HANDSHAKES),
+                share(without, Count.HANDSHAKES), share(with, Count.LIST_CALLS),
+                mean(with, tally -> tally.mostIn100Ms(Count.CALLS)), mean(without, tally -> tally.mostIn100Ms(Count.CALLS))));
+    }
+
+    private List<FleetTally> play(final FleetDay.Trouble trouble, final int size, final VirtualCourier.Maker maker) {
+        final List<FleetTally> tallies = new ArrayList<>();
+        for (long seed = 1; seed <= seeds; seed++) {
+            final FleetTally tally = VirtualFleet.play(FleetDay.drawn(size, trouble, new Random(seed)), seed, maker);
+            broken += tally.broken().size();
+            tally.broken().stream().limit(3).forEach(what -> System.out.println("BROKEN: " + what));
+            tallies.add(tally);
+        }
+        return tallies;
+    }
+
+    private static double mean(final List<FleetTally> tallies, final ToDoubleFunction<FleetTally> figure) {
+        return tallies.stream().mapToDouble(figure).average().orElse(0);
+    }
+
+    /** Of each message handed in. */
+    private static String share(final List<FleetTally> tallies, final Count what) {
+        return String.format(Locale.ROOT, "%.3f", mean(tallies, tally -> (double) tally.total(what) / Math.max(1, tally.handed())));
+    }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** What a fleet of many couriers does to partners that all of them share. */
+package thistleturn.benchmarks.fleet;
