--- a/decisions/src/main/java/thistleturn/decisions/fleet/FairShare.java
+++ b/decisions/src/main/java/thistleturn/decisions/fleet/FairShare.java
@@ -17,6 +17,8 @@
     /** Seconds of the rate, and calls at least, that may go at once. */
     private static final double DEPTH_S = 1;
     private static final double LEAST_DEPTH = 2;
+    /** Calls that may go at once at first: many couriers may begin in the same moment, with lines that wait. */
+    private static final double AT_FIRST = 1;
     /** What a refusal leaves of the rate, at most once in so long, us: those on their way say the same. */
     private static final double LEFT = 0.7;
     private static final long ONCE_US = 500_000;
@@ -51,7 +53,7 @@
             fill(nowUs);
             rate = even == 0 ? next : rate * next / even;
             ceiling = even == 0 ? Double.POSITIVE_INFINITY : ceiling * next / even;
-            calls = even == 0 ? depth(next) : calls;
+            calls = even == 0 ? AT_FIRST : calls;
             even = next;
         }
     }
--- a/decisions/src/test/java/thistleturn/decisions/fleet/FairShareTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/fleet/FairShareTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Tag;
@@ -74,7 +75,7 @@
 
     private static double[] even() {
         final double[] parts = new double[COURIERS];
-        java.util.Arrays.fill(parts, 1.0 / COURIERS);
+        Arrays.fill(parts, 1.0 / COURIERS);
         return parts;
     }
 
@@ -99,7 +100,7 @@
     @Test
     void aCourierWithMostOfTheTrafficTakesWhatOthersLeave() {
         final double[] parts = new double[COURIERS];
-        java.util.Arrays.fill(parts, 0.2 / (COURIERS - 1));
+        Arrays.fill(parts, 0.2 / (COURIERS - 1));
         parts[0] = 0.8;
         final int seconds = 120;
         final Partner partner = play(0.7 * LIMIT, parts, seconds);
@@ -107,6 +108,26 @@
         assertTrue(partner.refused < 0.1 * partner.served, "refused " + partner.refused);
     }
 
+    /** After a kill of most couriers all began with a second's worth at once, and the destination refused for a second. */
+    @Test
+    void couriersThatBeginInTheSameMomentMakeNoBurst() {
+        final Partner partner = new Partner();
+        final List<FairShare> shares = new ArrayList<>();
+        for (int index = 0; index < COURIERS; index++) {
+            shares.add(told(LIMIT / COURIERS));
+        }
+        for (long nowUs = 0; nowUs < SECOND_US; nowUs += STEP_US) {
+            for (final FairShare share : shares) {
+                while (share.openAtUs(nowUs) <= nowUs) {
+                    share.called(nowUs);
+                    partner.call(nowUs);
+                }
+            }
+        }
+        assertEquals(0, partner.refused);
+        assertTrue(partner.served >= COURIERS, "one each: " + partner.served);
+    }
+
     @Test
     void anUntoldRateIsNotKeptTo() {
         assertFalse(new FairShare().isKept());
