lanes tells when a courier's part of a told rate is what keeps a message

Need: in a large fleet messages wait though nothing was refused, and lanes called that spacing after refusals. Change: the column SPACED/S shows the part, NOW says that it is used up. Result: LaneViewTest; decisions unchanged.

--- a/decisions/src/main/java/thistleturn/decisions/LaneView.java
+++ b/decisions/src/main/java/thistleturn/decisions/LaneView.java
@@ -12,7 +12,8 @@
  * @param inFlight those it has; {@code silent} of them are overdue
  * @param waiting messages of the destination that wait
  * @param servedPerSecond calls, a slow average
- * @param spacingPerSecond sends allowed a second after refusals; infinite: any number
+ * @param spacingPerSecond sends allowed a second, after refusals or as this courier's part of a told rate; infinite: any
+ *     number
  * @param cause what its refusals are taken to answer to: {@code UNSURE}, {@code LOAD} or {@code NOISE}
  * @param evidence nats for noise (above 0) or load (below); 3 settle it
  * @param refusedShare share of recent calls that were refused
@@ -28,7 +29,7 @@
     static LaneView of(final Lane lane, final long nowUs, final long openAtUs, final int cap) {
         return new LaneView(lane.destination.id, lane.nodes.stream().map(Node::id).toList(),
                 lane.phase.name(), lane.window, lane.calls, lane.fallen, lane.destination.waiting, lane.callRate,
-                lane.spacing, lane.reading.cause(nowUs).name(), lane.reading.evidence(nowUs), lane.reading.share(),
+                lane.share.isKept() ? lane.share.ratePerSecond() : lane.spacing, lane.reading.cause(nowUs).name(), lane.reading.evidence(nowUs), lane.reading.share(),
                 lane.budget.left(), lane.growth.isGrowing(), why(lane, nowUs, openAtUs, cap));
     }
 
@@ -52,6 +53,8 @@
         if (openAtUs > nowUs) {
             return lane.phase == Phase.RAMP ? "it returns from an outage: the next call goes in " + in(openAtUs - nowUs)
                     : nowUs < lane.pausedUntilUs() ? "it pauses after a refusal: " + in(openAtUs - nowUs) + " are left"
+                    : lane.share.isKept() ? "this courier's part of the rate told is used up: the next one goes in "
+                    + in(openAtUs - nowUs)
                     : "its sends are spaced after refusals: the next one goes in " + in(openAtUs - nowUs);
         }
         if (lane.nodes.stream().allMatch(node -> node.isAvoided(nowUs))) {
--- a/decisions/src/test/java/thistleturn/decisions/FleetTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/FleetTest.java
@@ -98,9 +98,7 @@
     /** A rate of 0 is none told: there is no part to keep to, and none to divide by. */
     @Test
     void aToldRateOfNothingIsNoRate() {
-        final Courier.Settings told = Scene.told();
-        final Scene one = new Scene(new Courier.Settings(14, told.zone(), told.listOnRequest(), told.weights(), told.fade(),
-                told.classes(), told.tenants(), told.kinds(), told.guarantees(), told.limits()), 1);
+        final Scene one = new Scene(Scene.toldFleetOf(14), 1);
         one.list(Courier.Update.RESTORED, new Courier.Endpoint(1, Courier.Condition.LISTED, "a", 0, 0, Scene.DEST));
         for (int index = 0; index < 4; index++) {
             one.take("m" + index, SAFE);
--- a/decisions/src/test/java/thistleturn/decisions/LaneViewTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/LaneViewTest.java
@@ -41,6 +41,16 @@
         assertEquals("UNSURE", of(scene).cause());
     }
 
+    /** One of fourteen couriers has used its part up: nothing was refused, and yet nothing goes. */
+    @Test
+    void aPartOfARateThatIsUsedUp() {
+        final Scene scene = Scene.withTwoEndpoints(Scene.toldFleetOf(14));
+        scene.take("m0", 0);
+        scene.take("m1", 0);
+        assertTrue(of(scene).why().startsWith("this courier's part of the rate told is used up: "), of(scene).why());
+        assertEquals(0.9 / 14, of(scene).spacingPerSecond(), 1e-9);
+    }
+
     @Test
     void anOutage() {
         final Scene scene = Scene.withTwoEndpoints(Scene.settings());
--- a/decisions/src/test/java/thistleturn/decisions/Scene.java
+++ b/decisions/src/test/java/thistleturn/decisions/Scene.java
@@ -82,7 +82,15 @@
 
     /** As {@link #settings()}, in a fleet of so many couriers. */
     static Courier.Settings fleetOf(final int couriers) {
-        final Courier.Settings few = settings();
+        return fleetOf(couriers, settings());
+    }
+
+    /** As {@link #told()}, in a fleet of so many couriers. */
+    static Courier.Settings toldFleetOf(final int couriers) {
+        return fleetOf(couriers, told());
+    }
+
+    private static Courier.Settings fleetOf(final int couriers, final Courier.Settings few) {
         return new Courier.Settings(couriers, few.zone(), few.listOnRequest(), few.weights(), few.fade(),
                 few.classes(), few.tenants(), few.kinds(), few.guarantees(), few.limits());
     }
