--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -197,8 +197,8 @@
     }
 
     /**
-     * As told, with the time that is given to a look at what time alone has changed, us (0: all, always), whether
-     * refusals, failures and first seconds are read ({@code decisions.noise}), and rates shared ({@code fleet}).
+     * As told, with the time that is given to a look at what time alone has changed, us (0: all, always),
+     * whether refusals, failures and first seconds are read ({@code noise}), and rates shared ({@code fleet}).
      */
     Control(final Settings settings, final long seed, final Actions actions, final long lookUs,
             final boolean learns, final boolean shares) {
@@ -983,9 +983,10 @@
     private long trialUs(final Lane lane) {
         final long fromUs = Math.max(nowUs, lane.waitUntilUs);
         final double ageUs = Math.max(PAUSE_US, fromUs - lane.troubleFromUs);
-        final double gapUs = ageUs * (Math.pow(1 - random.nextDouble(), -1 / settings.guarantees().tippingShare(0)) - 1);
+        final double tips = settings.guarantees().tippingShare(0);
+        final double gapUs = ageUs * (Math.pow(1 - random.nextDouble(), -1 / tips) - 1);
         return fromUs + (long) Math.min(gapUs,
-                jitter((long) Math.max(learns ? TRIAL_LEAST_US : 0, apartUs(lane) / settings.guarantees().tippingShare(0))));
+                jitter((long) Math.max(learns ? TRIAL_LEAST_US : 0, apartUs(lane) / tips)));
     }
 
     private double expectedUs(final Lane lane, final Job job) {
