--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -198,7 +198,7 @@
 
     /**
      * As told, with the time that is given to a look at what time alone has changed, us (0: all, always),
-     * whether refusals, failures and first seconds are read ({@code noise}), and rates shared ({@code fleet}).
+     * whether refusals and first seconds are read ({@code noise}), and whether rates are shared.
      */
     Control(final Settings settings, final long seed, final Actions actions, final long lookUs,
             final boolean learns, final boolean shares) {
