--- a/decisions/src/main/java/thistleturn/decisions/fleet/FairShare.java
+++ b/decisions/src/main/java/thistleturn/decisions/fleet/FairShare.java
@@ -19,8 +19,6 @@
     private static final double LEAST_DEPTH = 2;
     /** Calls that may go at once at first: many couriers may begin in the same moment, with lines that wait. */
     private static final double AT_FIRST = 1;
-    /** What the first second brings beside the rate: in a very large fleet the rate alone would take minutes. */
-    private static final double AFTER_FIRST = LEAST_DEPTH - AT_FIRST;
     /** What a refusal leaves of the rate, at most once in so long, us: those on their way say the same. */
     private static final double LEFT = 0.7;
     private static final long ONCE_US = 500_000;
@@ -92,7 +90,6 @@
     public void step(final int waiting, final long nowUs) {
         final long seconds = Math.min(MOST_STEPS, Math.round((nowUs - steppedUs) / SECOND_US));
         fill(nowUs);
-        calls = Math.min(depth(rate), calls + (steppedUs == 0 ? AFTER_FIRST : 0));
         steppedUs = nowUs;
         for (long second = 0; second < seconds && nowUs - refusedUs >= QUIET_US; second++) {
             grow(second + 1 == seconds ? waiting : 0);
