--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -583,7 +583,7 @@
                     || node.inFlight == 0 && nowUs - node.lastUseUs >= settings.limits().idleCloseUs();
             final double load = lane.phase == Phase.OUT ? node.lastSendUs : node.inFlight + node.badRun[kind]
                     + (handshake ? HANDSHAKE_LOAD : 0) + node.refusalLoad(kind, refusedBy)
-                    + (node.entry.zone().equals(settings.zone()) ? 0 : CROSS_LOAD);
+                    + (lane.isNear(node) ? 0 : CROSS_LOAD);
             if (best == null || load < bestLoad) {
                 best = node;
                 bestLoad = load;
--- a/decisions/src/main/java/thistleturn/decisions/Lane.java
+++ b/decisions/src/main/java/thistleturn/decisions/Lane.java
@@ -94,7 +94,8 @@
                 || (isNear(node) == isNear(other) ? other.connections == 0 : isNear(node)));
     }
 
-    private boolean isNear(final Node node) {
+    /** True for an endpoint in this courier's own zone. */
+    boolean isNear(final Node node) {
         return node.entry.zone().equals(settings.zone());
     }
 
--- a/decisions/src/main/java/thistleturn/decisions/LaneView.java
+++ b/decisions/src/main/java/thistleturn/decisions/LaneView.java
@@ -29,8 +29,8 @@
     static LaneView of(final Lane lane, final long nowUs, final long openAtUs, final int cap) {
         return new LaneView(lane.destination.id, lane.nodes.stream().map(Node::id).toList(),
                 lane.phase.name(), lane.window, lane.calls, lane.fallen, lane.destination.waiting, lane.callRate,
-                lane.share.isKept() ? lane.share.ratePerSecond() : lane.spacing, lane.reading.cause(nowUs).name(), lane.reading.evidence(nowUs), lane.reading.share(),
-                lane.budget.left(), lane.growth.isGrowing(), why(lane, nowUs, openAtUs, cap));
+                lane.share.isKept() ? lane.share.ratePerSecond() : lane.spacing, lane.reading.cause(nowUs).name(),
+                lane.reading.evidence(nowUs), lane.reading.share(), lane.budget.left(), lane.growth.isGrowing(), why(lane, nowUs, openAtUs, cap));
     }
 
     private static String why(final Lane lane, final long nowUs, final long openAtUs, final int cap) {
--- a/decisions/src/test/java/thistleturn/decisions/FleetTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/FleetTest.java
@@ -5,9 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import thistleturn.decisions.Courier.Result;
@@ -19,27 +17,27 @@
     private static final long SECOND = 1_000_000;
     private static final int SAFE = 0;
 
-    /** Couriers that have each had one call served, and what each then keeps open, by endpoint. */
-    private static Map<Long, Integer> kept(final int couriers) {
-        final Map<Long, Integer> kept = new HashMap<>();
+    /** Of so many couriers that have each had one call served, those that keep its connection. */
+    private static List<Scene> keepers(final int couriers) {
+        final List<Scene> keepers = new ArrayList<>();
         for (int index = 0; index < couriers; index++) {
             final Scene one = new Scene(Scene.fleetOf(couriers), Scene.seed(index));
-            one.list(Courier.Update.RESTORED, Scene.endpoint(1, Scene.DEST, "a"), Scene.endpoint(2, Scene.DEST, "b"));
-            one.take("m", SAFE);
+            one.list(Courier.Update.RESTORED, Scene.endpoint(1, Scene.DEST, "b"), Scene.endpoint(2, Scene.DEST, "a"));
+            one.take("m0", SAFE);
             one.pass(200 * MS);
-            one.end("m", Result.DELIVERED);
+            one.end("m0", Result.DELIVERED);
             if (one.closed.isEmpty()) {
-                kept.merge(one.last("m").endpoint(), 1, Integer::sum);
+                keepers.add(one);
             }
         }
-        return kept;
+        return keepers;
     }
 
     /** Fleet days: each call of fourteen couriers paid a handshake, since none kept a connection. */
     @Test
     void aFewOfAManyKeepAConnectionAndNoMoreThanAnEndpointBears() {
         for (final int couriers : List.of(14, 50, 200)) {
-            final int most = kept(couriers).values().stream().mapToInt(Integer::intValue).sum();
+            final int most = keepers(couriers).size();
             assertTrue(most >= 3 && most <= 14, couriers + " couriers keep " + most + " connections to two endpoints");
         }
     }
@@ -47,17 +45,7 @@
     /** Of a lane's endpoints one is kept open, a near one: the next message goes there again. */
     @Test
     void whoKeepsAConnectionUsesItAgain() {
-        final List<Scene> keepers = new ArrayList<>();
-        for (int index = 0; index < 14; index++) {
-            final Scene one = new Scene(Scene.fleetOf(14), Scene.seed(index));
-            one.list(Courier.Update.RESTORED, Scene.endpoint(1, Scene.DEST, "b"), Scene.endpoint(2, Scene.DEST, "a"));
-            one.take("m0", SAFE);
-            one.pass(200 * MS);
-            one.end("m0", Result.DELIVERED);
-            if (one.closed.isEmpty()) {
-                keepers.add(one);
-            }
-        }
+        final List<Scene> keepers = keepers(14);
         assertTrue(keepers.size() >= 2, "keepers: " + keepers.size());
         for (final Scene one : keepers) {
             assertEquals(2, one.last("m0").endpoint(), "the near one");
--- a/lab/src/main/java/thistleturn/lab/fleet/Service.java
+++ b/lab/src/main/java/thistleturn/lab/fleet/Service.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import thistleturn.decisions.Courier;
 import thistleturn.lab.model.ColdReturn;
 import thistleturn.lab.model.Fate;
 import thistleturn.lab.model.Limit;
@@ -10,6 +11,8 @@
 final class Service {
     private static final double CAPACITY = 1.3;
     private static final long DOWN_US = 5 * FleetDay.SECOND_US;
+    /** Over such a span it is counted whether a returning destination is pushed over. */
+    private static final long FALL_US = 3 * FleetDay.SECOND_US;
     private static final long LOWERED_US = 9 * FleetDay.SECOND_US;
 
     final FleetDay.Destination shape;
@@ -21,14 +24,15 @@
     private final ColdReturn outage;
 
     /** Its trouble begins at that moment of the clock, if there is one. */
-    Service(final FleetDay.Destination shape, final FleetDay.Trouble trouble, final long fromUs) {
+    Service(final FleetDay.Destination shape, final FleetDay.Trouble trouble, final long fromUs,
+            final Courier.Guarantees rules) {
         this.shape = shape;
         this.connections = new int[shape.endpoints()];
         this.limit = Limit.sliding(shape.ratePerSecond(), FleetDay.SECOND_US, shape.waitUs());
         this.lowered = Limit.sliding(Math.max(1, shape.ratePerSecond() / 2), FleetDay.SECOND_US, shape.waitUs());
         this.loweredFromUs = trouble == FleetDay.Trouble.JOIN ? fromUs : Long.MAX_VALUE / 2;
         this.outage = trouble != FleetDay.Trouble.ZONE ? null : new ColdReturn(fromUs, fromUs + DOWN_US,
-                CAPACITY * shape.ratePerSecond(), 0.22, 9 * FleetDay.SECOND_US, 2, 3 * FleetDay.SECOND_US);
+                CAPACITY * shape.ratePerSecond(), rules.coldFrom(), rules.coldUs(), rules.tipMultiple(), FALL_US);
     }
 
     /** True if an endpoint takes one connection more. */
--- a/lab/src/main/java/thistleturn/lab/fleet/VirtualFleet.java
+++ b/lab/src/main/java/thistleturn/lab/fleet/VirtualFleet.java
@@ -50,7 +50,7 @@
         this.listing = new Service.Listing(isHerd() ? 3 * LIST_CALL_US : LIST_CALL_US);
         for (int index = 0; index < day.destinations().size(); index++) {
             services.add(new Service(day.destinations().get(index), day.isStruck(index) ? day.trouble()
-                    : FleetDay.Trouble.NONE, START_US + day.fromUs()));
+                    : FleetDay.Trouble.NONE, START_US + day.fromUs(), day.settings().guarantees()));
         }
         for (int index = 0; index < day.couriers(); index++) {
             members.add(new Member(this, index));
