A killed courier decides nothing more: its ending loop does not send again what broke

Checked: a print in Host showed that Netty's loop, closing all channels at its end, runs the tasks that this brings; the host heard three resets, decided, put down further attempts and began calls while the loop was ending. Some got through, most met NO_CONNECTION. Ruled out: the next process, and the stand-in alone (its reading order only hides or shows what was sent). At fault: CourierProcess.kill, which is to end a courier as a power cut would and let it go on deciding; a process of its own is ended by SIGKILL and never does. Now each host is cut first, on its loop: no outcome, no pass, no confirmation has an effect.

--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -702,6 +702,12 @@
      * a Java machine with others; a process of its own is ended by its end.
      */
     public void kill() {
+        // Else a loop that is ending would send again what broke by its own end, beside the next process.
+        shards.stream().filter(shard -> !shard.loop.isShuttingDown()).forEach(shard -> shard.loop.execute(() -> {
+            if (shard.host != null) {
+                shard.host.cut();
+            }
+        }));
         final List<? extends Future<?>> ending = shards.stream()
                 .map(shard -> shard.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)).toList();
         ending.forEach(Future::awaitUninterruptibly);
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -120,6 +120,8 @@
     private long attempts;
     /** The newer process that decides now; null while this one does. */
     private Heir heir;
+    /** Nothing is decided or put down any more: what breaks from now on breaks with the process. */
+    private boolean cut;
     /** Calls that were out when it took over, by their numbers. */
     private final Map<Long, Carrier.Call> given = new HashMap<>();
     private final Map<Carrier.Call, Long> givenNumbers = new IdentityHashMap<>();
@@ -345,6 +347,9 @@
 
     @Override
     public void outcome(final Carrier.Parcel parcel, final Carrier.Call call, final Carrier.Answer answer) {
+        if (cut) {
+            return;
+        }
         final Open open = ((Part) parcel).open();
         open.call = null;
         if (heir != null) {
@@ -378,7 +383,7 @@
 
     @Override
     public void confirmed(final List<Held> known) {
-        if (heir != null) {
+        if (heir != null || cut) {
             // The newer process tells them once more, which does no harm.
             return;
         }
@@ -538,6 +543,11 @@
         attempts = before.attempts;
     }
 
+    /** The power is cut: whatever is told from now on has no effect. Runs on the event loop. */
+    void cut() {
+        cut = true;
+    }
+
     /** True once another process decides. */
     boolean hasHeir() {
         return heir != null;
@@ -594,14 +604,14 @@
 
     /** Lets the decisions be made once all that this pass of the loop brought has been told. */
     private void touch() {
-        if (!passDue && heir == null) {
+        if (!passDue && heir == null && !cut) {
             passDue = true;
             loop.execute(this::pass);
         }
     }
 
     private void pass() {
-        if (!passDue || heir != null) {
+        if (!passDue || heir != null || cut) {
             return;
         }
         passDue = false;
--- /dev/null
+++ b/courier/src/test/java/thistleturn/courier/KillTest.java
@@ -0,0 +1,55 @@
+package thistleturn.courier;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import thistleturn.courier.port.Held;
+import thistleturn.courier.shard.Layout;
+import thistleturn.testkit.CourierFiles;
+import thistleturn.testkit.StandInEndpoint;
+import thistleturn.testkit.StandInEndpoint.Act;
+import thistleturn.testkit.StandInEndpoint.Manner;
+import thistleturn.testkit.StandInWorld;
+
+/** A courier that is killed within its Java machine ends as a power cut would end it: nothing is decided any more. */
+final class KillTest {
+    private static final long TIMEOUT_MS = 10_000;
+
+    /** Calls whose connections break with the process are not sent again by the process that is ending. */
+    @Test
+    void whatBreaksWithTheProcessIsNotSentAgainByIt(@TempDir final Path folder) throws Exception {
+        try (StandInWorld world = new StandInWorld(folder, 11)) {
+            final StandInEndpoint endpoint = world.endpoint(1);
+            world.platform.tell(endpoint, "Ready", 1000);
+            final CourierProcess courier = CourierProcess.start(world.environment(CourierFiles.Size.usual()));
+            world.client.courier(courier.ready().get(Rig.PATIENCE_S, TimeUnit.SECONDS));
+            // A destination that serves well is called again at once when a call of its breaks.
+            world.load(100, TIMEOUT_MS, 1);
+            world.await("deliveries", () -> endpoint.calls() > 50);
+            assertEquals(List.of(), world.stopLoad());
+            endpoint.fare(Manner.of(Act.SILENCE));
+            final long served = endpoint.calls();
+            world.client.handIn("safe", 1, TIMEOUT_MS);
+            world.client.handIn("keyed", 1, TIMEOUT_MS);
+            world.await("both of them out", () -> endpoint.calls() == served + 2);
+            courier.kill();
+            // Connections are taken in the order in which they came: what the ending process opened came before this one.
+            try (Socket last = new Socket("127.0.0.1", endpoint.port())) {
+                last.getOutputStream().write("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                        .getBytes(StandardCharsets.US_ASCII));
+                Rig.read(last.getInputStream());
+            }
+            world.await("the end of all connections", () -> endpoint.server().connections() == 0);
+            assertEquals(served + 2, endpoint.calls());
+            final Collection<Held> owed = Layout.open(folder.resolve("state"), 1_000_000, 1).get(0).live();
+            assertEquals(List.of(1, 1), owed.stream().map(Held::attempts).toList());
+        }
+    }
+}
