Warm restarts: what only whole seconds move is kept up across short lives

Printed from life to life: one lane at a pace of 1.2 calls a second for the whole evening, with a rate of 0. Ruled out: windows (they fade, but slow start brings them back), pauses, ramps; growth that met crowding, carried too, cost refusals under tokens and gained nothing. At fault: Memory.aged and figures, which hand on a guard and not the time in which it would have been lifted; Lane.returned, which takes a rate that was never averaged for none.

--- a/benchmarks/src/main/java/thistleturn/benchmarks/noise/MeasureNoise.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/noise/MeasureNoise.java
@@ -9,8 +9,10 @@
 import java.util.function.ToDoubleFunction;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import thistleturn.decisions.Control;
 import thistleturn.lab.model.ColdReturn;
 import thistleturn.lab.virtual.Evening;
+import thistleturn.lab.virtual.Kills;
 import thistleturn.lab.virtual.Tally;
 import thistleturn.lab.virtual.VirtualCourier;
 
@@ -19,7 +21,7 @@
         + "limits, in virtual time: the decisions as they are, without reading, and plain senders, by the same seeds.")
 public final class MeasureNoise implements Callable<Integer> {
     /** A table of the page. */
-    enum Part { TROUBLES, LIMITS, STORM, RETURNS }
+    enum Part { TROUBLES, LIMITS, STORM, RETURNS, KILLS }
 
     @Option(names = "--part", description = "${COMPLETION-CANDIDATES}; all of them unless told")
     private Part part;
@@ -47,9 +49,38 @@
         if (part == null || part == Part.RETURNS) {
             returns();
         }
+        if (part == null || part == Part.KILLS) {
+            kills();
+        }
         return broken == 0 ? 0 : 1;
     }
 
+    private void kills() {
+        System.out.println("| trouble | lives | what was learnt | delivered | ms to the earlier rate, p50 | p99 |");
+        System.out.println("| --- | --- | --- | --- | --- | --- |");
+        for (final Map.Entry<String, double[]> trouble : Worlds.killed().entrySet()) {
+            for (final Map.Entry<String, long[]> lives : Worlds.lives().entrySet()) {
+                Recalls.all().forEach((name, recalled) -> {
+                    final Kills kills = new Kills(40, lives.getValue()[0], lives.getValue()[1], Worlds.START_US, recalled);
+                    final List<Tally> tallies = new ArrayList<>();
+                    final List<Long> times = new ArrayList<>();
+                    for (long seed = 1; seed <= seeds; seed++) {
+                        final Tally tally = VirtualCourier.play(Worlds.troubled(trouble.getValue(),
+                                62 * Worlds.SECOND_US, false), kills, seed, Control::new);
+                        broken += tally.broken().size();
+                        tally.broken().stream().limit(3).forEach(what -> System.out.println("BROKEN: " + what));
+                        tallies.add(tally);
+                        times.addAll(tally.untilRateUs(0.9 * Worlds.PER_SECOND, 200_000));
+                    }
+                    times.sort(null);
+                    System.out.println("| " + trouble.getKey() + " | " + lives.getKey() + " | " + name + " | "
+                            + spread(tallies, Tally::goodput) + " | " + times.get(times.size() / 2) / 1000 + " | "
+                            + times.get(times.size() * 99 / 100) / 1000 + " |");
+                });
+            }
+        }
+    }
+
     private void storm() {
         System.out.println("| messages a second | sender | calls a second before | in the storm, most | seconds after it "
                 + "until 99% are delivered |");
--- a/benchmarks/src/main/java/thistleturn/benchmarks/noise/Worlds.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/noise/Worlds.java
@@ -20,7 +20,9 @@
 final class Worlds {
     static final long SECOND_US = 1_000_000;
     private static final int PARTNERS = 3;
-    private static final double PER_SECOND = 200;
+    static final double PER_SECOND = 200;
+    /** From a kill until the next process serves, us. */
+    static final long START_US = 300_000;
     /** The rate told for an endpoint where rates are told. */
     private static final double TOLD = 500;
 
@@ -51,6 +53,23 @@
         return troubles;
     }
 
+    /** Trouble amid which the courier is killed; as above. */
+    static Map<String, double[]> killed() {
+        final Map<String, double[]> troubles = new LinkedHashMap<>();
+        troubles.put("none", new double[] {0, 0, 0, 0});
+        troubles.put("2% refused, reset, 500; 1% silent", new double[] {0.02, 0.02, 0.02, 0.01});
+        troubles.put("10% refused, 4% reset, 500; 1% silent", new double[] {0.10, 0.04, 0.04, 0.01});
+        return troubles;
+    }
+
+    /** Shortest and longest life of a process that is killed, us. */
+    static Map<String, long[]> lives() {
+        final Map<String, long[]> lives = new LinkedHashMap<>();
+        lives.put("0.05 to 1.5 s", new long[] {50_000, 1_500_000});
+        lives.put("1.2 s", new long[] {1_200_000, 1_200_000});
+        return lives;
+    }
+
     static Evening troubled(final double[] shares, final long lengthUs, final boolean told) {
         final Fault fault = Fault.shares(shares[0], shares[1], shares[2], shares[3]);
         return evening(id -> Partner.plain(id).faulty(fault), PER_SECOND, lengthUs, told);
--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -282,7 +282,7 @@
 
     /** What was learnt so far. */
     public Memory memory() {
-        return Memory.of(times.meanUs, times.samples, trustUs, nodes.values());
+        return Memory.of(times.meanUs, times.samples, trustUs, nextStepUs - SECOND_US, nodes.values());
     }
 
     /** Takes over what another process of this courier had learnt; the list must have been told before. */
--- a/decisions/src/main/java/thistleturn/decisions/Lane.java
+++ b/decisions/src/main/java/thistleturn/decisions/Lane.java
@@ -39,6 +39,8 @@
     int calls, fallen, silent;
     /** Calls served and refused in all. */
     long servedCalls, refusedCalls;
+    /** Of these, calls served before its first step: until then, all that is known of its rate. */
+    int firstCalls;
     /** Until when the rate that it had before its last outage grows by a fifth a second only. */
     long freeFromUs;
     /** When the first refusal came of those that are one sign. */
@@ -122,6 +124,7 @@
     /** A call was served whole: what that says of its refusals. */
     void served(final Call call, final long nowUs) {
         servedCalls++;
+        firstCalls += steps == 0 && phase == Phase.WELL ? 1 : 0;
         reading.served(call.sentUs, nowUs);
         budget.served();
         if (call.probe) {
@@ -156,10 +159,15 @@
     void returned(final long pacedUntilUs) {
         freeFromUs = pacedUntilUs;
         reading.forget();
-        spacing = Control.SPACING * Math.max(1, callRate);
+        spacing = Control.SPACING * Math.max(1, callsPerSecond());
         growth.again();
     }
 
+    /** Calls served a second, by what is known for certain: this step's so far, and what was served before the first one. */
+    double callsPerSecond() {
+        return Math.max(callRate, Math.max(served, steps == 0 ? firstCalls : 0));
+    }
+
     /** It was load after all: back to what was known before. */
     void takeForLoad(final long nowUs) {
         reading.outran(nowUs);
--- a/decisions/src/main/java/thistleturn/decisions/Memory.java
+++ b/decisions/src/main/java/thistleturn/decisions/Memory.java
@@ -19,7 +19,7 @@
  */
 public record Memory(double[] classMeanUs, int[] classSamples, double trustUs, List<OfLane> lanes, List<OfNode> nodes) {
     /** To be raised when what the figures mean changes. */
-    public static final int VERSION = 2;
+    public static final int VERSION = 3;
     /** What is older, us, is not worth trusting: destinations change within minutes. */
     public static final long MOST_AGE_US = 60_000_000;
     /** Time in which a window that was learnt loses half of its worth, us; how far ahead guards of our own may reach. */
@@ -34,9 +34,12 @@
     private static final int BAD_RUN = 13;
     private static final int RAMP_SPAN = 15;
     private static final int CALL_RATE = 4;
-    private static final int OF_READING = 16;
+    private static final int SPACING = 10;
+    private static final int REFUSED = 16;
+    private static final int OF_READING = 17;
     private static final int PAUSE = 2;
     private static final int RAMP_FROM = 4;
+    private static final int STEPPED = 6;
 
     /** A lane, known by one of its endpoints. */
     public record OfLane(long endpoint, double[] figures, long[] moments) { }
@@ -44,9 +47,9 @@
     /** An endpoint. */
     public record OfNode(long endpoint, double[] figures, long[] moments) { }
 
-    /** What is remembered of these; lanes of which nothing was ever heard are left out. */
+    /** What is remembered of these, the last step at a moment; lanes of which nothing was ever heard are left out. */
     static Memory of(final double[] classMeanUs, final int[] classSamples, final double trustUs,
-            final Collection<Node> all) {
+            final long steppedUs, final Collection<Node> all) {
         final List<OfLane> lanes = new ArrayList<>();
         final List<OfNode> nodes = new ArrayList<>();
         for (final Node node : all) {
@@ -55,7 +58,7 @@
                 continue;
             }
             if (lane.nodes.get(0) == node) {
-                lanes.add(new OfLane(node.entry.id(), figures(lane), moments(lane)));
+                lanes.add(new OfLane(node.entry.id(), figures(lane), moments(lane, steppedUs)));
             }
             nodes.add(new OfNode(node.entry.id(), figures(node), momentsOf(node)));
         }
@@ -63,9 +66,9 @@
     }
 
     private static double[] figures(final Lane lane) {
-        final double[] own = {lane.window, lane.steps, lane.paceSamples, lane.rate, lane.callRate, lane.slowRatio,
-            lane.pace, lane.stretch, lane.lastWeight, lane.told, lane.spacing, lane.slow ? 1 : 0,
-            lane.phase.ordinal(), lane.badRun, lane.failShare, lane.rampSpanUs};
+        final double[] own = {lane.window, lane.steps, lane.paceSamples, lane.rate, lane.callsPerSecond(),
+            lane.slowRatio, lane.pace, lane.stretch, lane.lastWeight, lane.told, lane.spacing, lane.slow ? 1 : 0,
+            lane.phase.ordinal(), lane.badRun, lane.failShare, lane.rampSpanUs, lane.refused};
         final double[] read = lane.reading.figures();
         final double[] all = Arrays.copyOf(own, own.length + read.length);
         System.arraycopy(read, 0, all, own.length, read.length);
@@ -84,9 +87,9 @@
         return figures;
     }
 
-    private static long[] moments(final Lane lane) {
+    private static long[] moments(final Lane lane, final long steppedUs) {
         return new long[] {lane.troubleFromUs, lane.waitUntilUs, lane.pauseUntilUs, lane.nextTrialUs,
-            lane.rampFromUs, lane.lastSendUs};
+            lane.rampFromUs, lane.lastSendUs, steppedUs};
     }
 
     private static long[] momentsOf(final Node node) {
@@ -109,7 +112,11 @@
         for (final OfLane one : lanes) {
             final double[] figures = one.figures.clone();
             final long[] moments = one.moments.clone();
-            figures[WINDOW] = Math.max(1, kept * figures[WINDOW]);
+            // Knowing something is no reason to begin with less than one that knows nothing.
+            figures[WINDOW] = Math.max(Math.min(Control.WINDOW_START, figures[WINDOW]), kept * figures[WINDOW]);
+            // Steps that no process lived to take: a spacing that only ever came to the next one would never end.
+            final double steps = (nowUs - moments[STEPPED]) / (double) Control.SECOND_US;
+            figures[SPACING] *= figures[REFUSED] > 0 ? 1 : Math.pow(Control.SPACING, Math.max(0, steps));
             final boolean trouble = figures[PHASE] == Phase.WELL.ordinal() && figures[BAD_RUN] >= TROUBLE_RUN;
             // A ramp that was under way goes on, unless there was time for another outage.
             final boolean again = figures[PHASE] == Phase.RAMP.ordinal() && nowUs - takenUs > SHORT_US;
@@ -155,7 +162,7 @@
 
     private static void recall(final Lane lane, final double[] figures, final long[] moments, final long nowUs) {
         lane.window = figures[0];
-        lane.steps = (int) figures[1];
+        lane.steps = figures[CALL_RATE] > 0 ? Math.max(1, (int) figures[1]) : (int) figures[1];
         lane.paceSamples = (int) figures[2];
         lane.rate = figures[3];
         lane.callRate = figures[4];
--- a/lab/src/main/java/thistleturn/lab/virtual/Tally.java
+++ b/lab/src/main/java/thistleturn/lab/virtual/Tally.java
@@ -35,6 +35,10 @@
 
     private final List<Second> seconds = new ArrayList<>();
     private final List<String> broken = new ArrayList<>();
+    /** Moments from the start of the traffic, us: when processes began to serve after a kill, were killed, and messages served. */
+    private final List<Long> starts = new ArrayList<>();
+    private final List<Long> served = new ArrayList<>();
+    private int kills;
     private int handed;
     private int delivered;
     private int turnedAway;
@@ -71,6 +75,51 @@
         second(atUs).refusedCalls++;
     }
 
+    void killed() {
+        kills++;
+    }
+
+    void started(final long atUs) {
+        starts.add(atUs);
+    }
+
+    void servedAt(final long atUs) {
+        served.add(atUs);
+    }
+
+    /** When the last process began to serve, us; long ago if none was killed. */
+    long startedUs() {
+        return starts.isEmpty() ? Long.MIN_VALUE / 2 : starts.get(starts.size() - 1);
+    }
+
+    /** Processes that were killed. */
+    public int kills() {
+        return kills;
+    }
+
+    /**
+     * For each process after a kill, how long after it began to serve it had served, within a span, as many messages as a
+     * steady rate serves in it, us; one that was killed before that counts as long as it lived.
+     */
+    public List<Long> untilRateUs(final double perSecond, final long spanUs) {
+        final long wanted = Math.round(perSecond * spanUs / 1_000_000);
+        final List<Long> times = new ArrayList<>();
+        for (int process = 0; process < starts.size(); process++) {
+            final long fromUs = starts.get(process);
+            final long toUs = process + 1 < starts.size() ? starts.get(process + 1) : Long.MAX_VALUE;
+            final List<Long> own = served.stream().filter(us -> us >= fromUs && us < toUs).toList();
+            long reachedUs = own.isEmpty() ? 0 : own.get(own.size() - 1) - fromUs;
+            for (int index = (int) wanted - 1; index >= 0 && index < own.size(); index++) {
+                if (own.get(index) - own.get(index - (int) wanted + 1) <= spanUs) {
+                    reachedUs = own.get(index) - fromUs;
+                    break;
+                }
+            }
+            times.add(reachedUs);
+        }
+        return times;
+    }
+
     void turnedAway() {
         turnedAway++;
     }
