A keyed message whose key may be forgotten by the time its first byte can go does not go

Checked: the decision was made within 1,425 ms (Job's window); what took longer was the way from the decision to the first byte: a process that takes up large windows makes dozens of connections in its first pass, with cold code. At fault: HttpCarrier.dispatch and connect, which look at nothing between the decision and the write.

LateKeyTest holds the loop up meanwhile: it fails without the check in all three tests.

--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -74,7 +74,7 @@
     }
 
     /** One message's part in a call. */
-    private record Part(Open open, long timeoutUs) implements Carrier.Parcel {
+    private record Part(Open open, long timeoutUs, long goesUntilUs) implements Carrier.Parcel {
         @Override
         public Held held() {
             return open.held;
@@ -210,7 +210,7 @@
                     clock.fromWallUs(held.validUntilWallUs()), null);
             open.call = call;
             messages.put(id, open);
-            remote.put(id, new Part(open, 0));
+            remote.put(id, new Part(open, 0, 0));
             final boolean ran = held.firstRunWallUs() != Held.NEVER;
             control.onAdopted(clock.nowUs(), message(open, index), new Courier.Past(held.attempts(), ran,
                     ran ? clock.fromWallUs(held.firstRunWallUs()) : 0, held.runZone()), call.endpoint(),
@@ -695,10 +695,17 @@
     public void send(final String messageId, final long endpoint, final long timeoutUs) {
         final Open open = messages.get(messageId);
         if (open != null) {
-            outbox.computeIfAbsent(endpoint, unused -> new ArrayList<>()).add(new Part(open, timeoutUs));
+            outbox.computeIfAbsent(endpoint, unused -> new ArrayList<>())
+                    .add(new Part(open, timeoutUs, goesUntilUs(open)));
         }
     }
 
+    /** A decision is carried out later than it was made: a loop stands still, a connection takes its time. */
+    private long goesUntilUs(final Open open) {
+        final boolean bound = open.kind.effect() == Courier.Effect.KEYED && open.held.firstRunWallUs() != Held.NEVER;
+        return bound ? clock.fromWallUs(open.held.firstRunWallUs()) + open.kind.keyHoldsUs() : Long.MAX_VALUE;
+    }
+
     @Override
     public void refuse(final String messageId, final long retryAfterUs) {
         final Open open = messages.get(messageId);
--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -183,9 +183,29 @@
         return calls.remove(call);
     }
 
+    /**
+     * Takes out of a call what may not go any more; the last look before its first byte.
+     *
+     * @return true if something is left
+     */
+    private boolean mayGo(final HttpCall call) {
+        if (!calls.contains(call)) {
+            return false;
+        }
+        final long nowUs = clock.nowUs();
+        final List<Parcel> late = call.parcels.stream().filter(parcel -> parcel.goesUntilUs() < nowUs).toList();
+        if (late.size() == call.parcels.size()) {
+            abandon(call, Result.NOT_SENT);
+            return false;
+        }
+        call.parcels.removeAll(late);
+        late.forEach(parcel -> listener.outcome(parcel, call, new Answer(Result.NOT_SENT, false, 0, null)));
+        return true;
+    }
+
     /** Over an idle connection that has had its rest; one that needs a little more is waited for. */
     private void dispatch(final HttpCall call) {
-        if (!calls.contains(call)) {
+        if (!mayGo(call)) {
             return;
         }
         final long nowUs = clock.nowUs();
@@ -226,12 +246,12 @@
         call.channel = connecting.channel();
         call.channel.closeFuture().addListener(closed -> descriptors.endpoints(-1));
         connecting.addListener(done -> {
-            if (!calls.contains(call)) {
-                connecting.channel().close();
-            } else if (done.isSuccess()) {
+            if (!done.isSuccess() && calls.contains(call)) {
+                abandon(call, Result.NO_CONNECTION);
+            } else if (mayGo(call)) {
                 connecting.channel().pipeline().get(HttpConnection.class).write(call);
             } else {
-                abandon(call, Result.NO_CONNECTION);
+                connecting.channel().close();
             }
         });
     }
--- a/courier/src/main/java/thistleturn/courier/port/Carrier.java
+++ b/courier/src/main/java/thistleturn/courier/port/Carrier.java
@@ -18,6 +18,9 @@
         /** When the message's own time is up, on the clock of the events, us. */
         long validUntilUs();
 
+        /** Until when its first byte may go, us: then a key that must hold may be forgotten. Never later than that. */
+        long goesUntilUs();
+
         /** How long its answer is waited for, us. */
         long timeoutUs();
     }
--- /dev/null
+++ b/courier/src/test/java/thistleturn/courier/http/LateKeyTest.java
@@ -0,0 +1,139 @@
+package thistleturn.courier.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import thistleturn.courier.port.Carrier;
+import thistleturn.courier.port.Held;
+import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.Config;
+import thistleturn.courier.runtime.Descriptors;
+import thistleturn.decisions.Courier;
+import thistleturn.testkit.CourierFiles;
+import thistleturn.testkit.HttpStandIn;
+
+/** A decision that is carried out too late: what must not go any more by then does not, and the rest does. */
+final class LateKeyTest {
+    private static final long PATIENCE_S = 10;
+    private static final long SECOND_US = 1_000_000;
+    private static final long DEST = 7;
+
+    private record Told(String id, Courier.Result result) { }
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Clock clock = new Clock();
+    private final List<String> came = new CopyOnWriteArrayList<>();
+    private final BlockingQueue<Told> told = new LinkedBlockingQueue<>();
+    private HttpStandIn server;
+    private HttpCarrier carrier;
+
+    private record Late(Held held, long goesUntilUs, long validUntilUs) implements Carrier.Parcel {
+        @Override
+        public long timeoutUs() {
+            return 5 * SECOND_US;
+        }
+    }
+
+    @BeforeEach
+    void begin(@TempDir final Path folder) throws Exception {
+        server = new HttpStandIn(group, new InetSocketAddress("127.0.0.1", 0), exchange -> {
+            came.add(new String(exchange.body(), StandardCharsets.UTF_8));
+            exchange.answer(200, "");
+        });
+        final Config config = Config.read(CourierFiles.write(folder, "n0", "127.0.0.1:1",
+                "{\"seq\":1,\"whole\":true,\"hosts\":[]}", CourierFiles.Size.usual()));
+        final Carrier.Listener listener = new Carrier.Listener() {
+            @Override
+            public void outcome(final Carrier.Parcel parcel, final Carrier.Call call, final Carrier.Answer answer) {
+                told.add(new Told(parcel.held().id(), answer.result()));
+            }
+
+            @Override
+            public void written(final int messages) {
+                // Told by the outcome.
+            }
+        };
+        CompletableFuture.runAsync(() -> {
+            carrier = new HttpCarrier(config, loop, clock, listener, new Descriptors(100, 100));
+            carrier.listed(new Courier.Endpoint(1, Courier.Condition.LISTED, "a", 0, 0, DEST), false,
+                    new InetSocketAddress("127.0.0.1", server.port()));
+        }, loop).get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    @AfterEach
+    void end() {
+        server.close();
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+
+    private Carrier.Parcel parcel(final String id, final long goesUntilUs) {
+        final long nowUs = clock.nowUs();
+        return new Late(new Held(id, "keyed", id, DEST, clock.wallUs() + 9 * SECOND_US, id.getBytes(
+                StandardCharsets.UTF_8)), goesUntilUs, nowUs + 9 * SECOND_US);
+    }
+
+    /** Makes a call, and holds the loop up after that until the given moment: the connection is used after it. */
+    private void call(final long heldUpUntilUs, final Carrier.Parcel... parcels) throws Exception {
+        CompletableFuture.runAsync(() -> {
+            carrier.start(carrier.prepare(1, List.of(parcels)));
+            while (clock.nowUs() <= heldUpUntilUs) {
+                Thread.onSpinWait();
+            }
+        }, loop).get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    private List<Told> told(final int count) throws InterruptedException {
+        final List<Told> all = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            all.add(told.poll(PATIENCE_S, TimeUnit.SECONDS));
+        }
+        return all;
+    }
+
+    @Test
+    void aKeyThatIsForgottenWhileTheConnectionIsMadeDoesNotGo() throws Exception {
+        final long untilUs = clock.nowUs() + 20_000;
+        call(untilUs, parcel("late", untilUs));
+        assertEquals(List.of(new Told("late", Courier.Result.NOT_SENT)), told(1));
+        // The connection that was made for it is closed, or serves what comes next; nothing of the late one is in it.
+        call(0, parcel("next", Long.MAX_VALUE));
+        assertEquals(List.of(new Told("next", Courier.Result.DELIVERED)), told(1));
+        assertEquals(List.of("next"), came);
+    }
+
+    @Test
+    void whatIsLateAlreadyDoesNotGoOverAKeptConnectionEither() throws Exception {
+        call(0, parcel("first", Long.MAX_VALUE));
+        assertEquals(List.of(new Told("first", Courier.Result.DELIVERED)), told(1));
+        call(0, parcel("late", clock.nowUs() - 1));
+        assertEquals(List.of(new Told("late", Courier.Result.NOT_SENT)), told(1));
+        assertEquals(List.of("first"), came);
+    }
+
+    @Test
+    void aLateOneDoesNotKeepOthersOfItsCall() throws Exception {
+        final long untilUs = clock.nowUs() + 20_000;
+        call(untilUs, parcel("late", untilUs), parcel("free", Long.MAX_VALUE));
+        assertEquals(new Told("late", Courier.Result.NOT_SENT), told(1).get(0));
+        assertEquals(new Told("free", Courier.Result.DELIVERED), told(1).get(0));
+        assertEquals(List.of("free"), came);
+    }
+}
--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -114,9 +114,8 @@
     private static final double STORE_RESERVE = 0.05;
     /** A class's mean time, as the choice among messages reckons with it, is noted anew at such a change. */
     private static final double NOTED_CHANGE = 0.25;
-    /** A message ends so long before its time, us: two rounds; share of a key's window not used: clocks. */
+    /** A message ends so long before its time, us: two rounds. */
     private static final long END_MARGIN_US = 12_000;
-    static final double KEY_MARGIN = 0.05;
     /** Growth a second of the idle time that connections are trusted to bear: a minute trebles it. */
     private static final double TRUST_GROWTH = 1.02;
     /** Idle for less, us, a connection dies of something else than its idleness. */
@@ -1009,7 +1008,7 @@
         }
         timeoutUs = learns ? cell.timeoutUs(timeoutUs, lane.stretch) : timeoutUs;
         if (job.kind.effect() == Effect.KEYED && !job.mayHaveRun) {
-            final long againUs = (long) ((1 - KEY_MARGIN) * job.kind.keyWindowUs()) - OVERDUE_LEAST_US / 2;
+            final long againUs = job.kind.keyHoldsUs() - OVERDUE_LEAST_US / 2;
             timeoutUs = Math.min(timeoutUs, Math.max(OVERDUE_LEAST_US, againUs));
         }
         return leftUs - timeoutUs < expectedUs ? leftUs : timeoutUs;
--- a/decisions/src/main/java/thistleturn/decisions/Courier.java
+++ b/decisions/src/main/java/thistleturn/decisions/Courier.java
@@ -44,7 +44,15 @@
 
     /** A class of message. {@code zoneKeyed}: only endpoints of one zone drop each other's repeats. */
     record MessageClass(String name, Effect effect, boolean zoneKeyed, boolean inTurn, double worth,
-                        double lateWorth, long aimUs, long deadlineUs, long keyWindowUs) { }
+                        double lateWorth, long aimUs, long deadlineUs, long keyWindowUs) {
+        /** Share of a key's window that is not used: clocks, and bytes on their way. */
+        private static final double KEY_MARGIN = 0.05;
+
+        /** How long after the first attempt that may have run its key surely holds, us. */
+        public long keyHoldsUs() {
+            return (long) ((1 - KEY_MARGIN) * keyWindowUs);
+        }
+    }
 
     /** A tenant and the messages a second, over all couriers, that are worth their full worth. */
     record Tenant(String name, double quotaPerSecond) { }
--- a/decisions/src/main/java/thistleturn/decisions/Job.java
+++ b/decisions/src/main/java/thistleturn/decisions/Job.java
@@ -46,7 +46,7 @@
 
     /** Until when it may be sent: a key that may be in use ends a message like its own deadline does. */
     long keyEndUs() {
-        final long windowUs = (long) ((1 - Control.KEY_MARGIN) * kind.keyWindowUs());
+        final long windowUs = kind.keyHoldsUs();
         return !mayHaveRun || kind.effect() != Courier.Effect.KEYED ? message.validUntilUs()
                 : Math.min(message.validUntilUs(), firstRunUs + windowUs);
     }
