Restarts within one Java machine: old connections end before the next process calls

Seen: DrainTest.aKilledCourierKeepsTheRulesWithItsRegistryGone told two copies once more, with the mend of the ending loop in. Checked: the stand-in reads the old connections' ends on one loop and the new calls on another; on a busy machine the first may be read more than the Auditor's 5 ms later. Ruled out: the courier (the ends are sent before the new process exists) and, this time, the ending loop, which decides nothing since its mend. ShardsTest had met the same and waits for it. At fault: CourierUnderTest.killAndRestart.

Change: StandInWorld.endConnections, what ShardsTest did by itself, used by both.

--- a/courier/src/main/java/thistleturn/courier/handover/Wire.java
+++ b/courier/src/main/java/thistleturn/courier/handover/Wire.java
@@ -29,8 +29,10 @@
 
 /** What the two processes say to each other: JSON objects, one a line, each with what it is in {@code t}. */
 public final class Wire {
-    /** The newer process says this first; one of another version is not handed anything. */
-    static final int VERSION = 2;
+    /** To be raised when the lines change; it and the memory's version only ever rise, so that no sum comes twice. */
+    private static final int LINES = 0;
+    /** The newer process says this first; one of another version, of lines or of what was learnt, is not handed anything. */
+    static final int VERSION = LINES + Memory.VERSION;
     /** A message's body has 64 KiB at most, and a third more as text. */
     private static final int MOST_LINE_BYTES = 1 << 18;
 
--- a/courier/src/test/java/thistleturn/courier/ShardsTest.java
+++ b/courier/src/test/java/thistleturn/courier/ShardsTest.java
@@ -64,11 +64,7 @@
     private void restart(final int shards) throws IOException, Config.BadConfigException {
         world.auditor.restarted(world.ticks.nowUs(), false);
         courier.kill();
-        // What the old process said and is not read yet goes with its connections, also one that its end left half made:
-        // whatever is read from then on is the new one's.
-        endpoints.forEach(endpoint -> endpoint.server().resetAll());
-        world.await("the end of the old process at every endpoint",
-                () -> endpoints.stream().allMatch(endpoint -> endpoint.server().connections() == 0));
+        world.endConnections();
         world.auditor.restarted(world.ticks.nowUs(), false);
         start(shards);
         world.auditor.restarted(world.ticks.nowUs(), true);
--- a/eureka/src/test/java/thistleturn/membership/CourierUnderTest.java
+++ b/eureka/src/test/java/thistleturn/membership/CourierUnderTest.java
@@ -64,6 +64,7 @@
     void killAndRestart() throws IOException, Config.BadConfigException {
         world.auditor.restarted(world.ticks.nowUs(), false);
         process.kill();
+        world.endConnections();
         // Its end takes a while here, and endpoints go on answering until then.
         world.auditor.restarted(world.ticks.nowUs(), false);
         start();
--- a/testkit/src/main/java/thistleturn/testkit/StandInWorld.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInWorld.java
@@ -64,6 +64,17 @@
         return endpoint;
     }
 
+    /**
+     * Ends what a killed process had open at the endpoints, and waits until all of it is over. What it said and is not read
+     * yet goes with its connections, also one that its end left half made: whatever is read from then on is the next
+     * one's, which within one Java machine begins within milliseconds.
+     */
+    public void endConnections() {
+        endpoints.forEach(endpoint -> endpoint.server().resetAll());
+        await("the end of the old process at every endpoint",
+                () -> endpoints.stream().allMatch(endpoint -> endpoint.server().connections() == 0));
+    }
+
     /** A number from the world's chance. */
     public int random(final int bound) {
         return random.nextInt(bound);
