--- a/benchmarks/src/main/java/thistleturn/benchmarks/noise/MeasureNoise.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/noise/MeasureNoise.java
@@ -32,7 +32,7 @@
     @Option(names = "--returns", defaultValue = "10000", description = "seeded evenings; ${DEFAULT-VALUE} unless told")
     private int returns;
     /** Seconds of traffic of a stormy evening. */
-    private static final int STORM_EVENING_S = 60;
+    private static final int STORM_EVENING_S = 90;
     private int broken;
 
     @Override
