Second reading of noise and connections: one end of a key, one play, one moment

Need: read once more, the change held a rule twice, state that could be derived, and work on every call that few calls need. - Until when a key holds stood in Job and again in Host: both ask MessageClass.keyEndUs, Host by Held.past. - The carrier looked through the parcels of every call, twice, before its first byte; a call knows its earliest end, and only a late one is looked through. HttpConnection.kept was pool != null. - Host: one word, decides(), for what three places asked. Memory's places are named once, also for their test. - lab: two moments of a message were one (the first attempt that may have run); Kills took a function of which only 'all' and 'nothing' were ever used; Tally counted kills beside its list of starts. MeasureNoise had a second loop over seeds.

--- a/benchmarks/src/main/java/thistleturn/benchmarks/noise/MeasureNoise.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/noise/MeasureNoise.java
@@ -31,8 +31,6 @@
     private int seconds;
     @Option(names = "--returns", defaultValue = "10000", description = "seeded evenings; ${DEFAULT-VALUE} unless told")
     private int returns;
-    /** Seconds of traffic of a stormy evening. */
-    private static final int STORM_EVENING_S = 90;
     private int broken;
 
     @Override
@@ -60,23 +58,16 @@
         System.out.println("| --- | --- | --- | --- | --- | --- |");
         for (final Map.Entry<String, double[]> trouble : Worlds.killed().entrySet()) {
             for (final Map.Entry<String, long[]> lives : Worlds.lives().entrySet()) {
-                Recalls.all().forEach((name, recalled) -> {
-                    final Kills kills = new Kills(40, lives.getValue()[0], lives.getValue()[1], Worlds.START_US, recalled);
-                    final List<Tally> tallies = new ArrayList<>();
-                    final List<Long> times = new ArrayList<>();
-                    for (long seed = 1; seed <= seeds; seed++) {
-                        final Tally tally = VirtualCourier.play(Worlds.troubled(trouble.getValue(),
-                                62 * Worlds.SECOND_US, false), kills, seed, Control::new);
-                        broken += tally.broken().size();
-                        tally.broken().stream().limit(3).forEach(what -> System.out.println("BROKEN: " + what));
-                        tallies.add(tally);
-                        times.addAll(tally.untilRateUs(0.9 * Worlds.PER_SECOND, 200_000));
-                    }
-                    times.sort(null);
-                    System.out.println("| " + trouble.getKey() + " | " + lives.getKey() + " | " + name + " | "
-                            + spread(tallies, Tally::goodput) + " | " + times.get(times.size() / 2) / 1000 + " | "
-                            + times.get(times.size() * 99 / 100) / 1000 + " |");
-                });
+                for (final boolean remembers : new boolean[] {false, true}) {
+                    final Kills kills = new Kills(40, lives.getValue()[0], lives.getValue()[1], Worlds.START_US, remembers);
+                    final List<Tally> tallies = play(() -> Worlds.troubled(trouble.getValue(), 62 * Worlds.SECOND_US, false),
+                            kills, Control::new);
+                    final List<Long> times = tallies.stream()
+                            .flatMap(tally -> tally.untilRateUs(0.9 * Worlds.PER_SECOND, 200_000).stream()).sorted().toList();
+                    System.out.println("| " + trouble.getKey() + " | " + lives.getKey() + " | "
+                            + (remembers ? "taken up" : "begun anew") + " | " + spread(tallies, Tally::goodput) + " | "
+                            + times.get(times.size() / 2) / 1000 + " | " + times.get(times.size() * 99 / 100) / 1000 + " |");
+                }
             }
         }
     }
@@ -99,7 +90,7 @@
 
     private static double secondsUntilServed(final Tally tally) {
         int second = tally.seconds().size() - 1;
-        while (second > Worlds.STORM_TO_S && (second >= STORM_EVENING_S
+        while (second > Worlds.STORM_TO_S && (second >= Worlds.STORM_EVENING_S
                 || tally.seconds().get(second - 1).delivered() >= 0.99 * tally.seconds().get(second - 1).handed())) {
             second--;
         }
@@ -129,9 +120,13 @@
     }
 
     private List<Tally> play(final Supplier<Evening> evening, final VirtualCourier.Maker maker) {
+        return play(evening, Kills.NONE, maker);
+    }
+
+    private List<Tally> play(final Supplier<Evening> evening, final Kills kills, final VirtualCourier.Maker maker) {
         final List<Tally> tallies = new ArrayList<>();
         for (long seed = 1; seed <= seeds; seed++) {
-            final Tally tally = VirtualCourier.play(evening.get(), seed, maker);
+            final Tally tally = VirtualCourier.play(evening.get(), kills, seed, maker);
             broken += tally.broken().size();
             tally.broken().stream().limit(3).forEach(what -> System.out.println("BROKEN: " + what));
             tallies.add(tally);
--- a/benchmarks/src/main/java/thistleturn/benchmarks/noise/Worlds.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/noise/Worlds.java
@@ -98,12 +98,14 @@
     /** All partners refuse everything for a minute, ten seconds after the start, at a given rate of messages. */
     static Evening storm(final double perSecond) {
         final Fault all = Fault.shares(1, 0, 0, 0).between(STORM_FROM_US, STORM_TO_US, Fault.NONE);
-        return evening(id -> Partner.plain(id).faulty(all), perSecond, 90 * SECOND_US, false);
+        return evening(id -> Partner.plain(id).faulty(all), perSecond, STORM_EVENING_S * SECOND_US, false);
     }
 
     /** Seconds of traffic at which the storm begins and ends: the clock of an evening starts at five. */
     static final int STORM_FROM_S = 10;
     static final int STORM_TO_S = 70;
+    /** Seconds of traffic of a stormy evening. */
+    static final int STORM_EVENING_S = 90;
     private static final long STORM_FROM_US = (STORM_FROM_S + 5) * SECOND_US;
     private static final long STORM_TO_US = (STORM_TO_S + 5) * SECOND_US;
 
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -383,7 +383,7 @@
 
     @Override
     public void confirmed(final List<Held> known) {
-        if (heir != null || cut) {
+        if (!decides()) {
             // The newer process tells them once more, which does no harm.
             return;
         }
@@ -548,6 +548,10 @@
         cut = true;
     }
 
+    private boolean decides() {
+        return heir == null && !cut;
+    }
+
     /** True once another process decides. */
     boolean hasHeir() {
         return heir != null;
@@ -604,14 +608,14 @@
 
     /** Lets the decisions be made once all that this pass of the loop brought has been told. */
     private void touch() {
-        if (!passDue && heir == null && !cut) {
+        if (!passDue && decides()) {
             passDue = true;
             loop.execute(this::pass);
         }
     }
 
     private void pass() {
-        if (!passDue || heir != null || cut) {
+        if (!passDue || !decides()) {
             return;
         }
         passDue = false;
@@ -702,8 +706,8 @@
 
     /** A decision is carried out later than it was made: a loop stands still, a connection takes its time. */
     private long goesUntilUs(final Open open) {
-        final boolean bound = open.kind.effect() == Courier.Effect.KEYED && open.held.firstRunWallUs() != Held.NEVER;
-        return bound ? clock.fromWallUs(open.held.firstRunWallUs()) + open.kind.keyHoldsUs() : Long.MAX_VALUE;
+        final Courier.Past past = open.held.past(clock);
+        return open.kind.keyEndUs(past.mayHaveRun(), past.firstRunUs());
     }
 
     @Override
--- a/courier/src/main/java/thistleturn/courier/http/HttpCall.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCall.java
@@ -13,6 +13,8 @@
     final long endpoint;
     final long sentUs;
     final long deadlineUs;
+    /** Until when all of it may go, us. */
+    final long goesUntilUs;
     final List<Carrier.Parcel> parcels;
     /** What falls due for it beside its deadline: the ends of single messages, and of a connection's rest. */
     final List<Future<?>> timers = new ArrayList<>(0);
@@ -27,6 +29,7 @@
         this.parcels = new ArrayList<>(parcels);
         this.sentUs = sentUs;
         this.deadlineUs = sentUs + parcels.stream().mapToLong(Carrier.Parcel::timeoutUs).max().orElse(0);
+        this.goesUntilUs = parcels.stream().mapToLong(Carrier.Parcel::goesUntilUs).min().orElse(Long.MAX_VALUE);
     }
 
     @Override
--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -193,6 +193,9 @@
             return false;
         }
         final long nowUs = clock.nowUs();
+        if (call.goesUntilUs >= nowUs) {
+            return true;
+        }
         final List<Parcel> late = call.parcels.stream().filter(parcel -> parcel.goesUntilUs() < nowUs).toList();
         if (late.size() == call.parcels.size()) {
             abandon(call, Result.NOT_SENT);
--- a/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
@@ -36,11 +36,10 @@
     private final Clock clock;
     private ChannelHandlerContext context;
     private HttpCall call;
-    /** Where it was last kept while it carried no call. */
+    /** Where it was last kept while it carried no call; null while it carries its first one. */
     private HttpPool pool;
     private long idleSinceUs;
-    /** It has carried a call before; when the present one was written. */
-    private boolean kept;
+    /** When its present call was written. */
     private long wroteUs;
     /** The answer's first line, as soon as it has come; its head, once that has. */
     private HttpResponse line;
@@ -199,7 +198,6 @@
         if (keep && done.written && !done.pool.removed) {
             idleSinceUs = clock.nowUs();
             pool = done.pool;
-            kept = true;
             carrier.pool(this, pool);
         } else {
             context.close();
@@ -238,8 +236,8 @@
             }
             carrier.tell(cut, answer);
         } else {
-            final Break reset = new Break(cut.written, kept, answered, clock.nowUs() - wroteUs, cut.pool.handshakeUs());
-            final Result read = spoilt == Result.RESET || !cut.written ? reset.result() : spoilt;
+            final Break how = new Break(cut.written, pool != null, answered, clock.nowUs() - wroteUs, cut.pool.handshakeUs());
+            final Result read = cut.written && spoilt != Result.RESET ? spoilt : how.result();
             carrier.tell(cut, new Carrier.Answer(read, false, 0, null));
         }
     }
--- a/courier/src/test/java/thistleturn/courier/http/LateKeyTest.java
+++ b/courier/src/test/java/thistleturn/courier/http/LateKeyTest.java
@@ -9,7 +9,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -100,31 +99,27 @@
         }, loop).get(PATIENCE_S, TimeUnit.SECONDS);
     }
 
-    private List<Told> told(final int count) throws InterruptedException {
-        final List<Told> all = new ArrayList<>();
-        for (int index = 0; index < count; index++) {
-            all.add(told.poll(PATIENCE_S, TimeUnit.SECONDS));
-        }
-        return all;
+    private Told told() throws InterruptedException {
+        return told.poll(PATIENCE_S, TimeUnit.SECONDS);
     }
 
     @Test
     void aKeyThatIsForgottenWhileTheConnectionIsMadeDoesNotGo() throws Exception {
         final long untilUs = clock.nowUs() + 20_000;
         call(untilUs, parcel("late", untilUs));
-        assertEquals(List.of(new Told("late", Courier.Result.NOT_SENT)), told(1));
+        assertEquals(new Told("late", Courier.Result.NOT_SENT), told());
         // The connection that was made for it is closed, or serves what comes next; nothing of the late one is in it.
         call(0, parcel("next", Long.MAX_VALUE));
-        assertEquals(List.of(new Told("next", Courier.Result.DELIVERED)), told(1));
+        assertEquals(new Told("next", Courier.Result.DELIVERED), told());
         assertEquals(List.of("next"), came);
     }
 
     @Test
     void whatIsLateAlreadyDoesNotGoOverAKeptConnectionEither() throws Exception {
         call(0, parcel("first", Long.MAX_VALUE));
-        assertEquals(List.of(new Told("first", Courier.Result.DELIVERED)), told(1));
+        assertEquals(new Told("first", Courier.Result.DELIVERED), told());
         call(0, parcel("late", clock.nowUs() - 1));
-        assertEquals(List.of(new Told("late", Courier.Result.NOT_SENT)), told(1));
+        assertEquals(new Told("late", Courier.Result.NOT_SENT), told());
         assertEquals(List.of("first"), came);
     }
 
@@ -132,8 +127,8 @@
     void aLateOneDoesNotKeepOthersOfItsCall() throws Exception {
         final long untilUs = clock.nowUs() + 20_000;
         call(untilUs, parcel("late", untilUs), parcel("free", Long.MAX_VALUE));
-        assertEquals(new Told("late", Courier.Result.NOT_SENT), told(1).get(0));
-        assertEquals(new Told("free", Courier.Result.DELIVERED), told(1).get(0));
+        assertEquals(new Told("late", Courier.Result.NOT_SENT), told());
+        assertEquals(new Told("free", Courier.Result.DELIVERED), told());
         assertEquals(List.of("free"), came);
     }
 }
--- a/decisions/src/main/java/thistleturn/decisions/Courier.java
+++ b/decisions/src/main/java/thistleturn/decisions/Courier.java
@@ -52,6 +52,11 @@
         public long keyHoldsUs() {
             return (long) ((1 - KEY_MARGIN) * keyWindowUs);
         }
+
+        /** Until when a message may go again that may have run first at that moment, us: while its key surely holds. */
+        public long keyEndUs(final boolean mayHaveRun, final long firstRunUs) {
+            return mayHaveRun && effect == Effect.KEYED ? firstRunUs + keyHoldsUs() : Long.MAX_VALUE;
+        }
     }
 
     /** A tenant and the messages a second, over all couriers, that are worth their full worth. */
--- a/decisions/src/main/java/thistleturn/decisions/Job.java
+++ b/decisions/src/main/java/thistleturn/decisions/Job.java
@@ -46,8 +46,6 @@
 
     /** Until when it may be sent: a key that may be in use ends a message like its own deadline does. */
     long keyEndUs() {
-        final long windowUs = kind.keyHoldsUs();
-        return !mayHaveRun || kind.effect() != Courier.Effect.KEYED ? message.validUntilUs()
-                : Math.min(message.validUntilUs(), firstRunUs + windowUs);
+        return Math.min(message.validUntilUs(), kind.keyEndUs(mayHaveRun, firstRunUs));
     }
 }
--- a/decisions/src/main/java/thistleturn/decisions/Memory.java
+++ b/decisions/src/main/java/thistleturn/decisions/Memory.java
@@ -33,9 +33,9 @@
     private static final int PHASE = 12;
     private static final int BAD_RUN = 13;
     private static final int RAMP_SPAN = 15;
-    private static final int CALL_RATE = 4;
-    private static final int SPACING = 10;
-    private static final int REFUSED = 16;
+    static final int CALL_RATE = 4;
+    static final int SPACING = 10;
+    static final int REFUSED = 16;
     private static final int OF_READING = 17;
     private static final int PAUSE = 2;
     private static final int RAMP_FROM = 4;
--- a/decisions/src/test/java/thistleturn/decisions/WarmStartTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/WarmStartTest.java
@@ -11,10 +11,6 @@
 @Tag("noise")
 final class WarmStartTest {
     private static final long SECOND = Scene.SECOND;
-    /** Places in a lane's figures. */
-    private static final int CALL_RATE = 4;
-    private static final int SPACING = 10;
-    private static final int REFUSED = 16;
 
     private static Scene served(final int messages) {
         final Scene scene = Scene.withTwoEndpoints(Scene.settings());
@@ -128,7 +124,7 @@
     @Test
     void aRateIsKnownBeforeTheFirstStep() {
         final Memory memory = served(20).control.memory();
-        assertEquals(60, memory.lanes().get(0).figures()[CALL_RATE]);
+        assertEquals(60, memory.lanes().get(0).figures()[Memory.CALL_RATE]);
     }
 
     /** Steps that no process lived to take are reckoned with, but for one that was refused in. */
@@ -137,15 +133,15 @@
         final Memory memory = served(20).control.memory();
         final Memory.OfLane lane = memory.lanes().get(0);
         final double[] paced = lane.figures().clone();
-        paced[SPACING] = 10;
+        paced[Memory.SPACING] = 10;
         final double[] refused = paced.clone();
-        refused[REFUSED] = 1;
+        refused[Memory.REFUSED] = 1;
         final long[] stepped = lane.moments().clone();
         stepped[stepped.length - 1] = 100 * SECOND;
         final Memory aged = new Memory(memory.classMeanUs(), memory.classSamples(), memory.trustUs(), List.of(
                 new Memory.OfLane(1, paced, stepped), new Memory.OfLane(2, refused, stepped)), List.of())
                 .aged(101 * SECOND, 103 * SECOND);
-        assertEquals(10 * Math.pow(1.2, 3), aged.lanes().get(0).figures()[SPACING], 1e-9);
-        assertEquals(10, aged.lanes().get(1).figures()[SPACING], 1e-9);
+        assertEquals(10 * Math.pow(1.2, 3), aged.lanes().get(0).figures()[Memory.SPACING], 1e-9);
+        assertEquals(10, aged.lanes().get(1).figures()[Memory.SPACING], 1e-9);
     }
 }
--- a/lab/src/main/java/thistleturn/lab/virtual/Tally.java
+++ b/lab/src/main/java/thistleturn/lab/virtual/Tally.java
@@ -35,10 +35,9 @@
 
     private final List<Second> seconds = new ArrayList<>();
     private final List<String> broken = new ArrayList<>();
-    /** Moments from the start of the traffic, us: when processes began to serve after a kill, were killed, and messages served. */
+    /** Moments from the start of the traffic, us: when processes began to serve after a kill, and messages were served. */
     private final List<Long> starts = new ArrayList<>();
     private final List<Long> served = new ArrayList<>();
-    private int kills;
     private int handed;
     private int delivered;
     private int turnedAway;
@@ -75,10 +74,6 @@
         second(atUs).refusedCalls++;
     }
 
-    void killed() {
-        kills++;
-    }
-
     void started(final long atUs) {
         starts.add(atUs);
     }
@@ -92,9 +87,9 @@
         return starts.isEmpty() ? Long.MIN_VALUE / 2 : starts.get(starts.size() - 1);
     }
 
-    /** Processes that were killed. */
+    /** Processes that were killed and came back. */
     public int kills() {
-        return kills;
+        return starts.size();
     }
 
     /**
--- a/lab/src/main/java/thistleturn/lab/virtual/VirtualCourier.java
+++ b/lab/src/main/java/thistleturn/lab/virtual/VirtualCourier.java
@@ -47,10 +47,8 @@
         private final long handedUs;
         private long ranUs = -1;
         private int attempts;
-        /** When an attempt began that was out at a kill, the first of them; below 0: none was. */
-        private long outAtKillUs = -1;
-        /** When an attempt began that ended without the courier's knowing that it never ran; below 0: none did. */
-        private long unknownUs = -1;
+        /** When the first attempt began that may have run, by what a journal knows of it; below 0: none may. */
+        private long mayHaveRunUs = -1;
         private Attempt out;
 
         Sent(final Courier.Message message, final Courier.MessageClass kind, final long handedUs) {
@@ -59,9 +57,9 @@
             this.handedUs = handedUs;
         }
 
-        /** When an attempt began that may have run, by what the journal knows; below 0: none did. */
-        long firstOutUs() {
-            return outAtKillUs < 0 ? unknownUs : unknownUs < 0 ? outAtKillUs : Math.min(outAtKillUs, unknownUs);
+        /** An attempt is over, and nothing says that it never ran. */
+        void mayHaveRun(final Attempt attempt) {
+            mayHaveRunUs = mayHaveRunUs < 0 ? attempt.sentUs : mayHaveRunUs;
         }
     }
 
@@ -155,38 +153,39 @@
         if (lives >= kills.lives()) {
             return;
         }
-        if (kills.recalled() != null) {
-            agenda.in(LOOK_US, this::keep);
+        if (kills.remembers()) {
+            look();
         }
         agenda.in(kills.leastLifeUs() + (long) (fates.nextDouble() * (kills.mostLifeUs() - kills.leastLifeUs())),
                 this::kill);
     }
 
-    private void keep() {
-        if (!(courier instanceof Control control)) {
-            return;
-        }
+    /** Looks now and then, while this process lives, whether what was learnt is to be put down. */
+    private void look() {
+        final int life = lives;
+        agenda.in(LOOK_US, () -> {
+            if (life == lives && courier instanceof Control control) {
+                keep(control);
+                look();
+            }
+        });
+    }
+
+    private void keep(final Control control) {
         if (agenda.nowUs() - keptUs >= KEEP_US || control.turns() != keptTurns) {
             kept = control.memory();
             keptUs = agenda.nowUs();
             keptTurns = control.turns();
         }
-        final int life = lives;
-        agenda.in(LOOK_US, () -> {
-            if (life == lives) {
-                keep();
-            }
-        });
     }
 
     private void kill() {
         courier = null;
         lives++;
-        tally.killed();
         open.values().forEach(sent -> {
             if (sent.out != null) {
                 // Its partner may be at it: the journal knows of the attempt, and of no outcome.
-                sent.outAtKillUs = sent.outAtKillUs < 0 ? sent.out.sentUs : sent.outAtKillUs;
+                sent.mayHaveRun(sent.out);
                 sent.out.over = true;
                 sent.out = null;
             }
@@ -200,12 +199,12 @@
         courier = next.apply(lives);
         courier.onList(nowUs, Courier.Update.RESTORED, entries);
         if (kept != null && courier instanceof Control control) {
-            control.onMemory(nowUs, kills.recalled().apply(kept.aged(keptUs, nowUs)));
+            control.onMemory(nowUs, kept.aged(keptUs, nowUs));
             keptTurns = control.turns();
         }
         for (final Sent sent : open.values()) {
-            courier.onResumed(nowUs, sent.message, new Courier.Past(sent.attempts, sent.firstOutUs() >= 0,
-                    Math.max(0, sent.firstOutUs()), "a"));
+            courier.onResumed(nowUs, sent.message, new Courier.Past(sent.attempts, sent.mayHaveRunUs >= 0,
+                    Math.max(0, sent.mayHaveRunUs), "a"));
         }
         tally.started(nowUs - START_US);
         live();
@@ -327,8 +326,8 @@
         if (delivered && open.remove(sent.message.id()) != null) {
             tally.delivered(sent.handedUs - START_US);
             tally.servedAt(nowUs - START_US);
-        } else if (!delivered && !result.neverRan() && sent.unknownUs < 0) {
-            sent.unknownUs = attempt.sentUs;
+        } else if (!delivered && !result.neverRan()) {
+            sent.mayHaveRun(attempt);
         }
         courier.onOutcome(nowUs, new Courier.Outcome(sent.message.id(), result, delivered, attempt.endpoint,
                 nowUs - attempt.sentUs, waitUs, null));
--- a/lab/src/test/java/thistleturn/lab/KillsTest.java
+++ b/lab/src/test/java/thistleturn/lab/KillsTest.java
@@ -5,12 +5,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import thistleturn.decisions.Control;
 import thistleturn.decisions.Courier;
-import thistleturn.decisions.Memory;
 import thistleturn.lab.model.Fault;
 import thistleturn.lab.model.Limit;
 import thistleturn.lab.model.Partner;
@@ -28,14 +26,14 @@
     private static final long START = 300_000;
 
     private static Tally play(final Fault fault, final Limit limit, final double perSecond, final long seed,
-            final UnaryOperator<Memory> recalled) {
+            final boolean remembers) {
         final List<Partner> partners = new ArrayList<>();
         for (long id = 1; id <= 3; id++) {
             partners.add(Partner.plain(id).faulty(fault).limited(limit));
         }
         final Evening evening = new Evening(partners, perSecond, 31 * SECOND,
                 Evening.settings(Courier.Weights.NONE), 0);
-        final Tally tally = VirtualCourier.play(evening, new Kills(20, LIFE, LIFE, START, recalled), seed, Control::new);
+        final Tally tally = VirtualCourier.play(evening, new Kills(20, LIFE, LIFE, START, remembers), seed, Control::new);
         assertEquals(List.of(), tally.broken(), "seed " + seed);
         assertEquals(20, tally.kills());
         return tally;
@@ -44,8 +42,8 @@
     @Test
     void killsAloneCostWhatWasOut() {
         for (long seed = 1; seed <= 3; seed++) {
-            final double anew = play(Fault.NONE, Limit.none(), 200, seed, null).goodput();
-            final double taken = play(Fault.NONE, Limit.none(), 200, seed, UnaryOperator.identity()).goodput();
+            final double anew = play(Fault.NONE, Limit.none(), 200, seed, false).goodput();
+            final double taken = play(Fault.NONE, Limit.none(), 200, seed, true).goodput();
             assertTrue(anew > 0.97 && taken > 0.97, "seed " + seed + ": " + anew + " anew, " + taken + " taken up");
         }
     }
@@ -60,8 +58,8 @@
         double least = 1;
         for (long seed = 1; seed <= 12; seed++) {
             final Fault noise = Fault.shares(0.1, 0.04, 0.04, 0.01);
-            final double gain = play(noise, Limit.none(), 200, seed, UnaryOperator.identity()).goodput()
-                    - play(noise, Limit.none(), 200, seed, null).goodput();
+            final double gain = play(noise, Limit.none(), 200, seed, true).goodput()
+                    - play(noise, Limit.none(), 200, seed, false).goodput();
             gained += gain / 12;
             least = Math.min(least, gain);
         }
@@ -75,8 +73,8 @@
         double anew = 0;
         double taken = 0;
         for (long seed = 1; seed <= 6; seed++) {
-            anew += play(Fault.NONE, Limit.spans(90, SECOND, false), 120, seed, null).refusedAMessage();
-            taken += play(Fault.NONE, Limit.spans(90, SECOND, false), 120, seed, UnaryOperator.identity()).refusedAMessage();
+            anew += play(Fault.NONE, Limit.spans(90, SECOND, false), 120, seed, false).refusedAMessage();
+            taken += play(Fault.NONE, Limit.spans(90, SECOND, false), 120, seed, true).refusedAMessage();
         }
         assertTrue(taken <= 1.1 * anew, "refused calls a message: " + anew / 6 + " anew, " + taken / 6 + " taken up");
     }
