Peers: decisions, wire, rig of real processes with relays; virtual fleets

Couriers of a fleet did not know of one another. decisions.peers: who is here and how sure that is, by two kinds of evidence (silence is given time; a connection that ends and ends again is the system's word), rows of who hears whom, and numbered views agreed by a committee's majority (Paxos for each number). Module peers: sealed CBOR datagrams and kept connections by Netty. testkit.rig: real couriers joined by a relay for each pair and direction, under schedules that lab.peers plays in virtual time, too.

--- a/benchmarks/src/main/java/thistleturn/benchmarks/Main.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/Main.java
@@ -6,6 +6,7 @@
 import thistleturn.benchmarks.health.MeasureAway;
 import thistleturn.benchmarks.health.MeasureHealth;
 import thistleturn.benchmarks.noise.MeasureNoise;
+import thistleturn.benchmarks.peers.MeasurePeers;
 import thistleturn.benchmarks.scale.MeasureFlood;
 import thistleturn.benchmarks.scale.MeasureIdle;
 import thistleturn.benchmarks.scale.MeasureProfile;
@@ -15,7 +16,8 @@
 /** {@code bin/thistleturn measure}. */
 @Command(name = "measure", mixinStandardHelpOptions = true,
         description = "Prints the tables of docs/measurements, measured now on this machine.",
-        subcommands = {MeasureFleet.class, MeasureHealth.class, MeasureAway.class, MeasureNoise.class, MeasureMembership.class, MeasureDrain.class, MeasureOutage.class,
+        subcommands = {MeasureFleet.class, MeasureHealth.class, MeasureAway.class, MeasureNoise.class, MeasurePeers.class,
+            MeasureMembership.class, MeasureDrain.class, MeasureOutage.class,
             MeasureScale.class, MeasureShards.class, MeasureFlood.class, MeasureIdle.class,
             MeasureProfile.class,
             CommandLine.HelpCommand.class})
--- a/cli/src/main/java/thistleturn/cli/CheckCommand.java
+++ b/cli/src/main/java/thistleturn/cli/CheckCommand.java
@@ -24,7 +24,9 @@
                 : config.membership().registries().size() + " registries"
                 + (config.membership().registration() == null ? "" : ", registers itself");
         spec.commandLine().getOut().println(file + ": good (admin "
-                + (config.admin() == null ? "off" : config.admin()) + "; membership " + membership + ")");
+                + (config.admin() == null ? "off" : config.admin()) + "; membership " + membership
+                + "; peers " + (config.peers() == null ? "off" : config.peers().listen() + ", "
+                + config.peers().seeds().size() + " seeds") + ")");
         return 0;
     }
 }
--- a/cli/src/main/java/thistleturn/cli/ProductExtension.java
+++ b/cli/src/main/java/thistleturn/cli/ProductExtension.java
@@ -12,11 +12,13 @@
 import thistleturn.courier.port.Directory;
 import thistleturn.membership.MembershipExtension;
 import thistleturn.membership.MembershipSettings;
+import thistleturn.peers.PeersExtension;
 
 /** All subsystems that a file switches on, as one extension of a courier. */
 final class ProductExtension implements Extension {
     private final ProductConfig config;
     private final MembershipExtension membership;
+    private final PeersExtension peers;
     private Surroundings surroundings;
 
     ProductExtension(final ProductConfig config, final Path file) {
@@ -29,6 +31,7 @@
             }
             return fresh;
         });
+        this.peers = config.peers() == null ? null : new PeersExtension(config.peers());
     }
 
     @Override
@@ -44,6 +47,10 @@
             membership.ready(address);
             pages.put("/members", membership::status);
         }
+        if (peers != null) {
+            peers.begin(surroundings);
+            pages.put("/peers", peers::status);
+        }
         if (config.admin() != null) {
             pages.put("/lanes", surroundings.lanes());
             pages.put("/health", surroundings.health());
@@ -56,6 +63,10 @@
         if (membership != null) {
             membership.stopping();
         }
+        if (peers != null) {
+            // Now, so that a newer process of this courier may listen there.
+            peers.leave();
+        }
     }
 
     @Override
--- a/cli/src/main/java/thistleturn/cli/ServeCommand.java
+++ b/cli/src/main/java/thistleturn/cli/ServeCommand.java
@@ -29,7 +29,7 @@
             return SERVES;
         }
         final ProductConfig config = ProductConfig.read(file);
-        final boolean plain = config.admin() == null && config.membership() == null;
+        final boolean plain = config.admin() == null && config.membership() == null && config.peers() == null;
         thistleturn.courier.Main.serve(System.getenv(), plain ? null : new ProductExtension(config, file),
                 config.tuning());
         return SERVES;
--- a/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
+++ b/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
@@ -8,18 +8,22 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import thistleturn.courier.Tuning;
 import thistleturn.courier.runtime.Config;
 import thistleturn.decisions.membership.Rules;
+import thistleturn.decisions.peers.PeerRules;
 import thistleturn.eureka.MetadataNames;
 import thistleturn.eureka.RegistrationSettings;
 import thistleturn.eureka.RegistrySettings;
 import thistleturn.membership.MembershipSettings;
+import thistleturn.peers.PeersSettings;
 
 /**
  * The product's own settings, from a TOML file. Every subsystem is off unless its table says {@code enabled = true}; a
@@ -27,9 +31,10 @@
  *
  * @param admin where operators ask a running courier, or null
  * @param membership registries beside the platform's list, or null
+ * @param peers the fleet that it belongs to, or null
  * @param tuning how large the courier is made
  */
-public record ProductConfig(InetSocketAddress admin, MembershipSettings membership, Tuning tuning) {
+public record ProductConfig(InetSocketAddress admin, MembershipSettings membership, PeersSettings peers, Tuning tuning) {
     private static final Pattern URL = Pattern.compile("http://([^/:\\s]+):(\\d{1,5})((?:/[^\\s?#]*)?)");
     private static final Pattern SCOPE = Pattern.compile("(apps|vips|svips)/[A-Za-z0-9._-]+");
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
@@ -38,7 +43,7 @@
 
     /** Everything off. */
     public static ProductConfig off() {
-        return new ProductConfig(null, null, Tuning.platform());
+        return new ProductConfig(null, null, null, Tuning.platform());
     }
 
     /**
@@ -61,9 +66,10 @@
         final StrictTable table = new StrictTable(file, "", root);
         final InetSocketAddress admin = admin(table.table("admin"));
         final MembershipSettings membership = membership(table.table("membership"));
+        final PeersSettings peers = peers(table.table("peers"));
         final Tuning tuning = tuning(table.table("front"), table.table("shards"), table.table("memory"));
         table.finish();
-        return new ProductConfig(admin, membership, tuning);
+        return new ProductConfig(admin, membership, peers, tuning);
     }
 
     private static Tuning tuning(final StrictTable front, final StrictTable shards, final StrictTable memory) {
@@ -108,6 +114,36 @@
         }
     }
 
+    private static PeersSettings peers(final StrictTable table) {
+        final boolean enabled = table.flag("enabled", false);
+        final String listen = table.text("listen", "127.0.0.1:7081");
+        final List<String> seeds = table.texts("seeds", false);
+        final String key = table.text("fleet-key", enabled ? null : "unset");
+        final long deadUs = table.durationUs("dead-after", "8s", "4s", "1h");
+        final Map<String, String> via = new HashMap<>();
+        for (final String one : table.texts("via", false)) {
+            final String[] sides = one.split("=", 2);
+            if (sides.length != 2 || loopback(sides[0]) == null || loopback(sides[1]) == null) {
+                throw table.wrong("via", '"' + one + '"', "ADDRESS=ADDRESS, such as 127.0.0.1:7082=127.0.0.1:9082");
+            }
+            via.put(sides[0], sides[1]);
+        }
+        table.finish();
+        final InetSocketAddress address = loopback(listen);
+        if (address == null || address.getPort() == 0) {
+            throw table.wrong("listen", '"' + listen + '"', "a loopback address with its port, such as 127.0.0.1:7081");
+        }
+        for (final String seed : seeds) {
+            if (loopback(seed) == null) {
+                throw table.wrong("seeds", '"' + seed + '"', "loopback addresses with their ports, such as 127.0.0.1:7081");
+            }
+        }
+        if (enabled && key.length() < PeersSettings.LEAST_KEY) {
+            throw table.wrong("fleet-key", '"' + key + '"', "a text of at least " + PeersSettings.LEAST_KEY + " letters");
+        }
+        return enabled ? new PeersSettings(address, seeds, key, PeerRules.usual().withDeadUs(deadUs), via) : null;
+    }
+
     private static MembershipSettings membership(final StrictTable table) {
         final boolean enabled = table.flag("enabled", false);
         final long disagreementUs = table.durationUs("disagreement", "60s", "0s", "1h");
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -307,7 +307,7 @@
         return JsonNodeFactory.instance.objectNode().put("state", report.state().name().toLowerCase(Locale.ROOT))
                 .put("for_s", (clock.nowUs() - report.sinceUs()) / US_PER_S).put("evidence", report.evidence())
                 .put("away_share", report.awayShare()).put("last_away_s", report.lastAwayUs() / US_PER_S)
-                .put("holds", messages.size()).put("may_hold", health.mayHold(maxOpen));
+                .put("holds", messages.size()).put("may_hold", health.mayHold(maxOpen)).put("ended", health.ended());
     }
 
     // ---------------------------------------------------------------- what the sockets bring
--- a/decisions/src/main/java/thistleturn/decisions/health/OwnHealth.java
+++ b/decisions/src/main/java/thistleturn/decisions/health/OwnHealth.java
@@ -92,6 +92,11 @@
         ended++;
     }
 
+    /** How many messages came to their end here so far. */
+    public long ended() {
+        return ended;
+    }
+
     /** A partner or the platform answered, whatever it said. */
     public void answered(final long nowUs) {
         reach.answered(nowUs);
--- /dev/null
+++ b/decisions/src/main/java/thistleturn/decisions/peers/Change.java
@@ -0,0 +1,17 @@
+package thistleturn.decisions.peers;
+
+import java.util.List;
+
+/** From one view to the next: who goes and who comes, each in order. */
+public record Change(List<PeerId> removed, List<Member> added) {
+    /** Lists that nobody changes any more. */
+    public Change {
+        removed = List.copyOf(removed);
+        added = List.copyOf(added);
+    }
+
+    /** True if nobody goes or comes. */
+    public boolean isEmpty() {
+        return removed.isEmpty() && added.isEmpty();
+    }
+}
--- /dev/null
+++ b/peers/src/main/java/thistleturn/peers/PeersSettings.java
@@ -0,0 +1,27 @@
+package thistleturn.peers;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import thistleturn.decisions.peers.PeerRules;
+
+/**
+ * How a courier takes part in its fleet.
+ *
+ * @param listen where, by datagrams and by connections alike
+ * @param seeds addresses at which others may listen
+ * @param fleetKey what seals all that is said: another fleet has another one
+ * @param rules times and counts
+ * @param via where an address of another is to be reached instead, if it is not reached at itself
+ */
+public record PeersSettings(InetSocketAddress listen, List<String> seeds, String fleetKey, PeerRules rules,
+                            Map<String, String> via) {
+    /** Letters that a key has at least. */
+    public static final int LEAST_KEY = 8;
+
+    /** Collections that nobody changes any more. */
+    public PeersSettings {
+        seeds = List.copyOf(seeds);
+        via = Map.copyOf(via);
+    }
+}
--- a/testkit/src/main/java/thistleturn/testkit/rig/ChildProcess.java
+++ b/testkit/src/main/java/thistleturn/testkit/rig/ChildProcess.java
@@ -101,7 +101,14 @@
     /** Ends at once, and is over when this returns. */
     public void kill() {
         process.destroyForcibly();
-        process.onExit().orTimeout(PATIENCE_S, TimeUnit.SECONDS).join();
+        try {
+            // By this thread alone: a future's would need one of a pool whose threads may all be waiting for this one.
+            if (!process.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
+                throw new AssertionError("process " + process.pid() + " does not end");
+            }
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private void signal(final String name) throws IOException {
--- /dev/null
+++ b/testkit/src/main/java/thistleturn/testkit/rig/RealFleet.java
@@ -0,0 +1,408 @@
+package thistleturn.testkit.rig;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.BindException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.IntStream;
+import thistleturn.testkit.CourierFiles;
+
+/**
+ * Couriers as real processes, each pair joined by a relay in each direction, under a schedule of faults. It reads what each
+ * holds at its operators' address and tells the judge. Processes are ended by the pids that it started.
+ */
+public final class RealFleet implements AutoCloseable {
+    private static final long LOOK_MS = 40;
+    private static final long PATIENCE_MS = 60_000;
+    private static final long STARVED_PERIOD_MS = 200;
+    private static final Duration ASK = Duration.ofSeconds(15);
+    private static final String KEY = "a fleet under test";
+
+    private final Schedule schedule;
+    private final Path folder;
+    private final String discovery;
+    private final String known;
+    private final String extra;
+    private final List<String> names;
+    private final int[] listens;
+    private final int[] admins;
+    private final ChildProcess[] processes;
+    private final boolean[] asked;
+    private final boolean[] stopped;
+    private final String[] lastSeen;
+    private final JsonNode[] pages;
+    private final Links links;
+    private final Relay[][] relays;
+    private final FleetJudge judge;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+    private final ObjectMapper json = new ObjectMapper();
+    private final Map<Fault.Kind, Integer> tookPlace = new EnumMap<>(Fault.Kind.class);
+    private final List<String> said = new ArrayList<>();
+    /** Those that were asked to end, and may still be at it. */
+    private final List<ChildProcess> ending = new ArrayList<>();
+    private long beganNs;
+
+    /**
+     * A fleet that is not started yet.
+     *
+     * @param discovery the platform's address, and {@code known} the list that couriers begin with
+     * @param extra further settings of each courier, as TOML
+     * @param pauseLimitMs longer stops may cost a life its place
+     */
+    public RealFleet(final Path folder, final Schedule schedule, final String discovery, final String known, final String extra,
+                     final long pauseLimitMs) throws IOException {
+        this.folder = folder;
+        this.schedule = schedule;
+        this.discovery = discovery;
+        this.known = known;
+        this.extra = extra;
+        final int members = schedule.members();
+        this.names = IntStream.range(0, members).mapToObj(number -> String.format("n%02d", number)).toList();
+        this.listens = new int[members];
+        this.admins = new int[members];
+        for (int number = 0; number < members; number++) {
+            listens[number] = freePort();
+            admins[number] = freePort();
+        }
+        this.processes = new ChildProcess[members];
+        this.asked = new boolean[members];
+        this.stopped = new boolean[members];
+        this.lastSeen = new String[members];
+        this.pages = new JsonNode[members];
+        this.links = new Links(members, schedule.seed());
+        this.relays = new Relay[members][members];
+        this.judge = new FleetJudge(pauseLimitMs);
+        for (int from = 0; from < members; from++) {
+            for (int to = 0; to < members; to++) {
+                if (from != to) {
+                    relays[from][to] = new Relay(from, to, new InetSocketAddress(InetAddress.getLoopbackAddress(), listens[to]), links,
+                            group.next());
+                }
+            }
+        }
+    }
+
+    /** A number that is free for datagrams and connections alike. */
+    private static int freePort() throws IOException {
+        while (true) {
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                    DatagramSocket same = new DatagramSocket(free.getLocalPort(), InetAddress.getLoopbackAddress())) {
+                return same.getLocalPort();
+            } catch (final BindException e) {
+                // Taken for datagrams: another number.
+                continue;
+            }
+        }
+    }
+
+    private void start(final int number) throws IOException {
+        final Path home = folder.resolve(names.get(number));
+        Files.createDirectories(home);
+        final StringBuilder via = new StringBuilder();
+        final StringBuilder seeds = new StringBuilder();
+        for (int other = 0; other < names.size(); other++) {
+            if (other != number) {
+                via.append(via.isEmpty() ? "" : ", ").append("\"127.0.0.1:").append(listens[other]).append("=127.0.0.1:")
+                        .append(relays[number][other].port()).append('"');
+            }
+            if (other < 3) {
+                seeds.append(seeds.isEmpty() ? "" : ", ").append("\"127.0.0.1:").append(listens[other]).append('"');
+            }
+        }
+        final Path file = Files.writeString(home.resolve("t.toml"), """
+                [admin]
+                enabled = true
+                listen = "127.0.0.1:%d"
+                [peers]
+                enabled = true
+                listen = "127.0.0.1:%d"
+                seeds = [%s]
+                fleet-key = "%s"
+                via = [%s]
+                %s
+                """.formatted(admins[number], listens[number], seeds, KEY, via, extra));
+        final Map<String, String> environment = CourierFiles.write(home, names.get(number), discovery, known,
+                CourierFiles.Size.usual());
+        processes[number] = ChildProcess.java(environment, "", "thistleturn.cli.Main", "serve", "--config", file.toString());
+        lastSeen[number] = "";
+        asked[number] = false;
+    }
+
+    /** Milliseconds since all began. */
+    public long nowMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNs);
+    }
+
+    /** Something that is due. */
+    private record Due(long atMs, Step step) { }
+
+    private interface Step {
+        void take() throws IOException;
+    }
+
+    /** Starts all, waits until they agree, and plays the schedule from then on. */
+    public FleetJudge play() throws IOException {
+        beganNs = System.nanoTime();
+        for (int number = 0; number < names.size(); number++) {
+            start(number);
+        }
+        awaitAgreement();
+        final long zeroMs = nowMs();
+        final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparingLong(Due::atMs));
+        for (final Fault fault : schedule.faults()) {
+            due.add(new Due(zeroMs + fault.atMs(), () -> begin(fault, zeroMs, due)));
+        }
+        while (nowMs() < zeroMs + schedule.endMs()) {
+            while (!due.isEmpty() && due.peek().atMs() <= nowMs()) {
+                due.poll().step().take();
+            }
+            look();
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(due.isEmpty() ? LOOK_MS
+                    : Math.max(1, Math.min(LOOK_MS, due.peek().atMs() - nowMs()))));
+        }
+        judge.agree(nowMs());
+        return judge;
+    }
+
+    private void awaitAgreement() {
+        judge.agree(nowMs());
+        while (!isWhole()) {
+            look();
+            if (nowMs() > PATIENCE_MS) {
+                throw new AssertionError("the fleet never came together: " + List.of((Object[]) lastSeen) + ", " + lines());
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(LOOK_MS));
+        }
+    }
+
+    private synchronized boolean isWhole() {
+        for (final JsonNode page : pages) {
+            if (page == null || page.path("view").path("members").size() != names.size()) {
+                return false;
+            }
+        }
+        judge.agree(nowMs());
+        return judge.isAgreed();
+    }
+
+    /** Asks all that run what they hold; what they answer is told to the judge when it comes. */
+    private synchronized void look() {
+        for (int number = 0; number < names.size(); number++) {
+            if (processes[number] == null || asked[number] || stopped[number]) {
+                continue;
+            }
+            asked[number] = true;
+            final int one = number;
+            final ChildProcess of = processes[number];
+            http.sendAsync(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + admins[number] + "/peers")).timeout(ASK).build(),
+                    HttpResponse.BodyHandlers.ofString()).whenComplete((answer, failure) -> told(one, of, answer));
+        }
+    }
+
+    private synchronized void told(final int number, final ChildProcess of, final HttpResponse<String> answer) {
+        if (processes[number] != of) {
+            return;
+        }
+        asked[number] = false;
+        if (answer == null || answer.statusCode() != 200) {
+            return;
+        }
+        try {
+            observe(number, json.readTree(answer.body()));
+        } catch (final IOException e) {
+            said.add(names.get(number) + ": a page that is none: " + e.getMessage());
+        }
+    }
+
+    private void observe(final int number, final JsonNode page) {
+        pages[number] = page;
+        final JsonNode view = page.path("view");
+        if (page.path("incarnation").isMissingNode()) {
+            return;
+        }
+        judge.begins(names.get(number), names.get(number) + '#' + page.path("incarnation").asLong(), nowMs());
+        final String line = view.path("generation").asText() + '/' + view.path("founder").asText();
+        final String seen = line + '.' + view.path("number").asText();
+        if (!view.isMissingNode() && !seen.equals(lastSeen[number])) {
+            lastSeen[number] = seen;
+            final Set<String> members = new TreeSet<>();
+            view.path("members").forEach(member -> members.add(member.path("name").asText() + '#'
+                    + member.path("incarnation").asLong()));
+            judge.holds(names.get(number), line, view.path("number").asLong(), members, nowMs());
+        }
+    }
+
+    private synchronized void begin(final Fault fault, final long zeroMs, final PriorityQueue<Due> due) throws IOException {
+        tookPlace.merge(fault.kind(), Math.max(1, fault.one().size()), Integer::sum);
+        final long untilMs = fault.forMs() == 0 ? Long.MAX_VALUE : zeroMs + fault.untilMs();
+        switch (fault.kind()) {
+            case KILL, LEAVE -> {
+                for (final int number : fault.one()) {
+                    end(number, fault.kind() == Fault.Kind.LEAVE);
+                }
+            }
+            case START -> {
+                for (final int number : fault.one()) {
+                    if (processes[number] == null) {
+                        start(number);
+                    }
+                }
+            }
+            case PAUSE -> {
+                for (final int number : fault.one()) {
+                    stop(number, true);
+                    due.add(new Due(untilMs, () -> stop(number, false)));
+                }
+            }
+            case STARVE -> {
+                for (final int number : fault.one()) {
+                    starve(number, fault.value(), untilMs, due);
+                }
+            }
+            case CUT -> {
+                judge.cut(fault, names);
+                links.cut(fault.one(), fault.other(), 1);
+                due.add(new Due(untilMs, () -> links.cut(fault.one(), fault.other(), -1)));
+            }
+            case BREAK -> {
+                for (final int one : fault.one()) {
+                    for (final int other : fault.other()) {
+                        relays[one][other].reset();
+                        relays[other][one].reset();
+                    }
+                }
+            }
+            case LOSS -> links.lose(fault.value());
+            case DOUBLE -> links.repeat(fault.value());
+            case DELAY -> links.jitter((long) fault.value());
+        }
+        if (fault.forMs() > 0 && fault.one().isEmpty()) {
+            due.add(new Due(untilMs, () -> begin(new Fault(0, 0, fault.kind(), List.of(), List.of(), 0), zeroMs, due)));
+        }
+    }
+
+    private void end(final int number, final boolean inOrder) {
+        final ChildProcess process = processes[number];
+        if (process == null) {
+            return;
+        }
+        processes[number] = null;
+        if (inOrder) {
+            process.terminate();
+            judge.ends(names.get(number), nowMs());
+            said.addAll(process.lines());
+            ending.add(process);
+        } else {
+            process.kill();
+            judge.ends(names.get(number), nowMs());
+        }
+        stopped[number] = false;
+        pages[number] = null;
+    }
+
+    private synchronized void stop(final int number, final boolean stop) throws IOException {
+        if (processes[number] == null || stopped[number] == stop) {
+            return;
+        }
+        if (stop) {
+            processes[number].pause();
+        } else {
+            processes[number].resume();
+        }
+        stopped[number] = stop;
+        judge.paused(names.get(number), stop, nowMs());
+    }
+
+    private synchronized void starve(final int number, final double share, final long untilMs, final PriorityQueue<Due> due)
+            throws IOException {
+        stop(number, true);
+        final long nowMs = nowMs();
+        due.add(new Due(nowMs + (long) (STARVED_PERIOD_MS * (1 - share)), () -> {
+            stop(number, false);
+            if (nowMs() < untilMs) {
+                due.add(new Due(nowMs + STARVED_PERIOD_MS, () -> starve(number, share, untilMs, due)));
+            }
+        }));
+    }
+
+    /** What each process said last of its fleet; null: it does not run, or has said nothing yet. */
+    public synchronized JsonNode page(final int number) {
+        return pages[number];
+    }
+
+    /** Its address for operators. */
+    public String admin(final int number) {
+        return "127.0.0.1:" + admins[number];
+    }
+
+    /** The process, or null while it does not run. */
+    public synchronized ChildProcess process(final int number) {
+        return processes[number];
+    }
+
+    /** The judge. */
+    public FleetJudge judge() {
+        return judge;
+    }
+
+    /** Which faults took place, and what passed. */
+    public String tally() {
+        return tookPlace + "; " + links.tally();
+    }
+
+    /** The last lines that each process said. */
+    public synchronized List<String> lines() {
+        final List<String> lines = new ArrayList<>(said);
+        for (int number = 0; number < names.size(); number++) {
+            if (processes[number] != null) {
+                final List<String> own = processes[number].lines();
+                final String name = names.get(number);
+                own.subList(Math.max(0, own.size() - 20), own.size()).forEach(line -> lines.add(name + ": " + line));
+            }
+        }
+        return lines;
+    }
+
+    @Override
+    public void close() {
+        for (final ChildProcess process : processes) {
+            if (process != null) {
+                process.close();
+            }
+        }
+        ending.forEach(ChildProcess::close);
+        for (final Relay[] row : relays) {
+            for (final Relay relay : row) {
+                if (relay != null) {
+                    relay.close();
+                }
+            }
+        }
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+}
