--- a/decisions/src/main/java/thistleturn/decisions/peers/Assembly.java
+++ b/decisions/src/main/java/thistleturn/decisions/peers/Assembly.java
@@ -29,6 +29,8 @@
     private static final int KEPT = 64;
     /** An acceptor that heard one so lately, us, does not agree that it is silent. */
     private static final long HEARD_US = 1_000_000;
+    /** So much later one founds a line after one that is over and that was never its own. */
+    private static final int STRANGERS = 4;
     /** Of those that a courier watches, so many lost are a sign that it is nearly alone in a large fleet. */
     private static final double LOST_SHARE = 0.75;
 
@@ -279,7 +281,8 @@
         if (isLineOver(nowUs)) {
             overSinceUs = overSinceUs == Peer.NEVER ? nowUs : overSinceUs;
             overLines.add(view.founder());
-            if (nowUs - overSinceUs >= rules.foundUs()) {
+            // Who is not of it leaves it to those who are, unless none of them is left.
+            if (nowUs - overSinceUs >= (has(self) ? 1 : STRANGERS) * rules.foundUs()) {
                 found(nowUs, true);
             }
             return;
@@ -407,7 +410,7 @@
             }
         }
         final int size = view.members().size();
-        final boolean few = 2 * heard <= size || asked >= rules.watched() && lost > LOST_SHARE * asked;
+        final boolean few = 2 * heard <= size || size > rules.watched() + 1 && lost > LOST_SHARE * asked;
         if (!has(self)) {
             stand(Standing.FORMING, heard);
         } else if (size > 1 && (heard <= 1 || asked > 0 && lost == asked)) {
@@ -449,7 +452,7 @@
             return;
         }
         for (final Peer peer : roll.living()) {
-            final boolean counts = !survivor || has(peer.id);
+            final boolean counts = !survivor || !has(self) || has(peer.id);
             if (counts && peer.id.name().compareTo(self.name()) < 0 && nowUs - peer.beatUs <= rules.freshUs()) {
                 return;
             }
--- a/decisions/src/main/java/thistleturn/decisions/peers/Peers.java
+++ b/decisions/src/main/java/thistleturn/decisions/peers/Peers.java
@@ -2,7 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 
@@ -23,13 +27,14 @@
     /** How often the same one is sent what it lacks, and asked for what this courier lacks, us. */
     private static final long PUSH_US = 300_000;
     private static final long ASK_US = 500_000;
-    /** Signs of life of those in doubt are passed on so often, us, and to so many by each. */
+    /** Signs of life of those in doubt, or yet to be let in, are passed on so often, us, and so many in a datagram. */
     private static final long PASS_US = 400_000;
-    private static final int PASS_TIMES = 2;
+    private static final int MOST_SIGNS = 8;
     private static final long PRUNE_US = 10_000_000;
     private static final long SAY_US = 1_000_000;
     private static final long LOOK_US = 5_000_000;
     private static final long JOIN_US = 500_000;
+    private static final long KNOCK_US = 3_000_000;
     /** How many are told of a farewell by its own datagrams. */
     private static final int FAREWELLS = 32;
 
@@ -42,6 +47,8 @@
     private final Watch watch;
     private final Assembly assembly;
     private final Rumours rumours;
+    /** Signs of life to be passed on at the next tick, to others by lot: answers alone would reach the same ones again and again. */
+    private final Map<String, Item> signs = new LinkedHashMap<>();
     private PeerId self;
     private long seq;
     private long beat;
@@ -206,9 +213,7 @@
             return;
         }
         beat++;
-        if (roll.living().isEmpty() || seedUs == 0 || assembly.standing() != Standing.MAJORITY) {
-            knock(nowUs);
-        }
+        knock(nowUs);
         for (final Peer peer : watch.tick(nowUs)) {
             peer.pingSeq = seq + 1;
             peer.pingUs = nowUs;
@@ -225,30 +230,36 @@
         }
     }
 
-    /** Asks at the seeds' addresses. */
+    /**
+     * Asks at those of the seeds' addresses at which it knows nobody: often while it has not come together with others, now and
+     * then for good, since those who begin there know of nobody else.
+     */
     private void knock(final long nowUs) {
         if (nowUs < seedUs) {
             return;
         }
-        seedUs = nowUs + JOIN_US;
+        final boolean together = assembly.standing() == Standing.MAJORITY && !roll.living().isEmpty();
+        seedUs = nowUs + (together ? KNOCK_US : JOIN_US);
+        final Set<String> known = new HashSet<>();
+        known.add(address);
+        roll.living().forEach(peer -> known.add(peer.address));
         for (final String to : seeds) {
-            if (!to.equals(address)) {
+            if (!known.contains(to)) {
                 out.send(to, packet(Packet.Kind.PING, 0, new ArrayList<>()));
             }
         }
     }
 
     private void gossip() {
-        if (rumours.isEmpty(lastUs) || roll.living().isEmpty()) {
-            return;
-        }
         final List<Peer> living = roll.living();
+        final List<Item> passed = signs.values().stream().limit(MOST_SIGNS).toList();
         for (int target = 0; target < Math.min(TARGETS, living.size()); target++) {
-            if (rumours.isEmpty(lastUs)) {
-                return;
+            if (passed.isEmpty() && rumours.isEmpty(lastUs)) {
+                break;
             }
-            out.send(living.get(random.nextInt(living.size())).address, packet(Packet.Kind.NEWS, 0, new ArrayList<>()));
+            out.send(living.get(random.nextInt(living.size())).address, packet(Packet.Kind.NEWS, 0, new ArrayList<>(passed)));
         }
+        signs.clear();
     }
 
     /** The full state to one of the others, now and then. */
@@ -371,7 +382,7 @@
         if (roll.beat(peer, count, nowUs) && (peer.doubtedUs != Peer.NEVER || !assembly.has(peer.id))
                 && nowUs - beforeUs >= PASS_US) {
             peer.passedUs = nowUs;
-            rumours.add(new Item.Beat(peer.id, count), PASS_TIMES);
+            signs.put(peer.id.name(), new Item.Beat(peer.id, count));
         }
     }
 
--- a/decisions/src/main/java/thistleturn/decisions/peers/Rumours.java
+++ b/decisions/src/main/java/thistleturn/decisions/peers/Rumours.java
@@ -46,9 +46,6 @@
         if (item instanceof Item.Report report) {
             return new Matter('r', report.observer().name(), report.subject().name());
         }
-        if (item instanceof Item.Beat beat) {
-            return new Matter('b', beat.id().name(), "");
-        }
         if (item instanceof Item.Said said) {
             return new Matter('s', said.id().name(), "");
         }
