--- /dev/null
+++ b/cli/src/test/java/thistleturn/cli/PeersFleetTest.java
@@ -0,0 +1,109 @@
+package thistleturn.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import thistleturn.testkit.StandInWorld;
+import thistleturn.testkit.rig.FleetJudge;
+import thistleturn.testkit.rig.RealFleet;
+import thistleturn.testkit.rig.Schedule;
+
+/** Real couriers by {@code bin/thistleturn serve}, each pair joined by a relay in each direction, under faults. */
+@Tag("peers")
+final class PeersFleetTest {
+    @TempDir
+    private Path folder;
+
+    private FleetJudge play(final String text, final Check check) throws IOException {
+        final Schedule schedule = Schedule.parse(text);
+        try (StandInWorld world = new StandInWorld(folder, schedule.seed());
+                RealFleet fleet = new RealFleet(folder, schedule, world.platform.address(), world.platform.known(), "", 5000)) {
+            final FleetJudge judge = fleet.play();
+            assertEquals(List.of(), judge.broken(), () -> fleet.tally() + fleet.lines());
+            assertTrue(judge.isAgreed(), () -> "views differ at the end: " + fleet.lines());
+            check.look(fleet);
+            return judge;
+        }
+    }
+
+    private interface Check {
+        void look(RealFleet fleet) throws IOException;
+    }
+
+    private static String asked(final RealFleet fleet, final int number, final String... more) {
+        final StringWriter out = new StringWriter();
+        final List<String> args = new ArrayList<>(List.of("peers", "--at", fleet.admin(number)));
+        args.addAll(Arrays.asList(more));
+        assertEquals(0, Main.commandLine().setOut(new PrintWriter(out)).execute(args.toArray(String[]::new)));
+        return out.toString();
+    }
+
+    /** A kill, a pause under the limit, a cut of one way and a start again, at 5% loss; then what operators are told. */
+    @Test
+    void fiveProcessesKnowOneAnotherThroughFaults() throws IOException {
+        final FleetJudge judge = play("""
+                members 5
+                seed 31
+                end 16s
+                at 0s loss 0.05
+                at 1s cut 0 -> 4 for 13s
+                at 3s kill 3
+                at 5s pause 1 for 4s
+                at 10s start 3
+                """, fleet -> {
+            final JsonNode status = new ObjectMapper().readTree(asked(fleet, 2, "--json"));
+            assertEquals("majority", status.path("standing").asText());
+            assertEquals(5, status.path("view").path("members").size());
+            assertEquals(0, status.path("malformed").asInt());
+            assertEquals(0, status.path("too_large").asInt());
+            assertTrue(asked(fleet, 2).contains("NOT HEARD BY"));
+            assertEquals(6, asked(fleet, 2, "--matrix").lines().filter(line -> line.startsWith("n0") || line.startsWith("HEARS")).count() - 1,
+                    () -> "a head and a line for each: " + asked(fleet, 2, "--matrix"));
+        });
+        assertEquals(1, judge.timesToKnow().size());
+        assertTrue(judge.timesToKnow().get(0) < 4000, () -> "known after " + judge.timesToKnow());
+    }
+
+    /** In two parts, then whole again: the smaller one knows it, and is let in again. What strangers send moves nothing. */
+    @Test
+    void aSplitAndStrangers() throws IOException {
+        play("""
+                members 5
+                seed 32
+                end 22s
+                at 1s cut 0,1 <-> 2,3,4 for 12s
+                """, fleet -> {
+            assertTrue(fleet.lines().stream().anyMatch(line -> line.startsWith("n01: peers: hears no majority: 2 of 5")), fleet.lines()::toString);
+            final JsonNode before = fleet.page(2);
+            final Random random = new Random(33);
+            final int strangers = 200;
+            try (DatagramSocket socket = new DatagramSocket()) {
+                final String[] at = before.path("address").asText().split(":");
+                for (int number = 0; number < strangers; number++) {
+                    final byte[] noise = new byte[1 + random.nextInt(1500)];
+                    random.nextBytes(noise);
+                    socket.send(new DatagramPacket(noise, noise.length, new InetSocketAddress(at[0], Integer.parseInt(at[1]))));
+                }
+            }
+            final JsonNode after = new ObjectMapper().readTree(asked(fleet, 2, "--json"));
+            assertEquals(before.path("view").path("members"), after.path("view").path("members"));
+            assertTrue(after.path("malformed").asInt() >= strangers / 2, after::toString);
+        });
+    }
+}
--- a/decisions/src/main/java/thistleturn/decisions/peers/Item.java
+++ b/decisions/src/main/java/thistleturn/decisions/peers/Item.java
@@ -31,7 +31,7 @@
     record Beat(PeerId id, long beat) implements Item {
         @Override
         public int bytes() {
-            return FIXED_BYTES / 2 + id.name().length();
+            return FIXED_BYTES - 16 + id.name().length();
         }
     }
 
