A kept connection is used again only after a look at it that began after its rest

What trails an answer belongs to no call. A connection rests 5 ms before its next call, by the clock alone: where one pass takes longer than that (a small share of a core), nothing was read in between, and a trailing 200 was taken for the next call's answer: a message held for delivered that never was. CarrierTimersTest: round 0 DELIVERED without the mend, TIMED_OUT with it.

--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -35,7 +35,10 @@
     /** Share of the endpoints' own limit after which an idle connection is closed: a request may not cross it. */
     private static final double IDLE_SHARE = 0.8;
 
-    /** What belongs to no call may still come right behind an answer; a connection rests so long before its next. */
+    /**
+     * What belongs to no call may still come right behind an answer: a connection rests so long before its next, and what has
+     * come by then has been looked for. The clock alone says little where a pass takes longer than that.
+     */
     private static final long REST_US = 5_000;
 
     private final Clock clock;
@@ -216,12 +219,13 @@
         return true;
     }
 
-    /** Over an idle connection that has had its rest; one that needs a little more is waited for. */
+    /** Over an idle connection that has had its rest and a look after it; one that needs a little more is waited for. */
     private void dispatch(final HttpCall call) {
         if (!mayGo(call)) {
             return;
         }
         final long nowUs = clock.nowUs();
+        final long lookedUs = turns.lookUs();
         HttpConnection rested = null;
         long restUs = Long.MAX_VALUE;
         // Those used last stand at the end: of the rested ones the last is taken, so that the others may age.
@@ -230,13 +234,13 @@
             if (!reader.isActive()) {
                 readers.remove();
                 idle.remove(reader);
-            } else if (reader.idleSinceUs() + REST_US <= nowUs) {
+            } else if (reader.idleSinceUs() + REST_US <= lookedUs) {
                 readers.remove();
                 idle.remove(reader);
                 rested = reader;
                 break;
             } else {
-                restUs = Math.min(restUs, reader.idleSinceUs() + REST_US - nowUs);
+                restUs = Math.min(restUs, Math.max(0, reader.idleSinceUs() + REST_US - nowUs));
             }
         }
         if (rested != null) {
--- a/courier/src/test/java/thistleturn/courier/http/CarrierTimersTest.java
+++ b/courier/src/test/java/thistleturn/courier/http/CarrierTimersTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -51,6 +52,7 @@
     private final BlockingQueue<Courier.Result> told = new LinkedBlockingQueue<>();
     private final Semaphore arrived = new Semaphore(0);
     private final Semaphore standing = new Semaphore(0);
+    private final Semaphore trailed = new Semaphore(0);
     private HttpStandIn server;
     private HttpCarrier carrier;
 
@@ -76,6 +78,13 @@
                 arrived.release();
                 standing.acquireUninterruptibly();
                 exchange.answer(200, "");
+            } else if (body.startsWith("trail")) {
+                exchange.answer(200, "");
+                arrived.release();
+                standing.acquireUninterruptibly();
+                exchange.channel().pipeline().firstContext().writeAndFlush(Unpooled.copiedBuffer(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", StandardCharsets.US_ASCII));
+                trailed.release();
             }
         });
         final Config config = Config.read(CourierFiles.write(folder, "n0", "127.0.0.1:1",
@@ -141,4 +150,26 @@
             assertEquals(Courier.Result.DELIVERED, told.poll(PATIENCE_S, TimeUnit.SECONDS), "round " + round);
         }
     }
+
+    /** A pass that takes longer than a connection rests has not looked at it: what trails an answer is not the next call's. */
+    @Test
+    void whatTrailsAnAnswerIsNoOtherCallsAnswer() throws Exception {
+        for (int round = 0; round < 5; round++) {
+            call("trail", 2 * SECOND_US);
+            assertEquals(Courier.Result.DELIVERED, told.poll(PATIENCE_S, TimeUnit.SECONDS));
+            assertTrue(arrived.tryAcquire(PATIENCE_S, TimeUnit.SECONDS), "the call comes");
+            final Carrier.Parcel next = new Waiting(new Held("silent", "safe", "silent", 1, clock.wallUs() + 9 * SECOND_US,
+                    "silent".getBytes(StandardCharsets.UTF_8)), SECOND_US / 5, Long.MAX_VALUE, clock.nowUs() + 9 * SECOND_US);
+            CompletableFuture.runAsync(() -> {
+                standing.release();
+                trailed.acquireUninterruptibly();
+                final long untilUs = clock.nowUs() + 20_000;
+                while (clock.nowUs() < untilUs) {
+                    Thread.onSpinWait();
+                }
+                carrier.start(carrier.prepare(1, List.of(next)));
+            }, loop).get(PATIENCE_S, TimeUnit.SECONDS);
+            assertEquals(Courier.Result.TIMED_OUT, told.poll(PATIENCE_S, TimeUnit.SECONDS), "round " + round);
+        }
+    }
 }
