Peers: silence ends one only where a majority had no sign of it either; ports of the rig

An acceptor now has to have had no sign for dead-after less 1 s itself, and the last known sign is told wherever a doubt is heard of first (a test plays it). The rig took ports that the system gives to connections: one was taken again before its process began; it takes others, below those. The Auditor says how long after its answer a message was sent again.

--- a/decisions/src/main/java/thistleturn/decisions/peers/Assembly.java
+++ b/decisions/src/main/java/thistleturn/decisions/peers/Assembly.java
@@ -27,8 +27,8 @@
     private static final int MOST_CHANGE_BYTES = 700;
     /** Changes that are kept for those who missed one. */
     private static final int KEPT = 64;
-    /** An acceptor that heard one so lately, us, does not agree that it is silent. */
-    private static final long HEARD_US = 1_000_000;
+    /** An acceptor that had a sign of one within the time of silence but for this, us, does not agree that it is silent. */
+    private static final long ABOUT_US = 1_000_000;
     /** So much later one founds a line after one that is over and that was never its own. */
     private static final int STRANGERS = 4;
     /** Of those that a courier watches, so many lost are a sign that it is nearly alone in a large fleet. */
@@ -257,13 +257,13 @@
         }
     }
 
-    /** True unless this member knows better: it hears one that is to go, or sees itself out. */
+    /** True unless this member knows better: it had a sign of one that is to go for silence, or sees itself out. */
     private boolean isAcceptable(final Change change, final long nowUs) {
         for (final PeerId id : change.removed()) {
             final Peer peer = roll.get(id.name());
             final boolean knownToGo = peer != null && (!peer.id.equals(id) || !peer.isAlive() || roll.isOver(peer, nowUs));
-            final boolean heard = id.equals(self)
-                    || peer != null && nowUs - peer.heardUs < HEARD_US && peer.ends == 0;
+            final boolean heard = id.equals(self) || peer != null && peer.ends == 0
+                    && nowUs - Math.max(peer.heardUs, peer.beatUs) < rules.deadUs() - ABOUT_US;
             if (!knownToGo && heard) {
                 return false;
             }
--- a/decisions/src/main/java/thistleturn/decisions/peers/Peers.java
+++ b/decisions/src/main/java/thistleturn/decisions/peers/Peers.java
@@ -423,7 +423,13 @@
             return;
         } else if (item instanceof Item.Report report) {
             if (!report.observer().name().equals(self.name())) {
-                passOn(report, roll.report(report, nowUs));
+                final boolean news = roll.report(report, nowUs);
+                passOn(report, news);
+                final Peer doubted = roll.get(report.subject().name());
+                if (news && report.sight() == Sight.SILENT && doubted.beat > 0) {
+                    // Whoever doubts it may have been cut off from what is known of it here.
+                    signs.put(doubted.id.name(), new Item.Beat(doubted.id, doubted.beat));
+                }
             }
         } else if (item instanceof Item.Beat beatOf) {
             final Peer peer = roll.get(beatOf.id().name());
--- a/lab/src/test/java/thistleturn/lab/peers/PeersUnderFaultsTest.java
+++ b/lab/src/test/java/thistleturn/lab/peers/PeersUnderFaultsTest.java
@@ -133,6 +133,15 @@
         assertEquals(0, play.count("begins another life"));
     }
 
+    /** Cut off from some for long, then still for less than the limit: those who heard it until then do not agree to its end. */
+    @Test
+    void aCutBeforeAPauseAddsNothingToIt() {
+        final Play play = new Play("members 12\nseed 182\nend 45s\nat 0s loss 0.1\nat 10s cut 3,4,5,8,10 <-> 0,1,2,6,7,9,11 for 7500ms\n"
+                + "at 16300ms pause 7 for 4500ms");
+        play.good();
+        assertEquals(0, play.count("n007 is dead"));
+    }
+
     /** Longer than the limit: it is out by agreement, accuses nobody on waking, and is back as another life. */
     @Test
     void aPauseBeyondTheLimitIsAnEndAndAComingBack() {
--- a/testkit/src/main/java/thistleturn/testkit/Auditor.java
+++ b/testkit/src/main/java/thistleturn/testkit/Auditor.java
@@ -294,7 +294,8 @@
         }
         if (message.over) {
             broken(message.delivered && message.kind.effect() == Courier.Effect.SAFE ? Rule.LOST : Rule.DOUBLE,
-                    firstByteUs, message + " was sent after it was " + message.end);
+                    firstByteUs, message + " was sent after it was " + message.end + (message.delivered
+                            ? ", " + (firstByteUs - message.deliveredUs) + " us after its answer" : ""));
         } else if (message.firstRunUs != Long.MAX_VALUE) {
             if (message.kind.effect() == Courier.Effect.UNSAFE) {
                 broken(Rule.DOUBLE, firstByteUs, message + " may have run and was sent again");
--- a/testkit/src/main/java/thistleturn/testkit/rig/RealFleet.java
+++ b/testkit/src/main/java/thistleturn/testkit/rig/RealFleet.java
@@ -27,6 +27,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.IntStream;
 import thistleturn.testkit.CourierFiles;
@@ -41,6 +42,10 @@
     private static final long STARVED_PERIOD_MS = 200;
     private static final Duration ASK = Duration.ofSeconds(15);
     private static final String KEY = "a fleet under test";
+    private static final int FIRST_PORT = 20_000;
+    private static final int LAST_PORT = 32_000;
+    /** Fleets of one Java machine take one after the other; two machines begin apart. */
+    private static final AtomicInteger NEXT_PORT = new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % (LAST_PORT - FIRST_PORT)));
 
     private final Schedule schedule;
     private final Path folder;
@@ -107,17 +112,22 @@
         }
     }
 
-    /** A number that is free for datagrams and connections alike. */
+    /**
+     * A number that is free for datagrams and connections alike, below those that the system gives to connections by itself:
+     * one of these may be taken again before the process that is to listen there has begun.
+     */
     private static int freePort() throws IOException {
-        while (true) {
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        for (int tries = 0; tries < LAST_PORT - FIRST_PORT; tries++) {
+            final int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), LAST_PORT - FIRST_PORT);
+            try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
                     DatagramSocket same = new DatagramSocket(free.getLocalPort(), InetAddress.getLoopbackAddress())) {
                 return same.getLocalPort();
             } catch (final BindException e) {
-                // Taken for datagrams: another number.
+                // Taken: the next one.
                 continue;
             }
         }
+        throw new IOException("no free port from " + FIRST_PORT + " to " + LAST_PORT);
     }
 
     private void start(final int number) throws IOException {
