Peers: a slow start has few founders, and none beside another line; costs measured

Forty real couriers that started on four cores founded four lines one after the other: several founded at once after 2 s, whoever moved to the better line began another life, and the line he left was over and founded anew. Who stands later among the seeds waits longer now, and a survivor founds only where no other line was heard of for 2 s.

--- a/benchmarks/src/main/java/thistleturn/benchmarks/Main.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/Main.java
@@ -7,6 +7,7 @@
 import thistleturn.benchmarks.health.MeasureHealth;
 import thistleturn.benchmarks.noise.MeasureNoise;
 import thistleturn.benchmarks.peers.MeasurePeers;
+import thistleturn.benchmarks.peers.MeasurePeersCost;
 import thistleturn.benchmarks.peers.MeasureVirtualPeers;
 import thistleturn.benchmarks.scale.MeasureFlood;
 import thistleturn.benchmarks.scale.MeasureIdle;
@@ -17,7 +18,7 @@
 /** {@code bin/thistleturn measure}. */
 @Command(name = "measure", mixinStandardHelpOptions = true,
         description = "Prints the tables of docs/measurements, measured now on this machine.",
-        subcommands = {MeasureFleet.class, MeasureHealth.class, MeasureAway.class, MeasureNoise.class, MeasurePeers.class, MeasureVirtualPeers.class,
+        subcommands = {MeasureFleet.class, MeasureHealth.class, MeasureAway.class, MeasureNoise.class, MeasurePeers.class, MeasureVirtualPeers.class, MeasurePeersCost.class,
             MeasureMembership.class, MeasureDrain.class, MeasureOutage.class,
             MeasureScale.class, MeasureShards.class, MeasureFlood.class, MeasureIdle.class,
             MeasureProfile.class,
--- a/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
+++ b/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
@@ -139,7 +139,7 @@
             }
         }
         if (enabled && key.length() < PeersSettings.LEAST_KEY) {
-            throw table.wrong("fleet-key", '"' + key + '"', "a text of at least " + PeersSettings.LEAST_KEY + " letters");
+            throw table.wrong("fleet-key", "(" + key.length() + " letters)", "a text of at least " + PeersSettings.LEAST_KEY + " letters");
         }
         return enabled ? new PeersSettings(address, seeds, key, PeerRules.usual().withDeadUs(deadUs), via) : null;
     }
--- a/cli/src/test/java/thistleturn/cli/CommandTest.java
+++ b/cli/src/test/java/thistleturn/cli/CommandTest.java
@@ -65,6 +65,12 @@
         "[front]\\nidle = '100ms'                            | front.idle = \"100ms\": expected a duration",
         "[front]\\nclients = 0.7                             | front.clients = 0.7: expected shares above 0",
         "[front]\\nendpoints = 0.0                           | front.clients = 0.4: expected shares above 0",
+        "[peers]\\nenabled = true                            | peers.fleet-key = (absent): expected a text",
+        "[peers]\\nenabled = true\\nfleet-key = 'short'       | peers.fleet-key = (5 letters): expected a text of at least 8 letters",
+        "[peers]\\nlisten = '127.0.0.1:0'                     | peers.listen = \"127.0.0.1:0\": expected a loopback address with its port",
+        "[peers]\\nseeds = ['192.168.0.1:7081']               | peers.seeds = \"192.168.0.1:7081\": expected loopback addresses",
+        "[peers]\\ndead-after = '1s'                          | peers.dead-after = \"1s\": expected a duration from \"4s\"",
+        "[peers]\\nvia = ['127.0.0.1:1']                      | peers.via = \"127.0.0.1:1\": expected ADDRESS=ADDRESS",
         "[membership                                         | line 1: no TOML",
         "[[membership.registries]]\\nname = 'r'              | membership.registries[0].urls = (absent): expected a list"})
     void whatCannotBeUsedIsOneLineThatNamesFileKeyValueAndWhatWasExpected(final String text, final String said)
--- a/decisions/src/main/java/thistleturn/decisions/peers/Assembly.java
+++ b/decisions/src/main/java/thistleturn/decisions/peers/Assembly.java
@@ -52,6 +52,10 @@
     private long raiseUs;
     private long overSinceUs = Peer.NEVER;
     private long heardOfViewUs;
+    /** When another line than its own was heard of, one that is not known to be over. */
+    private long otherLineUs = Peer.NEVER;
+    /** How long it waits to hear of a view before it founds one. */
+    private final long foundUs;
     private long highestGeneration;
     private Standing standing = Standing.FORMING;
     private int reached;
@@ -74,9 +78,11 @@
         void event(PeerEvent.Kind kind, String who, String text);
     }
 
-    Assembly(final PeerRules rules, final Roll roll, final Watch watch, final PeerId self, final String address, final long nowUs,
-             final Port port) {
+    /** {@code place}: of its address among the seeds; who stands behind others there leaves founding to them for longer. */
+    Assembly(final PeerRules rules, final Roll roll, final Watch watch, final PeerId self, final String address, final int place,
+             final long nowUs, final Port port) {
         this.rules = rules;
+        this.foundUs = (1 + place) * rules.foundUs();
         this.roll = roll;
         this.watch = watch;
         this.self = self;
@@ -144,6 +150,9 @@
             return false;
         }
         heardOfViewUs = nowUs;
+        if (view != null && !other.isSameLine(view.mark())) {
+            otherLineUs = nowUs;
+        }
         if (view == null || other.isSameLine(view.mark())) {
             return view == null || other.number() > view.number() + KEPT / 2;
         }
@@ -448,7 +457,7 @@
 
     /** Founds a line, if it falls to this courier: nobody who can be heard holds one, and none of them has a lesser name. */
     private void found(final long nowUs, final boolean survivor) {
-        if (!survivor && nowUs - heardOfViewUs < rules.foundUs()) {
+        if (survivor ? nowUs - otherLineUs < rules.foundUs() : nowUs - heardOfViewUs < foundUs) {
             return;
         }
         for (final Peer peer : roll.living()) {
--- a/decisions/src/main/java/thistleturn/decisions/peers/Peers.java
+++ b/decisions/src/main/java/thistleturn/decisions/peers/Peers.java
@@ -106,7 +106,8 @@
         this.out = out;
         this.roll = new Roll(rules, self.incarnation(), nowUs);
         this.watch = new Watch(rules, roll, self, out, this::reportOwn);
-        this.assembly = new Assembly(rules, roll, watch, self, address, nowUs, new Port());
+        final int place = seeds.indexOf(address);
+        this.assembly = new Assembly(rules, roll, watch, self, address, place >= 0 ? place : seeds.size(), nowUs, new Port());
         this.rumours = new Rumours(nowUs);
         this.dueUs = nowUs;
         this.lastUs = nowUs;
--- a/peers/src/main/java/thistleturn/peers/PeersExtension.java
+++ b/peers/src/main/java/thistleturn/peers/PeersExtension.java
@@ -48,9 +48,17 @@
         this.settings = settings;
     }
 
-    /** Begins to take part. Called on the event loop. */
+    /** Begins to take part; a courier that takes up again after its successor takes part already. Called on the event loop. */
     public void begin(final Surroundings given) {
+        if (surroundings != null) {
+            return;
+        }
         surroundings = given;
+        if (given.config().name().length() > PeerId.MOST_NAME) {
+            Log.info("peers: off: the name " + given.config().name() + " has more than " + PeerId.MOST_NAME + " letters");
+            left = true;
+            return;
+        }
         incarnations = new IncarnationFile(given.config().state());
         bind();
     }
--- a/testkit/src/main/java/thistleturn/testkit/rig/ChildProcess.java
+++ b/testkit/src/main/java/thistleturn/testkit/rig/ChildProcess.java
@@ -62,6 +62,11 @@
         }
     }
 
+    /** Its number, as the system has it. */
+    public long pid() {
+        return process.pid();
+    }
+
     /** What it has said so far, a line each. */
     public List<String> lines() {
         return lines;
