--- a/decisions/src/test/java/thistleturn/decisions/peers/PeersTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/peers/PeersTest.java
@@ -197,6 +197,25 @@
         assertEquals(2, peers.view().members().size());
     }
 
+    /** Another courier listens where one did: that one is over there, and is found where it says that it is now. */
+    @Test
+    void anAddressThatChangesHandsIsNobodysOldOne() {
+        hear(new PeerId("d", BEGAN), "d:1", 4_000_000, 1);
+        peers.onGreeted("d:1", new PeerId("d", BEGAN), nowUs);
+        peers.onClosed("d:1", nowUs);
+        for (int times = 0; times < 3; times++) {
+            run(1_500_000);
+            peers.onGreeted("d:1", new PeerId("e", BEGAN), nowUs);
+        }
+        run(500_000);
+        assertEquals(Sight.ENDED, known("d").here());
+        assertEquals(PeerState.SUSPECT, known("d").state());
+        hear(new PeerId("d", BEGAN + 1), "d:7", 2_500_000, 1);
+        assertEquals("d:7", known("d").address());
+        assertEquals(Sight.HEARD, known("d").here());
+        assertTrue(peers.view().has(new PeerId("d", BEGAN + 1)));
+    }
+
     @Test
     void afterItsFarewellItSaysNothing() {
         hear(new PeerId("d", BEGAN), "d:1", 4_000_000, 1);
--- a/lab/src/test/java/thistleturn/lab/peers/PeersUnderFaultsTest.java
+++ b/lab/src/test/java/thistleturn/lab/peers/PeersUnderFaultsTest.java
@@ -155,6 +155,17 @@
         assertTrue(play.world.judge().agreedMs() < 23_000, () -> "back at " + play.world.judge().agreedMs());
     }
 
+    /** At the very limit it may be out or not: either way all agree again, as it wakes. */
+    @Test
+    void aPauseAtTheLimitHarmsNobodyElse() {
+        for (final String pause : List.of("3 for 7800ms", "3 for 8s", "3,5,8 for 8200ms", "3 for 8500ms")) {
+            final Play play = new Play("members 10\nseed 22\nend 30s\nat 0s loss 0.1\nat 8s pause " + pause);
+            play.good();
+            assertEquals(0, play.said.stream().filter(line -> line.contains("is dead") && !line.contains("n003") && !line.contains("n005")
+                    && !line.contains("n008")).count());
+        }
+    }
+
     @Test
     void oneOnATwentiethOfACoreStays() {
         final Play play = new Play("members 10\nseed 8\nend 40s\nat 0s loss 0.05\nat 8s starve 3 for 20s");
