--- a/benchmarks/src/main/java/thistleturn/benchmarks/health/MeasureHealth.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/health/MeasureHealth.java
@@ -126,7 +126,7 @@
         System.out.println(String.format(Locale.ROOT, "| %s | %s | %d | %.0f | %d | %.3f | %d | %d | %d | %d | %d |", what, when, handed,
                 deliverable, delivered, delivered / deliverable, refused, failed, handed - delivered - refused - failed, lost,
                 broken.size() - lost));
-        broken.stream().limit(5).forEach(one -> System.out.println("BROKEN: " + one));
+        broken.stream().filter(one -> one.rule() != Violation.Rule.LOST).limit(20).forEach(one -> System.out.println("BROKEN: " + one));
         return broken.isEmpty();
     }
 
--- a/testkit/src/main/java/thistleturn/testkit/Auditor.java
+++ b/testkit/src/main/java/thistleturn/testkit/Auditor.java
@@ -348,6 +348,12 @@
             // The courier had ended the first copy before it sent the second: both were read in one batch, in any order.
             violations.remove(message.copies);
             message.copies = null;
+        } else if (message.copies != null && firstByteUs < message.copies.atUs()) {
+            // How and when the first one ended tells what crossed what.
+            violations.set(violations.indexOf(message.copies), new Violation(message.copies.rule(), message.copies.atUs(),
+                    message.copies.what() + ", the first one of " + (message.copies.atUs() - firstByteUs) + " us ended "
+                    + (nowUs - message.copies.atUs()) + " us later: " + end));
+            message.copies = null;
         }
         if (end.mayHaveRun) {
             message.firstRunUs = Math.min(message.firstRunUs, firstByteUs);
