--- a/benchmarks/src/main/java/thistleturn/benchmarks/health/MeasureHealth.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/health/MeasureHealth.java
@@ -4,15 +4,14 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.Callable;
-import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import thistleturn.benchmarks.Folders;
 import thistleturn.testkit.CourierFiles;
 import thistleturn.testkit.StandInEndpoint;
 import thistleturn.testkit.StandInEndpoint.Act;
@@ -103,9 +102,7 @@
                 return kept;
             }
         } finally {
-            try (Stream<Path> files = Files.walk(folder)) {
-                files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
-            }
+            Folders.delete(folder);
         }
     }
 
--- a/benchmarks/src/main/java/thistleturn/benchmarks/peers/MeasurePeers.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/peers/MeasurePeers.java
@@ -5,7 +5,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
@@ -13,9 +12,9 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import thistleturn.benchmarks.Folders;
 import thistleturn.testkit.StandInWorld;
 import thistleturn.testkit.rig.FleetJudge;
 import thistleturn.testkit.rig.RealFleet;
@@ -117,9 +116,7 @@
             return new Played(schedule.seed(), judge.timesToKnow(), judge.ended(), judge.wronglyDead(), judge.isAgreed(),
                     List.copyOf(judge.broken()), fleet.tally());
         } finally {
-            try (Stream<Path> files = Files.walk(folder)) {
-                files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
-            }
+            Folders.delete(folder);
         }
     }
 }
--- a/benchmarks/src/main/java/thistleturn/benchmarks/peers/MeasurePeersCost.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/peers/MeasurePeersCost.java
@@ -4,14 +4,13 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
-import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import thistleturn.benchmarks.Folders;
 import thistleturn.testkit.CourierFiles;
 import thistleturn.testkit.StandInEndpoint;
 import thistleturn.testkit.StandInWorld;
@@ -93,7 +92,7 @@
                     ticks / TICKS_PER_S * 1000 / seconds / size, kb / 1024 / size, datagrams / seconds / size, bytes / seconds / size,
                     connections / size));
         } finally {
-            delete(folder);
+            Folders.delete(folder);
         }
     }
 
@@ -131,7 +130,7 @@
                 return report(world, "off");
             }
         } finally {
-            delete(folder);
+            Folders.delete(folder);
         }
     }
 
@@ -151,10 +150,4 @@
         broken.stream().limit(5).forEach(one -> System.out.println("BROKEN: " + one));
         return broken.isEmpty();
     }
-
-    private static void delete(final Path folder) throws IOException {
-        try (Stream<Path> files = Files.walk(folder)) {
-            files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
-        }
-    }
 }
--- a/decisions/src/main/java/thistleturn/decisions/peers/Assembly.java
+++ b/decisions/src/main/java/thistleturn/decisions/peers/Assembly.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
 
 /**
  * The numbered view: who proposes which change when, what a member agrees to, and where this courier stands. A view is
--- a/lab/src/main/java/thistleturn/lab/peers/PeersContestant.java
+++ b/lab/src/main/java/thistleturn/lab/peers/PeersContestant.java
@@ -6,7 +6,6 @@
 import java.util.function.Consumer;
 import thistleturn.decisions.peers.Full;
 import thistleturn.decisions.peers.Item;
-import thistleturn.decisions.peers.Member;
 import thistleturn.decisions.peers.Packet;
 import thistleturn.decisions.peers.PeerEvent;
 import thistleturn.decisions.peers.PeerId;
@@ -18,6 +17,7 @@
 public final class PeersContestant implements Contestant {
     /** A datagram's head, seal and the headers below it, bytes at most. */
     private static final int HEAD_BYTES = 120;
+    private static final int MEMBER_BYTES = 40;
 
     private final Peers peers;
     private View seen;
@@ -52,7 +52,7 @@
             @Override
             public void full(final String to, final Full full) {
                 wire.pass(to, full, HEAD_BYTES + full.items().stream().mapToInt(Item::bytes).sum()
-                        + (full.view() == null ? 0 : full.view().members().stream().mapToInt(Member::hashCode).map(h -> 40).sum()));
+                        + (full.view() == null ? 0 : MEMBER_BYTES * full.view().members().size()));
             }
 
             @Override
