--- a/decisions/src/main/java/thistleturn/decisions/Call.java
+++ b/decisions/src/main/java/thistleturn/decisions/Call.java
@@ -8,6 +8,9 @@
 final class Call extends TimeHeap.Entry {
     /** A failure is a single one while less than this share of the lane's calls fails, and its endpoint serves. */
     static final double SINGLE_SHARE = 0.3;
+    /** A call is overdue after so many times what is expected (one in 150, by chance), and so long, us. */
+    static final double OVERDUE_TIMES = 5;
+    static final long OVERDUE_LEAST_US = Control.SECOND_US;
 
     Node node;
     /** Its messages without an outcome, in the order taken. */
@@ -52,6 +55,6 @@
     }
 
     long overdueUs() {
-        return sentUs + awayUs + Math.max(Control.OVERDUE_LEAST_US, (long) (Control.OVERDUE_TIMES * expectedUs));
+        return sentUs + awayUs + Math.max(OVERDUE_LEAST_US, (long) (OVERDUE_TIMES * expectedUs));
     }
 }
--- a/decisions/src/main/java/thistleturn/decisions/Destination.java
+++ b/decisions/src/main/java/thistleturn/decisions/Destination.java
@@ -4,14 +4,23 @@
 import java.util.Comparator;
 import java.util.List;
 import thistleturn.decisions.index.Ranking;
+import thistleturn.decisions.words.Words;
 
 /** A destination: what waits for it, and its lanes (one, unless its routes are apart). */
 final class Destination extends Ranking.Entry {
     static final Comparator<Destination> ORDER = Comparator.comparingLong(destination -> destination.id);
+    /** Messages a second: least rate at which a line is reckoned. */
+    static final double LEAST_RATE = 0.25;
+    /** How far ahead a line is looked along, us: the next call at least, and what fades at most. */
+    static final long HORIZON_LEAST_US = Control.SECOND_US;
+    static final long HORIZON_MOST_US = 10 * Control.SECOND_US;
+
     final long id;
     /** What waits, like with like. */
     final List<Group> groups = new ArrayList<>();
     final List<Lane> lanes = new ArrayList<>();
+    /** What other subsystems say of it; binds all of its lanes. */
+    Words words = Words.NONE;
     /** Its messages, waiting or out; those that wait. */
     int jobs, waiting;
     boolean touched;
@@ -28,11 +37,11 @@
         for (final Lane lane : lanes) {
             rate += lane.rate;
         }
-        return (long) (waiting / Math.max(Control.LEAST_RATE, rate) * Control.SECOND_US);
+        return (long) (waiting / Math.max(LEAST_RATE, rate) * Control.SECOND_US);
     }
 
     long horizonUs() {
-        return (long) Worth.clamp(lineUs(), Control.HORIZON_LEAST_US, Control.HORIZON_MOST_US);
+        return (long) Worth.clamp(lineUs(), HORIZON_LEAST_US, HORIZON_MOST_US);
     }
 
     /** Puts a message that waits among those like it; {@code blocked}: another of its key goes first. */
--- a/decisions/src/main/java/thistleturn/decisions/Lane.java
+++ b/decisions/src/main/java/thistleturn/decisions/Lane.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 import thistleturn.decisions.fleet.FairShare;
 import thistleturn.decisions.fleet.Fleet;
 import thistleturn.decisions.noise.Growth;
@@ -18,6 +17,10 @@
     private static final int LONG_LINE = 10;
     /** A new lane's window in a large fleet, calls: clumps come first. */
     private static final double WINDOW_RARE = 4;
+    /** Who tells of a limit: the list by its weights, a partner with an answer, what an earlier process knew. */
+    static final String LIST = "list";
+    static final String PARTNER = "partner";
+    static final String MEMORY = "memory";
 
     final Destination destination;
     final Courier.Kind kind;
@@ -66,6 +69,8 @@
     double lastWeight = 1;
     /** The limit told (0: none), and the sends allowed now, a second. */
     double told, spacing = Double.POSITIVE_INFINITY;
+    /** Who told the limit last. */
+    String toldBy = "";
     boolean slow;
     Phase phase = Phase.WELL;
     double badRun, failShare, rampSpanUs;
@@ -73,23 +78,24 @@
     long troubleFromUs = Control.NEVER;
     long waitUntilUs, pauseUntilUs, nextTrialUs, rampFromUs, lastSendUs;
 
-    Lane(final Destination destination, final Courier.Kind kind, final long stepsTaken,
-            final Courier.Settings settings, final Random random, final boolean thin) {
+    Lane(final Destination destination, final Courier.Kind kind, final State state) {
+        this.settings = state.settings;
         final boolean large = Fleet.isLarge(settings.couriers());
+        final boolean sharing = large && state.shares;
         this.destination = destination;
         this.kind = kind;
-        this.settings = settings;
-        this.keepsBelow = large && random != null ? random.nextDouble() : Double.POSITIVE_INFINITY;
-        this.sharers = large && random != null && settings.weights() == Courier.Weights.NOMINAL ? settings.couriers() : 0;
-        this.vast = thin && Fleet.isVast(settings.couriers());
+        this.keepsBelow = sharing ? state.random.nextDouble() : Double.POSITIVE_INFINITY;
+        this.sharers = sharing && settings.weights() == Courier.Weights.NOMINAL ? settings.couriers() : 0;
+        this.vast = state.thin && Fleet.isVast(settings.couriers());
         this.share = new FairShare(vast);
-        this.window = large ? WINDOW_RARE : Control.WINDOW_START;
-        this.stepsTaken = stepsTaken;
+        this.window = large ? WINDOW_RARE : Window.START;
+        this.stepsTaken = state.steps;
     }
 
-    /** The rate that it takes from all couriers is told, calls a second. */
-    void tell(final double ratePerSecond, final long nowUs) {
+    /** The rate that it takes from all couriers is told, calls a second; the last word on it counts, whoever says it. */
+    void tell(final double ratePerSecond, final String by, final long nowUs) {
         told = ratePerSecond;
+        toldBy = by;
         share.told(sharers == 0 ? 0 : told / sharers, nowUs);
     }
 
@@ -166,7 +172,7 @@
     void returned(final long pacedUntilUs) {
         freeFromUs = pacedUntilUs;
         reading.forget();
-        spacing = Control.SPACING * Math.max(1, callsPerSecond());
+        spacing = Window.SPACING * Math.max(1, callsPerSecond());
         growth.again();
     }
 
@@ -184,8 +190,8 @@
         badRun = failShare = 0;
         troubleFromUs = Control.NEVER;
         pauseUntilUs = nowUs;
-        window = Math.max(window, Control.WINDOW_START);
-        spacing = Control.SPACING * Math.max(1, callsPerSecond());
+        window = Math.max(window, Window.START);
+        spacing = Window.SPACING * Math.max(1, callsPerSecond());
         nodes.forEach(node -> node.reached(nowUs));
         return true;
     }
@@ -231,10 +237,10 @@
     private void stepIdle(final long count) {
         if (phase == Phase.WELL) {
             steps += count;
-            final double weight = Math.max(Control.SAMPLE_WEIGHT, 1.0 / steps);
+            final double weight = Math.max(Window.SAMPLE_WEIGHT, 1.0 / steps);
             rate = count == 1 ? rate + weight * (0 - rate) : 0;
             callRate = count == 1 ? callRate + weight * (0 - callRate) : 0;
         }
-        spacing = count == 1 ? Control.SPACING * spacing : Double.POSITIVE_INFINITY;
+        spacing = count == 1 ? Window.SPACING * spacing : Double.POSITIVE_INFINITY;
     }
 }
--- a/decisions/src/main/java/thistleturn/decisions/Memory.java
+++ b/decisions/src/main/java/thistleturn/decisions/Memory.java
@@ -113,10 +113,10 @@
             final double[] figures = one.figures.clone();
             final long[] moments = one.moments.clone();
             // Knowing something is no reason to begin with less than one that knows nothing.
-            figures[WINDOW] = Math.max(Math.min(Control.WINDOW_START, figures[WINDOW]), kept * figures[WINDOW]);
+            figures[WINDOW] = Math.max(Math.min(Window.START, figures[WINDOW]), kept * figures[WINDOW]);
             // Steps that no process lived to take: a spacing that only ever came to the next one would never end.
             final double steps = (nowUs - moments[STEPPED]) / (double) Control.SECOND_US;
-            figures[SPACING] *= figures[REFUSED] > 0 ? 1 : Math.pow(Control.SPACING, Math.max(0, steps));
+            figures[SPACING] *= figures[REFUSED] > 0 ? 1 : Math.pow(Window.SPACING, Math.max(0, steps));
             final boolean trouble = figures[PHASE] == Phase.WELL.ordinal() && figures[BAD_RUN] >= TROUBLE_RUN;
             // A ramp that was under way goes on, unless there was time for another outage.
             final boolean again = figures[PHASE] == Phase.RAMP.ordinal() && nowUs - takenUs > SHORT_US;
@@ -125,7 +125,7 @@
                 moments[RAMP_FROM] = nowUs;
                 // As far apart as its calls were, if it was never paced so far.
                 figures[RAMP_SPAN] = Math.max(figures[RAMP_SPAN], Math.min(Control.SECOND_US / 2.0,
-                        Control.SECOND_US / Math.max(Control.LEAST_RATE, figures[CALL_RATE])));
+                        Control.SECOND_US / Math.max(Destination.LEAST_RATE, figures[CALL_RATE])));
             }
             moments[PAUSE] = Math.min(moments[PAUSE], nowUs + MOST_PAUSE_US);
             older.add(new OfLane(one.endpoint, figures, moments));
@@ -171,6 +171,7 @@
         lane.stretch = figures[7];
         lane.lastWeight = figures[8];
         lane.told = figures[9];
+        lane.toldBy = Lane.MEMORY;
         lane.spacing = figures[10];
         lane.slow = figures[11] > 0;
         lane.phase = Phase.values()[(int) figures[12]];
--- a/decisions/src/main/java/thistleturn/decisions/Node.java
+++ b/decisions/src/main/java/thistleturn/decisions/Node.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import thistleturn.decisions.noise.Cell;
+import thistleturn.decisions.words.Words;
 
 /** An endpoint. */
 final class Node {
@@ -9,6 +10,8 @@
     final Courier.Endpoint entry;
     final Lane lane;
     Courier.Condition condition;
+    /** What other subsystems say of it. */
+    Words words = Words.NONE;
     int inFlight, connections, silent;
     /** Since which event or pass its silent calls are to be reckoned with. */
     long avoidTick;
@@ -32,6 +35,11 @@
         return entry.id();
     }
 
+    /** True if new calls may go there, as far as the list and other subsystems say. */
+    boolean isOpen(final long nowUs) {
+        return condition == Courier.Condition.LISTED && words.openAtUs(lastSendUs, nowUs) <= nowUs;
+    }
+
     /** What its refusals weigh in the choice for a message, in calls in flight; more where it refused this one. */
     double refusalLoad(final int kind, final Node refusedBy) {
         return cells[kind].refusedInARow() + (this == refusedBy ? REFUSED_LOAD : 0);
--- a/decisions/src/main/java/thistleturn/decisions/ServiceTimes.java
+++ b/decisions/src/main/java/thistleturn/decisions/ServiceTimes.java
@@ -29,9 +29,9 @@
             return lane.pace;
         }
         final double ratio = durationUs / Math.max(1, meanUs[kind]);
-        final double weight = Math.max(Control.SAMPLE_WEIGHT, 1.0 / ++samples[kind]);
+        final double weight = Math.max(Window.SAMPLE_WEIGHT, 1.0 / ++samples[kind]);
         meanUs[kind] += weight * (durationUs / Math.max(PACE_LEAST, lane.pace) - meanUs[kind]);
-        lane.pace += Math.max(Control.SAMPLE_WEIGHT, 1.0 / (1 + ++lane.paceSamples)) * (ratio - lane.pace);
+        lane.pace += Math.max(Window.SAMPLE_WEIGHT, 1.0 / (1 + ++lane.paceSamples)) * (ratio - lane.pace);
         return ratio;
     }
 
--- a/decisions/src/main/java/thistleturn/decisions/peers/Peers.java
+++ b/decisions/src/main/java/thistleturn/decisions/peers/Peers.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -632,6 +633,19 @@
         return turnedDown;
     }
 
+    /** True for a life that is known and not known to be over. */
+    public boolean isLiving(final PeerId id) {
+        final Peer peer = roll.get(id.name());
+        return peer != null && peer.id.equals(id) && peer.isAlive();
+    }
+
+    /** Where the others listen that are not known to be over, by name. */
+    public Map<String, String> addresses() {
+        final Map<String, String> addresses = new TreeMap<>();
+        roll.living().forEach(peer -> addresses.put(peer.id.name(), peer.address));
+        return addresses;
+    }
+
     /** All that it knows of all others, by name. */
     public List<Known> known(final long nowUs) {
         final List<Known> all = new ArrayList<>();
--- a/decisions/src/test/java/thistleturn/decisions/AwayTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/AwayTest.java
@@ -131,4 +131,23 @@
         one.control.decide(one.nowUs);
         assertEquals("OUT", one.control.lanes().get(0).phase());
     }
+
+    /** Late, it ends what waits and is out of time before it reads anything; what is out may have its answer lying there. */
+    @Test
+    void whatWaitsAndIsOutOfTimeIsEndedAheadOfThePass() {
+        final Scene one = Scene.withTwoEndpoints(Scene.settings());
+        for (int index = 0; index < 5; index++) {
+            one.take("m" + index, SAFE, null, SECOND);
+        }
+        final long out = one.sent.size();
+        assertTrue(out > 0 && out < 5, "out: " + out);
+        // The process stands still: nobody calls.
+        one.nowUs += 3 * SECOND;
+        one.control.onLate(one.nowUs);
+        assertEquals(5 - out, one.refused.size());
+        assertTrue(one.sent.stream().noneMatch(send -> one.refused.contains(send.id())), "one whose call is out");
+        one.control.onLate(one.nowUs);
+        assertEquals(5 - out, one.refused.size(), "each has one end");
+        assertEquals(out, one.sent.size(), "nothing is sent by it");
+    }
 }
--- a/decisions/src/test/java/thistleturn/decisions/LimitsTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/LimitsTest.java
@@ -11,7 +11,7 @@
 
 /** The operators read the whole module at night: its size is part of what is promised. */
 final class LimitsTest {
-    private static final int MOST_LINES = 1200;
+    private static final int MOST_LINES = 900;
     private static final int MOST_CHARACTERS = 110;
 
     @Test
