Words, continuity and steps: what the courier's host says, takes over and undoes

Need: endpoints left out by hand reached the decisions disguised as a drain; takeover and memory each had a way of their own into the host; a start that failed half way left loops, journals and the folder's lock behind; on a small share of a core ends waited for a pass.

Change: maintenance is a word (EXCLUSION by "operator"). Port Steering (words to all shards) and Witness (waits, limits, outages, lists, operators' calls) for subsystems. Continuity: what an earlier process knew, handed over or found in the folder, by one contract. A start that fails at any step has those before it undone, in reverse, before it says so. A wake-up that comes late first ends what waits and is out of time.

--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
@@ -41,6 +42,8 @@
 import thistleturn.courier.port.Ends;
 import thistleturn.courier.port.Front;
 import thistleturn.courier.port.Held;
+import thistleturn.courier.port.Steering;
+import thistleturn.courier.port.Witness;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Descriptors;
@@ -53,6 +56,7 @@
 import thistleturn.courier.warm.LearntFile;
 import thistleturn.courier.warm.LearntKeeper;
 import thistleturn.decisions.Courier;
+import thistleturn.decisions.words.Word;
 
 /**
  * A courier with its ports wired: one event loop that owns all state, a journal, a front, a carrier, a directory and
@@ -81,6 +85,8 @@
     private final List<Shard> shards = new ArrayList<>();
     private final EventLoop loop;
     private final CountDownLatch stopped = new CountDownLatch(1);
+    /** What the steps of the start come to; and what is told of it, once a start that failed is undone. */
+    private final CompletableFuture<String> serving = new CompletableFuture<>();
     private final CompletableFuture<String> ready = new CompletableFuture<>();
     private final Map<String, String> environment;
     private final Extension extension;
@@ -90,6 +96,8 @@
     private final Operators operators;
     /** Endpoints that operators have left out, as all shards were last told. */
     private volatile Set<String> leftOut;
+    /** Who hears what this courier is told and finds out; null: nobody. */
+    private Witness witness;
     /** What tells that this process writes in the folder; null while another one does. */
     private StateLock lock;
     private Directory own;
@@ -99,10 +107,10 @@
 
     /**
      * What an extension is given to work with; {@code lanes} tells how each destination is, {@code health} how the courier
-     * itself is, both to be asked on the loop.
+     * itself is, {@code steering} takes words on them, all to be asked on the loop once the courier is ready.
      */
     public record Surroundings(Config config, EventLoop loop, Clock clock, Supplier<JsonNode> lanes,
-                               Supplier<JsonNode> health) { }
+                               Supplier<JsonNode> health, Steering steering) { }
 
     /** A subsystem beside the platform's own; without one nothing of it is loaded. */
     public interface Extension {
@@ -163,24 +171,41 @@
             throw new Config.BadConfigException("shards: " + tuning.shards() + " of them need at least as many slots ("
                     + limits.slots() + ") and open messages (" + limits.maxOpen() + ")");
         }
-        this.lock = StateLock.tryLock(config.state());
-        if (lock == null && (config.operator() == null || tuning.shards() > 1)) {
-            throw new IOException(config.state() + ": another courier that runs uses this folder");
-        }
         for (int index = 0; index < tuning.shards(); index++) {
             shards.add(new Shard());
         }
+        this.loop = shards.get(0).loop;
+        this.operators = config.operator() == null ? null : new Operators();
+        // From here on each step opens something; one that fails has those before it undone, the last one first.
+        try {
+            lockFolder();
+            this.leftOut = operators == null ? Set.of() : operators.file.read();
+        } catch (final IOException | RuntimeException e) {
+            kill();
+            throw e;
+        }
+        serving.whenComplete((bound, failure) -> {
+            if (failure == null) {
+                ready.complete(bound);
+            } else {
+                // Not on a loop: they are what is ended.
+                new Thread(() -> {
+                    kill();
+                    ready.completeExceptionally(failure);
+                }, "undo the start").start();
+            }
+        });
+    }
+
+    /** Takes the folder, and its journals with it; a process that may take over from another one waits for that. */
+    private void lockFolder() throws IOException {
+        lock = StateLock.tryLock(config.state());
+        if (lock == null && (config.operator() == null || tuning.shards() > 1)) {
+            throw new IOException(config.state() + ": another courier that runs uses this folder");
+        }
         if (lock != null) {
             openJournals();
         }
-        this.loop = shards.get(0).loop;
-        if (config.operator() == null) {
-            this.operators = null;
-            this.leftOut = Set.of();
-        } else {
-            this.operators = new Operators();
-            this.leftOut = operators.file.read();
-        }
     }
 
     private void openJournals() throws IOException {
@@ -257,6 +282,9 @@
         private Host next() {
             next.countOnFrom(before);
             next.leaveOut(leftOut);
+            if (witness != null) {
+                next.witness(new Relayed(witness));
+            }
             final int resumed = next.start(before.passOn(this), this);
             Log.info("resumed " + resumed + " messages");
             return next;
@@ -337,19 +365,26 @@
                     return CompletableFuture.completedStage(false);
                 }
                 try {
-                    // Another process of this courier may have written since: its word counts too.
-                    final Set<String> names = file.read();
-                    if (leaveOut ? names.add(endpoint) : names.remove(endpoint)) {
-                        file.write(names);
-                        Log.info("operator: " + endpoint + (leaveOut ? " is left out" : " may serve again"));
+                    if (witness != null) {
+                        witness.maintained(endpoint, leaveOut);
                     }
-                    return apply(names).thenApply(done -> true);
+                    return set(endpoint, leaveOut).thenApply(done -> true);
                 } catch (final IOException e) {
                     return CompletableFuture.failedStage(e);
                 }
             }, loop);
         }
 
+        /** Another process of this courier may have written since: its word counts too. */
+        private CompletionStage<?> set(final String endpoint, final boolean leaveOut) throws IOException {
+            final Set<String> names = file.read();
+            if (leaveOut ? names.add(endpoint) : names.remove(endpoint)) {
+                file.write(names);
+                Log.info("operator: " + endpoint + (leaveOut ? " is left out" : " may serve again"));
+            }
+            return apply(names);
+        }
+
         /** Takes over what another process of this courier has written. */
         private void look() {
             try {
@@ -362,20 +397,105 @@
             }
         }
 
-        private CompletionStage<?> apply(final Set<String> names) {
-            leftOut = Set.copyOf(names);
-            return each(shard -> {
-                shard.host.leaveOut(names);
+    }
+
+    /** Has exactly these left out on all shards. */
+    private CompletionStage<?> apply(final Set<String> names) {
+        leftOut = Set.copyOf(names);
+        return each(shard -> {
+            shard.host.leaveOut(names);
+            return true;
+        });
+    }
+
+    /** Asks each shard on its own loop. */
+    private <T> CompletionStage<List<T>> each(final Function<Shard, T> question) {
+        final List<CompletableFuture<T>> answers = shards.stream()
+                .map(shard -> CompletableFuture.supplyAsync(() -> question.apply(shard), shard.loop)).toList();
+        return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+                .thenApply(done -> answers.stream().map(CompletableFuture::join).toList());
+    }
+
+    /** What subsystems may say to the decisions, carried to all shards. Lives on the first one's loop. */
+    private final class Helm implements Steering {
+        @Override
+        public void witness(final Witness by) {
+            witness = by;
+            each(shard -> {
+                shard.host.witness(new Relayed(by));
                 return true;
             });
         }
 
-        /** Asks each shard on its own loop. */
-        private <T> CompletionStage<List<T>> each(final Function<Shard, T> question) {
-            final List<CompletableFuture<T>> answers = shards.stream()
-                    .map(shard -> CompletableFuture.supplyAsync(() -> question.apply(shard), shard.loop)).toList();
-            return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
-                    .thenApply(done -> answers.stream().map(CompletableFuture::join).toList());
+        @Override
+        public void say(final long destination, final Word word) {
+            each(shard -> {
+                shard.host.say(destination, word);
+                return true;
+            });
+        }
+
+        @Override
+        public void maintain(final String endpoint, final boolean leaveOut) {
+            try {
+                if (operators != null) {
+                    operators.set(endpoint, leaveOut);
+                    return;
+                }
+            } catch (final IOException e) {
+                Log.info("who is left out cannot be put down: " + e.getMessage());
+            }
+            final Set<String> names = new TreeSet<>(leftOut);
+            if (leaveOut ? names.add(endpoint) : names.remove(endpoint)) {
+                apply(names);
+            }
+        }
+
+        @Override
+        public Set<String> leftOut() {
+            return leftOut;
+        }
+    }
+
+    /** What a shard finds out, told on the first one's loop. */
+    private final class Relayed implements Witness {
+        private final Witness to;
+
+        private Relayed(final Witness to) {
+            this.to = to;
+        }
+
+        private void tell(final Runnable what) {
+            if (loop.inEventLoop()) {
+                what.run();
+            } else {
+                loop.execute(what);
+            }
+        }
+
+        @Override
+        public void listed() {
+            tell(to::listed);
+        }
+
+        @Override
+        public void waits(final long destination, final long untilUs) {
+            tell(() -> to.waits(destination, untilUs));
+        }
+
+        @Override
+        public void limited(final long destination, final double perSecond) {
+            tell(() -> to.limited(destination, perSecond));
+        }
+
+        @Override
+        public void turned(final long destination, final boolean isOut) {
+            tell(() -> to.turned(destination, isOut));
+        }
+
+        @Override
+        public void maintained(final String endpoint, final boolean leaveOut) throws IOException {
+            to.maintained(endpoint, leaveOut);
         }
     }
 
@@ -463,9 +583,9 @@
         process.loop.execute(() -> {
             try {
                 process.run();
-            } catch (final IllegalArgumentException e) {
+            } catch (final RuntimeException e) {
                 // On the loop's thread this would be swallowed, and a courier left that is never ready.
-                process.ready.completeExceptionally(e);
+                process.serving.completeExceptionally(e);
             }
         });
         return process;
@@ -488,12 +608,12 @@
                 if (failure == null) {
                     Log.info(config.name() + " hears operators at " + bound);
                 } else {
-                    ready.completeExceptionally(failure);
+                    serving.completeExceptionally(failure);
                 }
             });
         }
         own = extension.directory(new Discovery(config, loop, clock), new Surroundings(config, loop, clock, this::lanes,
-                () -> shards.get(0).host.health()));
+                () -> shards.get(0).host.health(), new Helm()));
         if (lock != null) {
             begin(null, null);
         } else {
@@ -515,7 +635,7 @@
                     loop.schedule(this::takeOver, RETRY_MS, TimeUnit.MILLISECONDS);
                 }
             } catch (final IOException e) {
-                ready.completeExceptionally(e);
+                serving.completeExceptionally(e);
             }
         }));
     }
@@ -529,7 +649,7 @@
             openJournals();
             begin(inheritance, predecessor);
         } catch (final IOException e) {
-            ready.completeExceptionally(e);
+            serving.completeExceptionally(e);
         }
     }
 
@@ -566,7 +686,7 @@
         }
         CompletableFuture.allOf(built.toArray(CompletableFuture[]::new)).whenCompleteAsync((done, failure) -> {
             if (failure != null) {
-                ready.completeExceptionally(failure);
+                serving.completeExceptionally(failure);
                 return;
             }
             final List<Host> hosts = shards.stream().map(shard -> shard.host).toList();
@@ -582,7 +702,7 @@
             }
             shards.stream().filter(shard -> shard.learnt != null).forEach(Shard::keepLearnt);
             running = true;
-            ready.thenAccept(bound -> {
+            serving.thenAccept(bound -> {
                 if (predecessor != null) {
                     predecessor.listening();
                 }
@@ -616,7 +736,7 @@
         final boolean several = shards.size() > 1 || operators != null;
         shards.get(index).front.listen(address, several).whenCompleteAsync((bound, failure) -> {
             if (failure != null) {
-                ready.completeExceptionally(new IOException(
+                serving.completeExceptionally(new IOException(
                         "cannot listen on " + config.listen() + ": " + failure.getMessage(), failure));
             } else if (index + 1 < shards.size()) {
                 listen(index + 1, Config.address("listen", bound));
@@ -627,7 +747,7 @@
                     new Elder(new Estate()).listen(loop, config.state());
                 }
                 extension.ready(bound);
-                ready.complete(bound);
+                serving.complete(bound);
             }
         }, loop);
     }
@@ -709,7 +829,8 @@
 
     /**
      * Ends it at once, as a power cut would: connections break, and the folder stays as it is. For couriers that share
-     * a Java machine with others; a process of its own is ended by its end.
+     * a Java machine with others; a process of its own is ended by its end. What the start opened is let go in reverse: the
+     * loops with all that lives on them, the journals, the folder.
      */
     public void kill() {
         // Else a loop that is ending would send again what broke by its own end, beside the next process.
@@ -722,20 +843,20 @@
                 .map(shard -> shard.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)).toList();
         ending.forEach(Future::awaitUninterruptibly);
         for (final Shard shard : shards) {
-            try {
-                if (shard.journal != null) {
-                    shard.journal.close();
-                }
-            } catch (final IOException e) {
-                Log.failure("closing the journal", e);
+            if (shard.journal != null) {
+                close("closing the journal", shard.journal);
             }
         }
+        if (lock != null) {
+            close("unlocking the folder", lock);
+        }
+    }
+
+    private static void close(final String what, final AutoCloseable open) {
         try {
-            if (lock != null) {
-                lock.close();
-            }
-        } catch (final IOException e) {
-            Log.failure("unlocking the folder", e);
+            open.close();
+        } catch (final Exception e) {
+            Log.failure(what, e);
         }
     }
 }
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -1,6 +1,7 @@
 package thistleturn.courier;
 
 import thistleturn.courier.health.Pulse;
+import thistleturn.courier.handover.Continuity;
 import thistleturn.courier.handover.Heir;
 import thistleturn.courier.handover.Inheritance;
 import thistleturn.courier.handover.Predecessor;
@@ -13,24 +14,24 @@
 import thistleturn.courier.port.Held;
 import thistleturn.courier.port.Store;
 import thistleturn.courier.port.Way;
+import thistleturn.courier.port.Witness;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.shard.Room;
-import thistleturn.courier.warm.LearntFile;
 import thistleturn.decisions.Control;
 import thistleturn.decisions.Courier;
 import thistleturn.decisions.LaneView;
-import thistleturn.decisions.Memory;
 import thistleturn.decisions.health.OwnHealth;
+import thistleturn.decisions.words.Word;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -38,8 +39,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
-import java.util.function.LongUnaryOperator;
 
 /**
  * The one that calls {@link Control}: it tells it what the sockets brought in a pass of the event loop, lets it decide
@@ -95,6 +94,9 @@
     /** A call that an older process of this courier has out. */
     private record RemoteCall(long number, long endpoint, long sentUs) implements Carrier.Call { }
 
+    /** What is said of an endpoint that an operator has left out. */
+    private static final Word LEFT_OUT = Word.of(Word.Kind.EXCLUSION, "operator", Long.MAX_VALUE);
+
     /** Endpoints of which what was learnt is put down: more would hold up the loop for over some milliseconds a second. */
     private static final int MOST_REMEMBERED = 2000;
 
@@ -138,7 +140,11 @@
     private Remote predecessor;
     private final Map<String, Part> remote = new HashMap<>();
     /** What an earlier process had learnt, until it is taken up; else null. */
-    private LearntFile.Found recalled;
+    private Continuity recalled;
+    /** Who hears what is told and found out here; null: nobody. Which destinations it was last known to be out. */
+    private Witness witness;
+    private final Set<Long> out = new HashSet<>();
+    private long toldTurns;
 
     /** The ports that a host is wired to; those that tell the host something are made for it. */
     interface Wiring {
@@ -187,11 +193,7 @@
         predecessor = from;
         directory.start(this::listed);
         listed(Courier.Update.RESTORED, inheritance.endpoints().stream().map(Inheritance.Named::listing).toList());
-        final Map<Long, Long> numbers = new HashMap<>();
-        for (final Inheritance.Named named : inheritance.endpoints()) {
-            numbers.put(named.number(), roster.number(named.listing().name()));
-        }
-        control.onMemory(clock.nowUs(), translated(inheritance.memory(), numbers::get, clock::fromWallUs));
+        final Map<Long, Long> numbers = learn(inheritance);
         final Map<String, Held> held = new HashMap<>();
         store.live().forEach(one -> held.put(one.id(), one));
         final List<Courier.Endpoint> unlisted = new ArrayList<>();
@@ -234,17 +236,25 @@
         }
     }
 
-    /** What is remembered, with other numbers for its endpoints and moments of another clock. */
-    private static Memory translated(final Memory memory, final Function<Long, Long> numbers,
-            final LongUnaryOperator clockUs) {
-        final LongUnaryOperator moment = us -> us == 0 || us == Long.MAX_VALUE ? us : clockUs.applyAsLong(us);
-        return new Memory(memory.classMeanUs(), memory.classSamples(), memory.trustUs(),
-                memory.lanes().stream().filter(one -> numbers.apply(one.endpoint()) != null)
-                        .map(one -> new Memory.OfLane(numbers.apply(one.endpoint()), one.figures(),
-                                Arrays.stream(one.moments()).map(moment).toArray())).toList(),
-                memory.nodes().stream().filter(one -> numbers.apply(one.endpoint()) != null)
-                        .map(one -> new Memory.OfNode(numbers.apply(one.endpoint()), one.figures(),
-                                Arrays.stream(one.moments()).map(moment).toArray())).toList());
+    /**
+     * Takes up what an earlier process had learnt of endpoints that are here what they were there: another one under the same
+     * name has nothing to do with it.
+     *
+     * @return their numbers there, and here
+     */
+    private Map<Long, Long> learn(final Continuity from) {
+        final Map<String, Directory.Listing> now = new HashMap<>();
+        roster.listed().forEach(named -> now.put(named.listing().name(), named.listing()));
+        final Map<Long, Long> numbers = new HashMap<>();
+        for (final Inheritance.Named named : from.endpoints()) {
+            final Directory.Listing listing = now.get(named.listing().name());
+            if (listing != null && listing.address().equals(named.listing().address())
+                    && listing.destination() == named.listing().destination()) {
+                numbers.put(named.number(), roster.number(listing.name()));
+            }
+        }
+        control.onMemory(clock.nowUs(), from.memory(numbers, clock));
+        return numbers;
     }
 
     private int takeUp() {
@@ -382,8 +392,11 @@
             return;
         }
         control.onList(clock.nowUs(), update, applied.changed());
+        applied.changed().stream().map(Courier.Endpoint::id).filter(roster::isLeftOut)
+                .forEach(endpoint -> control.onEndpointWord(clock.nowUs(), endpoint, LEFT_OUT));
         if (recalled != null && roster.size() > 0) {
-            recallNow();
+            Log.info("recalled what was learnt of " + learn(recalled).size() + " endpoints");
+            recalled = null;
         }
         for (final long endpoint : applied.gone()) {
             carrier.removed(endpoint);
@@ -391,6 +404,9 @@
         }
         if (update != Courier.Update.LOST) {
             roster.forgetVacant();
+            if (witness != null) {
+                witness.listed();
+            }
         }
         touch();
     }
@@ -425,9 +441,21 @@
         tellHealth(open.held.destination(), call, answer.result(), nowUs);
         control.onOutcome(nowUs, new Courier.Outcome(open.held.id(), answer.result(), open.over, call.endpoint(),
                 health.hasMeasured(call.sentUs(), nowUs) ? nowUs - call.sentUs() : -1, answer.waitUs(), answer.allowance()));
+        if (witness != null) {
+            tellWitness(open.held.destination(), answer, nowUs);
+        }
         touch();
     }
 
+    private void tellWitness(final long destination, final Carrier.Answer answer, final long nowUs) {
+        if (answer.waitUs() > 0) {
+            witness.waits(destination, nowUs + answer.waitUs());
+        }
+        if (answer.allowance() != null && answer.allowance().callsPerSecond() > 0) {
+            witness.limited(destination, answer.allowance().callsPerSecond());
+        }
+    }
+
     /** What a call's outcome says of this courier's own way out. */
     private void tellHealth(final long destination, final Carrier.Call call, final Courier.Result result, final long nowUs) {
         switch (result) {
@@ -476,17 +504,48 @@
         if (heir != null) {
             return;
         }
-        final List<Courier.Endpoint> news = roster.leaveOut(endpoints);
-        if (!news.isEmpty()) {
+        final Map<Long, Boolean> news = roster.leaveOut(endpoints);
+        news.forEach((endpoint, out) -> {
             // What is kept open to them dies with their restart.
-            news.forEach(entry -> carrier.closeIdle(entry.id()));
-            control.onList(clock.nowUs(), Courier.Update.ASIDE, news);
-            news.stream().filter(entry -> entry.condition() == Courier.Condition.LISTED)
-                    .forEach(entry -> control.onReturned(clock.nowUs(), entry.id()));
+            carrier.closeIdle(endpoint);
+            control.onEndpointWord(clock.nowUs(), endpoint, out ? LEFT_OUT : LEFT_OUT.over());
+            if (!out) {
+                control.onReturned(clock.nowUs(), endpoint);
+            }
+        });
+        if (!news.isEmpty()) {
             touch();
         }
     }
 
+    /** From now on that one hears what is told and found out here. */
+    void witness(final Witness by) {
+        witness = by;
+        turned(false);
+    }
+
+    /** A subsystem says something of a destination. */
+    void say(final long destination, final Word word) {
+        if (decides() && control.onWord(clock.nowUs(), destination, word)) {
+            turned(false);
+            touch();
+        }
+    }
+
+    /** Looks which destinations are out; the witness is told of what has changed by own knowledge, while this courier is well. */
+    private void turned(final boolean tells) {
+        toldTurns = control.turns();
+        final Map<Long, Boolean> now = new LinkedHashMap<>();
+        control.lanes().forEach(lane -> now.merge(lane.destination(), lane.phase().equals("OUT"), Boolean::logicalAnd));
+        now.forEach((destination, isOut) -> {
+            final boolean changed = isOut ? out.add(destination) : out.remove(destination);
+            if (changed && tells && health.report(clock.nowUs()).state() == OwnHealth.State.WELL) {
+                witness.turned(destination, isOut);
+            }
+        });
+        out.retainAll(now.keySet());
+    }
+
     /** What this process has done, and what it has now. */
     Figures figures() {
         final List<Figures.Ends> ends = config.settings().classes().stream().map(kind -> {
@@ -523,7 +582,7 @@
     /** What was learnt so far, with moments in Unix time; null while another process decides, or nothing or too much is listed. */
     Inheritance learnt() {
         return heir != null || roster.size() == 0 || roster.size() > MOST_REMEMBERED ? null
-                : new Inheritance(roster.listed(), translated(control.memory(), number -> number, clock::toWallUs),
+                : new Inheritance(roster.listed(), Continuity.moved(control.memory(), clock::toWallUs),
                         List.of());
     }
 
@@ -540,6 +599,17 @@
             if (Double.isFinite(lane.spacingPerSecond())) {
                 one.put("spacing_per_s", lane.spacingPerSecond());
             }
+            final ArrayNode said = one.putArray("said");
+            for (final LaneView.Said word : lane.said()) {
+                final ObjectNode entry = said.addObject().put("what", word.what().toLowerCase(Locale.ROOT))
+                        .put("value", word.value()).put("by", word.by());
+                if (word.endpoint() >= 0) {
+                    entry.put("endpoint", roster.name(word.endpoint()));
+                }
+                if (word.untilUs() != Long.MAX_VALUE) {
+                    entry.put("for_s", (word.untilUs() - clock.nowUs()) / US_PER_S);
+                }
+            }
             final ArrayNode endpoints = one.putArray("endpoints");
             lane.endpoints().forEach(number -> endpoints.add(roster.name(number)));
         }
@@ -552,28 +622,10 @@
     }
 
     /** What the process before this one had learnt is taken up as soon as the list is told. */
-    void recall(final LearntFile.Found found) {
+    void recall(final Continuity found) {
         recalled = found;
     }
 
-    private void recallNow() {
-        final Map<Long, Long> numbers = new HashMap<>();
-        final Map<String, Directory.Listing> now = new HashMap<>();
-        roster.listed().forEach(named -> now.put(named.listing().name(), named.listing()));
-        for (final Inheritance.Named named : recalled.learnt().endpoints()) {
-            final Directory.Listing listing = now.get(named.listing().name());
-            // Another endpoint under the same name has nothing to do with what was learnt.
-            if (listing != null && listing.address().equals(named.listing().address())
-                    && listing.destination() == named.listing().destination()) {
-                numbers.put(named.number(), roster.number(listing.name()));
-            }
-        }
-        control.onMemory(clock.nowUs(), translated(recalled.learnt().memory(), numbers::get, clock::fromWallUs)
-                .aged(clock.fromWallUs(recalled.takenWallUs()), clock.nowUs()));
-        Log.info("recalled what was learnt of " + numbers.size() + " endpoints");
-        recalled = null;
-    }
-
     private Inheritance inheritance() {
         final Map<Carrier.Call, List<String>> out = new IdentityHashMap<>();
         for (final Open open : messages.values()) {
@@ -586,7 +638,7 @@
             calls.add(new Inheritance.CallOut(number, call.endpoint(), messages.get(ids.get(0)).held.destination(),
                     clock.toWallUs(call.sentUs()), ids));
         });
-        return new Inheritance(roster.listed(), translated(control.memory(), number -> number, clock::toWallUs), calls);
+        return new Inheritance(roster.listed(), Continuity.moved(control.memory(), clock::toWallUs), calls);
     }
 
     /** Gives up a call that was out when the newer process took over. */
@@ -687,6 +739,9 @@
         try {
             control.decide(nowUs);
             slotsPressed |= control.wantsSlots();
+            if (witness != null && control.turns() != toldTurns) {
+                turned(true);
+            }
         } catch (final RuntimeException | Error e) {
             Log.failure("decisions failed", e);
         }
@@ -714,9 +769,7 @@
 
     /** What was taken and not ended in the same pass is taken on, if the journal has it; the rest is told why not. */
     private void answer(final boolean safe) {
-        final List<Runnable> told = List.copyOf(refusals);
-        refusals.clear();
-        told.forEach(Runnable::run);
+        tellRefusals();
         final List<Open> due = List.copyOf(unanswered);
         unanswered.clear();
         for (final Open open : due) {
@@ -737,6 +790,12 @@
         }
     }
 
+    private void tellRefusals() {
+        final List<Runnable> told = List.copyOf(refusals);
+        refusals.clear();
+        told.forEach(Runnable::run);
+    }
+
     private void prepareAll(final long endpoint, final List<Part> parcels) {
         final int most = Math.max(1, roster.messagesPerCall(endpoint));
         for (int from = 0; from < parcels.size(); from += most) {
@@ -865,12 +924,25 @@
     /** A process that was stopped wakes to its timers first: what has come meanwhile is read before anything is judged. */
     private void wakeUp(final long dueUs) {
         if (clock.nowUs() - dueUs >= LATE_WAKE_US) {
+            endLate();
             wiring.afterLook(dueUs, this::touch);
         } else {
             touch();
         }
     }
 
+    /** On a small share of a core the next pass may be a long way off: ends that are due are told ahead of it. */
+    private void endLate() {
+        if (!decides()) {
+            return;
+        }
+        control.onLate(clock.nowUs());
+        if (store.flush()) {
+            tellRefusals();
+            ends.flush();
+        }
+    }
+
     // ---------------------------------------------------------------- a new configuration
 
     /** Moves to the discovery of a new configuration at once; all else counts from the next start. */
--- a/courier/src/main/java/thistleturn/courier/Roster.java
+++ b/courier/src/main/java/thistleturn/courier/Roster.java
@@ -9,7 +9,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import thistleturn.courier.handover.Inheritance;
@@ -60,7 +59,7 @@
         for (final Directory.Listing listing : listings) {
             final Courier.Endpoint entry = entry(listing);
             maintenance.listed(listing.name());
-            changed.add(asToldToDecisions(entry));
+            changed.add(entry);
             gone.remove(entry.id());
             if (entry.condition() == Courier.Condition.GONE) {
                 gone.add(entry.id());
@@ -74,17 +73,22 @@
         return new Applied(changed, gone);
     }
 
-    /** To the decisions, what is left out by hand drains. */
-    private Courier.Endpoint asToldToDecisions(final Courier.Endpoint entry) {
-        return entry.condition() != Courier.Condition.LISTED || !maintenance.isOut(names.get(entry.id())) ? entry
-                : new Courier.Endpoint(entry.id(), Courier.Condition.DRAINING, entry.zone(), entry.weight(),
-                        entry.kind(), entry.destination());
+    /** Exactly these names are left out from now on; tells the numbers of those listed for which that is news: true, left out. */
+    Map<Long, Boolean> leaveOut(final Set<String> leftOut) {
+        final Map<Long, Boolean> news = new LinkedHashMap<>();
+        for (final String name : maintenance.set(leftOut)) {
+            final Long number = ids.get(name);
+            if (number != null && entries.containsKey(number)) {
+                news.put(number, maintenance.isOut(name));
+            }
+        }
+        return news;
     }
 
-    /** Exactly these names are left out from now on; tells the endpoints for which that is news. */
-    List<Courier.Endpoint> leaveOut(final Set<String> leftOut) {
-        return maintenance.set(leftOut).stream().map(ids::get).filter(Objects::nonNull).map(entries::get)
-                .filter(Objects::nonNull).map(this::asToldToDecisions).toList();
+    /** True for an endpoint that is left out by hand. */
+    boolean isLeftOut(final long endpoint) {
+        final String name = names.get(endpoint);
+        return name != null && maintenance.isOut(name);
     }
 
     /** True if an endpoint of that name was ever listed, as far as that is remembered. */
--- a/courier/src/main/java/thistleturn/courier/handover/Inheritance.java
+++ b/courier/src/main/java/thistleturn/courier/handover/Inheritance.java
@@ -1,7 +1,9 @@
 package thistleturn.courier.handover;
 
 import java.util.List;
+import java.util.Map;
 import thistleturn.courier.port.Directory;
+import thistleturn.courier.runtime.Clock;
 import thistleturn.decisions.Memory;
 
 /**
@@ -12,11 +14,17 @@
  * @param memory what the decisions have learnt
  * @param calls calls that are out, and stay with the older process until they end
  */
-public record Inheritance(List<Named> endpoints, Memory memory, List<CallOut> calls) {
+public record Inheritance(List<Named> endpoints, Memory memory, List<CallOut> calls) implements Continuity {
 
     /** An endpoint's number, and how the list names it. */
     public record Named(long number, Directory.Listing listing) { }
 
     /** A call with the ids of its messages in order; {@code destination} is theirs. */
     public record CallOut(long number, long endpoint, long destination, long sentWallUs, List<String> messageIds) { }
+
+    /** It was learnt up to this moment. */
+    @Override
+    public Memory memory(final Map<Long, Long> numbers, final Clock clock) {
+        return Continuity.moved(Continuity.renumbered(memory, numbers), clock::fromWallUs);
+    }
 }
--- a/courier/src/main/java/thistleturn/courier/warm/LearntFile.java
+++ b/courier/src/main/java/thistleturn/courier/warm/LearntFile.java
@@ -10,9 +10,12 @@
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.zip.CRC32C;
+import thistleturn.courier.handover.Continuity;
 import thistleturn.courier.handover.Inheritance;
 import thistleturn.courier.handover.Wire;
+import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Json;
 import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.Memory;
@@ -48,7 +51,18 @@
      * @param learnt its moments are in Unix time, us
      * @param takenWallUs when it was put down, Unix time, us
      */
-    public record Found(Inheritance learnt, long takenWallUs) { }
+    public record Found(Inheritance learnt, long takenWallUs) implements Continuity {
+        @Override
+        public List<Inheritance.Named> endpoints() {
+            return learnt.endpoints();
+        }
+
+        /** Its process has died: what it had learnt is as old as that. */
+        @Override
+        public Memory memory(final Map<Long, Long> numbers, final Clock clock) {
+            return learnt.memory(numbers, clock).aged(clock.fromWallUs(takenWallUs), clock.nowUs());
+        }
+    }
 
     /** The bytes of a file that tells what was learnt by now; null if it would be too large. */
     byte[] bytes(final Inheritance learnt, final long wallUs, final long upUs) {
--- a/eureka/src/test/java/thistleturn/membership/DirectoryContractTest.java
+++ b/eureka/src/test/java/thistleturn/membership/DirectoryContractTest.java
@@ -72,7 +72,7 @@
         loop.submit(() -> {
             directory = new Discovery(config, loop, clock);
             if (kind == Kind.MERGED) {
-                directory = new MergedDirectory(directory, new Surroundings(config, loop, clock, () -> null, () -> null),
+                directory = new MergedDirectory(directory, new Surroundings(config, loop, clock, () -> null, () -> null, null),
                         new MembershipSettings(Rules.standard(), List.of(), null));
             }
             directory.start((update, listings) -> {
