Replicas: the fleet holds what its couriers are told, over peers, with a folder

Need: an endpoint left out by hand was left out by one courier, a wait told to one was unknown to the others, and each met a destination's outage and return alone.

--- a/benchmarks/src/main/java/thistleturn/benchmarks/peers/MeasurePeersCost.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/peers/MeasurePeersCost.java
@@ -37,6 +37,9 @@
     @Option(names = "--rate", defaultValue = "200", description = "messages a second; ${DEFAULT-VALUE} unless told")
     private int rate;
 
+    @Option(names = "--replicas", description = "with replicas on, too")
+    private boolean replicas;
+
     /** Processor time, ticks, and resident memory, KB, of a process until now. */
     private record Use(double ticks, double residentKb) {
         static Use of(final long pid) throws IOException {
@@ -65,7 +68,7 @@
         final Path folder = Files.createTempDirectory("thistleturn-peers");
         final Schedule schedule = new Schedule(size, 1, seconds * 1000L, List.of());
         try (StandInWorld world = new StandInWorld(folder, 1);
-                RealFleet fleet = new RealFleet(folder, schedule, world.platform.address(), world.platform.known(), "", 5000)) {
+                RealFleet fleet = new RealFleet(folder, schedule, world.platform.address(), world.platform.known(), extra(), 5000)) {
             final Use[] before = new Use[size];
             final JsonNode[] pages = new JsonNode[size];
             fleet.whole(() -> {
@@ -117,7 +120,7 @@
                 world.platform.tell(endpoint, "Ready", 2000);
             }
             if (peers) {
-                try (RealFleet fleet = new RealFleet(folder, schedule, world.platform.address(), world.platform.known(), "", 5000)) {
+                try (RealFleet fleet = new RealFleet(folder, schedule, world.platform.address(), world.platform.known(), extra(), 5000)) {
                     fleet.whole(() -> load(world, fleet.process(0)));
                     fleet.play();
                     return report(world, "on");
@@ -134,6 +137,10 @@
         }
     }
 
+    private String extra() {
+        return replicas ? "[replicas]\nenabled = true\n" : "";
+    }
+
     private void load(final StandInWorld world, final ChildProcess courier) {
         final String ready = courier.await(line -> line.contains("is ready at "));
         world.client.courier(ready.substring(ready.lastIndexOf(' ') + 1));
--- /dev/null
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/replicas/package-info.java
@@ -0,0 +1,2 @@
+/** The tables of {@code docs/measurements/replicas.md}. */
+package thistleturn.benchmarks.replicas;
--- a/cli/src/main/java/thistleturn/cli/LanesCommand.java
+++ b/cli/src/main/java/thistleturn/cli/LanesCommand.java
@@ -9,6 +9,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
 
 /** How a running courier's destinations are, and why nothing goes there now. */
@@ -17,6 +18,8 @@
 final class LanesCommand implements Callable<Integer> {
     @Mixin
     private AdminOptions asked;
+    @Option(names = "--said", description = "and what binds each from outside: what, by whom, for how long")
+    private boolean said;
     @Spec
     private CommandSpec spec;
 
@@ -41,6 +44,19 @@
             }
         }
         Table.print(out, rows);
+        if (said) {
+            final List<String[]> words = new ArrayList<>();
+            words.add(new String[] {"DESTINATION", "ENDPOINT", "WHAT", "VALUE", "BY", "FOR S"});
+            for (final JsonNode lane : lanes) {
+                for (final JsonNode word : asked.wants(lane) ? lane.path("said") : lane.path("")) {
+                    words.add(new String[] {lane.path("destination").asText(), word.has("endpoint") ? word.path("endpoint").asText() : "-",
+                        word.path("what").asText(), word.path("value").asDouble() == 0 ? "-" : figure(word, "value", "%.2f"),
+                        word.path("by").asText(), word.has("for_s") ? figure(word, "for_s", "%.1f") : "until taken back"});
+                }
+            }
+            out.println();
+            Table.print(out, words);
+        }
         return 0;
     }
 
--- a/cli/src/main/java/thistleturn/cli/Main.java
+++ b/cli/src/main/java/thistleturn/cli/Main.java
@@ -7,7 +7,7 @@
 @Command(name = "thistleturn", mixinStandardHelpOptions = true, version = "thistleturn 0.2.0",
         description = "A courier that delivers messages to many outside destinations under six rules.",
         subcommands = {ServeCommand.class, CheckCommand.class, MembersCommand.class, LanesCommand.class, HealthCommand.class,
-            PeersCommand.class, DemoCommand.class,
+            PeersCommand.class, StateCommand.class, DemoCommand.class,
             CommandLine.HelpCommand.class},
         footer = {"", "  measure NAME   prints a table of docs/measurements (its own program; see measure --help)", "",
             "Exit codes: 0 done; 1 it failed, or a rule was broken; 2 the command or a file cannot be used."})
--- a/cli/src/main/java/thistleturn/cli/ProductExtension.java
+++ b/cli/src/main/java/thistleturn/cli/ProductExtension.java
@@ -13,12 +13,14 @@
 import thistleturn.membership.MembershipExtension;
 import thistleturn.membership.MembershipSettings;
 import thistleturn.peers.PeersExtension;
+import thistleturn.replicas.ReplicasExtension;
 
 /** All subsystems that a file switches on, as one extension of a courier. */
 final class ProductExtension implements Extension {
     private final ProductConfig config;
     private final MembershipExtension membership;
     private final PeersExtension peers;
+    private final ReplicasExtension replicas;
     private Surroundings surroundings;
 
     ProductExtension(final ProductConfig config, final Path file) {
@@ -32,6 +34,7 @@
             return fresh;
         });
         this.peers = config.peers() == null ? null : new PeersExtension(config.peers());
+        this.replicas = config.replicas() == null ? null : new ReplicasExtension(config.replicas(), peers);
     }
 
     @Override
@@ -47,6 +50,10 @@
             membership.ready(address);
             pages.put("/members", membership::status);
         }
+        if (replicas != null) {
+            replicas.surroundings(surroundings);
+            pages.put("/state", replicas::status);
+        }
         if (peers != null) {
             peers.begin(surroundings);
             pages.put("/peers", peers::status);
@@ -63,6 +70,9 @@
         if (membership != null) {
             membership.stopping();
         }
+        if (replicas != null) {
+            replicas.leave();
+        }
         if (peers != null) {
             // Now, so that a newer process of this courier may listen there.
             peers.leave();
--- a/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
+++ b/cli/src/main/java/thistleturn/cli/config/ProductConfig.java
@@ -19,11 +19,13 @@
 import thistleturn.courier.runtime.Config;
 import thistleturn.decisions.membership.Rules;
 import thistleturn.decisions.peers.PeerRules;
+import thistleturn.decisions.replicas.ReplicaRules;
 import thistleturn.eureka.MetadataNames;
 import thistleturn.eureka.RegistrationSettings;
 import thistleturn.eureka.RegistrySettings;
 import thistleturn.membership.MembershipSettings;
 import thistleturn.peers.PeersSettings;
+import thistleturn.replicas.ReplicasSettings;
 
 /**
  * The product's own settings, from a TOML file. Every subsystem is off unless its table says {@code enabled = true}; a
@@ -32,9 +34,11 @@
  * @param admin where operators ask a running courier, or null
  * @param membership registries beside the platform's list, or null
  * @param peers the fleet that it belongs to, or null
+ * @param replicas how it takes part in holding the fleet's state, or null
  * @param tuning how large the courier is made
  */
-public record ProductConfig(InetSocketAddress admin, MembershipSettings membership, PeersSettings peers, Tuning tuning) {
+public record ProductConfig(InetSocketAddress admin, MembershipSettings membership, PeersSettings peers, ReplicasSettings replicas,
+                            Tuning tuning) {
     private static final Pattern URL = Pattern.compile("http://([^/:\\s]+):(\\d{1,5})((?:/[^\\s?#]*)?)");
     private static final Pattern SCOPE = Pattern.compile("(apps|vips|svips)/[A-Za-z0-9._-]+");
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
@@ -43,7 +47,7 @@
 
     /** Everything off. */
     public static ProductConfig off() {
-        return new ProductConfig(null, null, null, Tuning.platform());
+        return new ProductConfig(null, null, null, null, Tuning.platform());
     }
 
     /**
@@ -67,9 +71,10 @@
         final InetSocketAddress admin = admin(table.table("admin"));
         final MembershipSettings membership = membership(table.table("membership"));
         final PeersSettings peers = peers(table.table("peers"));
+        final ReplicasSettings replicas = replicas(table.table("replicas"), peers);
         final Tuning tuning = tuning(table.table("front"), table.table("shards"), table.table("memory"));
         table.finish();
-        return new ProductConfig(admin, membership, peers, tuning);
+        return new ProductConfig(admin, membership, peers, replicas, tuning);
     }
 
     private static Tuning tuning(final StrictTable front, final StrictTable shards, final StrictTable memory) {
@@ -144,6 +149,19 @@
         return enabled ? new PeersSettings(address, seeds, key, PeerRules.usual().withDeadUs(deadUs), via) : null;
     }
 
+    private static ReplicasSettings replicas(final StrictTable table, final PeersSettings peers) {
+        final boolean enabled = table.flag("enabled", false);
+        final boolean maintenance = table.flag("maintenance", true);
+        final boolean waits = table.flag("waits", true);
+        final boolean outages = table.flag("outages", true);
+        final boolean limits = table.flag("limits", true);
+        table.finish();
+        if (enabled && peers == null) {
+            throw table.wrong("enabled", true, "peers.enabled = true beside it: what is held by the fleet travels with peers");
+        }
+        return enabled ? new ReplicasSettings(ReplicaRules.usual(), maintenance, waits, outages, limits) : null;
+    }
+
     private static MembershipSettings membership(final StrictTable table) {
         final boolean enabled = table.flag("enabled", false);
         final long disagreementUs = table.durationUs("disagreement", "60s", "0s", "1h");
--- a/lab/src/main/java/thistleturn/lab/fleet/Member.java
+++ b/lab/src/main/java/thistleturn/lab/fleet/Member.java
@@ -13,6 +13,7 @@
 import thistleturn.decisions.Courier.Result;
 import thistleturn.decisions.LaneView;
 import thistleturn.decisions.health.OwnHealth;
+import thistleturn.decisions.words.Word;
 import thistleturn.lab.fleet.FleetTally.Count;
 import thistleturn.lab.model.Fate;
 
@@ -52,6 +53,9 @@
     private long watchedUntilUs;
     private long thawedUs = Long.MIN_VALUE / 2;
     private final Set<Integer> sentOut = new HashSet<>();
+    /** Destinations that it was last known to be out for, and at which count of turns that was looked at. */
+    private final Set<Integer> out = new HashSet<>();
+    private long toldTurns;
     private final Map<String, Open> open = new LinkedHashMap<>();
     private final Map<Long, Integer> idle = new HashMap<>();
     private final Map<Integer, Long> waitUntilUs = new HashMap<>();
@@ -79,6 +83,11 @@
         leaving = false;
         courier.onList(now(), Courier.Update.RESTORED, fleet.list());
         open.values().forEach(one -> courier.onResumed(now(), one.message(), one.past()));
+        toldTurns = 0;
+        out.clear();
+        if (fleet.commons != null) {
+            fleet.commons.begins(index);
+        }
         touched = true;
     }
 
@@ -191,11 +200,43 @@
         touched = false;
         courier.decide(now());
         watchLanes();
+        turned(true);
         final Map<Long, List<Open>> sends = new LinkedHashMap<>(outbox);
         outbox.clear();
         sends.forEach(this::call);
     }
 
+    /** Something is said to its decisions by others. */
+    void say(final int destination, final Word word) {
+        if (courier instanceof Control control && !frozen && control.onWord(now(), destination, word)) {
+            turned(false);
+            touched = true;
+        }
+    }
+
+    /** Looks which destinations are out; what it found out by itself it tells. */
+    private void turned(final boolean tells) {
+        if (fleet.commons == null || !(courier instanceof Control control) || control.turns() == toldTurns) {
+            return;
+        }
+        toldTurns = control.turns();
+        for (final LaneView lane : control.lanes()) {
+            final int destination = (int) lane.destination();
+            final boolean isOut = lane.phase().equals("OUT");
+            if ((isOut ? out.add(destination) : out.remove(destination)) && tells) {
+                fleet.commons.turned(index, destination, isOut);
+            }
+        }
+    }
+
+    /** What a refusal taught it goes to the others: the rate that it keeps to since. */
+    private void learnt(final int destination) {
+        if (fleet.commons != null && courier instanceof Control control) {
+            control.lanes().stream().filter(lane -> lane.destination() == destination && Double.isFinite(lane.spacingPerSecond()))
+                    .forEach(lane -> fleet.commons.learnt(index, destination, lane.spacingPerSecond()));
+        }
+    }
+
     private long now() {
         return fleet.agenda.nowUs();
     }
@@ -327,6 +368,9 @@
         }
         if (waitUs > 0) {
             waitUntilUs.merge(VirtualFleet.destination(call.endpoint), now() + waitUs, Math::max);
+            if (fleet.commons != null) {
+                fleet.commons.waits(index, VirtualFleet.destination(call.endpoint), now() + waitUs);
+            }
         }
         for (final Open one : call.messages) {
             one.out = null;
@@ -338,6 +382,9 @@
             courier.onOutcome(now(), new Courier.Outcome(one.id, result, delivered, call.endpoint,
                     measured ? now() - call.sentUs : -1, waitUs, null));
         }
+        if (result == Result.REFUSED && waitUs == 0) {
+            learnt(VirtualFleet.destination(call.endpoint));
+        }
         touched = true;
     }
 
--- a/lab/src/main/java/thistleturn/lab/fleet/VirtualFleet.java
+++ b/lab/src/main/java/thistleturn/lab/fleet/VirtualFleet.java
@@ -6,6 +6,7 @@
 import java.util.random.RandomGeneratorFactory;
 import thistleturn.decisions.Courier;
 import thistleturn.lab.virtual.Agenda;
+import thistleturn.decisions.words.Word;
 import thistleturn.lab.virtual.VirtualCourier;
 
 /**
@@ -57,8 +58,11 @@
     /** Whether couriers know of their own health; without, they judge by the clock alone. */
     final boolean feels;
     private int messages;
+    /** What couriers tell each other; null: nothing. */
+    final Commons commons;
 
-    private VirtualFleet(final FleetDay day, final long seed, final VirtualCourier.Maker maker, final boolean feels) {
+    private VirtualFleet(final FleetDay day, final long seed, final VirtualCourier.Maker maker, final boolean feels,
+            final Sharing sharing) {
         this.day = day;
         this.feels = feels;
         this.random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
@@ -72,6 +76,7 @@
         for (int index = 0; index < day.couriers(); index++) {
             members.add(new Member(this, index));
         }
+        this.commons = sharing.kinds().isEmpty() ? null : new Commons(this, sharing, day.couriers(), seed);
     }
 
     /** Plays a day to its end. */
@@ -81,11 +86,27 @@
 
     /** The same, with couriers that ({@code feels}) know of their own health or do not. */
     public static FleetTally play(final FleetDay day, final long seed, final VirtualCourier.Maker maker, final boolean feels) {
-        final VirtualFleet fleet = new VirtualFleet(day, seed, maker, feels);
+        return play(day, seed, maker, feels, Sharing.NOTHING);
+    }
+
+    /** The same, with couriers that share what they are told and have learnt. */
+    public static FleetTally play(final FleetDay day, final long seed, final VirtualCourier.Maker maker, final boolean feels,
+            final Sharing sharing) {
+        final VirtualFleet fleet = new VirtualFleet(day, seed, maker, feels, sharing);
         fleet.run();
         return fleet.tally;
     }
 
+    /** True while a courier's process runs. */
+    boolean isRunning(final int courier) {
+        return members.get(courier).isUp();
+    }
+
+    /** Says something to one courier's decisions. */
+    void say(final int courier, final int destination, final Word word) {
+        members.get(courier).say(destination, word);
+    }
+
     private void run() {
         members.forEach(Member::start);
         agenda.at(START_US, this::arrive);
--- a/peers/src/main/java/thistleturn/peers/Codec.java
+++ b/peers/src/main/java/thistleturn/peers/Codec.java
@@ -35,6 +35,8 @@
     private static final Pattern ADDRESS = Pattern.compile("(25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}:"
             + "(6553[0-5]|655[0-2]\\d|65[0-4]\\d\\d|6[0-4]\\d{3}|[1-5]\\d{4}|[1-9]\\d{0,3})");
     private static final int FIRST_BYTES = 512;
+    /** What no array begins with: a stop code (RFC 8949, table 5). A reader of version 1 takes it for malformed, and for nothing else. */
+    private static final byte CARGO_MARK = (byte) 0xFF;
 
     private final CBORFactory factory = new CBORFactory();
 
@@ -98,6 +100,39 @@
         });
     }
 
+    /** What a passenger sends: in a datagram behind {@link #CARGO_MARK}, which begins no packet; in a frame of its own kind. */
+    byte[] write(final Cargo cargo) {
+        final byte[] array = bytes(out -> {
+            out.writeStartArray();
+            out.writeNumber(VERSION);
+            id(out, cargo.sender());
+            out.writeString(cargo.address());
+            out.writeNumber(cargo.seq());
+            out.writeBinary(cargo.text());
+            out.writeEndArray();
+        });
+        final byte[] marked = new byte[array.length + 1];
+        marked[0] = CARGO_MARK;
+        System.arraycopy(array, 0, marked, 1, array.length);
+        return marked;
+    }
+
+    /** True for what {@link #write(Cargo)} wrote. */
+    static boolean isCargo(final byte[] text) {
+        return text.length > 0 && text[0] == CARGO_MARK;
+    }
+
+    /** Reads what a passenger sent. */
+    Cargo cargo(final byte[] text) throws IOException {
+        try (Reading in = new Reading(factory.createParser(text, 1, text.length - 1))) {
+            in.begin();
+            in.version();
+            final Cargo cargo = new Cargo(in.id(), in.address(), in.number(), in.binary());
+            in.end();
+            return cargo;
+        }
+    }
+
     /** A frame's text: a greeting. */
     byte[] write(final PeerId greeting) {
         return bytes(out -> {
@@ -387,6 +422,13 @@
             return token == JsonToken.VALUE_TRUE;
         }
 
+        byte[] binary() throws IOException {
+            if (next() != JsonToken.VALUE_EMBEDDED_OBJECT) {
+                throw new MalformedException("expected bytes, not " + in.currentToken());
+            }
+            return in.getBinaryValue();
+        }
+
         private Member memberAfter(final JsonToken token) throws IOException {
             if (token != JsonToken.START_ARRAY) {
                 throw new MalformedException("expected a member, not " + token);
--- a/peers/src/main/java/thistleturn/peers/Connections.java
+++ b/peers/src/main/java/thistleturn/peers/Connections.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -54,6 +55,7 @@
     private final Function<String, InetSocketAddress> way;
     private final Told told;
     private final Consumer<Full> fulls;
+    private final Consumer<Cargo> cargoes;
     private final Map<String, Outgoing> outgoing = new HashMap<>();
     private final Set<Channel> accepted = new HashSet<>();
     private Channel listener;
@@ -61,7 +63,8 @@
     private boolean ending;
 
     Connections(final EventLoop loop, final Codec codec, final Seal seal, final Supplier<PeerId> self,
-                final Function<String, InetSocketAddress> way, final Told told, final Consumer<Full> fulls) {
+                final Function<String, InetSocketAddress> way, final Told told, final Consumer<Full> fulls,
+                final Consumer<Cargo> cargoes) {
         this.loop = loop;
         this.codec = codec;
         this.seal = seal;
@@ -69,6 +72,7 @@
         this.way = way;
         this.told = told;
         this.fulls = fulls;
+        this.cargoes = cargoes;
     }
 
     /** Listens there. */
@@ -120,6 +124,8 @@
                 greeted = true;
             } else if (kind == FULL) {
                 fulls.accept(codec.full(text));
+            } else if (kind == CARGO) {
+                cargoes.accept(codec.cargo(text));
             }
         }
 
@@ -133,12 +139,13 @@
     private final class Outgoing extends Frames {
         private final String to;
         private final boolean kept;
-        private Full burden;
+        /** What goes out as soon as it is greeted, and ends it; null for one that is kept. */
+        private ByteBuf burden;
         private Channel channel;
         private boolean greeted;
         private boolean over;
 
-        Outgoing(final String to, final boolean kept, final Full burden) {
+        Outgoing(final String to, final boolean kept, final ByteBuf burden) {
             super(seal);
             this.to = to;
             this.kept = kept;
@@ -175,6 +182,10 @@
                 return;
             }
             over = true;
+            if (burden != null) {
+                burden.release();
+                burden = null;
+            }
             channel.close();
             if (kept && outgoing.remove(to, this) && !ending) {
                 if (byWord) {
@@ -201,7 +212,7 @@
                 greeted = true;
                 final PeerId by = codec.greeting(text);
                 if (burden != null) {
-                    carry(burden);
+                    context.writeAndFlush(burden);
                     burden = null;
                 }
                 if (!kept) {
@@ -213,13 +224,6 @@
             }
         }
 
-        private void carry(final Full full) {
-            final byte[] text = codec.write(full);
-            if (text.length < MOST_BYTES / 2) {
-                channel.writeAndFlush(frame(seal, FULL, text));
-            }
-        }
-
         @Override
         void malformed() {
             malformed++;
@@ -245,16 +249,30 @@
         }
     }
 
-    /** Sends a full state over the kept connection, or over one that is made for it. */
+    /** Sends a full state. */
     void full(final String to, final Full full) {
-        if (ending) {
+        carry(to, Frames.FULL, codec.write(full));
+    }
+
+    /** Sends what a passenger has. */
+    void cargo(final String to, final Cargo cargo) {
+        carry(to, Frames.CARGO, codec.write(cargo));
+    }
+
+    /** Over the kept connection, or over one that is made for it; what is too long for a frame is lost. */
+    private void carry(final String to, final byte kind, final byte[] text) {
+        if (ending || text.length >= Frames.MOST_BYTES / 2) {
             return;
         }
         final Outgoing kept = outgoing.get(to);
-        if (kept != null && kept.greeted) {
-            kept.carry(full);
+        final ByteBuf frame = Frames.frame(seal, kind, text);
+        if (kept == null || !kept.greeted) {
+            new Outgoing(to, false, frame).begin();
+        } else if (kept.channel.isWritable()) {
+            kept.channel.writeAndFlush(frame);
         } else {
-            new Outgoing(to, false, full).begin();
+            // Whoever reads so slowly is told again later.
+            frame.release();
         }
     }
 
--- a/peers/src/main/java/thistleturn/peers/Datagrams.java
+++ b/peers/src/main/java/thistleturn/peers/Datagrams.java
@@ -30,6 +30,7 @@
     private final Seal seal;
     private final Clock clock;
     private final Consumer<Packet> consumer;
+    private final Consumer<Cargo> cargoes;
     private Channel channel;
     private long secondUs;
     private int inSecond;
@@ -39,11 +40,12 @@
     private long read;
     private long tooLarge;
 
-    Datagrams(final Codec codec, final Seal seal, final Clock clock, final Consumer<Packet> consumer) {
+    Datagrams(final Codec codec, final Seal seal, final Clock clock, final Consumer<Packet> consumer, final Consumer<Cargo> cargoes) {
         this.codec = codec;
         this.seal = seal;
         this.clock = clock;
         this.consumer = consumer;
+        this.cargoes = cargoes;
     }
 
     /** Listens there. */
@@ -57,7 +59,16 @@
 
     /** Sends, or loses, one. */
     void send(final InetSocketAddress to, final Packet packet) {
-        final byte[] sealed = seal.close(codec.write(packet));
+        send(to, codec.write(packet));
+    }
+
+    /** Sends, or loses, what a passenger has. */
+    void send(final InetSocketAddress to, final Cargo cargo) {
+        send(to, codec.write(cargo));
+    }
+
+    private void send(final InetSocketAddress to, final byte[] text) {
+        final byte[] sealed = seal.close(text);
         if (sealed.length > MOST_BYTES) {
             tooLarge++;
             return;
@@ -89,14 +100,21 @@
             return;
         }
         final Packet packet;
+        final Cargo cargo;
         try {
-            packet = codec.packet(text);
+            final boolean isCargo = Codec.isCargo(text);
+            cargo = isCargo ? codec.cargo(text) : null;
+            packet = isCargo ? null : codec.packet(text);
         } catch (final IOException e) {
             malformed++;
             return;
         }
         read++;
-        consumer.accept(packet);
+        if (cargo != null) {
+            cargoes.accept(cargo);
+        } else {
+            consumer.accept(packet);
+        }
     }
 
     /** An address at which nobody listens says so on the next send: the connections tell that better. */
--- a/peers/src/main/java/thistleturn/peers/Frames.java
+++ b/peers/src/main/java/thistleturn/peers/Frames.java
@@ -18,6 +18,7 @@
     static final int MOST_BYTES = 1 << 20;
     static final byte GREETING = 1;
     static final byte FULL = 2;
+    static final byte CARGO = 3;
     private static final int LENGTH_BYTES = 4;
 
     private final Seal seal;
--- a/peers/src/main/java/thistleturn/peers/PeersExtension.java
+++ b/peers/src/main/java/thistleturn/peers/PeersExtension.java
@@ -7,6 +7,7 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.CourierProcess.Surroundings;
 import thistleturn.courier.runtime.Config;
@@ -41,6 +42,9 @@
     private long endedBefore;
     private long endedUs;
     private boolean complained;
+    private final Arrivals arrivals = new Arrivals();
+    private Passenger passenger;
+    private long cargoes;
     private boolean left;
 
     /** With settings that hold until the next start. */
@@ -69,9 +73,9 @@
         }
         final Codec codec = new Codec();
         final Seal seal = new Seal(settings.fleetKey());
-        final Datagrams nextDatagrams = new Datagrams(codec, seal, surroundings.clock(), this::onPacket);
+        final Datagrams nextDatagrams = new Datagrams(codec, seal, surroundings.clock(), this::onPacket, this::onCargo);
         final Connections nextConnections = new Connections(surroundings.loop(), codec, seal, () -> peers.self(), this::way, new Told(),
-                this::onFull);
+                this::onFull, this::onCargo);
         nextDatagrams.bind(surroundings.loop(), settings.listen()).addListener(first -> {
             if (!first.isSuccess()) {
                 again(first, nextDatagrams, nextConnections);
@@ -117,6 +121,9 @@
         endedUs = nowUs;
         Log.info("peers: " + kept + " listens at " + address());
         tick();
+        if (passenger != null) {
+            passenger.begin();
+        }
     }
 
     private final class Out implements Peers.Out {
@@ -175,6 +182,40 @@
         }
     }
 
+    /** What travels with the exchange from now on; one at most. To be told before {@link #begin}. */
+    public void carry(final Passenger with) {
+        passenger = with;
+    }
+
+    private void onCargo(final Cargo cargo) {
+        if (peers != null && !left && passenger != null && peers.isLiving(cargo.sender()) && arrivals.isNew(cargo.sender(), cargo.seq())) {
+            passenger.received(cargo.address(), cargo.text());
+        }
+    }
+
+    /** Sends a datagram of a passenger's, which may be lost. */
+    public void send(final String to, final byte[] text) {
+        if (peers != null && !left) {
+            datagrams.send(way(to), cargo(text));
+        }
+    }
+
+    /** Sends it over a connection; it is lost if that ends before. */
+    public void sendSurely(final String to, final byte[] text) {
+        if (peers != null && !left) {
+            connections.cargo(to, cargo(text));
+        }
+    }
+
+    private Cargo cargo(final byte[] text) {
+        return new Cargo(peers.self(), address(), ++cargoes, text);
+    }
+
+    /** Where the others are who live, as far as is known, by name. */
+    public Map<String, String> others() {
+        return peers == null ? Map.of() : peers.addresses();
+    }
+
     private void tick() {
         if (left) {
             return;
--- a/testkit/src/main/java/thistleturn/testkit/StandInWorld.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInWorld.java
@@ -67,6 +67,11 @@
         }, delayUs, TimeUnit.MICROSECONDS);
     }
 
+    /** A further client, of another courier of the same fleet; to be closed by whoever asks. */
+    public StandInClient client(final String prefix) {
+        return new StandInClient(group, prefix, auditor, ticks);
+    }
+
     /** A further registry. */
     public StandInRegistry registry() {
         final StandInRegistry further = new StandInRegistry(group);
@@ -105,13 +110,18 @@
 
     /** Hands in so many messages a second, to each destination in turn, until {@link #stopLoad}. */
     public void load(final double perSecond, final long timeoutMs, final long... destinations) {
+        load(client, perSecond, timeoutMs, destinations);
+    }
+
+    /** The same by a further client. */
+    public void load(final StandInClient by, final double perSecond, final long timeoutMs, final long... destinations) {
         loading = true;
         final long gapUs = (long) (1_000_000 / perSecond);
         final long beganUs = ticks.nowUs();
-        group.next().execute(() -> handIn(beganUs, 0, gapUs, timeoutMs, destinations));
+        group.next().execute(() -> handIn(by, beganUs, 0, gapUs, timeoutMs, destinations));
     }
 
-    private void handIn(final long beganUs, final long number, final long gapUs, final long timeoutMs,
+    private void handIn(final StandInClient by, final long beganUs, final long number, final long gapUs, final long timeoutMs,
             final long[] destinations) {
         if (!loading) {
             return;
@@ -119,12 +129,12 @@
         long next = number;
         // The pace is that of the clock: what a late timer missed is handed in at once.
         while (beganUs + next * gapUs <= ticks.nowUs()) {
-            client.handIn(CLASSES[random.nextInt(CLASSES.length)],
+            by.handIn(CLASSES[random.nextInt(CLASSES.length)],
                     destinations[(int) (next % destinations.length)], timeoutMs);
             next++;
         }
         final long then = next;
-        group.next().schedule(() -> handIn(beganUs, then, gapUs, timeoutMs, destinations),
+        group.next().schedule(() -> handIn(by, beganUs, then, gapUs, timeoutMs, destinations),
                 Math.max(1, beganUs + then * gapUs - ticks.nowUs()), TimeUnit.MICROSECONDS);
     }
 
--- a/testkit/src/main/java/thistleturn/testkit/rig/RealFleet.java
+++ b/testkit/src/main/java/thistleturn/testkit/rig/RealFleet.java
@@ -21,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -55,6 +56,7 @@
     private final List<String> names;
     private final int[] listens;
     private final int[] admins;
+    private final int[] operators;
     private final ChildProcess[] processes;
     private final boolean[] asked;
     private final boolean[] stopped;
@@ -71,6 +73,7 @@
     /** Those that were asked to end, and may still be at it. */
     private final List<ChildProcess> ending = new ArrayList<>();
     private Step onWhole = () -> { };
+    private final List<Due> steps = new ArrayList<>();
     private long beganNs;
 
     /**
@@ -91,9 +94,11 @@
         this.names = IntStream.range(0, members).mapToObj(number -> String.format("n%02d", number)).toList();
         this.listens = new int[members];
         this.admins = new int[members];
+        this.operators = new int[members];
         for (int number = 0; number < members; number++) {
             listens[number] = freePort();
             admins[number] = freePort();
+            operators[number] = freePort();
         }
         this.processes = new ChildProcess[members];
         this.asked = new boolean[members];
@@ -157,8 +162,9 @@
                 via = [%s]
                 %s
                 """.formatted(admins[number], listens[number], seeds, KEY, via, extra));
-        final Map<String, String> environment = CourierFiles.write(home, names.get(number), discovery, known,
-                CourierFiles.Size.usual());
+        final Map<String, String> environment = new HashMap<>(CourierFiles.write(home, names.get(number), discovery, known,
+                CourierFiles.Size.usual()));
+        environment.put("PROXY_OPERATOR", "127.0.0.1:" + operators[number]);
         processes[number] = ChildProcess.java(environment, "", "thistleturn.cli.Main", "serve", "--config", file.toString());
         lastSeen[number] = "";
         asked[number] = false;
@@ -184,6 +190,11 @@
         onWhole = step;
     }
 
+    /** Has something done at a moment of the schedule, beside its faults. */
+    public void at(final long ms, final Step step) {
+        steps.add(new Due(ms, step));
+    }
+
     /** Starts all, waits until they agree, and plays the schedule from then on. */
     public FleetJudge play() throws IOException {
         beganNs = System.nanoTime();
@@ -194,6 +205,7 @@
         onWhole.take();
         final long zeroMs = nowMs();
         final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparingLong(Due::atMs));
+        steps.forEach(step -> due.add(new Due(zeroMs + step.atMs(), step.step())));
         for (final Fault fault : schedule.faults()) {
             due.add(new Due(zeroMs + fault.atMs(), () -> begin(fault, zeroMs, due)));
         }
@@ -380,6 +392,45 @@
         return "127.0.0.1:" + admins[number];
     }
 
+    /** Its address for operators' calls. */
+    public String operator(final int number) {
+        return "127.0.0.1:" + operators[number];
+    }
+
+    /** Where it takes clients; null while it does not run, or has not said so yet. */
+    public synchronized String serves(final int number) {
+        return processes[number] == null ? null : processes[number].lines().stream().filter(line -> line.contains("is ready at "))
+                .map(line -> line.substring(line.lastIndexOf("is ready at ") + "is ready at ".length()).split(" ")[0]).findFirst().orElse(null);
+    }
+
+    /** One page of a courier's, as it is now; null if none is to be had within 2 s. */
+    public JsonNode ask(final int number, final String page) {
+        try {
+            final HttpResponse<String> answer = http.send(HttpRequest.newBuilder(URI.create("http://" + admin(number) + "/" + page))
+                    .timeout(Duration.ofSeconds(2)).build(), HttpResponse.BodyHandlers.ofString());
+            return answer.statusCode() == 200 ? json.readTree(answer.body()) : null;
+        } catch (final IOException e) {
+            return null;
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return null;
+        }
+    }
+
+    /** An operator leaves an endpoint out, or lets it serve, at one courier; true if that was answered with a yes. */
+    public boolean maintain(final int number, final String endpoint, final boolean leaveOut) {
+        try {
+            return http.send(HttpRequest.newBuilder(URI.create("http://" + operator(number) + "/-/endpoints/" + endpoint
+                    + (leaveOut ? "/disable" : "/enable"))).timeout(Duration.ofSeconds(2)).POST(HttpRequest.BodyPublishers.noBody()).build(),
+                    HttpResponse.BodyHandlers.ofString()).statusCode() == 200;
+        } catch (final IOException e) {
+            return false;
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     /** The process, or null while it does not run. */
     public synchronized ChildProcess process(final int number) {
         return processes[number];
