News of a kind go out before those that can wait; judge in parts by outcome

Cause: verify failed in VirtualReplicasTest: a word by hand was heard after 1.4 s while a hundred thousand list entries were spread: fresh entries went out in the order they were made, 2 MB at 32 KB/s. A planted fault took 100 s, since each hop made another writer of its own.

Change: fresh entries go out by kind, maintenance first; 2,048 of a kind at most, the rest is found by comparing. The planted mix-up names one writer.

--- a/decisions/src/main/java/thistleturn/decisions/Judgement.java
+++ b/decisions/src/main/java/thistleturn/decisions/Judgement.java
@@ -50,85 +50,99 @@
         // A wait may stand in any answer, also one that delivers some of a call's messages.
         lane.waitUntilUs = Math.max(lane.waitUntilUs, state.nowUs + outcome.waitUs());
         switch (outcome.result()) {
-            case DELIVERED -> {
-                final double ratio = state.times.learn(lane, kind, outcome.durationUs());
-                lane.ratioSum += ratio;
-                lane.delivered++;
-                lane.served += part;
-                node.served(kind, state.nowUs, outcome.durationUs());
-                if (state.learns) {
-                    readServed(lane, call, part, ratio);
-                }
-                lane.badRun = 0;
-                lane.stretch = Math.max(1, lane.stretch - STRETCH * Window.SAMPLE_WEIGHT);
-                lane.failShare -= part * FAIL_WEIGHT * lane.failShare;
-                if (lane.phase == Phase.OUT) {
-                    ramp(lane);
-                }
-                lane.troubleFromUs = Control.NEVER;
-            }
+            case DELIVERED -> delivered(node, call, kind, part, outcome.durationUs());
             case REFUSED -> {
                 if (state.learns && outcome.waitUs() == 0 && isStray(lane, node, job, call)) {
-                    lane.troubleFromUs = first ? Control.NEVER : lane.troubleFromUs;
-                    return;
+                    asBefore(lane, first);
+                } else {
+                    refused(lane, call, part, outcome.waitUs());
                 }
-                lane.bad += part;
-                lane.refused++;
-                lane.share.refused(state.nowUs);
-                final long fromUs = Math.max(state.nowUs, lane.waitUntilUs);
-                final long gapUs = state.pace.patienceUs(lane, fromUs);
-                lane.pauseUntilUs = fromUs + (outcome.waitUs() > 0 ? (long) (state.random.nextDouble() * gapUs)
-                        : state.pace.jitter(gapUs));
-                final boolean same = state.learns && lane.isSameSign(call.sentUs, state.nowUs);
-                suspect(lane, outcome.waitUs() > LIMIT_WAIT_US ? OUT_WEIGHT
-                        : same ? 0 : part * REFUSED_WEIGHT);
             }
             case ERROR -> {
                 lane.errors += part;
                 lane.failShare += part * FAIL_WEIGHT * (1 - lane.failShare);
                 suspect(lane, part * ERROR_WEIGHT);
             }
-            case TIMED_OUT, RESET, NO_CONNECTION, CANCELLED, STALE -> {
-                final Result how = outcome.result();
-                call.stale |= call.wasDead(how, node.badRun[kind]);
-                if (call.stale) {
-                    // A kept connection was dead: that says nothing of its endpoint, but of others like it.
-                    lane.troubleFromUs = first ? Control.NEVER : lane.troubleFromUs;
-                    node.badRun[kind] += how == Result.STALE ? 0 : part;
-                    node.connections = 0;
-                    state.actions.closeIdle(node.entry.id());
-                    return;
-                }
-                if (state.learns && call.isSingle(kind, how)) {
-                    lane.troubleFromUs = first ? Control.NEVER : lane.troubleFromUs;
-                    node.badRun[kind] += part;
-                    node.connections -= call.messages == 0 ? Math.min(1, node.connections) : 0;
-                    lane.failShare += part * FAIL_WEIGHT * (1 - lane.failShare);
-                    suspect(lane, part);
-                    return;
-                }
-                lane.bad += part;
-                if (how == Result.TIMED_OUT || how == Result.CANCELLED) {
-                    lane.stretch = STRETCH;
-                }
-                if (first && !call.calledOff && how != Result.NO_CONNECTION) {
-                    idle.died(call);
-                }
-                node.badRun[kind] += part;
-                if (node.lastServedUs < call.sentUs) {
-                    Arrays.fill(node.avoidUntilUs, state.nowUs + state.pace.jitter(AVOID_US));
-                }
-                node.avoidUntilUs[kind] = state.nowUs + state.pace.jitter(AVOID_US);
-                node.connections -= call.messages == 0 ? Math.min(1, node.connections) : 0;
-                if (how != Result.NO_CONNECTION || node.lastServedUs <= call.sentUs) {
-                    lane.failShare += part * FAIL_WEIGHT * (1 - lane.failShare);
-                    if (lane.failShare > Call.SINGLE_SHARE) {
-                        lane.growth.crowded();
-                    }
-                    suspect(lane, part);
-                }
+            case TIMED_OUT, RESET, NO_CONNECTION, CANCELLED, STALE -> failed(node, call, kind, part, outcome.result(), first);
+            case NOT_SENT -> asBefore(lane, first);
+        }
+    }
+
+    /** It was no sign of trouble; {@code first}: nor was there any before. */
+    private static void asBefore(final Lane lane, final boolean first) {
+        lane.troubleFromUs = first ? Control.NEVER : lane.troubleFromUs;
+    }
+
+    private void delivered(final Node node, final Call call, final int kind, final double part, final long durationUs) {
+        final Lane lane = node.lane;
+        final double ratio = state.times.learn(lane, kind, durationUs);
+        lane.ratioSum += ratio;
+        lane.delivered++;
+        lane.served += part;
+        node.served(kind, state.nowUs, durationUs);
+        if (state.learns) {
+            readServed(lane, call, part, ratio);
+        }
+        lane.badRun = 0;
+        lane.stretch = Math.max(1, lane.stretch - STRETCH * Window.SAMPLE_WEIGHT);
+        lane.failShare -= part * FAIL_WEIGHT * lane.failShare;
+        if (lane.phase == Phase.OUT) {
+            ramp(lane);
+        }
+        lane.troubleFromUs = Control.NEVER;
+    }
+
+    /** A refusal that is heeded: a pause for the lane, and a step towards an outage unless it says the same as one before. */
+    private void refused(final Lane lane, final Call call, final double part, final long waitUs) {
+        lane.bad += part;
+        lane.refused++;
+        lane.share.refused(state.nowUs);
+        final long fromUs = Math.max(state.nowUs, lane.waitUntilUs);
+        final long gapUs = state.pace.patienceUs(lane, fromUs);
+        lane.pauseUntilUs = fromUs + (waitUs > 0 ? (long) (state.random.nextDouble() * gapUs) : state.pace.jitter(gapUs));
+        final boolean same = state.learns && lane.isSameSign(call.sentUs, state.nowUs);
+        suspect(lane, waitUs > LIMIT_WAIT_US ? OUT_WEIGHT : same ? 0 : part * REFUSED_WEIGHT);
+    }
+
+    /** Nobody answered, or a connection broke: of a kept one that was dead, of a single call, or of its endpoint and lane. */
+    private void failed(final Node node, final Call call, final int kind, final double part, final Result how, final boolean first) {
+        final Lane lane = node.lane;
+        call.stale |= call.wasDead(how, node.badRun[kind]);
+        if (call.stale) {
+            // A kept connection was dead: that says nothing of its endpoint, but of others like it.
+            asBefore(lane, first);
+            node.badRun[kind] += how == Result.STALE ? 0 : part;
+            node.connections = 0;
+            state.actions.closeIdle(node.entry.id());
+            return;
+        }
+        if (state.learns && call.isSingle(kind, how)) {
+            asBefore(lane, first);
+            node.badRun[kind] += part;
+            node.connections -= call.messages == 0 ? Math.min(1, node.connections) : 0;
+            lane.failShare += part * FAIL_WEIGHT * (1 - lane.failShare);
+            suspect(lane, part);
+            return;
+        }
+        lane.bad += part;
+        if (how == Result.TIMED_OUT || how == Result.CANCELLED) {
+            lane.stretch = STRETCH;
+        }
+        if (first && !call.calledOff && how != Result.NO_CONNECTION) {
+            idle.died(call);
+        }
+        node.badRun[kind] += part;
+        if (node.lastServedUs < call.sentUs) {
+            Arrays.fill(node.avoidUntilUs, state.nowUs + state.pace.jitter(AVOID_US));
+        }
+        node.avoidUntilUs[kind] = state.nowUs + state.pace.jitter(AVOID_US);
+        node.connections -= call.messages == 0 ? Math.min(1, node.connections) : 0;
+        if (how != Result.NO_CONNECTION || node.lastServedUs <= call.sentUs) {
+            lane.failShare += part * FAIL_WEIGHT * (1 - lane.failShare);
+            if (lane.failShare > Call.SINGLE_SHARE) {
+                lane.growth.crowded();
             }
-            case NOT_SENT -> lane.troubleFromUs = first ? Control.NEVER : lane.troubleFromUs;
+            suspect(lane, part);
         }
     }
 
--- a/decisions/src/main/java/thistleturn/decisions/replicas/Replicas.java
+++ b/decisions/src/main/java/thistleturn/decisions/replicas/Replicas.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -37,13 +38,15 @@
     /** A question is not asked again sooner, us, unless a piece has come. */
     private static final long ASK_US = 200_000;
     private static final long FORGET_US = 60 * SECOND_US;
-    private static final int MOST_FRESH = 4096;
+    /** Fresh entries of a kind at most; what is beyond that is found by comparing. */
+    private static final int MOST_FRESH = 2048;
 
     private final ReplicaRules rules;
     private final SplittableRandom random;
     private final Out out;
     private final Copies copies;
-    private final Map<Entry, Spread> fresh = new LinkedHashMap<>();
+    /** What is still to go out, by the number of its kind: a word by hand never waits behind what is merely good to know. */
+    private final Map<Integer, Map<Entry, Spread>> fresh = new TreeMap<>();
     private List<String> others = List.of();
     private Writer self;
     private long version;
@@ -177,8 +180,9 @@
     }
 
     private void spread(final Entry entry, final Spread how) {
-        if (fresh.size() < MOST_FRESH) {
-            fresh.put(entry, how);
+        final Map<Entry, Spread> alike = fresh.computeIfAbsent(entry.kind(), unused -> new LinkedHashMap<>());
+        if (alike.size() < MOST_FRESH) {
+            alike.put(entry, how);
         }
     }
 
@@ -231,18 +235,17 @@
     private void spreadNews(final long nowUs) {
         final Map<Integer, List<Entry>> byTargets = new TreeMap<>();
         double budget = newsAllowance;
-        for (final var one : List.copyOf(fresh.entrySet())) {
-            final Spread how = one.getValue();
-            final int targets = how.targets < 0 ? others.size() : Math.min(how.targets, others.size());
-            budget -= targets * (double) one.getKey().bytes();
-            if (budget < 0) {
-                break;
-            }
-            if (one.getKey().endUs() > nowUs) {
-                byTargets.computeIfAbsent(how.targets, unused -> new ArrayList<>()).add(one.getKey());
-            }
-            if (--how.times == 0) {
-                fresh.remove(one.getKey());
+        for (final Map<Entry, Spread> alike : fresh.values()) {
+            for (final Iterator<Map.Entry<Entry, Spread>> left = alike.entrySet().iterator(); left.hasNext() && budget > 0;) {
+                final Map.Entry<Entry, Spread> one = left.next();
+                final Spread how = one.getValue();
+                if (one.getKey().endUs() > nowUs) {
+                    budget -= (how.targets < 0 ? others.size() : Math.min(how.targets, others.size())) * (double) one.getKey().bytes();
+                    byTargets.computeIfAbsent(how.targets, unused -> new ArrayList<>()).add(one.getKey());
+                }
+                if (--how.times == 0) {
+                    left.remove();
+                }
             }
         }
         byTargets.forEach((targets, entries) -> {
--- a/lab/src/test/java/thistleturn/lab/replicas/PlantedReplicasFaultsTest.java
+++ b/lab/src/test/java/thistleturn/lab/replicas/PlantedReplicasFaultsTest.java
@@ -86,7 +86,7 @@
                 return List.copyOf(turned);
             }))) : message;
             case WRITER_MIXED_UP -> message instanceof Message.News ? changed(message, delta -> {
-                final Writer other = new Writer(delta.writer().name(), delta.writer().birth() + 1);
+                final Writer other = new Writer(delta.writer().name(), 1);
                 return new Delta(other, delta.from(), delta.to(), delta.entries().stream().map(entry -> new Entry(entry.kind(), entry.subject(),
                         other, entry.version(), entry.lifeUs(), entry.madeUs(), entry.fields())).toList());
             }) : message;
