A call whose time is up before its first byte is not sent

Cause: after a stop messages went again up to 0.49 s after they had been delivered: a call decided before the stop was written after it, though its time had run out, and given up in the same turn (HttpCarrier.dispatch, connect, giveUp): it ran unheard. Change: the last look before the first byte (mayGo) asks whether its time is up: then it is NOT_SENT.

--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -206,6 +206,11 @@
             return false;
         }
         final long nowUs = clock.nowUs();
+        if (call.deadlineUs <= nowUs) {
+            // This process stood still since it was decided: sent now, it would be given up at once, and run all the same.
+            abandon(call, Result.NOT_SENT);
+            return false;
+        }
         if (call.goesUntilUs >= nowUs) {
             return true;
         }
--- a/courier/src/test/java/thistleturn/courier/http/CarrierTimersTest.java
+++ b/courier/src/test/java/thistleturn/courier/http/CarrierTimersTest.java
@@ -172,4 +172,31 @@
             assertEquals(Courier.Result.TIMED_OUT, told.poll(PATIENCE_S, TimeUnit.SECONDS), "round " + round);
         }
     }
+
+    /** A loop that stood still between a decision and its first byte, until its time was up: sent now, the call would run unheard. */
+    @Test
+    void aCallWhoseTimeIsUpBeforeItsFirstByteIsNotSent() throws Exception {
+        for (int round = 0; round < 5; round++) {
+            final Carrier.Parcel late = new Waiting(new Held("held", "safe", "held", 1, clock.wallUs() + 9 * SECOND_US,
+                    "held".getBytes(StandardCharsets.UTF_8)), 50_000, Long.MAX_VALUE, clock.nowUs() + 9 * SECOND_US);
+            CompletableFuture.runAsync(() -> {
+                carrier.start(carrier.prepare(1, List.of(late)));
+                final long untilUs = clock.nowUs() + 100_000;
+                while (clock.nowUs() < untilUs) {
+                    Thread.onSpinWait();
+                }
+            }, loop).get(PATIENCE_S, TimeUnit.SECONDS);
+            assertEquals(Courier.Result.NOT_SENT, told.poll(PATIENCE_S, TimeUnit.SECONDS), "round " + round);
+            // One loop serves there: what came before this one would have been seen.
+            call("well", 2 * SECOND_US);
+            assertEquals(Courier.Result.DELIVERED, told.poll(PATIENCE_S, TimeUnit.SECONDS));
+            assertEquals(0, arrived.availablePermits(), "it came all the same");
+            carrierIdle();
+        }
+    }
+
+    /** Closes what is kept, so that the next call needs a connection of its own. */
+    private void carrierIdle() throws Exception {
+        CompletableFuture.runAsync(() -> carrier.closeIdle(1), loop).get(PATIENCE_S, TimeUnit.SECONDS);
+    }
 }
