CarrierTimersTest lets go of held calls in its clean-up

Cause: where a late call came all the same, the stand-in's loop held it and the clean-up never ended. Change: held calls are let go first.

--- a/courier/src/test/java/thistleturn/courier/http/CarrierTimersTest.java
+++ b/courier/src/test/java/thistleturn/courier/http/CarrierTimersTest.java
@@ -109,6 +109,8 @@
 
     @AfterEach
     void end() {
+        // Whoever still holds a call lets it go: else the loop never ends.
+        standing.release(100);
         server.close();
         servers.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
