The list is known 6 s after its watch fell silent, however it is written

Need: what a silent watch misses counts as told 6 s after it fell silent; lists may come indented; where lists are pushed what the agent has counts as told.

Time-outs were those between bytes, so a line or a whole list that trickles kept a watch alive for good, and any byte counted as fresh. A watch was cut at each line end, so an indented list ended it again and again; what was broken off by a line end was dropped in silence and its version passed over. Where the settings say "pushed", Listing.keepList never asked, so no watch was ever opened.

Change: a watch has one moment by which it has to say something whole: 0.8 s to connect, 2.2 s to be answered, 2.8 s from line to line, judged after a look at the socket; it is then opened anew at once. ListStream cuts objects by their brackets. On sockets the list is always asked for. A destination that is not named is refused only while the watch lives (2.8 s, was 10 s).

--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -612,7 +612,7 @@
                 }
             });
         }
-        own = extension.directory(new Discovery(config, loop, clock), new Surroundings(config, loop, clock, this::lanes,
+        own = extension.directory(new Discovery(config, loop, clock, shards.get(0).turns), new Surroundings(config, loop, clock, this::lanes,
                 () -> shards.get(0).host.health(), new Helm()));
         if (lock != null) {
             begin(null, null);
--- a/courier/src/main/java/thistleturn/courier/platform/Discovery.java
+++ b/courier/src/main/java/thistleturn/courier/platform/Discovery.java
@@ -7,8 +7,10 @@
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Json;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.LoopTurns;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -24,11 +26,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.timeout.ReadTimeoutHandler;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -38,33 +37,36 @@
  * falls silent or says what cannot be read, the decisions are told that it is lost; they say when to ask again.
  */
 public final class Discovery implements Directory {
-    /** Two of the empty lines that say that the watch lives have not come. */
-    private static final int SILENT_MS = 4500;
+    /**
+     * What a watch misses counts as told 6 s after it fell silent: to find that out, to connect and to be answered may take
+     * no longer, all three together. A line comes every 2 s; one that is not whole by then, however many of its bytes have
+     * come, has not come.
+     */
+    private static final long SILENT_US = 2_800_000;
+    private static final long CONNECT_US = 800_000;
     /** An answer waits its turn for two seconds at most. */
-    private static final int ANSWER_MS = 2500;
-    /** While the watch has been heard within this, what it does not name does not exist. */
-    private static final long FRESH_US = 10_000_000;
+    private static final long ANSWER_US = 2_200_000;
     /** No version of the list is known that the one asked would understand. */
     private static final long NONE = -1;
-    private static final int CONNECT_MS = 1000;
-    private static final int MOST_LINE_BYTES = 1 << 22;
     private static final int OK = 200;
 
     private final EventLoop loop;
     private final Clock clock;
+    private final LoopTurns turns;
     private final JsonNode known;
     private Listener listener;
     private InetSocketAddress address;
-    /** When the list was last known to be up to date. */
+    /** When a watch last said something whole: the list was up to date then. */
     private long freshUs;
     private long seq;
     private Watch watch;
 
     /** A watch that does not ask for anything yet. */
-    public Discovery(final Config config, final EventLoop loop, final Clock clock) {
+    public Discovery(final Config config, final EventLoop loop, final Clock clock, final LoopTurns turns) {
         this.known = config.known();
         this.loop = loop;
         this.clock = clock;
+        this.turns = turns;
         this.address = config.discovery();
     }
 
@@ -77,12 +79,12 @@
     }
 
     /**
-     * While the list is old nothing is known not to exist: refusing a destination that was added meanwhile would be
-     * wrong, and what has no endpoint in time is refused later.
+     * While the watch lives, what it does not name does not exist. While the list is old nothing is known not to exist:
+     * refusing a destination that was added meanwhile would be wrong, and what has no endpoint in time is refused later.
      */
     @Override
     public boolean isFresh() {
-        return clock.nowUs() - freshUs <= FRESH_US;
+        return clock.nowUs() - freshUs <= SILENT_US;
     }
 
     @Override
@@ -112,19 +114,7 @@
     private void open() {
         final Watch fresh = new Watch();
         watch = fresh;
-        new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(final Channel channel) {
-                        channel.pipeline().addLast(new ReadTimeoutHandler(ANSWER_MS, TimeUnit.MILLISECONDS),
-                                new HttpClientCodec(), fresh);
-                    }
-                }).connect(address).addListener(done -> {
-                    if (!done.isSuccess()) {
-                        fresh.lost();
-                    }
-                });
+        fresh.connect();
     }
 
     private void apply(final JsonNode list, final Courier.Update update) {
@@ -152,16 +142,38 @@
                 node.path("block").asLong());
     }
 
-    /** One watch, until its connection ends; before it the whole list, where no version is known. */
-    private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
-        private ChannelHandlerContext context;
+    /** One watch, until its connection ends or it falls silent; before it the whole list, where no version is known. */
+    private final class Watch extends SimpleChannelInboundHandler<HttpObject> implements ListStream.Listener {
+        private final ListStream stream = new ListStream(this);
+        private ChannelFuture connecting;
         private boolean asksWhole;
-        private boolean answered;
+        /** The whole list that was asked for has come. */
+        private boolean hasWhole;
+        /** It has said something: its answer is not waited for any more, but its next line. */
+        private boolean follows;
+        /** When it is given up unless something whole comes before. */
+        private long dueUs;
+
+        private void connect() {
+            expect(CONNECT_US);
+            // Not the channel's own timer: that would judge before the look that tells that it has come up.
+            connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(final Channel channel) {
+                            channel.pipeline().addLast(new HttpClientCodec(), Watch.this);
+                        }
+                    }).connect(address).addListener(done -> {
+                        if (!done.isSuccess()) {
+                            lost();
+                        }
+                    });
+            keepTime();
+        }
 
         @Override
         public void channelActive(final ChannelHandlerContext ctx) {
-            context = ctx;
             if (watch == this) {
                 ask();
             } else {
@@ -170,18 +182,39 @@
         }
 
         private void ask() {
+            expect(ANSWER_US);
             asksWhole = seq == NONE;
             final var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     asksWhole ? "/discovery/hosts" : "/discovery/hosts?watch=1&after=" + seq);
             request.headers().set(HttpHeaderNames.HOST, address.getHostString());
-            context.writeAndFlush(request);
+            connecting.channel().writeAndFlush(request);
+        }
+
+        private void expect(final long withinUs) {
+            dueUs = clock.nowUs() + withinUs;
+        }
+
+        /** What has come by the time that is over counts: it is read before the watch is given up. */
+        private void keepTime() {
+            final long checkedUs = dueUs;
+            loop.schedule(() -> turns.afterLook(loop, checkedUs, () -> {
+                if (watch != this) {
+                    return;
+                }
+                if (dueUs > checkedUs) {
+                    keepTime();
+                } else if (follows) {
+                    // It is opened anew at once: for how long nothing was told is known, and counts.
+                    open();
+                    close();
+                } else {
+                    close();
+                }
+            }), Math.max(0, checkedUs - clock.nowUs()), TimeUnit.MICROSECONDS);
         }
 
-        /** Its connection may still be coming up; then it ends as soon as it is. */
         private void close() {
-            if (context != null) {
-                context.close();
-            }
+            connecting.channel().close();
         }
 
         @Override
@@ -192,42 +225,44 @@
                 return;
             }
             if (part instanceof HttpContent content) {
-                freshUs = asksWhole ? freshUs : clock.nowUs();
                 final byte[] bytes = new byte[content.content().readableBytes()];
                 content.content().readBytes(bytes);
-                for (final byte next : bytes) {
-                    if (next == '\n' && !asksWhole) {
-                        final String text = line.toString(StandardCharsets.UTF_8).trim();
-                        line.reset();
-                        if (!text.isEmpty()) {
-                            read(text);
-                        }
-                    } else {
-                        line.write(next);
-                    }
-                }
+                stream.read(bytes);
             }
-            if (part instanceof LastHttpContent && asksWhole) {
-                final String text = line.toString(StandardCharsets.UTF_8);
-                line.reset();
-                read(text);
+            if (part instanceof LastHttpContent && hasWhole) {
+                hasWhole = false;
                 ask();
-            } else if (part instanceof LastHttpContent || line.size() > MOST_LINE_BYTES) {
+            } else if (part instanceof LastHttpContent) {
                 ctx.close();
-            } else if (part instanceof HttpContent && !asksWhole && !answered) {
-                answered = true;
-                ctx.pipeline().replace(ReadTimeoutHandler.class, null,
-                        new ReadTimeoutHandler(SILENT_MS, TimeUnit.MILLISECONDS));
             }
         }
 
-        private void read(final String text) {
+        @Override
+        public void object(final String text) {
             try {
                 final JsonNode list = Json.read(text);
                 apply(list, list.path("whole").asBoolean() ? Courier.Update.WHOLE : Courier.Update.CHANGES);
             } catch (final IOException e) {
                 throw new IllegalArgumentException("the list cannot be read: " + e.getMessage(), e);
             }
+            if (asksWhole) {
+                hasWhole = true;
+            } else {
+                heard();
+            }
+        }
+
+        @Override
+        public void lineEnd() {
+            if (!asksWhole) {
+                heard();
+            }
+        }
+
+        private void heard() {
+            follows = true;
+            freshUs = clock.nowUs();
+            expect(SILENT_US);
         }
 
         @Override
@@ -237,7 +272,7 @@
 
         @Override
         public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
-            if (!(cause instanceof IOException) && !(cause instanceof io.netty.channel.ChannelException)) {
+            if (!(cause instanceof IOException)) {
                 Log.failure("watch on the list", cause);
             }
             ctx.close();
--- a/courier/src/main/java/thistleturn/courier/runtime/Config.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Config.java
@@ -62,6 +62,8 @@
         });
         final Map<String, String> settingValues = new HashMap<>();
         flatten("", root.path("settings"), settingValues);
+        // On sockets nobody pushes: where the settings say so, too, changes come over a watch that the courier has to open.
+        settingValues.put("discovery", "on_request");
         environment.forEach((variable, value) -> {
             switch (variable) {
                 case "PROXY_NAME" -> values.put("name", value);
--- a/courier/src/test/java/thistleturn/courier/Rig.java
+++ b/courier/src/test/java/thistleturn/courier/Rig.java
@@ -40,6 +40,8 @@
     final List<String> log = new CopyOnWriteArrayList<>();
     volatile int noticeStatus = 204;
     int maxOpen = 50;
+    /** How the list comes, by the settings: {@code on_request} or {@code pushed}. */
+    String discovery = "on_request";
     int diskMb = 3;
     String extraSetting = "\"unheard_of\":[{\"x\":1}]";
     /** Endpoints that the courier knows at its start. */
@@ -164,12 +166,12 @@
                 {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":%d},
                  "known":{"seq":41,"whole":true,"hosts":[%s]},
-                 "settings":{"balancers":1,"my_zone":"a","discovery":"on_request","weights":"nominal",
+                 "settings":{"balancers":1,"my_zone":"a","discovery":"%s","weights":"nominal",
                   "classes":%s,"flavors":["std"],"extra":{"calls_out":12,"per_call":[5],"routes_apart":[false]},
                   "guarantees":{"must_ask_in":10000000,"cold_from":0.5,"cold":1000000,"tip_multiple":2.0},
                   "limits":{"max_open":%d,"most_tries":8,"cancel":true,"idle_close":10000000,"retry_after":true,
                    "connect_timeout":1000000,"max_retry_after":2000000},%s}}"""
-                .formatted(listenPort, discovery, diskMb, hosts, CLASSES, maxOpen, extraSetting));
+                .formatted(listenPort, discovery, diskMb, hosts, this.discovery, CLASSES, maxOpen, extraSetting));
         return config;
     }
 
--- a/eureka/src/test/java/thistleturn/membership/DirectoryContractTest.java
+++ b/eureka/src/test/java/thistleturn/membership/DirectoryContractTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.nio.channels.spi.SelectorProvider;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -26,6 +27,7 @@
 import thistleturn.courier.port.Directory;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
+import thistleturn.courier.runtime.LoopTurns;
 import thistleturn.decisions.Courier;
 import thistleturn.decisions.membership.Rules;
 import thistleturn.testkit.CourierFiles;
@@ -43,7 +45,10 @@
 
     @TempDir
     private Path folder;
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Clock clock = new Clock();
+    private final LoopTurns turns = new LoopTurns(clock);
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            NioIoHandler.newFactory(SelectorProvider.provider(), turns));
     private final EventLoop loop = group.next();
     private final Map<String, Courier.Condition> view = new ConcurrentHashMap<>();
     private final List<Courier.Update> updates = new CopyOnWriteArrayList<>();
@@ -68,9 +73,8 @@
 
     private void start(final Kind kind) throws Exception {
         final Config config = Config.read(world.environment(CourierFiles.Size.usual()));
-        final Clock clock = new Clock();
         loop.submit(() -> {
-            directory = new Discovery(config, loop, clock);
+            directory = new Discovery(config, loop, clock, turns);
             if (kind == Kind.MERGED) {
                 directory = new MergedDirectory(directory, new Surroundings(config, loop, clock, () -> null, () -> null, null),
                         new MembershipSettings(Rules.standard(), List.of(), null));
