A courier ends clients' connections in order, and not over bytes that lie unread

Need: a close over unread bytes resets the connection, and answers on their way go with it; a request whose last byte was written and that gets no answer is lost.

Seen on sockets with the program before: at SIGTERM, and when its time was over, an idle connection was closed at once; a request that lay in the socket got a reset in place of its answer, and so did whatever crossed the close. The process ended as soon as it held nothing, also while a request was coming in. Lines at fault: HttpSession.closeIfIdle and drop, HttpFront.drain, stopListening and look, CourierProcess.leave.

Connections that leave count among the clients' and are the first to make room. Time-outs of requests are judged after a look too. Weighed and left: makeRoom still closes at once, since it needs the descriptor; a client that pipelines thousands of requests and reads no answer is still cut off.

A leak was found on the way: a session that had ended before it was shut would have stayed among those that leave.

--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -815,8 +815,10 @@
     private void leave(final long stopUs) {
         shards.forEach(shard -> shard.loop.execute(() -> {
             shard.front.stopListening();
-            shard.loop.scheduleWithFixedDelay(() -> shard.idle = shard.host.idle(), 0, STOP_CHECK_MS,
-                    TimeUnit.MILLISECONDS);
+            shard.loop.schedule(shard.front::turnAway, stopUs - LEAVE_MS * US_PER_MS - clock.nowUs(), TimeUnit.MICROSECONDS);
+            // A request that is coming in, or an answer on its way, would be cut off by the end of the process.
+            shard.loop.scheduleWithFixedDelay(() -> shard.idle = shard.host.idle() && shard.front.isEmpty(), 0,
+                    STOP_CHECK_MS, TimeUnit.MILLISECONDS);
         }));
         loop.scheduleWithFixedDelay(() -> {
             final boolean due = shards.stream().allMatch(shard -> shard.idle)
--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -24,6 +24,7 @@
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -79,6 +80,8 @@
     private final Crowd crowd = new Crowd(CROWDED_IDLE_US);
     private final long idleUs;
     private final Set<HttpSession> sessions = new HashSet<>();
+    /** Connections that are shut on this side and wait for the other, the one shut first at the front. */
+    private final Set<HttpSession> leaving = new LinkedHashSet<>();
     /** When each connection is looked at next: it is at least as late as what falls due for it. */
     private final TimeHeap<HttpSession.Look> looks = new TimeHeap<>();
     private boolean crowded;
@@ -156,14 +159,25 @@
     @Override
     public void drain() {
         draining = true;
-        List.copyOf(sessions).forEach(HttpSession::closeIfIdle);
+        shutIdle(List.copyOf(sessions));
     }
 
     @Override
     public void stopListening() {
         final List<HttpSession> before = List.copyOf(sessions);
         closeListener();
-        before.forEach(HttpSession::closeIfIdle);
+        shutIdle(before);
+    }
+
+    /** What has come by now is read first: a connection with a request on it is not idle. */
+    private void shutIdle(final List<HttpSession> some) {
+        turns.afterLook(loop, clock.nowUs(), () -> some.forEach(HttpSession::shutIfIdle));
+    }
+
+    /** The process ends soon: requests that are still coming in are turned away, and so is whoever asks nothing. */
+    @Override
+    public void turnAway() {
+        turns.afterLook(loop, clock.nowUs(), () -> List.copyOf(sessions).forEach(HttpSession::turnAway));
     }
 
     /**
@@ -175,9 +189,9 @@
         closeListener();
     }
 
-    /** True while no client is connected. */
+    @Override
     public boolean isEmpty() {
-        return sessions.isEmpty();
+        return sessions.isEmpty() && leaving.isEmpty();
     }
 
     /** What waits to be accepted is accepted first: the system would reset it. */
@@ -220,10 +234,12 @@
     }
 
     private void look(final HttpSession session, final long nowUs) {
-        if (session.askedSinceUs() <= nowUs - REQUEST_US && !session.isClosing() && !session.isWaking()) {
+        // What had come by the time that was over is read before it is judged, however long this process stood still.
+        final long lookedUs = turns.lookUs();
+        if (session.askedSinceUs() <= lookedUs - REQUEST_US && !session.isClosing() && !session.isWaking()) {
             session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
-        } else if (session.isIdle() && session.sinceUs() <= nowUs - patienceUs(session)) {
-            session.drop();
+        } else if (session.isIdle() && session.sinceUs() <= lookedUs - patienceUs(session)) {
+            session.shutIfIdle();
             return;
         } else if (session.isIdle() && session.sinceUs() <= nowUs - REST_US) {
             session.rest();
@@ -246,8 +262,12 @@
 
     /** Too many connections: the one by which least is lost makes room; where none may, the newest goes. */
     private void makeRoom(final HttpSession newest) {
-        descriptors.clients(sessions.size());
-        if (sessions.size() <= descriptors.mostClients()) {
+        descriptors.clients(sessions.size() + leaving.size());
+        if (sessions.size() + leaving.size() <= descriptors.mostClients()) {
+            return;
+        }
+        if (!leaving.isEmpty()) {
+            leaving.iterator().next().drop();
             return;
         }
         final long nowUs = clock.nowUs();
@@ -291,9 +311,16 @@
         crowd.learn(askedAgain);
     }
 
+    /** A connection is shut on this side: it is served no more, but still there. False if it has ended meanwhile. */
+    boolean leaves(final HttpSession session) {
+        looks.remove(session.look());
+        return sessions.remove(session) && leaving.add(session);
+    }
+
     void closed(final HttpSession session) {
         sessions.remove(session);
-        descriptors.clients(sessions.size());
+        leaving.remove(session);
+        descriptors.clients(sessions.size() + leaving.size());
         looks.remove(session.look());
     }
 
--- a/courier/src/main/java/thistleturn/courier/http/HttpSession.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpSession.java
@@ -184,7 +184,7 @@
     }
 
     boolean isClosing() {
-        return last != null;
+        return last != null || rejected;
     }
 
     /** How little is lost if it makes room for another. */
@@ -194,9 +194,18 @@
                 sinceUs, lastByteUs, nowUs);
     }
 
-    void closeIfIdle() {
-        if (isIdle()) {
-            drop();
+    /** Ends a connection that asks nothing. */
+    void shutIfIdle() {
+        if (isIdle() && front.leaves(this)) {
+            shut(context.newSucceededFuture());
+        }
+    }
+
+    /** The process ends: what has not come whole by now is not taken on. */
+    void turnAway() {
+        shutIfIdle();
+        if (!isClosing() && askedSinceUs != Long.MAX_VALUE) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
     }
 
@@ -507,22 +516,31 @@
     /** The last answer of a connection; what still comes is read away for a while and not looked at. */
     private ChannelFuture end(final DefaultFullHttpResponse response) {
         last = response.status();
-        rejected = true;
         front.release(queuedBytes);
         queuedBytes = 0;
         queue.clear();
+        final ChannelFuture written = context.writeAndFlush(response);
+        shut(written);
+        return written;
+    }
+
+    /**
+     * Says no more once that is written. What still comes is read away for a while and not looked at: a close over bytes
+     * that were not read would reset the connection, and take back answers that are on their way. Whoever sent them sends
+     * them again on another connection.
+     */
+    private void shut(final ChannelFuture written) {
+        rejected = true;
         if (context.pipeline().get(RequestDecoder.class) != null) {
             context.pipeline().remove(RequestDecoder.class);
         }
         context.channel().config().setAutoRead(true);
-        final ChannelFuture written = context.writeAndFlush(response);
         written.addListener(done -> {
             if (context.channel() instanceof SocketChannel socket && done.isSuccess()) {
                 socket.shutdownOutput();
             }
             context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
         });
-        return written;
     }
 
     private static DefaultFullHttpResponse response(final HttpResponseStatus status) {
--- a/courier/src/main/java/thistleturn/courier/port/Front.java
+++ b/courier/src/main/java/thistleturn/courier/port/Front.java
@@ -61,9 +61,15 @@
     /** Begins to listen; tells the address in fact, or why that failed. */
     CompletionStage<String> listen();
 
-    /** From now on answers end their connections, and those on which nothing is asked are closed. */
+    /** From now on answers end their connections, and those on which nothing is asked are shut. */
     void drain();
 
     /** Accepts no further connection; those that stand are still served. */
     void stopListening();
+
+    /** The process ends soon: what has not come in whole by now is turned away, and what asks nothing is shut. */
+    void turnAway();
+
+    /** True while no client is connected. */
+    boolean isEmpty();
 }
