A notice whose connection has fallen silent is told again while there is time

Need: a message that was taken on has to end by a notice 300 ms after its time at the latest.

Notices gave a connect 500 ms and an answer 1,000 ms before another try, while a message ends 200 ms before its time: either alone is all the time that there is. On sockets, with a stand-in that takes the first notice and says nothing, the next try came 1,833 ms after a message of 1,000 ms was sent.

Change: 200 ms for each, judged after a look at the socket, and at most 250 ms of back-off; what comes while nothing is under way ends the connection, since it could confirm what is told next.

That a connect gets 200 ms has no test of its own: on loopback no connect could be made to hang at will.

--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -544,7 +544,7 @@
 
         @Override
         public Ends ends(final Ends.Listener listener) {
-            return new Notices(config.discovery(), loop, listener);
+            return new Notices(config.discovery(), loop, clock, turns, listener);
         }
 
         @Override
--- a/courier/src/main/java/thistleturn/courier/platform/Notices.java
+++ b/courier/src/main/java/thistleturn/courier/platform/Notices.java
@@ -4,12 +4,15 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import thistleturn.courier.port.Ends;
 import thistleturn.courier.port.Held;
+import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Json;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.LoopTurns;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -39,14 +42,20 @@
  */
 public final class Notices implements Ends {
     private static final int BATCH = 200;
-    private static final int CONNECT_MS = 500;
-    private static final int ANSWER_MS = 1000;
+    /**
+     * A message ends 200 ms before its time, and its notice may come 300 ms after it. The platform answers at once; where a
+     * connection does not come up, or has fallen silent, another try on a new one has to fit into that.
+     */
+    private static final long CONNECT_US = 200_000;
+    private static final long ANSWER_US = 200_000;
     private static final int BACK_OFF_LEAST_MS = 50;
-    private static final int BACK_OFF_MOST_MS = 1000;
+    private static final int BACK_OFF_MOST_MS = 250;
     private static final int CONFIRMED = 204;
 
     private InetSocketAddress address;
     private final EventLoop loop;
+    private final Clock clock;
+    private final LoopTurns turns;
     private final Listener listener;
     private final Map<String, Held> owed = new LinkedHashMap<>();
     private Session session;
@@ -55,9 +64,12 @@
     private int backOffMs = BACK_OFF_LEAST_MS;
 
     /** Nothing is told yet. */
-    public Notices(final InetSocketAddress address, final EventLoop loop, final Listener listener) {
+    public Notices(final InetSocketAddress address, final EventLoop loop, final Clock clock, final LoopTurns turns,
+                   final Listener listener) {
         this.address = address;
         this.loop = loop;
+        this.clock = clock;
+        this.turns = turns;
         this.listener = listener;
     }
 
@@ -83,18 +95,7 @@
         }
         final Session fresh = new Session();
         session = fresh;
-        new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(final Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), fresh);
-                    }
-                }).connect(address).addListener(done -> {
-                    if (!done.isSuccess()) {
-                        fresh.ended();
-                    }
-                });
+        fresh.connect();
     }
 
     /** From now on the platform is at another address: what it has not confirmed goes there, at once. */
@@ -138,13 +139,40 @@
 
     /** One connection to the platform. */
     private final class Session extends SimpleChannelInboundHandler<HttpObject> {
-        private ChannelHandlerContext context;
+        private ChannelFuture connecting;
         private HttpResponse head;
         private long batch;
 
+        private void connect() {
+            // Not the channel's own timer: that would judge before the look that tells that it has come up.
+            connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(final Channel channel) {
+                            channel.pipeline().addLast(new HttpClientCodec(), Session.this);
+                        }
+                    }).connect(address).addListener(done -> {
+                        if (!done.isSuccess()) {
+                            ended();
+                        }
+                    });
+            giveUpAfter(CONNECT_US);
+        }
+
+        /** What has come by the time that is over counts: it is read before the connection is given up. */
+        private void giveUpAfter(final long us) {
+            final long waitsFor = batch;
+            final long dueUs = clock.nowUs() + us;
+            loop.schedule(() -> turns.afterLook(loop, dueUs, () -> {
+                if (batch == waitsFor && session == this) {
+                    close();
+                }
+            }), us, TimeUnit.MICROSECONDS);
+        }
+
         @Override
         public void channelActive(final ChannelHandlerContext ctx) {
-            context = ctx;
             if (session == this) {
                 write();
             } else {
@@ -152,11 +180,8 @@
             }
         }
 
-        /** Its connection may still be coming up; then it ends as soon as it is. */
         private void close() {
-            if (context != null) {
-                context.close();
-            }
+            connecting.channel().close();
         }
 
         private void write() {
@@ -167,19 +192,15 @@
             request.headers().set(HttpHeaderNames.HOST, address.getHostString());
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             head = null;
-            final long sent = ++batch;
-            context.writeAndFlush(request);
-            loop.schedule(() -> {
-                if (batch == sent && !underWay.isEmpty() && session == this) {
-                    context.close();
-                }
-            }, ANSWER_MS, TimeUnit.MILLISECONDS);
+            batch++;
+            connecting.channel().writeAndFlush(request);
+            giveUpAfter(ANSWER_US);
         }
 
         @Override
         protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
-            if (session != this || part.decoderResult().isFailure()) {
-                // What an address that was left still says confirms nothing that is under way now.
+            if (session != this || underWay.isEmpty() || part.decoderResult().isFailure()) {
+                // What an address that was left still says, or what nothing asked for, confirms nothing that is under way.
                 ctx.close();
                 return;
             }
@@ -205,7 +226,7 @@
             listener.confirmed(done);
             if (!HttpUtil.isKeepAlive(head)) {
                 session = null;
-                context.close();
+                close();
             }
             flush();
         }
