An answer to several messages delivers one only by its own state, also the last one left

Need: no message may be lost.

By the courier's trace it was one of five in a call; the time of the other four came up while the call was out (30.44 to 30.70 s), they were told so and taken out of the call, and the answer at 31.005 s was then read as that of a call with a single message: any 200, even only its first line, delivered what was left. Lines at fault: HttpConnection.finish and isDelivered, which asked how many messages are left in the call in place of how it was written. Ruled out on the way: a lost 202, a withdrawn message, a notice that was not confirmed, answers out of step (all looked for in the trace of each event on each connection).

Change: a call notes how it is written, and its answer is read by that.

--- a/courier/src/main/java/thistleturn/courier/http/HttpCall.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCall.java
@@ -22,6 +22,8 @@
     HttpConnection reader;
     boolean started;
     boolean written;
+    /** It was written with several messages: its answer tells each one's end, also where but one is left in it since. */
+    boolean bulk;
 
     HttpCall(final HttpPool pool, final long endpoint, final List<? extends Carrier.Parcel> parcels, final long sentUs) {
         this.pool = pool;
--- a/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
@@ -73,6 +73,7 @@
 
     void write(final HttpCall next) {
         call = next;
+        call.bulk = call.parcels.size() > 1;
         wroteUs = clock.nowUs();
         call.channel = context.channel();
         call.reader = this;
@@ -169,9 +170,9 @@
         }
     }
 
-    /** True if the answer to this call says so in its first line; for several messages only all of it tells. */
+    /** True if the answer to this call says so in its first line; to a call with several messages only all of it tells. */
     boolean isDelivered(final HttpCall of) {
-        return of == call && line != null && line.status().code() == HttpAnswers.OK && of.written && of.parcels.size() == 1
+        return of == call && line != null && line.status().code() == HttpAnswers.OK && of.written && !of.bulk
                 && line.protocolVersion().majorVersion() == 1;
     }
 
@@ -207,7 +208,7 @@
             carrier.holdBack(done.pool);
         }
         final Carrier.Answer all = HttpAnswers.answer(head, waitUs);
-        if (done.parcels.size() > 1 && head.status().code() == HttpAnswers.OK) {
+        if (done.bulk && head.status().code() == HttpAnswers.OK) {
             tellEach(done, all);
         } else {
             carrier.tell(done, all);
