Discovery asks again by itself after 1.5 s at most; the decisions' back-off is as it was

The bound is one of the platform's protocol all the same, and has no place in decisions that the simulator shares.

Change: Listing and FrozenControl are what they were in; Discovery asks 1.2 to 1.5 s after each failure, unless the decisions have done so before.

--- a/courier/src/main/java/thistleturn/courier/platform/Discovery.java
+++ b/courier/src/main/java/thistleturn/courier/platform/Discovery.java
@@ -30,6 +30,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -46,6 +47,13 @@
     private static final long CONNECT_US = 800_000;
     /** An answer waits its turn for two seconds at most. */
     private static final long ANSWER_US = 2_200_000;
+    /**
+     * The decisions say when to ask again, and wait longer each time. But a change counts as told 6 s after it could be had,
+     * whatever failed before: this wait and two tries, of which the first may be turned away, have to fit into that. Couriers
+     * that lost it in one moment do not ask in one.
+     */
+    private static final long RETRY_LEAST_US = 1_200_000;
+    private static final long RETRY_MOST_US = 1_500_000;
     /** No version of the list is known that the one asked would understand. */
     private static final long NONE = -1;
     private static final int OK = 200;
@@ -282,6 +290,8 @@
             if (watch == this) {
                 watch = null;
                 listener.told(Courier.Update.LOST, List.of());
+                loop.schedule(Discovery.this::follow, ThreadLocalRandom.current().nextLong(RETRY_LEAST_US, RETRY_MOST_US),
+                        TimeUnit.MICROSECONDS);
             }
         }
     }
--- a/courier/src/test/java/thistleturn/courier/WatchTest.java
+++ b/courier/src/test/java/thistleturn/courier/WatchTest.java
@@ -29,6 +29,8 @@
     private static final long TURN_MS = 2000;
     private static final long TRICKLE_MS = 100;
     private static final long HEARTBEAT_MS = 2000;
+    /** Enough for a wait that doubles to reach its bound. */
+    private static final int TURNED_AWAY = 5;
 
     @TempDir
     private Path folder;
@@ -197,6 +199,26 @@
         assertTrue(asked.get(1).line().contains("after=41"), "nothing of it counts: " + asked.get(1).line());
     }
 
+    /** Turned away again and again, it asks so often that what could be had from some moment on is known 6 s after it. */
+    @Test
+    void whoIsTurnedAwayAsksAgainSoon() throws IOException {
+        platform(rig.platform, (number, request, connection) -> {
+            if (number < TURNED_AWAY) {
+                connection.answer(503, "");
+            } else {
+                connection.write(HEAD);
+                connection.chunk("\n");
+                heartbeats(connection);
+            }
+        });
+        rig.start();
+        rig.await("the watch that is answered", () -> asked.size() > TURNED_AWAY);
+        for (int number = 1; number <= TURNED_AWAY; number++) {
+            final long gapMs = askedAfterMs(asked.get(number - 1).atNs(), number);
+            assertTrue(gapMs <= TOLD_MS - 2 * TURN_MS, "asked after " + gapMs + " ms, the time before question " + number);
+        }
+    }
+
     /** On sockets nobody pushes: a list that the settings call pushed comes over a watch all the same. */
     @Test
     void aPushedListIsWatched() throws IOException {
--- a/decisions/src/main/java/thistleturn/decisions/Listing.java
+++ b/decisions/src/main/java/thistleturn/decisions/Listing.java
@@ -11,14 +11,8 @@
 
 /** The list: which endpoints there are, when it must be asked for, and what is forgotten of those that left. */
 final class Listing {
-    /**
-     * First and longest back-off of asking for the list again, us: soon, but without burdening it. A change counts as told 6 s
-     * after it could be had: the longest wait, with its jitter, and two tries, of which the first may be turned away, have to
-     * fit into that.
-     */
+    /** First and longest back-off of asking for the list again, us: soon, but without burdening it. */
     private static final long ASK_LEAST_US = Control.SECOND_US / 2;
-    private static final long BACK_OFF_MOST_US = 3 * Control.SECOND_US / 2;
-    /** After so long without a word a call is taken for lost, us. */
     private static final long ASK_MOST_US = 3 * Control.SECOND_US;
     /** A destination or route without an endpoint is forgotten so long after its last use, us. A default. */
     private static final long FORGET_US = 60 * Control.SECOND_US;
@@ -49,7 +43,7 @@
         if (update == Update.LOST) {
             subscribed = false;
             askAgainUs = state.nowUs + state.pace.jitter(askBackOffUs);
-            askBackOffUs = Math.min(2 * askBackOffUs, BACK_OFF_MOST_US);
+            askBackOffUs = Math.min(2 * askBackOffUs, ASK_MOST_US);
             return;
         }
         if (update != Update.ASIDE) {
@@ -124,8 +118,7 @@
     void keepList() {
         if (state.settings.listOnRequest() && (askAgainUs == Control.NEVER ? !subscribed : state.nowUs >= askAgainUs)) {
             subscribed = true;
-            askAgainUs = state.nowUs
-                    + Math.max(ASK_LEAST_US, Math.min(ASK_MOST_US, state.settings.guarantees().mustAskUs() / 2));
+            askAgainUs = state.nowUs + Math.min(ASK_MOST_US, state.settings.guarantees().mustAskUs() / 2);
             state.actions.follow();
         }
     }
--- a/decisions/src/test/java/thistleturn/decisions/oracle/FrozenControl.java
+++ b/decisions/src/test/java/thistleturn/decisions/oracle/FrozenControl.java
@@ -121,8 +121,6 @@
     /** First and longest back-off of asking for the list again, us: soon, but without burdening it. */
     private static final long ASK_LEAST_US = SECOND_US / 2;
     private static final long ASK_MOST_US = 3 * SECOND_US;
-    /** Half of what it was: a change counts as told 6 s after it could be had, whatever failed before. */
-    private static final long BACK_OFF_MOST_US = 3 * SECOND_US / 2;
     /** How soon a message that an endpoint or a key holds back is looked at again, us. */
     private static final long POLL_US = 20_000;
     /** A destination or route without an endpoint is forgotten so long after its last use, us. A default. */
@@ -970,7 +968,7 @@
         if (update == Update.LOST) {
             subscribed = false;
             askAgainUs = nowUs + jitter(askBackOffUs);
-            askBackOffUs = Math.min(2 * askBackOffUs, BACK_OFF_MOST_US);
+            askBackOffUs = Math.min(2 * askBackOffUs, ASK_MOST_US);
             return;
         }
         if (update != Update.ASIDE) {
