SIGHUP counts also during a start and a takeover; a stop waits for whole requests

Seen by reading: Main.serve dropped a SIGHUP that came before CourierProcess.start returned, though the file may have been read before it was replaced; CourierProcess.reload told nobody while a newer process waits to take over, since its host is not there yet; a process that takes up again after a newer one has died told ends at the address of its start (Shard.ends). The 503 for requests that are not whole was planned for the moment in which the process may end.

Tests: ReloadTest (the first configuration comes through a pipe, the signal while it is being read) and HandoverTest; both fail on the program before. The address after a newer process has died has no test of its own.

--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -92,6 +92,8 @@
     private final Extension extension;
     private final Tuning tuning;
     private final Config config;
+    /** What was read last, at the start or on SIGHUP: of it only the platform's address counts in this process. */
+    private volatile Config latest;
     /** Null where operators have no address here. */
     private final Operators operators;
     /** Endpoints that operators have left out, as all shards were last told. */
@@ -166,6 +168,7 @@
         this.extension = extension;
         this.tuning = tuning;
         this.config = Config.read(environment);
+        this.latest = config;
         final Courier.Limits limits = config.settings().limits();
         if (limits.slots() < tuning.shards() || limits.maxOpen() < tuning.shards()) {
             throw new Config.BadConfigException("shards: " + tuning.shards() + " of them need at least as many slots ("
@@ -544,7 +547,7 @@
 
         @Override
         public Ends ends(final Ends.Listener listener) {
-            return new Notices(config.discovery(), loop, clock, turns, listener);
+            return new Notices(latest.discovery(), loop, clock, turns, listener);
         }
 
         @Override
@@ -679,6 +682,10 @@
                 }
                 final int resumed = inheritance == null ? shard.host.start()
                         : shard.host.start(inheritance, predecessor);
+                if (latest != config) {
+                    // SIGHUP came before there was anybody to tell.
+                    shard.host.reload(latest);
+                }
                 if (resumed > 0) {
                     Log.info("resumed " + resumed + " messages");
                 }
@@ -759,6 +766,7 @@
     public synchronized void reload() {
         try {
             final Config fresh = Config.read(environment);
+            latest = fresh;
             shards.forEach(shard -> shard.loop.execute(() -> {
                 if (shard.host != null) {
                     shard.host.reload(fresh);
@@ -815,7 +823,9 @@
     private void leave(final long stopUs) {
         shards.forEach(shard -> shard.loop.execute(() -> {
             shard.front.stopListening();
-            shard.loop.schedule(shard.front::turnAway, stopUs - LEAVE_MS * US_PER_MS - clock.nowUs(), TimeUnit.MICROSECONDS);
+            // So long before the process ends that its answers are on their way by then.
+            shard.loop.schedule(shard.front::turnAway, stopUs - 2 * LEAVE_MS * US_PER_MS - clock.nowUs(),
+                    TimeUnit.MICROSECONDS);
             // A request that is coming in, or an answer on its way, would be cut off by the end of the process.
             shard.loop.scheduleWithFixedDelay(() -> shard.idle = shard.host.idle() && shard.front.isEmpty(), 0,
                     STOP_CHECK_MS, TimeUnit.MILLISECONDS);
--- a/courier/src/main/java/thistleturn/courier/Main.java
+++ b/courier/src/main/java/thistleturn/courier/Main.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import thistleturn.courier.runtime.Config;
+import thistleturn.courier.runtime.Log;
 
 /** Starts a real courier, has it read its configuration again on SIGHUP, and ends it in order on SIGTERM. */
 public final class Main {
@@ -28,15 +30,23 @@
     public static CourierProcess serve(final Map<String, String> environment,
             final CourierProcess.Extension extension, final Tuning tuning) throws Config.BadConfigException, IOException {
         final AtomicReference<CourierProcess> started = new AtomicReference<>();
+        final AtomicBoolean asked = new AtomicBoolean();
         // First of all: until this is in place, a SIGHUP ends the process.
         Hangup.onSignal(() -> {
+            asked.set(true);
             final CourierProcess process = started.get();
-            if (process != null) {
+            if (process == null) {
+                Log.info("SIGHUP: the configuration is read again once this process has started");
+            } else {
                 process.reload();
             }
         });
         final CourierProcess process = CourierProcess.start(environment, extension, tuning);
         started.set(process);
+        if (asked.get()) {
+            // What was read may be what was there before the signal.
+            process.reload();
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(process::stop, "stop"));
         process.ready().exceptionally(failure -> {
             System.err.println("cannot start: " + failure.getMessage());
--- a/courier/src/test/java/thistleturn/courier/HandoverTest.java
+++ b/courier/src/test/java/thistleturn/courier/HandoverTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -176,4 +177,22 @@
             assertFalse(List.copyOf(third.log).stream().anyMatch(line -> line.contains("Exception")), third.log::toString);
         }
     }
+
+    /** It is read while the newer one waits for the older one to hand over, and has nobody to tell yet. */
+    @Test
+    void aSighupDuringATakeoverIsHeededByTheNewerOne() throws Exception {
+        older.movedHosts = Rig.host("e2", older.second, "Ready");
+        final CourierProcess next = CourierProcess.start(Map.of(
+                "PROXY_CONFIG", newer.configure(older.platform.address()).toString(),
+                "PROXY_STATE", folder.resolve("state").toString(), "PROXY_OPERATOR", "127.0.0.1:0"));
+        try {
+            newer.configure(older.moved.address());
+            next.reload();
+            next.ready().get(Rig.PATIENCE_S, TimeUnit.SECONDS);
+            older.await("its watch at the new address", () -> older.moved.requests.stream()
+                    .anyMatch(request -> request.line().contains("after=3")));
+        } finally {
+            next.kill();
+        }
+    }
 }
--- a/courier/src/test/java/thistleturn/courier/ReloadTest.java
+++ b/courier/src/test/java/thistleturn/courier/ReloadTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
@@ -117,4 +120,31 @@
         rig.start();
         rig.await("what was held goes on", () -> rig.first.requests.size() == 2);
     }
+
+    /** The signal comes while the first configuration is being read: a pipe, which gives it only afterwards. */
+    @Test
+    void aSighupDuringTheStartIsHeededOnceItHasStarted() throws Exception {
+        final String before = Files.readString(rig.configure(rig.platform.address()));
+        final String after = Files.readString(rig.configure(rig.moved.address()));
+        final Path pipe = folder.resolve("pipe");
+        assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+        rig.launch(pipe);
+        // Opened once somebody reads: from then on the process waits for what is written.
+        try (OutputStream first = Files.newOutputStream(pipe)) {
+            rig.hangUp();
+            rig.await("the signal", () -> rig.log.stream().anyMatch(line -> line.startsWith("SIGHUP")));
+            first.write(before.getBytes(StandardCharsets.UTF_8));
+        }
+        final Thread second = new Thread(() -> {
+            try (OutputStream again = Files.newOutputStream(pipe)) {
+                again.write(after.getBytes(StandardCharsets.UTF_8));
+            } catch (final IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        second.setDaemon(true);
+        second.start();
+        rig.await("the watch at the new address", () -> rig.moved.requests.stream()
+                .anyMatch(request -> request.line().contains("after=3")));
+    }
 }
