--- a/courier/src/test/java/thistleturn/courier/ClosingTest.java
+++ b/courier/src/test/java/thistleturn/courier/ClosingTest.java
@@ -144,31 +144,49 @@
             final Socket socket = process.connect();
             write(socket, text.substring(0, text.length() / 2));
             assertEquals(200, process.send(UP).status(), "the half has been read by then");
-            final long sinceNs = System.nanoTime();
             final Process ending = process.terminate();
-            process.await("no more connections", () -> {
-                try {
-                    process.connect().close();
-                    return false;
-                } catch (final ConnectException e) {
-                    return true;
-                } catch (final IOException e) {
-                    throw new IllegalStateException(e);
-                }
-            });
+            awaitNoMoreConnections(process);
             write(socket, text.substring(text.length() / 2));
             final Rig.Answer answer = Rig.read(socket.getInputStream());
             assertEquals(202, answer.status());
             assertTrue(answer.head().contains("connection: close"), answer.head());
             assertTrue(ending.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
-            final long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNs);
-            assertTrue(tookMs < FULL_STOP_MS, "with nobody left it does not wait for its last moment: " + tookMs + " ms");
             // A call that the end of this process could cut off is left to the next one.
             process.start();
             process.await("its call, by this process or the next", () -> process.first.requests.size() == 1);
         }
     }
 
+    private static void awaitNoMoreConnections(final Rig process) {
+        process.await("no more connections", () -> {
+            try {
+                process.connect().close();
+                return false;
+            } catch (final ConnectException e) {
+                return true;
+            } catch (final IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
+    /** Connections that ask nothing, and others that come and go, do not have the process wait for its last moment. */
+    @Test
+    void whoAsksNothingDoesNotHoldUpTheEnd(@TempDir final Path other) throws Exception {
+        try (Rig process = new Rig(other)) {
+            process.start();
+            final Socket silent = process.connect();
+            assertEquals(200, process.send(UP).status(), "the silent one has been accepted by then");
+            final long sinceNs = System.nanoTime();
+            final Process ending = process.terminate();
+            awaitNoMoreConnections(process);
+            assertTrue(ending.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
+            final long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNs);
+            assertTrue(tookMs < FULL_STOP_MS, "ended after " + tookMs + " ms");
+            silent.close();
+        }
+    }
+
     /** A request that never comes in whole is told so before the process ends. */
     @Test
     void aRequestThatIsNotWholeWhenTheProcessEndsIsTurnedAway(@TempDir final Path other) throws Exception {
