A request that does not end is answered on time again; the pipe test waits for its reader

Change: what is too late by now is judged in a turn whose look begins after now, at once. The test waits until the start is over.

BadClientTest, ReloadTest, ClosingTest, PausedCourierTest and RestingConnectionsTest: green, alone.

--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -234,19 +234,39 @@
     }
 
     private void look(final HttpSession session, final long nowUs) {
-        // What had come by the time that was over is read before it is judged, however long this process stood still.
-        final long lookedUs = turns.lookUs();
-        if (session.askedSinceUs() <= lookedUs - REQUEST_US && !session.isClosing() && !session.isWaking()) {
-            session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
-        } else if (session.isIdle() && session.sinceUs() <= lookedUs - patienceUs(session)) {
-            session.shutIfIdle();
+        if (isTooLate(session, nowUs) || isIdleTooLong(session, nowUs)) {
+            // What had come by now is read before it is judged, however long this process stood still.
+            turns.afterLook(loop, nowUs, () -> end(session, nowUs));
             return;
-        } else if (session.isIdle() && session.sinceUs() <= nowUs - REST_US) {
+        }
+        if (session.isIdle() && session.sinceUs() <= nowUs - REST_US) {
             session.rest();
         }
         looks.set(session.look(), Math.max(dueUs(session), nowUs + US_PER_MS));
     }
 
+    private boolean isTooLate(final HttpSession session, final long nowUs) {
+        return session.askedSinceUs() <= nowUs - REQUEST_US && !session.isClosing() && !session.isWaking();
+    }
+
+    private boolean isIdleTooLong(final HttpSession session, final long nowUs) {
+        return session.isIdle() && session.sinceUs() <= nowUs - patienceUs(session);
+    }
+
+    /** Ends what was too late, or idle for too long, at that moment and has not been saved by what had come by then. */
+    private void end(final HttpSession session, final long thenUs) {
+        if (!sessions.contains(session)) {
+            return;
+        }
+        if (isTooLate(session, thenUs)) {
+            session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
+        } else if (isIdleTooLong(session, thenUs)) {
+            session.shutIfIdle();
+            return;
+        }
+        looks.set(session.look(), Math.max(dueUs(session), clock.nowUs() + US_PER_MS));
+    }
+
     private long patienceUs(final HttpSession session) {
         return !session.hasAsked() ? BEGIN_US : crowded ? Math.min(CROWDED_IDLE_US, idleUs) : idleUs;
     }
--- a/courier/src/test/java/thistleturn/courier/ReloadTest.java
+++ b/courier/src/test/java/thistleturn/courier/ReloadTest.java
@@ -135,6 +135,8 @@
             rig.await("the signal", () -> rig.log.stream().anyMatch(line -> line.startsWith("SIGHUP")));
             first.write(before.getBytes(StandardCharsets.UTF_8));
         }
+        // The first reading is over by then: what is written from now on is another.
+        rig.await("the start", () -> rig.log.stream().anyMatch(line -> line.contains("is ready at")));
         final Thread second = new Thread(() -> {
             try (OutputStream again = Files.newOutputStream(pipe)) {
                 again.write(after.getBytes(StandardCharsets.UTF_8));
