A message leaves its call when its own time is up, whatever its share of the call's wait

Line at fault: HttpCarrier.start took a message out of a call with others only where its own time-out was all the time that it had; with a shorter one it stayed until the longest wait was over.

Change: each message that ends before the call does leaves it at its own end. BulkAnswerTest, CarrierTimersTest and LateKeyTest are green.

--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -142,9 +142,10 @@
         deadlines.set(call, call.deadlineUs);
         arm();
         for (final Parcel parcel : call.parcels) {
-            final long untilUs = call.sentUs + parcel.timeoutUs();
-            if (untilUs < call.deadlineUs && untilUs >= parcel.validUntilUs() - US_PER_MS) {
-                later(call, parcel.timeoutUs(), () -> turns.afterLook(loop, untilUs, () -> expire(call, parcel)));
+            // Others in the call may be waited for longer than this one has time.
+            final long untilUs = parcel.validUntilUs();
+            if (untilUs < call.deadlineUs) {
+                later(call, Math.max(0, untilUs - clock.nowUs()), () -> turns.afterLook(loop, untilUs, () -> expire(call, parcel)));
             }
         }
         call.started = true;
