The watch and the notices connect to the platform by one piece of code

Found on a second reading: Discovery and Notices each held the same way of connecting, with the same comment, since both leave the time to a look at the sockets; WatchTest asked three times for the same call by the same lines.

--- a/courier/src/main/java/thistleturn/courier/platform/Discovery.java
+++ b/courier/src/main/java/thistleturn/courier/platform/Discovery.java
@@ -8,17 +8,11 @@
 import thistleturn.courier.runtime.Json;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.LoopTurns;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -164,19 +158,7 @@
 
         private void connect() {
             expect(CONNECT_US);
-            // Not the channel's own timer: that would judge before the look that tells that it has come up.
-            connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
-                    .handler(new ChannelInitializer<Channel>() {
-                        @Override
-                        protected void initChannel(final Channel channel) {
-                            channel.pipeline().addLast(new HttpClientCodec(), Watch.this);
-                        }
-                    }).connect(address).addListener(done -> {
-                        if (!done.isSuccess()) {
-                            lost();
-                        }
-                    });
+            connecting = Dial.connect(loop, address, this, this::lost);
             keepTime();
         }
 
--- a/courier/src/main/java/thistleturn/courier/platform/Notices.java
+++ b/courier/src/main/java/thistleturn/courier/platform/Notices.java
@@ -9,18 +9,12 @@
 import thistleturn.courier.runtime.Json;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.LoopTurns;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -144,19 +138,7 @@
         private long batch;
 
         private void connect() {
-            // Not the channel's own timer: that would judge before the look that tells that it has come up.
-            connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
-                    .handler(new ChannelInitializer<Channel>() {
-                        @Override
-                        protected void initChannel(final Channel channel) {
-                            channel.pipeline().addLast(new HttpClientCodec(), Session.this);
-                        }
-                    }).connect(address).addListener(done -> {
-                        if (!done.isSuccess()) {
-                            ended();
-                        }
-                    });
+            connecting = Dial.connect(loop, address, this, this::ended);
             giveUpAfter(CONNECT_US);
         }
 
--- a/courier/src/test/java/thistleturn/courier/WatchTest.java
+++ b/courier/src/test/java/thistleturn/courier/WatchTest.java
@@ -80,6 +80,17 @@
         return TimeUnit.NANOSECONDS.toMillis(asked.get(number).atNs() - sinceNs);
     }
 
+    /** What the list has told counts: a message goes to the endpoint that was not there before. */
+    private void awaitACallToTheSecond() {
+        rig.await("a call where the change says", () -> {
+            try {
+                return rig.handIn("m" + System.nanoTime(), "safe").status() == 202 && !rig.second.requests.isEmpty();
+            } catch (final IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
     /** Finding out, connecting and an answer that waits its turn have to fit into the time together. */
     @Test
     void whatASilentWatchMissesIsKnownWithinSixSeconds() throws IOException {
@@ -101,13 +112,7 @@
         rig.await("the second watch", () -> asked.size() == 2);
         final long atMs = askedAfterMs(silentNs, 1) + TURN_MS;
         assertTrue(atMs < TOLD_MS, "told " + atMs + " ms after the watch fell silent");
-        rig.await("the change", () -> {
-            try {
-                return rig.handIn("m" + System.nanoTime(), "safe").status() == 202 && !rig.second.requests.isEmpty();
-            } catch (final IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
+        awaitACallToTheSecond();
     }
 
     /** Bytes without an end are no sign of life: a line counts once it is whole. */
@@ -172,13 +177,7 @@
         });
         rig.start();
         rig.await("the watch", () -> asked.size() == 1);
-        rig.await("a call where the change says", () -> {
-            try {
-                return rig.handIn("m" + System.nanoTime(), "safe").status() == 202 && !rig.second.requests.isEmpty();
-            } catch (final IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
+        awaitACallToTheSecond();
         assertEquals(1, asked.size(), "the watch stands: " + rig.log);
     }
 
@@ -226,12 +225,6 @@
         rig.start();
         rig.await("the watch", () -> rig.watches.size() == 1);
         rig.change(42, Rig.host("e2", rig.second, "Ready") + "," + Rig.host("e1", rig.first, "Gone"));
-        rig.await("a call where the change says", () -> {
-            try {
-                return rig.handIn("m" + System.nanoTime(), "safe").status() == 202 && !rig.second.requests.isEmpty();
-            } catch (final IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
+        awaitACallToTheSecond();
     }
 }
