--- a/courier/src/test/java/thistleturn/courier/http/CarrierTimersTest.java
+++ b/courier/src/test/java/thistleturn/courier/http/CarrierTimersTest.java
@@ -85,6 +85,10 @@
                 exchange.channel().pipeline().firstContext().writeAndFlush(Unpooled.copiedBuffer(
                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", StandardCharsets.US_ASCII));
                 trailed.release();
+            } else if (body.startsWith("[")) {
+                arrived.release();
+                standing.acquireUninterruptibly();
+                exchange.answer(200, "[{\"id\":\"patient\",\"state\":\"accepted\"}]");
             }
         });
         final Config config = Config.read(CourierFiles.write(folder, "n0", "127.0.0.1:1",
@@ -197,6 +201,22 @@
         }
     }
 
+    /** A message's time is up while its call waits for others: it leaves, and the answer still counts for those. */
+    @Test
+    void aMessageWhoseTimeIsUpLeavesACallThatWaitsLongerForOthers() throws Exception {
+        final long nowUs = clock.nowUs();
+        final Carrier.Parcel brief = new Waiting(new Held("brief", "safe", "brief", 1, clock.wallUs() + 9 * SECOND_US,
+                "brief".getBytes(StandardCharsets.UTF_8)), SECOND_US / 5, Long.MAX_VALUE, nowUs + SECOND_US / 2);
+        final Carrier.Parcel patient = new Waiting(new Held("patient", "safe", "patient", 1, clock.wallUs() + 9 * SECOND_US,
+                "patient".getBytes(StandardCharsets.UTF_8)), 5 * SECOND_US, Long.MAX_VALUE, nowUs + 9 * SECOND_US);
+        CompletableFuture.runAsync(() -> carrier.start(carrier.prepare(1, List.of(brief, patient))), loop)
+                .get(PATIENCE_S, TimeUnit.SECONDS);
+        assertTrue(arrived.tryAcquire(PATIENCE_S, TimeUnit.SECONDS), "the call comes");
+        assertEquals(Courier.Result.TIMED_OUT, told.poll(PATIENCE_S, TimeUnit.SECONDS), "the one whose time is up");
+        standing.release();
+        assertEquals(Courier.Result.DELIVERED, told.poll(PATIENCE_S, TimeUnit.SECONDS), "the one that is still waited for");
+    }
+
     /** Closes what is kept, so that the next call needs a connection of its own. */
     private void carrierIdle() throws Exception {
         CompletableFuture.runAsync(() -> carrier.closeIdle(1), loop).get(PATIENCE_S, TimeUnit.SECONDS);
