Nothing is written to an endpoint that drains meanwhile, or for whom time is up

By reading HttpCarrier.

Change: mayGo() is the one place that says what may still go: it asks the pool whether the endpoint takes new calls, and each message for its key's end and its own; a call ends with its last message; one that no connection has yet cannot have run. LateKeyTest is LateCallTest now, on a loop whose looks are counted.

--- a/courier/src/main/java/thistleturn/courier/http/HttpCall.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCall.java
@@ -31,7 +31,12 @@
         this.parcels = new ArrayList<>(parcels);
         this.sentUs = sentUs;
         this.deadlineUs = sentUs + parcels.stream().mapToLong(Carrier.Parcel::timeoutUs).max().orElse(0);
-        this.goesUntilUs = parcels.stream().mapToLong(Carrier.Parcel::goesUntilUs).min().orElse(Long.MAX_VALUE);
+        this.goesUntilUs = parcels.stream().mapToLong(HttpCall::goesUntilUs).min().orElse(Long.MAX_VALUE);
+    }
+
+    /** Until when a message's first byte may go: while its key surely holds, and its own time is not up. */
+    static long goesUntilUs(final Carrier.Parcel parcel) {
+        return Math.min(parcel.goesUntilUs(), parcel.validUntilUs());
     }
 
     @Override
--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -87,6 +87,7 @@
     @Override
     public void listed(final Courier.Endpoint entry, final boolean apart, final InetSocketAddress address) {
         final HttpPool pool = pools.computeIfAbsent(entry.id(), unused -> new HttpPool(entry, apart, address));
+        pool.takesNew = entry.condition() == Courier.Condition.LISTED;
         if (!pool.address.equals(address)) {
             pool.address = address;
             closeIdle(entry.id());
@@ -99,6 +100,7 @@
         final HttpPool pool = pools.remove(endpoint);
         if (pool != null) {
             pool.removed = true;
+            pool.takesNew = false;
         }
     }
 
@@ -134,7 +136,7 @@
     @Override
     public void start(final Call prepared) {
         final HttpCall call = (HttpCall) prepared;
-        if (call.pool == null || call.pool.removed) {
+        if (call.pool == null) {
             loop.execute(() -> abandon(call, Result.NOT_SENT));
             return;
         }
@@ -207,6 +209,11 @@
             return false;
         }
         final long nowUs = clock.nowUs();
+        if (!call.pool.takesNew) {
+            // The list has changed since it was decided, while a connection came up: it drains, or is gone.
+            abandon(call, Result.NOT_SENT);
+            return false;
+        }
         if (call.deadlineUs <= nowUs) {
             // This process stood still since it was decided: sent now, it would be given up at once, and run all the same.
             abandon(call, Result.NOT_SENT);
@@ -215,7 +222,7 @@
         if (call.goesUntilUs >= nowUs) {
             return true;
         }
-        final List<Parcel> late = call.parcels.stream().filter(parcel -> parcel.goesUntilUs() < nowUs).toList();
+        final List<Parcel> late = call.parcels.stream().filter(parcel -> HttpCall.goesUntilUs(parcel) < nowUs).toList();
         if (late.size() == call.parcels.size()) {
             abandon(call, Result.NOT_SENT);
             return false;
@@ -316,11 +323,19 @@
         return result == Result.CANCELLED ? Result.NOT_SENT : Result.NO_CONNECTION;
     }
 
-    /** A message whose own time is up leaves a call that others still wait for. It is not sent again. */
+    /** A message whose own time is up leaves a call that others still wait for; with the last one the call ends. */
     private void expire(final HttpCall call, final Parcel parcel) {
-        if (calls.contains(call) && call.parcels.remove(parcel)) {
-            listener.outcome(parcel, call, new Answer(Result.TIMED_OUT, false, 0, null));
+        if (!calls.contains(call) || !call.parcels.contains(parcel)) {
+            return;
+        }
+        if (call.parcels.size() == 1) {
+            abandon(call, Result.TIMED_OUT);
+            return;
         }
+        call.parcels.remove(parcel);
+        // Once a connection has the call, the message goes with it, however little of it is written yet.
+        final Result result = call.reader == null ? neverWritten(Result.TIMED_OUT) : Result.TIMED_OUT;
+        listener.outcome(parcel, call, new Answer(result, false, 0, null));
     }
 
     void tell(final HttpCall call, final Answer answer) {
--- a/courier/src/main/java/thistleturn/courier/http/HttpPool.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpPool.java
@@ -17,6 +17,8 @@
     /** Idle ones, the one used last at the end. */
     final Deque<HttpConnection> idle = new ArrayDeque<>();
     boolean removed;
+    /** The list names it as one that wants new calls: not while it drains, nor once it is gone. */
+    boolean takesNew = true;
     private double handshakeUs;
 
     HttpPool(final Courier.Endpoint entry, final boolean apart, final InetSocketAddress address) {
--- a/courier/src/main/java/thistleturn/courier/port/Carrier.java
+++ b/courier/src/main/java/thistleturn/courier/port/Carrier.java
@@ -15,7 +15,7 @@
         /** What goes out unchanged. */
         Held held();
 
-        /** When the message's own time is up, on the clock of the events, us. */
+        /** When the message's own time is up, on the clock of the events, us. Its first byte goes no later either. */
         long validUntilUs();
 
         /** Until when its first byte may go, us: then a key that must hold may be forgotten. Never later than that. */
@@ -49,7 +49,10 @@
         void written(int messages);
     }
 
-    /** The list names an endpoint, or its address has changed; {@code apart}: it is a route of its own. */
+    /**
+     * The list names an endpoint, or its address or condition has changed; {@code apart}: it is a route of its own. To one
+     * that drains nothing new goes from now on, calls that were prepared before included.
+     */
     void listed(Courier.Endpoint entry, boolean apart, InetSocketAddress address);
 
     /** The list names an endpoint no more: nothing new goes there. */
--- a/courier/src/test/java/thistleturn/courier/http/LateKeyTest.java
+++ b/courier/src/test/java/thistleturn/courier/http/LateCallTest.java
@@ -1,17 +1,20 @@
 package thistleturn.courier.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
+import java.nio.channels.spi.SelectorProvider;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +22,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.port.Held;
 import thistleturn.courier.runtime.Clock;
@@ -30,17 +35,24 @@
 import thistleturn.testkit.HttpStandIn;
 
 /** A decision that is carried out too late: what must not go any more by then does not, and the rest does. */
-final class LateKeyTest {
+final class LateCallTest {
     private static final long PATIENCE_S = 10;
     private static final long SECOND_US = 1_000_000;
+    private static final long TIMEOUT_US = 60 * SECOND_US;
     private static final long DEST = 7;
+    private static final String SILENT = "silent";
 
     private record Told(String id, Courier.Result result) { }
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
+    private final LoopTurns turns = new LoopTurns(clock);
+    private final EventLoopGroup servers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            NioIoHandler.newFactory(SelectorProvider.provider(), turns));
+    private final EventLoop loop = group.next();
     private final List<String> came = new CopyOnWriteArrayList<>();
+    /** The courier has closed the connection of a call that is not answered. */
+    private final CountDownLatch ended = new CountDownLatch(1);
     private final BlockingQueue<Told> told = new LinkedBlockingQueue<>();
     private HttpStandIn server;
     private HttpCarrier carrier;
@@ -48,15 +60,19 @@
     private record Late(Held held, long goesUntilUs, long validUntilUs) implements Carrier.Parcel {
         @Override
         public long timeoutUs() {
-            return 5 * SECOND_US;
+            return TIMEOUT_US;
         }
     }
 
     @BeforeEach
     void begin(@TempDir final Path folder) throws Exception {
-        server = new HttpStandIn(group, new InetSocketAddress("127.0.0.1", 0), exchange -> {
+        server = new HttpStandIn(servers, new InetSocketAddress("127.0.0.1", 0), exchange -> {
             came.add(new String(exchange.body(), StandardCharsets.UTF_8));
-            exchange.answer(200, "");
+            if (came.contains(SILENT)) {
+                exchange.channel().closeFuture().addListener(closed -> ended.countDown());
+            } else {
+                exchange.answer(200, "");
+            }
         });
         final Config config = Config.read(CourierFiles.write(folder, "n0", "127.0.0.1:1",
                 "{\"seq\":1,\"whole\":true,\"hosts\":[]}", CourierFiles.Size.usual()));
@@ -72,22 +88,30 @@
             }
         };
         CompletableFuture.runAsync(() -> {
-            carrier = new HttpCarrier(config, loop, clock, new LoopTurns(clock), listener, new Descriptors(100, 100));
-            carrier.listed(new Courier.Endpoint(1, Courier.Condition.LISTED, "a", 0, 0, DEST), false,
-                    new InetSocketAddress("127.0.0.1", server.port()));
+            carrier = new HttpCarrier(config, loop, clock, turns, listener, new Descriptors(100, 100));
+            list(Courier.Condition.LISTED);
         }, loop).get(PATIENCE_S, TimeUnit.SECONDS);
     }
 
     @AfterEach
     void end() {
         server.close();
+        servers.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
 
+    private void list(final Courier.Condition condition) {
+        carrier.listed(new Courier.Endpoint(1, condition, "a", 0, 0, DEST), false,
+                new InetSocketAddress("127.0.0.1", server.port()));
+    }
+
     private Carrier.Parcel parcel(final String id, final long goesUntilUs) {
-        final long nowUs = clock.nowUs();
-        return new Late(new Held(id, "keyed", id, DEST, clock.wallUs() + 9 * SECOND_US, id.getBytes(
-                StandardCharsets.UTF_8)), goesUntilUs, nowUs + 9 * SECOND_US);
+        return parcel(id, goesUntilUs, clock.nowUs() + 9 * SECOND_US);
+    }
+
+    private Carrier.Parcel parcel(final String id, final long goesUntilUs, final long validUntilUs) {
+        return new Late(new Held(id, "keyed", id, DEST, clock.toWallUs(validUntilUs), id.getBytes(
+                StandardCharsets.UTF_8)), goesUntilUs, validUntilUs);
     }
 
     /** Makes a call, and holds the loop up after that until the given moment: the connection is used after it. */
@@ -132,4 +156,41 @@
         assertEquals(new Told("free", Courier.Result.DELIVERED), told());
         assertEquals(List.of("free"), came);
     }
+
+    /** Its own time is up while the connection is made: it would run for nobody. */
+    @Test
+    void oneWhoseTimeIsUpDoesNotKeepOthersOfItsCallAndDoesNotGo() throws Exception {
+        final long untilUs = clock.nowUs() + 20_000;
+        call(untilUs, parcel("late", Long.MAX_VALUE, untilUs), parcel("free", Long.MAX_VALUE));
+        assertEquals(new Told("late", Courier.Result.NOT_SENT), told());
+        assertEquals(new Told("free", Courier.Result.DELIVERED), told());
+        assertEquals(List.of("free"), came);
+    }
+
+    /** With its last message a call ends, however long its answer would have been waited for. */
+    @Test
+    void aCallEndsWithTheTimeOfItsLastMessage() throws Exception {
+        call(0, parcel(SILENT, Long.MAX_VALUE, clock.nowUs() + SECOND_US / 2));
+        assertEquals(new Told(SILENT, Courier.Result.TIMED_OUT), told());
+        assertTrue(ended.await(PATIENCE_S, TimeUnit.SECONDS), "its connection is closed");
+    }
+
+    /** The list says that an endpoint drains, or names it no more, while a connection to it is made: nothing new goes there. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whatWasDecidedBeforeADrainDoesNotGoAfterIt(final boolean gone) throws Exception {
+        CompletableFuture.runAsync(() -> {
+            carrier.start(carrier.prepare(1, List.of(parcel("late", Long.MAX_VALUE))));
+            if (gone) {
+                carrier.removed(1);
+            } else {
+                list(Courier.Condition.DRAINING);
+            }
+        }, loop).get(PATIENCE_S, TimeUnit.SECONDS);
+        assertEquals(new Told("late", Courier.Result.NOT_SENT), told());
+        CompletableFuture.runAsync(() -> list(Courier.Condition.LISTED), loop).get(PATIENCE_S, TimeUnit.SECONDS);
+        call(0, parcel("next", Long.MAX_VALUE));
+        assertEquals(new Told("next", Courier.Result.DELIVERED), told());
+        assertEquals(List.of("next"), came);
+    }
 }
