Several messages in a call share its fate: it is over for all with the time of the first

Lines: HttpCall.deadlineUs waited for the message with most time, HttpCarrier.expire let the others leave one by one. DESIGN says of messages that share a call: "one fate", and that patience is cut off at the time of the client. Change: a call goes, and is waited for, no longer than the message with least time has; an answer to several that is read after that (a loop that stood still) delivers nothing. Those with time left go again where they may. The timers of single messages are gone, and so is the state that went with them.

--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -143,13 +143,6 @@
         calls.add(call);
         deadlines.set(call, call.deadlineUs);
         arm();
-        for (final Parcel parcel : call.parcels) {
-            // Others in the call may be waited for longer than this one has time.
-            final long untilUs = parcel.validUntilUs();
-            if (untilUs < call.deadlineUs) {
-                later(call, Math.max(0, untilUs - clock.nowUs()), () -> turns.afterLook(loop, untilUs, () -> expire(call, parcel)));
-            }
-        }
         call.started = true;
         unwritten.add(call);
         dispatch(call);
@@ -222,7 +215,7 @@
         if (call.goesUntilUs >= nowUs) {
             return true;
         }
-        final List<Parcel> late = call.parcels.stream().filter(parcel -> HttpCall.goesUntilUs(parcel) < nowUs).toList();
+        final List<Parcel> late = call.parcels.stream().filter(parcel -> parcel.goesUntilUs() < nowUs).toList();
         if (late.size() == call.parcels.size()) {
             abandon(call, Result.NOT_SENT);
             return false;
@@ -323,21 +316,6 @@
         return result == Result.CANCELLED ? Result.NOT_SENT : Result.NO_CONNECTION;
     }
 
-    /** A message whose own time is up leaves a call that others still wait for; with the last one the call ends. */
-    private void expire(final HttpCall call, final Parcel parcel) {
-        if (!calls.contains(call) || !call.parcels.contains(parcel)) {
-            return;
-        }
-        if (call.parcels.size() == 1) {
-            abandon(call, Result.TIMED_OUT);
-            return;
-        }
-        call.parcels.remove(parcel);
-        // Once a connection has the call, the message goes with it, however little of it is written yet.
-        final Result result = call.reader == null ? neverWritten(Result.TIMED_OUT) : Result.TIMED_OUT;
-        listener.outcome(parcel, call, new Answer(result, false, 0, null));
-    }
-
     void tell(final HttpCall call, final Answer answer) {
         call.parcels.forEach(parcel -> listener.outcome(parcel, call, answer));
     }
--- a/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
@@ -73,7 +73,6 @@
 
     void write(final HttpCall next) {
         call = next;
-        call.bulk = call.parcels.size() > 1;
         wroteUs = clock.nowUs();
         call.channel = context.channel();
         call.reader = this;
@@ -172,7 +171,7 @@
 
     /** True if the answer to this call says so in its first line; to a call with several messages only all of it tells. */
     boolean isDelivered(final HttpCall of) {
-        return of == call && line != null && line.status().code() == HttpAnswers.OK && of.written && !of.bulk
+        return of == call && line != null && line.status().code() == HttpAnswers.OK && of.written && !of.isBulk()
                 && line.protocolVersion().majorVersion() == 1;
     }
 
@@ -208,7 +207,7 @@
             carrier.holdBack(done.pool);
         }
         final Carrier.Answer all = HttpAnswers.answer(head, waitUs);
-        if (done.bulk && head.status().code() == HttpAnswers.OK) {
+        if (done.isBulk() && head.status().code() == HttpAnswers.OK) {
             tellEach(done, all);
         } else {
             carrier.tell(done, all);
@@ -243,8 +242,12 @@
         }
     }
 
-    /** Several messages' ends, each with its state; one that is not named may have run. */
+    /**
+     * Several messages' ends, each with its state; one that is not named may have run. Read after the time of one of them, the
+     * answer may have been written when the call was over for all: then it delivers nothing, and says only what never ran.
+     */
     private void tellEach(final HttpCall done, final Carrier.Answer all) {
+        final boolean over = clock.nowUs() > done.validUntilUs;
         final Map<String, String> states = new HashMap<>();
         try {
             for (final JsonNode item : Json.read(body == null ? new byte[0] : body.toByteArray())) {
@@ -256,7 +259,8 @@
         }
         for (final Carrier.Parcel parcel : done.parcels) {
             final Carrier.Answer one = switch (states.getOrDefault(parcel.held().id(), "")) {
-                case "accepted" -> new Carrier.Answer(Result.DELIVERED, true, all.waitUs(), all.allowance());
+                case "accepted" -> new Carrier.Answer(over ? Result.TIMED_OUT : Result.DELIVERED, !over, all.waitUs(),
+                        all.allowance());
                 case "deferred" -> new Carrier.Answer(Result.REFUSED, false, all.waitUs(), all.allowance());
                 case "expired" -> new Carrier.Answer(Result.NOT_SENT, true, all.waitUs(), all.allowance());
                 case "no_more" -> new Carrier.Answer(Result.NOT_SENT, false, all.waitUs(), all.allowance());
--- a/courier/src/main/java/thistleturn/courier/http/HttpRequests.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpRequests.java
@@ -19,7 +19,7 @@
 
     /** The bytes of a call's request; id, key and body go on unchanged. */
     static ByteBuf request(final HttpCall call, final long nowUs) {
-        final boolean many = call.bulk;
+        final boolean many = call.isBulk();
         final byte[] body = many ? bulk(call) : call.parcels.get(0).held().body();
         final StringBuilder head = new StringBuilder(HEAD_CHARS);
         head.append(many ? "POST /inbox/bulk HTTP/1.1\r\nHost: " : "POST /inbox HTTP/1.1\r\nHost: ");
--- a/courier/src/main/java/thistleturn/courier/port/Carrier.java
+++ b/courier/src/main/java/thistleturn/courier/port/Carrier.java
@@ -15,7 +15,7 @@
         /** What goes out unchanged. */
         Held held();
 
-        /** When the message's own time is up, on the clock of the events, us. Its first byte goes no later either. */
+        /** When the message's own time is up, on the clock of the events, us: its call goes, and waits, no longer than that. */
         long validUntilUs();
 
         /** Until when its first byte may go, us: then a key that must hold may be forgotten. Never later than that. */
