An answer that is read after its message's time delivers nothing, alone or not

A single call waits no longer than its message's time either; but a process that stands still finds such an answer before its own time-out is judged, and believed it.

Change: HttpCarrier.tell is the one place where outcomes leave; there a delivery that is read after the call's time is a time-out, so that a notice ends the message. Where the answer counted after all, the protocol says that such a notice does no harm.

--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -316,8 +316,20 @@
         return result == Result.CANCELLED ? Result.NOT_SENT : Result.NO_CONNECTION;
     }
 
+    /** Tells the outcome of all messages of a call. */
     void tell(final HttpCall call, final Answer answer) {
-        call.parcels.forEach(parcel -> listener.outcome(parcel, call, answer));
+        call.parcels.forEach(parcel -> tell(parcel, call, answer));
+    }
+
+    /**
+     * Tells the outcome of one message of a call. An answer that is read after the call's time, since this process stood still,
+     * may have been written after it, when nobody counts it any more: such a message ends by a notice, which does no harm if
+     * the answer counted after all.
+     */
+    void tell(final Parcel parcel, final HttpCall call, final Answer answer) {
+        final boolean tooLate = answer.result() == Result.DELIVERED && clock.nowUs() > call.validUntilUs;
+        listener.outcome(parcel, call, tooLate ? new Answer(Result.TIMED_OUT, false, answer.waitUs(), answer.allowance())
+                : answer);
     }
 
     /** A wait was told: what is on its way to that destination, and not written yet, may not go. */
@@ -338,11 +350,6 @@
         }
     }
 
-    /** Tells the outcome of one message of a call. */
-    void tell(final Parcel parcel, final HttpCall call, final Answer answer) {
-        listener.outcome(parcel, call, answer);
-    }
-
     /** A connection carries no call from now on. */
     void pool(final HttpConnection connection, final HttpPool pool) {
         pool.idle.addLast(connection);
--- a/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
@@ -242,12 +242,8 @@
         }
     }
 
-    /**
-     * Several messages' ends, each with its state; one that is not named may have run. Read after the time of one of them, the
-     * answer may have been written when the call was over for all: then it delivers nothing, and says only what never ran.
-     */
+    /** Several messages' ends, each with its state; one that is not named may have run. */
     private void tellEach(final HttpCall done, final Carrier.Answer all) {
-        final boolean over = clock.nowUs() > done.validUntilUs;
         final Map<String, String> states = new HashMap<>();
         try {
             for (final JsonNode item : Json.read(body == null ? new byte[0] : body.toByteArray())) {
@@ -259,8 +255,7 @@
         }
         for (final Carrier.Parcel parcel : done.parcels) {
             final Carrier.Answer one = switch (states.getOrDefault(parcel.held().id(), "")) {
-                case "accepted" -> new Carrier.Answer(over ? Result.TIMED_OUT : Result.DELIVERED, !over, all.waitUs(),
-                        all.allowance());
+                case "accepted" -> new Carrier.Answer(Result.DELIVERED, true, all.waitUs(), all.allowance());
                 case "deferred" -> new Carrier.Answer(Result.REFUSED, false, all.waitUs(), all.allowance());
                 case "expired" -> new Carrier.Answer(Result.NOT_SENT, true, all.waitUs(), all.allowance());
                 case "no_more" -> new Carrier.Answer(Result.NOT_SENT, false, all.waitUs(), all.allowance());
--- a/courier/src/test/java/thistleturn/courier/http/CarrierTimersTest.java
+++ b/courier/src/test/java/thistleturn/courier/http/CarrierTimersTest.java
@@ -14,6 +14,7 @@
 import java.nio.channels.spi.SelectorProvider;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -26,6 +27,8 @@
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.port.Held;
 import thistleturn.courier.runtime.Clock;
@@ -88,7 +91,7 @@
             } else if (body.startsWith("[")) {
                 arrived.release();
                 standing.acquireUninterruptibly();
-                exchange.answer(200, "[{\"id\":\"brief\",\"state\":\"accepted\"},{\"id\":\"patient\",\"state\":\"accepted\"}]");
+                exchange.answer(200, "[{\"id\":\"held\",\"state\":\"accepted\"},{\"id\":\"patient\",\"state\":\"accepted\"}]");
             }
         });
         final Config config = Config.read(CourierFiles.write(folder, "n0", "127.0.0.1:1",
@@ -201,17 +204,23 @@
         }
     }
 
-    /** A loop that stood still beyond the time of one of a call's messages: an answer that it finds may be from after that. */
-    @Test
-    void anAnswerToSeveralIsNoDeliveryAfterTheTimeOfOneOfThem() throws Exception {
+    /**
+     * A loop that stood still beyond the time of a message, or of one of several in a call: the answer that it finds may be from
+     * after that, and counts for nothing then.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anAnswerThatIsReadAfterAMessagesTimeIsNoDelivery(final boolean several) throws Exception {
         final long nowUs = clock.nowUs();
         final long briefUs = nowUs + SECOND_US / 2;
-        final Carrier.Parcel brief = new Waiting(new Held("brief", "safe", "brief", 1, clock.toWallUs(briefUs),
-                "brief".getBytes(StandardCharsets.UTF_8)), 5 * SECOND_US, Long.MAX_VALUE, briefUs);
-        final Carrier.Parcel patient = new Waiting(new Held("patient", "safe", "patient", 1, clock.wallUs() + 9 * SECOND_US,
-                "patient".getBytes(StandardCharsets.UTF_8)), 5 * SECOND_US, Long.MAX_VALUE, nowUs + 9 * SECOND_US);
-        CompletableFuture.runAsync(() -> carrier.start(carrier.prepare(1, List.of(brief, patient))), loop)
-                .get(PATIENCE_S, TimeUnit.SECONDS);
+        final List<Carrier.Parcel> parcels = new ArrayList<>();
+        parcels.add(new Waiting(new Held("held", "safe", "held", 1, clock.toWallUs(briefUs),
+                "held".getBytes(StandardCharsets.UTF_8)), 5 * SECOND_US, Long.MAX_VALUE, briefUs));
+        if (several) {
+            parcels.add(new Waiting(new Held("patient", "safe", "patient", 1, clock.wallUs() + 9 * SECOND_US,
+                    "patient".getBytes(StandardCharsets.UTF_8)), 5 * SECOND_US, Long.MAX_VALUE, nowUs + 9 * SECOND_US));
+        }
+        CompletableFuture.runAsync(() -> carrier.start(carrier.prepare(1, parcels)), loop).get(PATIENCE_S, TimeUnit.SECONDS);
         assertTrue(arrived.tryAcquire(PATIENCE_S, TimeUnit.SECONDS), "the call comes");
         CompletableFuture.runAsync(() -> {
             standing.release();
@@ -219,8 +228,9 @@
                 Thread.onSpinWait();
             }
         }, loop).get(PATIENCE_S, TimeUnit.SECONDS);
-        assertEquals(Courier.Result.TIMED_OUT, told.poll(PATIENCE_S, TimeUnit.SECONDS), "the one whose time is up");
-        assertEquals(Courier.Result.TIMED_OUT, told.poll(PATIENCE_S, TimeUnit.SECONDS), "the one that shares its call");
+        for (final Carrier.Parcel parcel : parcels) {
+            assertEquals(Courier.Result.TIMED_OUT, told.poll(PATIENCE_S, TimeUnit.SECONDS), parcel.held().id());
+        }
     }
 
     /** Closes what is kept, so that the next call needs a connection of its own. */
