Lab: what all couriers send a cold destination is checked against its budget

Need: the rule counts what all processes send together; beyond N by the settings only 2 x root of N + 2 are put down to chance, from the moment of the return on. The lab's cold destination fell at N alone, but only after a whole span, and told nothing else.

VirtualFleetTest and HardWeatherTest green. Not in it: couriers that are restarted during the return.

--- a/lab/src/main/java/thistleturn/lab/fleet/FleetTally.java
+++ b/lab/src/main/java/thistleturn/lab/fleet/FleetTally.java
@@ -22,6 +22,7 @@
     private double gained;
     private long delivered;
     private long handed;
+    private double mostOfColdBudget;
 
     FleetTally(final int couriers) {
         byCourier = new long[couriers][Count.values().length];
@@ -85,6 +86,15 @@
         return delivered;
     }
 
+    void coldBudget(final double share) {
+        mostOfColdBudget = Math.max(mostOfColdBudget, share);
+    }
+
+    /** The most that all couriers together sent to a destination that had returned cold, as a share of what it bore then. */
+    public double mostOfColdBudget() {
+        return mostOfColdBudget;
+    }
+
     /** Rules broken, in words. */
     public List<String> broken() {
         return broken;
--- a/lab/src/main/java/thistleturn/lab/fleet/Service.java
+++ b/lab/src/main/java/thistleturn/lab/fleet/Service.java
@@ -75,6 +75,11 @@
         return outage == null && silentFromUs > Long.MAX_VALUE / 4 && loweredFromUs > Long.MAX_VALUE / 4;
     }
 
+    /** The most that was sent in a span after its return, as a share of what it bore then. */
+    double mostOfColdBudget() {
+        return outage == null ? 0 : outage.mostOfBudget();
+    }
+
     boolean isFallen() {
         return outage != null && outage.isFallen();
     }
--- a/lab/src/main/java/thistleturn/lab/fleet/VirtualFleet.java
+++ b/lab/src/main/java/thistleturn/lab/fleet/VirtualFleet.java
@@ -128,6 +128,7 @@
             members.forEach(Member::pass);
         }
         members.forEach(Member::close);
+        services.forEach(service -> tally.coldBudget(service.mostOfColdBudget()));
         services.stream().filter(Service::isFallen).forEach(fallen -> tally.broke("a returning destination was pushed over"));
     }
 
--- a/lab/src/test/java/thistleturn/lab/fleet/VirtualFleetTest.java
+++ b/lab/src/test/java/thistleturn/lab/fleet/VirtualFleetTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import thistleturn.decisions.Control;
 import thistleturn.lab.fleet.FleetDay.Trouble;
 import thistleturn.lab.fleet.FleetTally.Count;
@@ -136,4 +137,24 @@
         assertTrue(goodput > 0.965, seen);
         assertTrue(refused < 0.03 * handed, seen);
     }
+
+    /**
+     * What each courier sends a destination that returns cold adds up: N by the settings, and 2 x root of N + 2 for chance, over
+     * all of them, however many and however unlike in load, and without a word between them. None is left without calls.
+     */
+    @Tag("mass")
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5, 20, 30, 100})
+    void allCouriersTogetherKeepWithinWhatAColdDestinationBears(final int couriers) {
+        double most = 0;
+        for (long seed = 1; seed <= 4; seed++) {
+            final FleetTally day = VirtualFleet.play(FleetDay.thin(couriers, Trouble.ZONE, new Random(seed)), seed, SHARING);
+            assertEquals(List.of(), day.broken(), "seed " + seed);
+            most = Math.max(most, day.mostOfColdBudget());
+            for (int courier = 0; courier < couriers; courier++) {
+                assertTrue(day.of(Count.CALLS, courier) > 0, "courier " + courier + " of " + couriers + ", seed " + seed);
+            }
+        }
+        assertTrue(most > 0 && most <= 1, "share of the budget " + most);
+    }
 }
