Room among clients is made after a look: what has not been read is not silent

After a standstill all that wait to be accepted have a whole request on them, unread: they were reset in place of answered.

Change: room is made once, after the next look at the sockets, and what was accepted since that look goes last. Over the bound by 32 at most meanwhile (two turns of 16), out of the fifth that is the process's own.

CrowdAfterStandstillTest holds the loop while 150 clients connect to a courier with room for 60: each gets its 202. Fails without the change (a close with no answer, seen). BadClientTest, RestingConnectionsTest, ClosingTest green.

--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -22,8 +22,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
-import java.util.Comparator;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -79,7 +77,10 @@
     private final Descriptors descriptors;
     private final Crowd crowd = new Crowd(CROWDED_IDLE_US);
     private final long idleUs;
-    private final Set<HttpSession> sessions = new HashSet<>();
+    /** The newest at the end. */
+    private final Set<HttpSession> sessions = new LinkedHashSet<>();
+    /** Room is made after the next look. */
+    private boolean makesRoom;
     /** Connections that are shut on this side and wait for the other, the one shut first at the front. */
     private final Set<HttpSession> leaving = new LinkedHashSet<>();
     /** When each connection is looked at next: it is at least as late as what falls due for it. */
@@ -280,21 +281,43 @@
                 : Math.min(REST_US, patienceUs(session)));
     }
 
-    /** Too many connections: the one by which least is lost makes room; where none may, the newest goes. */
-    private void makeRoom(final HttpSession newest) {
-        descriptors.clients(sessions.size() + leaving.size());
-        if (sessions.size() + leaving.size() <= descriptors.mostClients()) {
-            return;
-        }
-        if (!leaving.isEmpty()) {
-            leaving.iterator().next().drop();
-            return;
+    /**
+     * Too many connections: those by which least is lost make room. It is judged after a look: after a standstill many wait to
+     * be accepted, each with a request on it, and one that has not been read yet only seems to say nothing.
+     */
+    private void makeRoom() {
+        makesRoom = false;
+        while (sessions.size() + leaving.size() > descriptors.mostClients()) {
+            if (leaving.isEmpty()) {
+                leastLost().drop();
+            } else {
+                leaving.iterator().next().drop();
+            }
         }
+    }
+
+    /**
+     * By rank, the one that has been of no use longest; where none may go by rank, the newest, best one that asks nothing. What
+     * was accepted since the look began has not been read, and goes last of all.
+     */
+    private HttpSession leastLost() {
         final long nowUs = clock.nowUs();
-        sessions.stream().filter(session -> session != newest && session.rank(crowd, nowUs) < Crowd.KEEP)
-                .min(Comparator.comparingInt((HttpSession session) -> session.rank(crowd, nowUs))
-                        .thenComparingLong(HttpSession::sinceUs))
-                .orElse(newest).drop();
+        HttpSession least = null;
+        int leastRank = Crowd.KEEP;
+        HttpSession newest = null;
+        for (final HttpSession session : sessions) {
+            if (!session.hasAsked() && session.sinceUs() >= turns.lookUs()) {
+                newest = newest == null ? session : newest;
+                continue;
+            }
+            final int rank = session.rank(crowd, nowUs);
+            if (rank < leastRank || rank == leastRank && rank < Crowd.KEEP && session.sinceUs() < least.sinceUs()) {
+                least = session;
+                leastRank = rank;
+            }
+            newest = newest == null || session.isIdle() || !newest.isIdle() ? session : newest;
+        }
+        return least == null ? newest : least;
     }
 
     /** Reckons since when a connection that is accepted may have waited for that, with a request on it. */
@@ -323,7 +346,11 @@
     void opened(final HttpSession session) {
         sessions.add(session);
         looks.set(session.look(), dueUs(session));
-        makeRoom(session);
+        descriptors.clients(sessions.size() + leaving.size());
+        if (!makesRoom && sessions.size() + leaving.size() > descriptors.mostClients()) {
+            makesRoom = true;
+            turns.afterLook(loop, clock.nowUs(), this::makeRoom);
+        }
     }
 
     /** A connection that was answered has asked again, or has ended without. */
--- a/courier/src/test/java/thistleturn/courier/Rig.java
+++ b/courier/src/test/java/thistleturn/courier/Rig.java
@@ -45,6 +45,7 @@
     /** How the list comes, by the settings: {@code on_request} or {@code pushed}. */
     String discovery = "on_request";
     int diskMb = 3;
+    int sockets = 1024;
     String extraSetting = "\"unheard_of\":[{\"x\":1}]";
     /** Endpoints that the courier knows at its start. */
     String hosts;
@@ -170,14 +171,14 @@
         final Path config = folder.resolve("config.json");
         Files.writeString(config, """
                 {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c1f30d27a5be964",
-                 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":%d},
+                 "limits":{"cores":1.0,"memory_mb":192,"sockets":%d,"disk_mb":%d},
                  "known":{"seq":41,"whole":true,"hosts":[%s]},
                  "settings":{"balancers":1,"my_zone":"a","discovery":"%s","weights":"nominal",
                   "classes":%s,"flavors":["std"],"extra":{"calls_out":%d,"per_call":[5],"routes_apart":[false]},
                   "guarantees":{"must_ask_in":10000000,"cold_from":0.5,"cold":1000000,"tip_multiple":2.0},
                   "limits":{"max_open":%d,"most_tries":8,"cancel":true,"idle_close":10000000,"retry_after":true,
                    "connect_timeout":1000000,"max_retry_after":2000000},%s}}"""
-                .formatted(listenPort, discovery, diskMb, hosts, this.discovery, CLASSES, slots, maxOpen, extraSetting));
+                .formatted(listenPort, discovery, sockets, diskMb, hosts, this.discovery, CLASSES, slots, maxOpen, extraSetting));
         return config;
     }
 
