A wait that is told to a call that is given up, or in an answer cut short, is heeded

The same for an answer whose head is whole and whose rest never comes: HttpConnection.broken told no wait.

Change: a written call is given up by ending the sending, as the protocol allows; what the endpoint had answered is read for 0.5 s more, and counts for its wait alone (Carrier.Listener.toldToWait, Control.onWait). An answer cut short tells the wait in its head. LateCallTest (2) fails without it, seen; 47 tests of carriers, the node and handovers green.

--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -466,6 +466,14 @@
         }
     }
 
+    @Override
+    public void toldToWait(final long endpoint, final long waitUs) {
+        if (decides()) {
+            control.onWait(clock.nowUs(), endpoint, waitUs);
+            touch();
+        }
+    }
+
     @Override
     public void written(final int count) {
         attempts += count;
--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -290,8 +290,8 @@
     }
 
     /**
-     * Ends a call from our side. Its connection is closed before the outcome is told, so that no further attempt
-     * of a message can meet this one.
+     * Ends a call from our side. Its connection is closed, or its sending ended, before the outcome is told, so that no
+     * further attempt of a message can meet this one.
      */
     @Override
     public void abandon(final Call given, final Result result) {
@@ -300,11 +300,14 @@
         if (!known && call.started) {
             return;
         }
-        if (call.channel != null) {
+        final Answer delivered = call.reader != null && call.reader.isDelivered(call) ? call.reader.delivered() : null;
+        if (call.written && call.channel.isActive()) {
+            call.reader.giveUp();
+        } else if (call.channel != null) {
             call.channel.close();
         }
-        if (call.reader != null && call.reader.isDelivered(call)) {
-            tell(call, call.reader.delivered());
+        if (delivered != null) {
+            tell(call, delivered);
             return;
         }
         final Result sure = call.written || result == Result.NOT_SENT ? result : neverWritten(result);
@@ -342,6 +345,12 @@
         }
     }
 
+    /** An answer that comes too late for its call tells a wait all the same. */
+    void toldToWait(final HttpPool by, final long waitUs) {
+        holdBack(by);
+        listener.toldToWait(by.endpoint, waitUs);
+    }
+
     @Override
     public void holdBack(final long endpoint) {
         final HttpPool pool = pools.get(endpoint);
--- a/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -30,12 +31,16 @@
     private static final int MOST_STATUS = 599;
     /** An answer that has begun comes whole within this, ms: its sender has it all. */
     private static final long ANSWER_MS = 500;
+    /** For how long the answer to a call that was given up is still looked at. */
+    private static final long LINGER_MS = 500;
 
     private final HttpCarrier carrier;
     private final EventLoop loop;
     private final Clock clock;
     private ChannelHandlerContext context;
     private HttpCall call;
+    /** Whose call was given up here; null: none. Nothing goes over it any more. */
+    private HttpPool givenUp;
     /** Where it was last kept while it carried no call; null while it carries its first one. */
     private HttpPool pool;
     private long idleSinceUs;
@@ -93,6 +98,30 @@
         }
     }
 
+    /**
+     * Gives its call up by ending its sending. An answer may be written in that very moment, or lie there unread: the wait that
+     * it tells binds, so that it is read for a while, and counts for nothing else.
+     */
+    void giveUp() {
+        givenUp = call.pool;
+        call = null;
+        stopWaiting();
+        if (head != null) {
+            heed(head);
+        }
+        if (context.channel() instanceof SocketChannel socket) {
+            socket.shutdownOutput();
+        }
+        loop.schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void heed(final HttpResponse late) {
+        final long waitUs = HttpAnswers.waitUs(late);
+        if (waitUs > 0) {
+            carrier.toldToWait(givenUp, waitUs);
+        }
+    }
+
     private void unpool() {
         if (pool != null) {
             carrier.unpool(this, pool);
@@ -101,6 +130,12 @@
 
     @Override
     protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
+        if (givenUp != null) {
+            if (part instanceof HttpResponse late && part.decoderResult().isSuccess()) {
+                heed(late);
+            }
+            return;
+        }
         if (call == null || part.decoderResult().isFailure()) {
             // Bytes that answer nothing, or nothing that can be read: this connection cannot be trusted.
             broken(Result.ERROR);
@@ -139,6 +174,9 @@
 
     @Override
     public void begun() {
+        if (givenUp != null) {
+            return;
+        }
         if (call == null || !call.written) {
             // It answers no call, or comes before its call: it belongs to an earlier one.
             broken(Result.RESET);
@@ -238,7 +276,12 @@
         } else {
             final Break how = new Break(cut.written, pool != null, answered, clock.nowUs() - wroteUs, cut.pool.handshakeUs());
             final Result read = cut.written && spoilt != Result.RESET ? spoilt : how.result();
-            carrier.tell(cut, new Carrier.Answer(read, false, 0, null));
+            // What stopped short may have told a wait before that.
+            final long waitUs = head == null ? 0 : HttpAnswers.waitUs(head);
+            if (waitUs > 0) {
+                carrier.holdBack(cut.pool);
+            }
+            carrier.tell(cut, new Carrier.Answer(read, false, waitUs, null));
         }
     }
 
--- a/courier/src/main/java/thistleturn/courier/port/Carrier.java
+++ b/courier/src/main/java/thistleturn/courier/port/Carrier.java
@@ -45,6 +45,9 @@
         /** The outcome of one message's part in a call. Its connection carries nothing of it any more. */
         void outcome(Parcel parcel, Call call, Answer answer);
 
+        /** An endpoint tells a wait in an answer whose call was given up before: it binds as one in any other. */
+        void toldToWait(long endpoint, long waitUs);
+
         /** A call with so many messages is written whole. */
         void written(int messages);
     }
--- a/courier/src/test/java/thistleturn/courier/http/CarrierTimersTest.java
+++ b/courier/src/test/java/thistleturn/courier/http/CarrierTimersTest.java
@@ -102,6 +102,11 @@
                 told.add(answer.result());
             }
 
+            @Override
+            public void toldToWait(final long endpoint, final long waitUs) {
+                // Nobody here tells one.
+            }
+
             @Override
             public void written(final int messages) {
                 // Told by the outcome.
--- a/courier/src/test/java/thistleturn/courier/http/LateCallTest.java
+++ b/courier/src/test/java/thistleturn/courier/http/LateCallTest.java
@@ -32,6 +32,7 @@
 import thistleturn.courier.runtime.LoopTurns;
 import thistleturn.decisions.Courier;
 import thistleturn.testkit.CourierFiles;
+import thistleturn.testkit.Exchange;
 import thistleturn.testkit.HttpStandIn;
 
 /** A decision that is carried out too late: what must not go any more by then does not, and the rest does. */
@@ -53,6 +54,9 @@
     /** The courier has closed the connection of a call that is not answered. */
     private final CountDownLatch ended = new CountDownLatch(1);
     private final BlockingQueue<Told> told = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Long> waits = new LinkedBlockingQueue<>();
+    /** A call that is answered by the test. */
+    private final BlockingQueue<Exchange> open = new LinkedBlockingQueue<>();
     private HttpStandIn server;
     private HttpCarrier carrier;
 
@@ -67,7 +71,9 @@
     void begin(@TempDir final Path folder) throws Exception {
         server = new HttpStandIn(servers, new InetSocketAddress("127.0.0.1", 0), exchange -> {
             came.add(new String(exchange.body(), StandardCharsets.UTF_8));
-            if (exchange.path().equals("/inbox/bulk")) {
+            if (came.contains("open")) {
+                open.add(exchange);
+            } else if (exchange.path().equals("/inbox/bulk")) {
                 exchange.channel().closeFuture().addListener(closed -> ended.countDown());
             } else {
                 exchange.answer(200, "");
@@ -79,6 +85,14 @@
             @Override
             public void outcome(final Carrier.Parcel parcel, final Carrier.Call call, final Carrier.Answer answer) {
                 told.add(new Told(parcel.held().id(), answer.result()));
+                if (answer.waitUs() > 0) {
+                    waits.add(answer.waitUs());
+                }
+            }
+
+            @Override
+            public void toldToWait(final long endpoint, final long waitUs) {
+                waits.add(waitUs);
             }
 
             @Override
@@ -196,4 +210,33 @@
         assertEquals(new Told("next", Courier.Result.DELIVERED), told());
         assertEquals(List.of("next"), came);
     }
+
+    /** The answer lies unread, or comes, in the moment in which its call is given up: the wait that it tells binds. */
+    @Test
+    void aWaitThatIsToldToACallThatIsGivenUpIsHeeded() throws Exception {
+        final Carrier.Parcel parcel = parcel("open", Long.MAX_VALUE);
+        final Carrier.Call call = CompletableFuture.supplyAsync(() -> {
+            final Carrier.Call made = carrier.prepare(1, List.of(parcel));
+            carrier.start(made);
+            return made;
+        }, loop).get(PATIENCE_S, TimeUnit.SECONDS);
+        final Exchange exchange = open.poll(PATIENCE_S, TimeUnit.SECONDS);
+        CompletableFuture.runAsync(() -> {
+            exchange.answer(429, "", "Retry-After", "1.5").syncUninterruptibly();
+            carrier.abandon(call, Courier.Result.TIMED_OUT);
+        }, loop).get(PATIENCE_S, TimeUnit.SECONDS);
+        assertEquals(new Told("open", Courier.Result.TIMED_OUT), told());
+        assertEquals(3 * SECOND_US / 2, waits.poll(PATIENCE_S, TimeUnit.SECONDS));
+    }
+
+    /** The same of an answer whose head is whole and whose rest never comes. */
+    @Test
+    void aWaitInAnAnswerThatStopsShortIsHeeded() throws Exception {
+        call(0, parcel("open", Long.MAX_VALUE));
+        final Exchange exchange = open.poll(PATIENCE_S, TimeUnit.SECONDS);
+        exchange.raw("HTTP/1.1 429 X\r\nRetry-After: 1.5\r\nContent-Length: 10\r\n\r\nab".getBytes(
+                StandardCharsets.US_ASCII)).addListener(written -> exchange.channel().close());
+        assertEquals(new Told("open", Courier.Result.RESET), told());
+        assertEquals(3 * SECOND_US / 2, waits.poll(PATIENCE_S, TimeUnit.SECONDS));
+    }
 }
--- a/decisions/src/main/java/thistleturn/decisions/Control.java
+++ b/decisions/src/main/java/thistleturn/decisions/Control.java
@@ -241,6 +241,16 @@
         }
     }
 
+    /** An endpoint tells to wait from now on, in an answer that is no call's outcome any more. */
+    public void onWait(final long now, final long endpoint, final long waitUs) {
+        state.nowUs = now;
+        final Node node = state.nodes.get(endpoint);
+        if (node != null) {
+            node.lane.waitUntilUs = Math.max(node.lane.waitUntilUs, now + waitUs);
+            state.touch(node.lane.destination);
+        }
+    }
+
     /**
      * For so long before now this courier did not run: that is nobody's time-out. What would be overdue
      * falls due later by as much.
