--- /dev/null
+++ b/courier/src/test/java/thistleturn/courier/FaultScenario.java
@@ -0,0 +1,103 @@
+package thistleturn.courier;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import thistleturn.testkit.CourierFiles;
+import thistleturn.testkit.StandInEndpoint;
+import thistleturn.testkit.StandInEndpoint.Manner;
+import thistleturn.testkit.StandInWorld;
+import thistleturn.testkit.Violation;
+import thistleturn.testkit.rig.ChildProcess;
+import thistleturn.testkit.rig.FaultShim;
+
+/** One courier as a process of its own whose system calls fail by rules, among six endpoints of three destinations that are well. */
+final class FaultScenario implements AutoCloseable {
+    static final long TIMEOUT_MS = 3000;
+    private static final int ENDPOINTS = 6;
+    private static final int DESTINATIONS = 3;
+    private static final long SERVICE_MS = 25;
+    private static final double CALLS_PER_SECOND = 2000;
+    private static final String MAIN = "thistleturn.courier.Main";
+
+    final StandInWorld world;
+    final List<StandInEndpoint> endpoints = new ArrayList<>();
+    private final Path state;
+    private final List<ChildProcess> processes = new ArrayList<>();
+    private ChildProcess courier;
+
+    FaultScenario(final Path folder, final long seed) {
+        world = new StandInWorld(folder, seed);
+        state = folder.resolve("state");
+        for (int index = 0; index < ENDPOINTS; index++) {
+            final StandInEndpoint endpoint = world.endpoint(1 + index % DESTINATIONS);
+            endpoint.fare(Manner.after(SERVICE_MS));
+            world.platform.tell(endpoint, "Ready", CALLS_PER_SECOND);
+            endpoints.add(endpoint);
+        }
+    }
+
+    /** No fault yet, for a courier of this scenario. */
+    FaultShim faults() {
+        return FaultShim.below(state);
+    }
+
+    /** Starts a courier under these faults, and waits until it serves. */
+    void start(final FaultShim faults) throws IOException {
+        courier = ChildProcess.java(faults.environment(world.environment(CourierFiles.Size.usual())), "", MAIN);
+        processes.add(courier);
+        final String ready = courier.await(line -> line.contains("is ready at "));
+        world.client.courier(ready.substring(ready.lastIndexOf(' ') + 1));
+    }
+
+    /** Kills the courier and starts another one in its folder. */
+    void restart(final FaultShim faults) throws IOException {
+        world.auditor.restarted(world.ticks.nowUs(), false);
+        courier.kill();
+        world.endConnections();
+        start(faults);
+        world.auditor.restarted(world.ticks.nowUs(), true);
+    }
+
+    /** Hands in so many messages a second to all destinations. */
+    void load(final double perSecond) {
+        world.load(perSecond, TIMEOUT_MS, 1, 2, 3);
+    }
+
+    /** Lets so much time pass under load. */
+    void pass(final long ms) {
+        world.until(world.ticks.nowUs() + ms * 1000);
+    }
+
+    /** Hands in no more; what the rules have to say once every message has its end or is overdue. */
+    List<Violation> verdict() {
+        return world.stopLoad(TIMEOUT_MS);
+    }
+
+    int delivered() {
+        return world.auditor.ends().getOrDefault("delivered", 0);
+    }
+
+    int ended() {
+        return world.auditor.ends().values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    ChildProcess courier() {
+        return courier;
+    }
+
+    /** What the couriers said, with the counts of ends: for the message of a test that fails. */
+    String story() {
+        final StringBuilder text = new StringBuilder("ends " + world.auditor.ends() + ", without answer "
+                + world.client.withoutAnswer().size());
+        processes.forEach(process -> process.lines().stream().limit(40).forEach(line -> text.append('\n').append(line)));
+        return text.toString();
+    }
+
+    @Override
+    public void close() {
+        processes.forEach(ChildProcess::close);
+        world.close();
+    }
+}
--- a/testkit/src/main/java/thistleturn/testkit/StandInClient.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInClient.java
@@ -21,6 +21,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -46,6 +49,9 @@
     private final String prefix;
     private volatile InetSocketAddress courier;
     private volatile LongConsumer latencyUs = unused -> { };
+    private volatile boolean keepsConnections = true;
+    /** Ids of requests that were written and never had a whole answer. */
+    private final Queue<String> withoutAnswer = new ConcurrentLinkedQueue<>();
 
     /** A client of the courier at that address; ids begin with the prefix. */
     public StandInClient(final EventLoopGroup group, final String prefix, final Auditor auditor, final Ticks ticks) {
@@ -70,6 +76,16 @@
         latencyUs = listener;
     }
 
+    /** From now on each message goes over a connection of its own, or not. */
+    public void keepConnections(final boolean keep) {
+        keepsConnections = keep;
+    }
+
+    /** The requests that were written, and then had no answer in the client's patience, or whose connection ended without one. */
+    public List<String> withoutAnswer() {
+        return List.copyOf(withoutAnswer);
+    }
+
     /** Requests without an answer as yet. */
     public long unanswered() {
         return out.get();
@@ -167,7 +183,7 @@
             if (done != null) {
                 done.answered(answer.status().code());
             }
-            if (HttpUtil.isKeepAlive(answer) && context.channel().isActive()) {
+            if (keepsConnections && HttpUtil.isKeepAlive(answer) && context.channel().isActive()) {
                 idle.addLast(context.channel());
             } else {
                 context.close();
@@ -182,6 +198,7 @@
             if (cut != null) {
                 cut.patience.cancel(false);
                 out.decrementAndGet();
+                withoutAnswer.add(cut.id);
             }
         }
 
--- a/testkit/src/main/java/thistleturn/testkit/StandInWorld.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInWorld.java
@@ -26,7 +26,7 @@
     private static final long BEAT_MS = 20;
     private static final long LATE_BEAT_US = 20_000;
     /** The classes that are handed in, evenly mixed. */
-    private static final String[] CLASSES = {"safe", "keyed", "once"};
+    private static final List<String> CLASSES = List.of("safe", "keyed", "once");
 
     /** What the rules have to say. */
     public final Auditor auditor = new Auditor(Auditor.Figures.standard(), CourierFiles.CLASSES);
@@ -44,6 +44,7 @@
     private final Random random;
     private final Path folder;
     private volatile boolean loading;
+    private volatile List<String> loadedClasses = CLASSES;
 
     /** A world that keeps its files in a folder; all chance comes from the seed. */
     public StandInWorld(final Path folder, final long seed) {
@@ -108,6 +109,11 @@
         return CourierFiles.write(folder, "n0", platform.address(), platform.known(), size);
     }
 
+    /** From now on messages of these classes are handed in, evenly mixed. */
+    public void loadClasses(final String... names) {
+        loadedClasses = List.of(names);
+    }
+
     /** Hands in so many messages a second, to each destination in turn, until {@link #stopLoad}. */
     public void load(final double perSecond, final long timeoutMs, final long... destinations) {
         load(client, perSecond, timeoutMs, destinations);
@@ -129,7 +135,7 @@
         long next = number;
         // The pace is that of the clock: what a late timer missed is handed in at once.
         while (beganUs + next * gapUs <= ticks.nowUs()) {
-            by.handIn(CLASSES[random.nextInt(CLASSES.length)],
+            by.handIn(loadedClasses.get(random.nextInt(loadedClasses.size())),
                     destinations[(int) (next % destinations.length)], timeoutMs);
             next++;
         }
