--- a/cli/src/main/java/thistleturn/cli/admin/AdminServer.java
+++ b/cli/src/main/java/thistleturn/cli/admin/AdminServer.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.transport.AcceptRetry;
 
 /**
  * Answers operators' questions of a running courier, as JSON, on a loopback address: one question a connection, a few
@@ -45,6 +46,7 @@
     /** Listens; a failure is one line in the log, and the courier serves on. */
     public void listen(final EventLoop loop, final InetSocketAddress address) {
         new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .handler(new AcceptRetry())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -47,8 +47,10 @@
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Descriptors;
+import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.LoopTurns;
+import thistleturn.courier.runtime.Passing;
 import thistleturn.courier.shard.Layout;
 import thistleturn.courier.shard.Room;
 import thistleturn.courier.shard.ShardDesk;
@@ -82,6 +84,7 @@
     private static final int LOCK_TRIES = 100;
 
     private final Clock clock = new Clock();
+    private final long startedUs = clock.nowUs();
     private final List<Shard> shards = new ArrayList<>();
     private final EventLoop loop;
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -204,7 +207,7 @@
     private void lockFolder() throws IOException {
         lock = StateLock.tryLock(config.state());
         if (lock == null && (config.operator() == null || tuning.shards() > 1)) {
-            throw new IOException(config.state() + ": another courier that runs uses this folder");
+            throw new Passing.LastingException(config.state() + ": another courier that runs uses this folder");
         }
         if (lock != null) {
             openJournals();
@@ -225,8 +228,9 @@
         @Override
         public Inheritance yield(final Heir heir) throws IOException {
             final Inheritance inheritance = only.host.yield(heir);
+            // From here on the heir decides: what fails now must not keep it from that.
             only.journal.closeTrimmed();
-            lock.close();
+            close("unlocking the folder", lock);
             Log.info("handed over with " + inheritance.calls().size() + " calls out");
             return inheritance;
         }
@@ -244,28 +248,34 @@
 
         @Override
         public void heirGone() {
-            takeUpAgain(LOCK_TRIES);
+            takeUpAgain(LOCK_TRIES, clock.nowUs() + Passing.PATIENCE_US);
         }
 
         /** The system may lift the lock of a process that died a moment after it has closed its connections. */
-        private void takeUpAgain(final int tries) {
+        private void takeUpAgain(final int tries, final long untilUs) {
             if (stopping) {
                 return;
             }
             try {
                 lock = StateLock.tryLock(config.state());
                 if (lock == null && tries > 0) {
-                    loop.schedule(() -> takeUpAgain(tries - 1), STOP_CHECK_MS, TimeUnit.MILLISECONDS);
+                    loop.schedule(() -> takeUpAgain(tries - 1, untilUs), STOP_CHECK_MS, TimeUnit.MILLISECONDS);
                     return;
                 }
                 if (lock == null) {
-                    throw new IOException("another process holds " + config.state());
+                    throw new Passing.LastingException("another process holds " + config.state());
                 }
                 openJournals();
                 Log.info("the newer process has ended: this one takes up again");
                 only.host = new Succession(only.host).next();
                 listen(0, config.listen());
             } catch (final IOException e) {
+                if (Passing.mayPass(e) && clock.nowUs() < untilUs) {
+                    Log.event(Event.START_RETRIED, "step", "take up again", "cause", e);
+                    unlock();
+                    loop.schedule(() -> takeUpAgain(LOCK_TRIES, untilUs), Passing.RETRY_MS, TimeUnit.MILLISECONDS);
+                    return;
+                }
                 Log.info("the newer process has ended, and so does this one: " + e.getMessage());
                 new Thread(() -> System.exit(HEIR_GONE_STATUS), "heir gone").start();
             }
@@ -294,7 +304,7 @@
         }
 
         @Override
-        public void offer(final Held held, final long validUntilWallUs, final Front.Reply reply) {
+        public void offer(final Held held, final long validUntilUs, final Front.Reply reply) {
             next.offer(held, reply);
         }
 
@@ -607,13 +617,7 @@
     /** Builds everything, each shard's part on its event loop, which owns it from then on. */
     private void run() {
         if (config.operator() != null) {
-            new OperatorServer(operators).listen(loop, config.operator()).whenComplete((bound, failure) -> {
-                if (failure == null) {
-                    Log.info(config.name() + " hears operators at " + bound);
-                } else {
-                    serving.completeExceptionally(failure);
-                }
-            });
+            listenToOperators();
         }
         own = extension.directory(new Discovery(config, loop, clock, shards.get(0).turns), new Surroundings(config, loop, clock, this::lanes,
                 () -> shards.get(0).host.health(), new Helm()));
@@ -625,6 +629,33 @@
         }
     }
 
+    private void listenToOperators() {
+        new OperatorServer(operators).listen(loop, config.operator()).whenComplete((bound, failure) -> {
+            if (failure == null) {
+                Log.info(config.name() + " hears operators at " + bound);
+            } else {
+                again("listen to operators", failure, this::listenToOperators);
+            }
+        });
+    }
+
+    /** Tries a step of the start again if what it failed for may pass; else, or after a while, the start has failed. */
+    private void again(final String step, final Throwable failure, final Runnable action) {
+        if (Passing.mayPass(failure) && clock.nowUs() < startedUs + Passing.PATIENCE_US) {
+            Log.event(Event.START_RETRIED, "step", step, "cause", failure);
+            loop.schedule(action, Passing.RETRY_MS, TimeUnit.MILLISECONDS);
+        } else {
+            serving.completeExceptionally(failure);
+        }
+    }
+
+    private void unlock() {
+        if (lock != null) {
+            close("unlocking the folder", lock);
+            lock = null;
+        }
+    }
+
     /** Asks the process that holds the folder to hand over; again, while it cannot; unless it has ended meanwhile. */
     private void takeOver() {
         final AtomicReference<Predecessor> asked = new AtomicReference<>();
@@ -638,7 +669,8 @@
                     loop.schedule(this::takeOver, RETRY_MS, TimeUnit.MILLISECONDS);
                 }
             } catch (final IOException e) {
-                serving.completeExceptionally(e);
+                unlock();
+                again("take over", e, this::takeOver);
             }
         }));
     }
@@ -652,7 +684,8 @@
             openJournals();
             begin(inheritance, predecessor);
         } catch (final IOException e) {
-            serving.completeExceptionally(e);
+            unlock();
+            again("succeed", e, () -> succeed(inheritance, predecessor));
         }
     }
 
@@ -678,7 +711,7 @@
                     shard.host.leaveOut(leftOut);
                 }
                 if (inheritance == null && shard.learnt != null) {
-                    shard.host.recall(shard.learnt.read(clock.wallUs(), LearntKeeper.upUs()));
+                    shard.host.recall(shard.learnt.read(clock.nowUs()));
                 }
                 final int resumed = inheritance == null ? shard.host.start()
                         : shard.host.start(inheritance, predecessor);
@@ -742,9 +775,13 @@
         // A newer process will listen there beside this one.
         final boolean several = shards.size() > 1 || operators != null;
         shards.get(index).front.listen(address, several).whenCompleteAsync((bound, failure) -> {
-            if (failure != null) {
-                serving.completeExceptionally(new IOException(
-                        "cannot listen on " + config.listen() + ": " + failure.getMessage(), failure));
+            if (failure != null && serving.isDone() && !stopping) {
+                // It served before: nobody else would try again.
+                Log.event(Event.START_RETRIED, "step", "listen again", "cause", failure);
+                loop.schedule(() -> listen(index, address), Passing.RETRY_MS, TimeUnit.MILLISECONDS);
+            } else if (failure != null) {
+                again("listen", new IOException("cannot listen on " + config.listen() + ": " + failure.getMessage(), failure),
+                        () -> listen(index, address));
             } else if (index + 1 < shards.size()) {
                 listen(index + 1, Config.address("listen", bound));
             } else {
@@ -764,6 +801,10 @@
      * row the later one's file counts. A file that cannot be used changes nothing.
      */
     public synchronized void reload() {
+        reload(clock.nowUs() + Passing.PATIENCE_US);
+    }
+
+    private synchronized void reload(final long untilUs) {
         try {
             final Config fresh = Config.read(environment);
             latest = fresh;
@@ -773,6 +814,10 @@
                 }
             }));
         } catch (final Config.BadConfigException e) {
+            if (Passing.mayPass(e) && clock.nowUs() < untilUs) {
+                loop.schedule(() -> reload(untilUs), Passing.RETRY_MS, TimeUnit.MILLISECONDS);
+                return;
+            }
             Log.info("SIGHUP: the configuration stays as it was: " + e.getMessage());
         }
         extension.reload();
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -17,6 +17,7 @@
 import thistleturn.courier.port.Witness;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
+import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.shard.Room;
 import thistleturn.decisions.Control;
@@ -53,33 +54,15 @@
     private static final long LATE_US = 100_000;
     /** A store so full is pressed. */
     private static final double PRESSED_SHARE = 0.9;
-    /** When the journal is tried again that could not be written, ms. */
-    private static final long UNSAFE_RETRY_MS = 100;
+    /** When the journal is tried again that could not be written, ms: a client waits 400 ms for its answer. */
+    private static final long UNWRITABLE_RETRY_MS = 20;
     /** A wake-up so late, us, comes from a process that did not run: first it looks at what has come meanwhile. */
     private static final long LATE_WAKE_US = 10_000;
     /** When the store is full: a message's time in it is some seconds, so that one place is free soon. */
     private static final long FULL_RETRY_US = 1_000_000;
 
-    /** A message that is owed its end. */
-    static final class Open {
-        final Held held;
-        final Courier.MessageClass kind;
-        final long validUntilUs;
-        /** Where its first answer goes; null once that is given. */
-        private Front.Reply reply;
-        private boolean over;
-        private Carrier.Call call;
-
-        Open(final Held held, final Courier.MessageClass kind, final long validUntilUs, final Front.Reply reply) {
-            this.held = held;
-            this.kind = kind;
-            this.validUntilUs = validUntilUs;
-            this.reply = reply;
-        }
-    }
-
     /** One message's part in a call. */
-    private record Part(Open open, long timeoutUs, long goesUntilUs) implements Carrier.Parcel {
+    private record Part(OpenMessage open, long timeoutUs, long goesUntilUs) implements Carrier.Parcel {
         @Override
         public Held held() {
             return open.held;
@@ -112,14 +95,13 @@
     private final Wiring wiring;
     private final OwnHealth health;
     private final Pulse pulse;
-    private final Map<String, Open> messages = new LinkedHashMap<>();
+    private final Map<String, OpenMessage> messages = new LinkedHashMap<>();
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<Long, List<Part>> outbox = new LinkedHashMap<>();
-    private final List<Open> unanswered = new ArrayList<>();
-    private final List<Carrier.Call> prepared = new ArrayList<>();
-    /** Answers to messages that were ended in the pass that took them. */
-    private final List<Runnable> refusals = new ArrayList<>();
+    private final Promises promises;
     private boolean passDue;
+    /** The journal could not be written, and is tried again soon. */
+    private boolean retriesJournal;
     /** How many messages it may hold now, and whether that, or its slots, have held it back of late. */
     private int maxOpen;
     private boolean openPressed;
@@ -171,6 +153,7 @@
         this.carrier = wiring.carrier(this);
         this.directory = wiring.directory();
         this.ends = wiring.ends(this);
+        this.promises = new Promises(new PromiseKeeper(), ends);
         this.roster = new Roster(config.settings().kinds(), clock::nowUs);
         config.settings().classes().forEach(kind -> classes.put(kind.name(), classes.size()));
         this.served = new long[classes.size()];
@@ -207,7 +190,7 @@
                 control.onList(clock.nowUs(), Courier.Update.ASIDE, List.of(entry));
                 return number;
             });
-            adopt(out, new RemoteCall(out.number(), endpoint, clock.fromWallUs(out.sentWallUs())), held);
+            adopt(out, new RemoteCall(out.number(), endpoint, out.sentUs()), held);
         }
         control.onList(clock.nowUs(), Courier.Update.ASIDE, unlisted.stream().map(entry -> new Courier.Endpoint(
                 entry.id(), Courier.Condition.GONE, "", 0, -1, entry.destination())).toList());
@@ -223,14 +206,14 @@
             if (index == null || held.notice() != null || !held.isOut()) {
                 continue;
             }
-            final Open open = new Open(held, config.settings().classes().get(index),
-                    clock.fromWallUs(held.validUntilWallUs()), null);
+            final OpenMessage open = new OpenMessage(held, config.settings().classes().get(index),
+                    held.validUntilUs(), null);
             open.call = call;
             messages.put(id, open);
             remote.put(id, new Part(open, 0, 0));
-            final boolean ran = held.firstRunWallUs() != Held.NEVER;
+            final boolean ran = held.firstRunUs() != Held.NEVER;
             control.onAdopted(clock.nowUs(), message(open, index), new Courier.Past(held.attempts(), ran,
-                    ran ? clock.fromWallUs(held.firstRunWallUs()) : 0, held.runZone()), call.endpoint(),
+                    ran ? held.firstRunUs() : 0, held.runZone()), call.endpoint(),
                     call.sentUs(), sameCall);
             sameCall = true;
         }
@@ -267,7 +250,7 @@
             if (held.notice() != null) {
                 ends.add(held);
             } else if (index == null) {
-                end(new Open(held, null, 0, null), new Held.Notice(true, 0));
+                end(new OpenMessage(held, null, 0, null), new Held.Notice(true, 0));
             } else {
                 resume(held, index);
                 resumed++;
@@ -278,9 +261,9 @@
     }
 
     private void resume(final Held held, final int index) {
-        final Open open = new Open(held, config.settings().classes().get(index),
-                clock.fromWallUs(held.validUntilWallUs()), null);
-        final Courier.Past past = held.past(clock);
+        final OpenMessage open = new OpenMessage(held, config.settings().classes().get(index),
+                held.validUntilUs(), null);
+        final Courier.Past past = held.past();
         if (held.isOut()) {
             store.settle(held, false);
         }
@@ -288,7 +271,7 @@
         control.onResumed(clock.nowUs(), message(open, index), past);
     }
 
-    private static Courier.Message message(final Open open, final int index) {
+    private static Courier.Message message(final OpenMessage open, final int index) {
         return new Courier.Message(open.held.id(), index, -1, null, open.validUntilUs, open.held.destination());
     }
 
@@ -336,7 +319,7 @@
     @Override
     public void offer(final Held held, final long validUntilUs, final Front.Reply reply) {
         if (heir != null) {
-            heir.offer(held, held.validUntilWallUs(), reply);
+            heir.offer(held, held.validUntilUs(), reply);
             return;
         }
         pulse.feel();
@@ -351,13 +334,15 @@
         openPressed |= messages.size() >= PRESSED_SHARE * maxOpen;
         if (messages.size() >= health.mayHold(maxOpen) || !store.take(held)) {
             refused[classes.get(held.className())]++;
+            Log.event(Event.REQUEST_REFUSED, "id", held.id(), "class", held.className(), "why",
+                    store.isWritable() ? "no_room" : "journal_unwritable", "holds", messages.size());
             reply.refused(Front.Refusal.NO_ROOM, FULL_RETRY_US);
             return;
         }
         final int index = classes.get(held.className());
-        final Open open = new Open(held, config.settings().classes().get(index), validUntilUs, reply);
+        final OpenMessage open = new OpenMessage(held, config.settings().classes().get(index), validUntilUs, reply);
         messages.put(held.id(), open);
-        unanswered.add(open);
+        promises.accept(open, clock.nowUs());
         held.way().taken(clock.nowUs());
         control.onMessage(clock.nowUs(), message(open, index));
         touch();
@@ -369,7 +354,7 @@
             heir.withdraw(id, destination);
             return;
         }
-        final Open open = messages.get(id);
+        final OpenMessage open = messages.get(id);
         if (open != null) {
             forget(open);
             control.onExpired(clock.nowUs(), id);
@@ -416,7 +401,7 @@
         if (cut) {
             return;
         }
-        final Open open = ((Part) parcel).open();
+        final OpenMessage open = ((Part) parcel).open();
         final long nowUs = pulse.feel();
         open.call = null;
         if (heir != null) {
@@ -438,6 +423,11 @@
                 store.settle(open.held, answer.result().neverRan());
             }
         }
+        if (!delivered) {
+            Log.event(answer.result() == Courier.Result.NOT_SENT ? Event.ATTEMPT_NOT_SENT : Event.ATTEMPT_FAILED, "id",
+                    open.held.id(), "class", open.held.className(), "endpoint", roster.name(call.endpoint()), "result",
+                    answer.result(), "attempts", open.held.attempts(), "after_us", nowUs - call.sentUs(), "wait_us", answer.waitUs());
+        }
         tellHealth(open.held.destination(), call, answer.result(), nowUs);
         control.onOutcome(nowUs, new Courier.Outcome(open.held.id(), answer.result(), open.over, call.endpoint(),
                 health.hasMeasured(call.sentUs(), nowUs) ? nowUs - call.sentUs() : -1, answer.waitUs(), answer.allowance()));
@@ -488,15 +478,15 @@
         final long nowUs = clock.nowUs();
         for (final Held held : known) {
             if (held.way() != null && held.way().lateUs(nowUs) > LATE_US) {
-                Log.info("late end of " + held.id() + " (" + held.className() + ", " + held.attempts() + " attempts): "
-                        + held.way().story(nowUs));
+                Log.event(Event.MESSAGE_ENDED_LATE, "id", held.id(), "class", held.className(), "attempts", held.attempts(),
+                        "way", held.way().story(nowUs));
             }
             store.over(held);
         }
         touch();
     }
 
-    private void count(final long[] ends, final Open open) {
+    private void count(final long[] ends, final OpenMessage open) {
         ends[classes.get(open.held.className())]++;
     }
 
@@ -573,7 +563,9 @@
     Inheritance yield(final Heir to) throws IOException {
         // What this turn brought is decided and answered here.
         pass();
-        if (!store.flush()) {
+        final Store.Flush flush = store.flush();
+        promises.keep(flush, clock.nowUs());
+        if (flush != Store.Flush.SAFE) {
             throw new IOException("the journal cannot be written");
         }
         heir = to;
@@ -587,10 +579,10 @@
         return inheritance();
     }
 
-    /** What was learnt so far, with moments in Unix time; null while another process decides, or nothing or too much is listed. */
+    /** What was learnt so far, null while another process decides, or nothing or too much is listed. */
     Inheritance learnt() {
         return heir != null || roster.size() == 0 || roster.size() > MOST_REMEMBERED ? null
-                : new Inheritance(roster.listed(), Continuity.moved(control.memory(), clock::toWallUs),
+                : new Inheritance(roster.listed(), control.memory(),
                         List.of());
     }
 
@@ -636,7 +628,7 @@
 
     private Inheritance inheritance() {
         final Map<Carrier.Call, List<String>> out = new IdentityHashMap<>();
-        for (final Open open : messages.values()) {
+        for (final OpenMessage open : messages.values()) {
             out.computeIfAbsent(open.call, unused -> new ArrayList<>()).add(open.held.id());
         }
         final List<Inheritance.CallOut> calls = new ArrayList<>();
@@ -644,9 +636,9 @@
             final long number = givenNumbers.computeIfAbsent(call, unused -> givenNumbers.size() + 1L);
             given.put(number, call);
             calls.add(new Inheritance.CallOut(number, call.endpoint(), messages.get(ids.get(0)).held.destination(),
-                    clock.toWallUs(call.sentUs()), ids));
+                    call.sentUs(), ids));
         });
-        return new Inheritance(roster.listed(), Continuity.moved(control.memory(), clock::toWallUs), calls);
+        return new Inheritance(roster.listed(), control.memory(), calls);
     }
 
     /** Gives up a call that was out when the newer process took over. */
@@ -682,7 +674,7 @@
     @Override
     public void offer(final Held held, final Front.Reply reply) {
         final long nowUs = clock.nowUs();
-        final long validUntilUs = clock.fromWallUs(held.validUntilWallUs());
+        final long validUntilUs = held.validUntilUs();
         held.began(new Way(nowUs, nowUs, nowUs, validUntilUs));
         if (classes.containsKey(held.className())) {
             offer(held, validUntilUs, reply);
@@ -745,63 +737,72 @@
         final long nowUs = pulse.feel();
         pulse.keep(!messages.isEmpty());
         try {
-            control.decide(nowUs);
-            slotsPressed |= control.wantsSlots();
-            if (witness != null && control.turns() != toldTurns) {
-                turned(true);
-            }
+            decide(nowUs);
         } catch (final RuntimeException | Error e) {
             Log.failure("decisions failed", e);
         }
         outbox.forEach(this::prepareAll);
         outbox.clear();
         // The journal is ahead of all that this pass promises: answers, calls, and ends that are told.
-        final boolean safe = store.flush();
-        answer(safe);
-        final List<Carrier.Call> calls = List.copyOf(prepared);
-        prepared.clear();
-        for (final Carrier.Call call : calls) {
-            if (safe) {
-                carrier.start(call);
-            } else {
-                // An attempt that the journal does not know of would be forgotten by a restart.
-                loop.execute(() -> carrier.abandon(call, Courier.Result.NOT_SENT));
-            }
+        promises.keep(store.flush(), clock.nowUs());
+        retryJournal();
+    }
+
+    /** While nothing can be written nothing can be sent or taken on; what is due ends all the same. */
+    private void decide(final long nowUs) {
+        if (!store.isWritable() && store.flush() != Store.Flush.SAFE) {
+            control.onLate(nowUs);
+            return;
         }
-        if (safe) {
-            ends.flush();
-        } else {
-            loop.schedule(this::touch, UNSAFE_RETRY_MS, TimeUnit.MILLISECONDS);
+        control.decide(nowUs);
+        slotsPressed |= control.wantsSlots();
+        if (witness != null && control.turns() != toldTurns) {
+            turned(true);
         }
     }
 
-    /** What was taken and not ended in the same pass is taken on, if the journal has it; the rest is told why not. */
-    private void answer(final boolean safe) {
-        tellRefusals();
-        final List<Open> due = List.copyOf(unanswered);
-        unanswered.clear();
-        for (final Open open : due) {
-            if (open.reply == null || open.over) {
-                continue;
-            }
-            final Front.Reply reply = open.reply;
-            if (safe) {
-                open.reply = null;
-                open.held.way().answered(clock.nowUs());
-                reply.accepted();
-            } else {
-                forget(open);
-                count(refused, open);
-                control.onExpired(clock.nowUs(), open.held.id());
-                reply.refused(Front.Refusal.NO_ROOM, FULL_RETRY_US);
-            }
+    /** Tries a journal again that could not be written; one try is planned at a time. */
+    private void retryJournal() {
+        if (store.isWritable() || retriesJournal) {
+            return;
         }
+        retriesJournal = true;
+        loop.schedule(() -> {
+            retriesJournal = false;
+            touch();
+        }, UNWRITABLE_RETRY_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void tellRefusals() {
-        final List<Runnable> told = List.copyOf(refusals);
-        refusals.clear();
-        told.forEach(Runnable::run);
+    /** Carries out what the journal holds, or need not hold. */
+    private final class PromiseKeeper implements Promises.Keeper {
+        @Override
+        public void accept(final OpenMessage message) {
+            final Front.Reply reply = message.reply;
+            message.reply = null;
+            message.held.way().answered(clock.nowUs());
+            reply.accepted();
+        }
+
+        @Override
+        public void refuseUnwritten(final OpenMessage message) {
+            final Front.Reply reply = message.reply;
+            forget(message);
+            count(refused, message);
+            control.onExpired(clock.nowUs(), message.held.id());
+            Log.event(Event.REQUEST_REFUSED, "id", message.held.id(), "class", message.kind.name(), "why", "journal_write_failed");
+            reply.refused(Front.Refusal.NO_ROOM, FULL_RETRY_US);
+        }
+
+        @Override
+        public void start(final Carrier.Call call) {
+            carrier.start(call);
+        }
+
+        @Override
+        public void drop(final Carrier.Call call) {
+            // An attempt that the journal does not know of would be forgotten by a restart.
+            loop.execute(() -> carrier.abandon(call, Courier.Result.NOT_SENT));
+        }
     }
 
     private void prepareAll(final long endpoint, final List<Part> parcels) {
@@ -809,19 +810,14 @@
         for (int from = 0; from < parcels.size(); from += most) {
             final List<Part> some = parcels.subList(from, Math.min(parcels.size(), from + most));
             final Carrier.Call call = carrier.prepare(endpoint, some);
-            boolean recorded = true;
             for (final Part parcel : some) {
                 parcel.open().call = call;
                 if (parcel.held().way() != null) {
                     parcel.held().way().attempt(clock.nowUs());
                 }
-                recorded &= store.begin(parcel.open().held, clock.wallUs(), roster.zone(endpoint));
-            }
-            if (recorded) {
-                prepared.add(call);
-            } else {
-                loop.execute(() -> carrier.abandon(call, Courier.Result.NOT_SENT));
+                store.begin(parcel.open().held, clock.nowUs(), roster.zone(endpoint));
             }
+            promises.call(call);
         }
     }
 
@@ -829,7 +825,7 @@
 
     @Override
     public void send(final String messageId, final long endpoint, final long timeoutUs) {
-        final Open open = messages.get(messageId);
+        final OpenMessage open = messages.get(messageId);
         if (open != null) {
             outbox.computeIfAbsent(endpoint, unused -> new ArrayList<>())
                     .add(new Part(open, timeoutUs, goesUntilUs(open)));
@@ -837,14 +833,14 @@
     }
 
     /** A decision is carried out later than it was made: a loop stands still, a connection takes its time. */
-    private long goesUntilUs(final Open open) {
-        final Courier.Past past = open.held.past(clock);
+    private long goesUntilUs(final OpenMessage open) {
+        final Courier.Past past = open.held.past();
         return open.kind.keyEndUs(past.mayHaveRun(), past.firstRunUs());
     }
 
     @Override
     public void refuse(final String messageId, final long retryAfterUs) {
-        final Open open = messages.get(messageId);
+        final OpenMessage open = messages.get(messageId);
         if (open == null) {
             return;
         }
@@ -854,13 +850,15 @@
         } else {
             final Front.Reply reply = open.reply;
             forget(open);
-            refusals.add(() -> reply.refused(Front.Refusal.DECIDED, retryAfterUs));
+            Log.event(Event.REQUEST_REFUSED, "id", messageId, "class", open.kind.name(), "why", "decided", "retry_after_us",
+                    retryAfterUs);
+            promises.refuse(() -> reply.refused(Front.Refusal.DECIDED, retryAfterUs), clock.nowUs());
         }
     }
 
     @Override
     public void fail(final String messageId) {
-        final Open open = messages.get(messageId);
+        final OpenMessage open = messages.get(messageId);
         if (open == null) {
             return;
         }
@@ -870,23 +868,26 @@
         } else {
             final Front.Reply reply = open.reply;
             forget(open);
-            refusals.add(reply::failed);
+            promises.refuse(reply::failed, clock.nowUs());
         }
     }
 
     /** Ends a message that was taken on by a notice; the journal holds the notice until it is confirmed. */
-    private void end(final Open open, final Held.Notice notice) {
+    private void end(final OpenMessage open, final Held.Notice notice) {
         open.over = true;
         if (open.held.way() != null) {
             open.held.way().ended(clock.nowUs());
         }
         messages.remove(open.held.id());
         health.messageEnded();
+        Log.event(Event.MESSAGE_ENDED, "id", open.held.id(), "class", open.held.className(), "dest", open.held.destination(),
+                "end", notice.failed() ? "undeliverable" : "deferred", "attempts", open.held.attempts(), "time_left_us",
+                open.validUntilUs - clock.nowUs());
         store.owe(open.held, notice);
-        ends.add(open.held);
+        promises.end(open.held);
     }
 
-    private void forget(final Open open) {
+    private void forget(final OpenMessage open) {
         open.over = true;
         open.reply = null;
         messages.remove(open.held.id());
@@ -896,7 +897,7 @@
 
     @Override
     public void cancel(final String messageId, final int attempt) {
-        final Open open = messages.get(messageId);
+        final OpenMessage open = messages.get(messageId);
         if (open != null && open.call != null) {
             final Carrier.Call call = open.call;
             final long decidedUs = clock.nowUs();
@@ -945,10 +946,8 @@
             return;
         }
         control.onLate(clock.nowUs());
-        if (store.flush()) {
-            tellRefusals();
-            ends.flush();
-        }
+        promises.keepRefusalsAndEnds(store.flush(), clock.nowUs());
+        retryJournal();
     }
 
     // ---------------------------------------------------------------- a new configuration
@@ -974,6 +973,6 @@
 
     /** True when nothing is under way that the end of the process would cut off. */
     boolean idle() {
-        return messages.isEmpty() && (heir != null || ends.isEmpty());
+        return messages.isEmpty() && (heir != null || ends.isEmpty() && !promises.hasUntoldEnds());
     }
 }
--- a/courier/src/main/java/thistleturn/courier/Main.java
+++ b/courier/src/main/java/thistleturn/courier/Main.java
@@ -2,10 +2,15 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
+import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
+import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.Passing;
 
 /** Starts a real courier, has it read its configuration again on SIGHUP, and ends it in order on SIGTERM. */
 public final class Main {
@@ -41,7 +46,7 @@
                 process.reload();
             }
         });
-        final CourierProcess process = CourierProcess.start(environment, extension, tuning);
+        final CourierProcess process = startUnlessItLasts(environment, extension, tuning);
         started.set(process);
         if (asked.get()) {
             // What was read may be what was there before the signal.
@@ -55,4 +60,22 @@
         });
         return process;
     }
+
+    /** What the system cannot give now it may give in a moment: a start that ends for that is a crash. */
+    private static CourierProcess startUnlessItLasts(final Map<String, String> environment,
+            final CourierProcess.Extension extension, final Tuning tuning) throws Config.BadConfigException, IOException {
+        final Clock clock = new Clock();
+        final long untilUs = clock.nowUs() + Passing.PATIENCE_US;
+        while (true) {
+            try {
+                return CourierProcess.start(environment, extension, tuning);
+            } catch (final Config.BadConfigException | IOException | RuntimeException | OutOfMemoryError e) {
+                if (!Passing.mayPass(e) || clock.nowUs() > untilUs) {
+                    throw e;
+                }
+                Log.event(Event.START_RETRIED, "step", "open", "cause", e);
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(Passing.RETRY_MS));
+        }
+    }
 }
--- a/courier/src/main/java/thistleturn/courier/Practice.java
+++ b/courier/src/main/java/thistleturn/courier/Practice.java
@@ -50,7 +50,11 @@
 
     /** Practises, then goes on with what is given. Runs on the event loop. */
     void run(final Runnable then) {
-        round(0, then);
+        Log.mute(true);
+        round(0, () -> {
+            Log.mute(false);
+            then.run();
+        });
     }
 
     private void round(final int number, final Runnable then) {
@@ -66,7 +70,7 @@
                     .get(message % config.settings().classes().size());
             final long nowUs = clock.nowUs();
             final Held held = new Held("practice-" + message, kind.name(), "key-" + message, message % DESTINATIONS,
-                    clock.toWallUs(nowUs + LIFE_US), new byte[message]);
+                    nowUs + LIFE_US, new byte[message]);
             held.began(new Way(nowUs, nowUs, nowUs, nowUs + LIFE_US));
             elder.offer(held, nowUs + LIFE_US, new Unheard());
         }
@@ -226,9 +230,8 @@
         }
 
         @Override
-        public boolean begin(final Held held, final long wallUs, final String zone) {
-            held.begin(wallUs, zone);
-            return true;
+        public void begin(final Held held, final long nowUs, final String zone) {
+            held.begin(nowUs, zone);
         }
 
         @Override
@@ -247,7 +250,12 @@
         }
 
         @Override
-        public boolean flush() {
+        public Flush flush() {
+            return Flush.SAFE;
+        }
+
+        @Override
+        public boolean isWritable() {
             return true;
         }
     }
@@ -278,7 +286,7 @@
     /** An heir that is told things and does nothing. */
     private static final class Nobody implements Heir {
         @Override
-        public void offer(final Held held, final long validUntilWallUs, final Front.Reply reply) {
+        public void offer(final Held held, final long validUntilUs, final Front.Reply reply) {
             reply.failed();
         }
 
--- a/courier/src/main/java/thistleturn/courier/handover/Continuity.java
+++ b/courier/src/main/java/thistleturn/courier/handover/Continuity.java
@@ -1,9 +1,7 @@
 package thistleturn.courier.handover;
 
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import java.util.function.LongUnaryOperator;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.decisions.Memory;
 
@@ -16,22 +14,12 @@
     List<Inheritance.Named> endpoints();
 
     /**
-     * What was learnt, as it can be trusted at this moment, with moments by this process's clock.
+     * What was learnt, as it can be trusted at this moment.
      *
      * @param numbers the numbers of endpoints there, to those here; of others nothing is told
      */
     Memory memory(Map<Long, Long> numbers, Clock clock);
 
-    /** The same with moments of another clock; those that are long ago or never stay so. */
-    static Memory moved(final Memory memory, final LongUnaryOperator clockUs) {
-        final LongUnaryOperator moment = us -> us == 0 || us == Long.MAX_VALUE ? us : clockUs.applyAsLong(us);
-        return new Memory(memory.classMeanUs(), memory.classSamples(), memory.trustUs(),
-                memory.lanes().stream().map(one -> new Memory.OfLane(one.endpoint(), one.figures(),
-                        Arrays.stream(one.moments()).map(moment).toArray())).toList(),
-                memory.nodes().stream().map(one -> new Memory.OfNode(one.endpoint(), one.figures(),
-                        Arrays.stream(one.moments()).map(moment).toArray())).toList());
-    }
-
     /** The same with other numbers for its endpoints; what has none is left out. */
     static Memory renumbered(final Memory memory, final Map<Long, Long> numbers) {
         return new Memory(memory.classMeanUs(), memory.classSamples(), memory.trustUs(),
--- a/courier/src/main/java/thistleturn/courier/handover/Elder.java
+++ b/courier/src/main/java/thistleturn/courier/handover/Elder.java
@@ -12,15 +12,21 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.port.Front;
 import thistleturn.courier.port.Held;
+import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.Passing;
+import thistleturn.courier.transport.AcceptRetry;
 import thistleturn.decisions.Courier;
 
 /** The side of the process that serves: it waits for a newer one, and hands over to the first that asks. */
 public final class Elder {
     private static final long RETRY_US = 1_000_000;
+    /** How often an address for newer processes is asked for that the system does not give. */
+    private static final int LISTEN_TRIES = 800;
 
     private final Giver giver;
     private Channel listener;
@@ -33,15 +39,29 @@
 
     /** Waits for a newer process from now on; the folder must be locked by this one. */
     public void listen(final EventLoop loop, final Path folder) {
+        listen(loop, folder, LISTEN_TRIES);
+    }
+
+    private void again(final EventLoop loop, final Path folder, final int tries, final Throwable failure) {
+        if (tries > 1 && Passing.mayPass(failure)) {
+            Log.event(Event.START_RETRIED, "step", "listen to a newer process", "cause", failure);
+            loop.schedule(() -> listen(loop, folder, tries - 1), Passing.RETRY_MS, TimeUnit.MILLISECONDS);
+        } else {
+            Log.info("handover: no newer process can take over: " + failure);
+        }
+    }
+
+    private void listen(final EventLoop loop, final Path folder, final int tries) {
         final UnixDomainSocketAddress address = Wire.address(folder);
         try {
             // What an earlier process left: nobody can be listening there while we hold the lock.
             Files.deleteIfExists(address.getPath());
         } catch (final IOException e) {
-            Log.info("handover: no newer process can take over: " + e);
+            again(loop, folder, tries, e);
             return;
         }
         listener = new ServerBootstrap().group(loop).channel(NioServerDomainSocketChannel.class)
+                .handler(new AcceptRetry())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
@@ -49,7 +69,7 @@
                     }
                 }).bind(address).addListener(bound -> {
                     if (!bound.isSuccess()) {
-                        Log.info("handover: no newer process can take over: " + bound.cause());
+                        again(loop, folder, tries, bound.cause());
                     }
                 }).channel();
     }
@@ -107,13 +127,13 @@
         }
 
         @Override
-        public void offer(final Held held, final long validUntilWallUs, final Front.Reply reply) {
+        public void offer(final Held held, final long validUntilUs, final Front.Reply reply) {
             if (heir != this) {
                 reply.refused(Front.Refusal.NO_ROOM, RETRY_US);
                 return;
             }
             replies.put(++offers, reply);
-            say(Wire.offer(offers, held, validUntilWallUs));
+            say(Wire.offer(offers, held, validUntilUs));
             flush();
         }
 
--- a/courier/src/main/java/thistleturn/courier/handover/Heir.java
+++ b/courier/src/main/java/thistleturn/courier/handover/Heir.java
@@ -7,7 +7,7 @@
 /** The process that decides, as one sees it that carries out for it what it has begun. On its event loop only. */
 public interface Heir {
     /** A client has handed a message in here; the answer comes back to it. */
-    void offer(Held held, long validUntilWallUs, Front.Reply reply);
+    void offer(Held held, long validUntilUs, Front.Reply reply);
 
     /** The client went before it was answered. */
     void withdraw(String id, long destination);
--- a/courier/src/main/java/thistleturn/courier/handover/Inheritance.java
+++ b/courier/src/main/java/thistleturn/courier/handover/Inheritance.java
@@ -7,8 +7,8 @@
 import thistleturn.decisions.Memory;
 
 /**
- * What a process hands on beside the journal. Endpoints are known by numbers of its own; moments are in Unix
- * microseconds.
+ * What a process hands on beside the journal. Endpoints are known by numbers of its own; moments are those of
+ * the monotonic clock.
  *
  * @param endpoints the list as it was last told
  * @param memory what the decisions have learnt
@@ -20,11 +20,11 @@
     public record Named(long number, Directory.Listing listing) { }
 
     /** A call with the ids of its messages in order; {@code destination} is theirs. */
-    public record CallOut(long number, long endpoint, long destination, long sentWallUs, List<String> messageIds) { }
+    public record CallOut(long number, long endpoint, long destination, long sentUs, List<String> messageIds) { }
 
     /** It was learnt up to this moment. */
     @Override
     public Memory memory(final Map<Long, Long> numbers, final Clock clock) {
-        return Continuity.moved(Continuity.renumbered(memory, numbers), clock::fromWallUs);
+        return Continuity.renumbered(memory, numbers);
     }
 }
--- a/courier/src/main/java/thistleturn/courier/handover/Predecessor.java
+++ b/courier/src/main/java/thistleturn/courier/handover/Predecessor.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
@@ -13,6 +14,8 @@
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.port.Front;
 import thistleturn.courier.port.Held;
+import thistleturn.courier.transport.Connector;
+import thistleturn.courier.transport.NoSocketException;
 import thistleturn.decisions.Courier;
 
 /** The older process, as the newer one sees it: first it hands over, then it is a front and a carrier for it. */
@@ -53,22 +56,29 @@
         final Predecessor predecessor = new Predecessor();
         predecessor.taken = taken;
         predecessor.failed = failed;
-        new Bootstrap().group(loop).channel(NioDomainSocketChannel.class).handler(new ChannelInitializer<Channel>() {
+        final Bootstrap template = new Bootstrap().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(final Channel channel) {
                 predecessor.session.addTo(channel);
             }
-        }).connect(Wire.address(folder)).addListener(connected -> {
-            if (connected.isSuccess()) {
-                predecessor.session.say(Wire.line("hello").put("version", Wire.VERSION));
-                predecessor.session.flush();
-            } else {
-                predecessor.session.ended();
-            }
         });
+        try {
+            Connector.connect(loop, NioDomainSocketChannel::new, template, Wire.address(folder), predecessor::connected);
+        } catch (final NoSocketException e) {
+            loop.execute(predecessor.session::ended);
+        }
         return predecessor;
     }
 
+    private void connected(final ChannelFuture connecting) {
+        if (connecting.isSuccess()) {
+            session.say(Wire.line("hello").put("version", Wire.VERSION));
+            session.flush();
+        } else {
+            session.ended();
+        }
+    }
+
     @Override
     public void serve(final Listener to) {
         listener = to;
--- a/courier/src/main/java/thistleturn/courier/handover/StateLock.java
+++ b/courier/src/main/java/thistleturn/courier/handover/StateLock.java
@@ -36,6 +36,9 @@
             // Another courier of this Java machine holds it.
             channel.close();
             return null;
+        } catch (final IOException e) {
+            channel.close();
+            throw e;
         }
         channel.close();
         return null;
--- a/courier/src/main/java/thistleturn/courier/handover/Wire.java
+++ b/courier/src/main/java/thistleturn/courier/handover/Wire.java
@@ -30,7 +30,7 @@
 /** What the two processes say to each other: JSON objects, one a line, each with what it is in {@code t}. */
 public final class Wire {
     /** To be raised when the lines change; it and the memory's version only ever rise, so that no sum comes twice. */
-    private static final int LINES = 0;
+    private static final int LINES = 1;
     /** The newer process says this first; one of another version, of lines or of what was learnt, is not handed anything. */
     static final int VERSION = LINES + Memory.VERSION;
     /** A message's body has 64 KiB at most, and a third more as text. */
@@ -115,7 +115,7 @@
         memory.nodes().forEach(one -> to.accept(figures("node", one.endpoint(), one.figures(), one.moments())));
         for (final Inheritance.CallOut call : inheritance.calls()) {
             final ObjectNode line = line("call").put("number", call.number()).put("endpoint", call.endpoint())
-                    .put("dest", call.destination()).put("sent", call.sentWallUs());
+                    .put("dest", call.destination()).put("sent", call.sentUs());
             final ArrayNode ids = line.putArray("ids");
             call.messageIds().forEach(ids::add);
             to.accept(line);
@@ -222,9 +222,9 @@
 
     // ---------------------------------------------------------------- messages and outcomes
 
-    static ObjectNode offer(final long number, final Held held, final long validUntilWallUs) {
+    static ObjectNode offer(final long number, final Held held, final long validUntilUs) {
         return line("offer").put("number", number).put("id", held.id()).put("class", held.className())
-                .put("key", held.idempotencyKey()).put("dest", held.destination()).put("valid", validUntilWallUs)
+                .put("key", held.idempotencyKey()).put("dest", held.destination()).put("valid", validUntilUs)
                 .put("body", held.body());
     }
 
--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,6 +20,8 @@
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Descriptors;
 import thistleturn.courier.runtime.LoopTurns;
+import thistleturn.courier.transport.Connector;
+import thistleturn.courier.transport.NoSocketException;
 import thistleturn.decisions.Courier.Result;
 import thistleturn.decisions.Courier;
 import thistleturn.decisions.index.TimeHeap;
@@ -40,13 +41,15 @@
      * come by then has been looked for. The clock alone says little where a pass takes longer than that.
      */
     private static final long REST_US = 5_000;
+    /** How soon a socket is asked for again that the system does not have, us. */
+    private static final long SOCKET_RETRY_US = 5_000;
 
     private final Clock clock;
     private final EventLoop loop;
     private final LoopTurns turns;
     private final long connectTimeoutUs;
     private final Listener listener;
-    private final Bootstrap bootstrap;
+    private final Bootstrap template;
     private final long idleUs;
     private final Descriptors descriptors;
     private final Map<Long, HttpPool> pools = new HashMap<>();
@@ -69,8 +72,7 @@
         this.listener = listener;
         this.idleUs = (long) (IDLE_SHARE * config.settings().limits().idleCloseUs());
         this.descriptors = descriptors;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
+        this.template = new Bootstrap().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
@@ -264,9 +266,15 @@
             loop.execute(() -> abandon(call, Result.NOT_SENT));
             return;
         }
-        descriptors.endpoints(1);
         final long fromUs = clock.nowUs();
-        final ChannelFuture connecting = bootstrap.connect(call.pool.address);
+        final ChannelFuture connecting;
+        try {
+            connecting = Connector.connect(loop, template, call.pool.address, done -> connected(call, done, fromUs));
+        } catch (final NoSocketException e) {
+            waitForSocket(call, fromUs);
+            return;
+        }
+        descriptors.endpoints(1);
         call.channel = connecting.channel();
         call.channel.closeFuture().addListener(closed -> descriptors.endpoints(-1));
         // Not the channel's own timer: that would judge before the look that tells that it has come up.
@@ -275,18 +283,28 @@
                 abandon(call, Result.NO_CONNECTION);
             }
         }));
-        connecting.addListener(done -> {
-            if (done.isSuccess()) {
-                call.pool.shaken(clock.nowUs() - fromUs);
-            }
-            if (!done.isSuccess() && calls.contains(call)) {
-                abandon(call, Result.NO_CONNECTION);
-            } else if (mayGo(call)) {
-                connecting.channel().pipeline().get(HttpConnection.class).write(call);
-            } else {
-                connecting.channel().close();
-            }
-        });
+    }
+
+    /** The system has no socket now. Nothing was asked of the endpoint, so nothing is said of it when that lasts. */
+    private void waitForSocket(final HttpCall call, final long nowUs) {
+        if (nowUs - call.sentUs < connectTimeoutUs) {
+            later(call, SOCKET_RETRY_US, () -> dispatch(call));
+        } else {
+            loop.execute(() -> abandon(call, Result.NOT_SENT));
+        }
+    }
+
+    private void connected(final HttpCall call, final ChannelFuture connecting, final long fromUs) {
+        if (connecting.isSuccess()) {
+            call.pool.shaken(clock.nowUs() - fromUs);
+        }
+        if (!connecting.isSuccess() && calls.contains(call)) {
+            abandon(call, Result.NO_CONNECTION);
+        } else if (mayGo(call)) {
+            connecting.channel().pipeline().get(HttpConnection.class).write(call);
+        } else {
+            connecting.channel().close();
+        }
     }
 
     /**
--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -3,9 +3,9 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -33,8 +33,10 @@
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Descriptors;
+import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.LoopTurns;
+import thistleturn.courier.transport.AcceptRetry;
 import thistleturn.decisions.admission.Crowd;
 import thistleturn.decisions.index.TimeHeap;
 
@@ -65,6 +67,8 @@
     /** A connection without a request for so long gives back all but itself. */
     private static final long REST_US = 1_000_000;
     private static final long SWEEP_MS = 200;
+    /** For so long, us, a listener that is to be closed is asked again for connections that it cannot give. */
+    private static final long LAST_ACCEPTS_US = 1_000_000;
     /** Connections looked at in one turn of the loop: what falls due in the same instant is spread. */
     private static final int MOST_LOOKS = 256;
 
@@ -94,6 +98,8 @@
     private Channel listener;
     private ServerSocketChannel accepts;
     private boolean draining;
+    /** The listener is to be closed once what waits there could be accepted. */
+    private boolean acceptsLast;
     private Future<?> sweeping;
 
     /** Accepts on the group; all that it accepts is owned by the loop. */
@@ -192,21 +198,31 @@
 
     @Override
     public boolean isEmpty() {
-        return sessions.isEmpty() && leaving.isEmpty();
+        return sessions.isEmpty() && leaving.isEmpty() && !acceptsLast;
     }
 
-    /** What waits to be accepted is accepted first: the system would reset it. */
     private void closeListener() {
-        if (!listener.isOpen()) {
-            return;
+        if (listener.isOpen()) {
+            acceptLast(clock.nowUs() + LAST_ACCEPTS_US);
         }
+    }
+
+    /** What waits to be accepted is accepted first: the system would reset it. What it cannot give now is asked for again. */
+    private void acceptLast(final long untilUs) {
+        acceptsLast = false;
         try {
             for (SocketChannel next = accepts.accept(); next != null; next = accepts.accept()) {
                 listener.pipeline().fireChannelRead(new NioSocketChannel(listener, next));
             }
             listener.pipeline().fireChannelReadComplete();
-        } catch (final IOException e) {
-            Log.info("the last connections could not be accepted: " + e.getMessage());
+        } catch (final IOException | ChannelException e) {
+            if (clock.nowUs() < untilUs) {
+                Log.event(Event.ACCEPT_FAILED, "at", listener.localAddress(), "cause", e, "closing", true);
+                acceptsLast = true;
+                loop.schedule(() -> acceptLast(untilUs), US_PER_MS, TimeUnit.MICROSECONDS);
+                return;
+            }
+            Log.event(Event.ACCEPT_GIVEN_UP, "at", listener.localAddress(), "cause", e);
         }
         listener.close();
     }
@@ -321,7 +337,7 @@
     }
 
     /** Reckons since when a connection that is accepted may have waited for that, with a request on it. */
-    private final class Accepting extends ChannelInboundHandlerAdapter {
+    private final class Accepting extends AcceptRetry {
         private final Arrival arrival = new Arrival(clock.nowUs());
         private int accepted;
 
@@ -330,7 +346,14 @@
             accepted++;
             // One more may always wait behind it; whether that is so is known when the reading ends.
             arrival.read(clock.nowUs(), turns.previousLookUs(), false);
-            context.fireChannelRead(connection);
+            super.channelRead(context, connection);
+        }
+
+        /** More may wait than could be taken. */
+        @Override
+        public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+            arrival.drained(false);
+            super.exceptionCaught(context, cause);
         }
 
         @Override
--- a/courier/src/main/java/thistleturn/courier/http/HttpSession.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpSession.java
@@ -33,6 +33,7 @@
 import thistleturn.courier.port.Held;
 import thistleturn.courier.port.Way;
 import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.LoopTurns;
 import thistleturn.decisions.Courier;
@@ -211,10 +212,19 @@
 
     /** Closes it, and no longer counts it from this moment: its end is told only after this pass. */
     void drop() {
+        logClosed("makes_room");
         front.closed(this);
         context.close();
     }
 
+    /** That a connection is ended from this side, unless it is between two requests. */
+    private void logClosed(final String why) {
+        if (current != null || !queue.isEmpty() || askedSinceUs != Long.MAX_VALUE) {
+            Log.event(Event.CONNECTION_CLOSED, "client", context.channel().remoteAddress(), "why", why, "id", currentId, "queued",
+                    queue.size(), "coming_in", askedSinceUs != Long.MAX_VALUE);
+        }
+    }
+
     @Override
     public void channelActive(final ChannelHandlerContext ctx) {
         context = ctx;
@@ -232,6 +242,8 @@
         body = new ByteArrayOutputStream(0);
         queue.clear();
         if (currentId != null) {
+            Log.event(Event.REQUEST_UNANSWERED, "id", currentId, "client", ctx.channel().remoteAddress(), "after_us",
+                    clock.nowUs() - current.wholeUs());
             desk.withdraw(currentId, currentDestination);
             current = null;
             currentId = null;
@@ -409,7 +421,7 @@
         currentId = handIn.id();
         currentDestination = handIn.destination();
         final Held held = new Held(handIn.id(), kind.name(), handIn.key(), handIn.destination(),
-                clock.toWallUs(validUntilUs), request.body());
+                validUntilUs, request.body());
         held.began(new Way(request.arrivedUs(), request.firstByteUs(), request.wholeUs(),
                 request.arrivedUs() + handIn.timeoutMs() * US_PER_MS));
         desk.offer(held, validUntilUs, new Answerer(request, handIn.id(), handIn.destination()));
@@ -452,6 +464,7 @@
 
         @Override
         public void unusable(final Front.Fault fault) {
+            Log.event(Event.REQUEST_UNUSABLE, "id", id, "dest", destination, "why", fault);
             say(fault == Front.Fault.NO_DESTINATION ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.CONFLICT, 0);
         }
 
@@ -491,6 +504,7 @@
             }
         } else {
             // It asks and does not read what it is told.
+            logClosed("does_not_read");
             context.close();
         }
         return written;
@@ -498,6 +512,8 @@
 
     /** Turns away what cannot be read, once what was read before it is answered. */
     void reject(final HttpResponseStatus status) {
+        Log.event(Event.CONNECTION_CLOSED, "client", context.channel().remoteAddress(), "why", status.code(), "id", currentId,
+                "queued", queue.size());
         last = status;
         reading = false;
         front.release(body.size());
@@ -554,6 +570,7 @@
         if (!(cause instanceof IOException)) {
             Log.failure("a client's connection", cause);
         }
+        logClosed(String.valueOf(cause));
         ctx.close();
     }
 }
--- a/courier/src/main/java/thistleturn/courier/operator/OperatorServer.java
+++ b/courier/src/main/java/thistleturn/courier/operator/OperatorServer.java
@@ -30,6 +30,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.transport.AcceptRetry;
 
 /**
  * Answers operators, one call a connection. Callers who say nothing, or half of it, hold a connection for a while and
@@ -56,6 +57,7 @@
     public CompletableFuture<String> listen(final EventLoop loop, final InetSocketAddress address) {
         final CompletableFuture<String> listening = new CompletableFuture<>();
         new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .handler(new AcceptRetry())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -114,7 +116,7 @@
             return said(HttpResponseStatus.SERVICE_UNAVAILABLE, "starting");
         }
         if (asks) {
-            return desk.figures().thenApply(figures -> new Said(HttpResponseStatus.OK, figures.text()));
+            return desk.figures().thenApply(figures -> new Said(HttpResponseStatus.OK, figures.text() + Log.counters()));
         }
         final boolean leaveOut = endpoint.group(2).equals("disable");
         return desk.maintain(endpoint.group(1), leaveOut).thenApply(known -> known
--- a/courier/src/main/java/thistleturn/courier/platform/Dial.java
+++ b/courier/src/main/java/thistleturn/courier/platform/Dial.java
@@ -2,36 +2,80 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import thistleturn.courier.transport.Connector;
+import thistleturn.courier.transport.NoSocketException;
 
-/** Connections to the platform. */
+/**
+ * One connection to the platform, from the first try to its end. While the system has no socket to give it is asked again; when
+ * to give up is the caller's to say, not the channel's own timer: that would judge before the look that tells that it has
+ * come up. Used on the event loop.
+ */
 final class Dial {
-    private Dial() { }
-
-    /**
-     * Begins to connect, for a handler of HTTP's parts; {@code failed} is run if it does not come up. When to give up is the
-     * caller's to say, not the channel's own timer: that would judge before the look that tells that it has come up.
-     */
-    static ChannelFuture connect(final EventLoop loop, final InetSocketAddress address, final ChannelHandler reader,
-                                 final Runnable failed) {
-        return new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
+    private static final long SOCKET_RETRY_MS = 10;
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final ChannelHandler reader;
+    private final Runnable failed;
+    private Channel channel;
+    private boolean closed;
+
+    private Dial(final EventLoop loop, final InetSocketAddress address, final ChannelHandler reader, final Runnable failed) {
+        this.loop = loop;
+        this.address = address;
+        this.reader = reader;
+        this.failed = failed;
+    }
+
+    /** Begins to connect, for a handler of HTTP's parts; {@code failed} is run on the loop if it does not come up. */
+    static Dial begin(final EventLoop loop, final InetSocketAddress address, final ChannelHandler reader,
+            final Runnable failed) {
+        final Dial dial = new Dial(loop, address, reader, failed);
+        dial.connect();
+        return dial;
+    }
+
+    private void connect() {
+        if (closed) {
+            return;
+        }
+        final Bootstrap template = new Bootstrap().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(final Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), reader);
-                    }
-                }).connect(address).addListener(done -> {
-                    if (!done.isSuccess()) {
-                        failed.run();
+                    protected void initChannel(final Channel made) {
+                        made.pipeline().addLast(new HttpClientCodec(), reader);
                     }
                 });
+        try {
+            channel = Connector.connect(loop, template, address, done -> {
+                if (!done.isSuccess()) {
+                    failed.run();
+                }
+            }).channel();
+        } catch (final NoSocketException e) {
+            loop.schedule(this::connect, SOCKET_RETRY_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Writes at once; it has come up. */
+    void write(final Object request) {
+        channel.writeAndFlush(request);
+    }
+
+    /** Gives it up; one that has not come up is told as failed. */
+    void close() {
+        if (channel != null) {
+            channel.close();
+        } else if (!closed) {
+            loop.execute(failed);
+        }
+        closed = true;
     }
 }
--- a/courier/src/main/java/thistleturn/courier/platform/Discovery.java
+++ b/courier/src/main/java/thistleturn/courier/platform/Discovery.java
@@ -8,7 +8,6 @@
 import thistleturn.courier.runtime.Json;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.LoopTurns;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -147,7 +146,7 @@
     /** One watch, until its connection ends or it falls silent; before it the whole list, where no version is known. */
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> implements ListStream.Listener {
         private final ListStream stream = new ListStream(this);
-        private ChannelFuture connecting;
+        private Dial dial;
         private boolean asksWhole;
         /** The whole list that was asked for has come. */
         private boolean hasWhole;
@@ -158,7 +157,7 @@
 
         private void connect() {
             expect(CONNECT_US);
-            connecting = Dial.connect(loop, address, this, this::lost);
+            dial = Dial.begin(loop, address, this, this::lost);
             keepTime();
         }
 
@@ -177,7 +176,7 @@
             final var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     asksWhole ? "/discovery/hosts" : "/discovery/hosts?watch=1&after=" + seq);
             request.headers().set(HttpHeaderNames.HOST, address.getHostString());
-            connecting.channel().writeAndFlush(request);
+            dial.write(request);
         }
 
         private void expect(final long withinUs) {
@@ -204,7 +203,7 @@
         }
 
         private void close() {
-            connecting.channel().close();
+            dial.close();
         }
 
         @Override
--- a/courier/src/main/java/thistleturn/courier/platform/Notices.java
+++ b/courier/src/main/java/thistleturn/courier/platform/Notices.java
@@ -10,7 +10,6 @@
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.LoopTurns;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -133,12 +132,12 @@
 
     /** One connection to the platform. */
     private final class Session extends SimpleChannelInboundHandler<HttpObject> {
-        private ChannelFuture connecting;
+        private Dial dial;
         private HttpResponse head;
         private long batch;
 
         private void connect() {
-            connecting = Dial.connect(loop, address, this, this::ended);
+            dial = Dial.begin(loop, address, this, this::ended);
             giveUpAfter(CONNECT_US);
         }
 
@@ -163,7 +162,7 @@
         }
 
         private void close() {
-            connecting.channel().close();
+            dial.close();
         }
 
         private void write() {
@@ -175,7 +174,7 @@
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             head = null;
             batch++;
-            connecting.channel().writeAndFlush(request);
+            dial.write(request);
             giveUpAfter(ANSWER_US);
         }
 
--- a/courier/src/main/java/thistleturn/courier/port/Held.java
+++ b/courier/src/main/java/thistleturn/courier/port/Held.java
@@ -1,10 +1,10 @@
 package thistleturn.courier.port;
 
-import thistleturn.courier.runtime.Clock;
 import thistleturn.decisions.Courier;
 
 /**
- * A message that this courier owes an end, as the journal keeps it (times in Unix microseconds): what its client
+ * A message that this courier owes an end, as the journal keeps it (times in microseconds of the machine's monotonic clock, which all
+ * processes of one boot share): what its client
  * handed in, and what became of it so far. Once it has ended by a notice, only the notice is still owed.
  */
 public final class Held {
@@ -16,13 +16,13 @@
     private final String className;
     private final String idempotencyKey;
     private final long destination;
-    private final long validUntilWallUs;
+    private final long validUntilUs;
     private byte[] body;
     private int attempts;
-    private long firstRunWallUs = NEVER;
+    private long firstRunUs = NEVER;
     private String runZone = "";
     /** When the attempt that is out was begun; never, while none is. */
-    private long outWallUs = NEVER;
+    private long outUs = NEVER;
     private String outZone = "";
     private Notice notice;
     private Way way;
@@ -32,12 +32,12 @@
 
     /** What a client handed in; {@code idempotencyKey} may be null. */
     public Held(final String id, final String className, final String idempotencyKey, final long destination,
-         final long validUntilWallUs, final byte[] body) {
+         final long validUntilUs, final byte[] body) {
         this.id = id;
         this.className = className;
         this.idempotencyKey = idempotencyKey;
         this.destination = destination;
-        this.validUntilWallUs = validUntilWallUs;
+        this.validUntilUs = validUntilUs;
         this.body = body;
     }
 
@@ -61,31 +61,31 @@
         return destination;
     }
 
-    /** When its time is up, in Unix microseconds. */
-    public long validUntilWallUs() {
-        return validUntilWallUs;
+    /** When its time is up, us. */
+    public long validUntilUs() {
+        return validUntilUs;
     }
 
     /** An attempt begins; the store has recorded it. */
-    public void begin(final long wallUs, final String zone) {
+    public void begin(final long nowUs, final String zone) {
         attempts++;
-        outWallUs = wallUs;
+        outUs = nowUs;
         outZone = zone;
     }
 
     /** The attempt that was out has its outcome. */
     public void settle(final boolean neverRan) {
-        if (!neverRan && outWallUs != NEVER) {
-            firstRunWallUs = Math.min(firstRunWallUs, outWallUs);
+        if (!neverRan && outUs != NEVER) {
+            firstRunUs = Math.min(firstRunUs, outUs);
             runZone = outZone;
         }
-        outWallUs = NEVER;
+        outUs = NEVER;
     }
 
     /** What an earlier process had recorded of its attempts. */
     public void restore(final int attemptsUsed, final long firstRun, final String zone) {
         attempts = attemptsUsed;
-        firstRunWallUs = firstRun;
+        firstRunUs = firstRun;
         runZone = zone;
     }
 
@@ -111,8 +111,8 @@
     }
 
     /** When the first attempt began that may have run; {@link #NEVER} if none. */
-    public long firstRunWallUs() {
-        return firstRunWallUs;
+    public long firstRunUs() {
+        return firstRunUs;
     }
 
     /** The zone of that attempt. */
@@ -122,12 +122,12 @@
 
     /** True while an attempt is out. */
     public boolean isOut() {
-        return outWallUs != NEVER;
+        return outUs != NEVER;
     }
 
     /** When the attempt that is out was begun. */
-    public long outWallUs() {
-        return outWallUs;
+    public long outUs() {
+        return outUs;
     }
 
     /** The zone of the attempt that is out. */
@@ -136,10 +136,10 @@
     }
 
     /** What a process that did not see the attempts may count on. A call that was out may have run. */
-    public Courier.Past past(final Clock clock) {
-        final long firstWallUs = Math.min(firstRunWallUs, outWallUs);
-        final boolean ran = firstWallUs != NEVER;
-        return new Courier.Past(attempts, ran, ran ? clock.fromWallUs(firstWallUs) : 0, isOut() ? outZone : runZone);
+    public Courier.Past past() {
+        final long firstUs = Math.min(firstRunUs, outUs);
+        final boolean ran = firstUs != NEVER;
+        return new Courier.Past(attempts, ran, ran ? firstUs : 0, isOut() ? outZone : runZone);
     }
 
     /** Its way through this process; null if an earlier one took it. */
--- a/courier/src/main/java/thistleturn/courier/runtime/Config.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Config.java
@@ -32,6 +32,11 @@
         public BadConfigException(final String reason) {
             super(reason);
         }
+
+        /** The same for a file that could not be read at all. */
+        public BadConfigException(final String reason, final IOException cause) {
+            super(reason, cause);
+        }
     }
 
     /** Reads the file that the environment names. */
@@ -44,7 +49,8 @@
         try {
             root = Json.read(Files.readAllBytes(Path.of(file)));
         } catch (final IOException e) {
-            throw new BadConfigException("cannot read " + file + ": " + e.getMessage().lines().findFirst().orElse(""));
+            throw new BadConfigException("cannot read " + file + ": "
+                    + String.valueOf(e.getMessage()).lines().findFirst().orElse(""), e);
         }
         return parse(root, environment);
     }
--- a/courier/src/main/java/thistleturn/courier/shard/Layout.java
+++ b/courier/src/main/java/thistleturn/courier/shard/Layout.java
@@ -72,8 +72,13 @@
 
     private List<Journal> journals(final int shards) throws IOException {
         final List<Journal> journals = new ArrayList<>();
-        for (int shard = 0; shard < shards; shard++) {
-            journals.add(Journal.open(folder(shards, shard), diskBytes / shards));
+        try {
+            for (int shard = 0; shard < shards; shard++) {
+                journals.add(Journal.open(folder(shards, shard), diskBytes / shards));
+            }
+        } catch (final IOException | RuntimeException e) {
+            journals.forEach(Journal::close);
+            throw e;
         }
         return journals;
     }
--- a/courier/src/main/java/thistleturn/courier/warm/LearntFile.java
+++ b/courier/src/main/java/thistleturn/courier/warm/LearntFile.java
@@ -22,7 +22,7 @@
 
 /**
  * What the decisions had learnt, on disk, for the process that starts after this one has died. A file of lines: a head
- * (version, classes, both clocks), what {@link Wire} says of endpoints and memory, and a checksum of all before it. It is
+ * (version, classes, the monotonic clock), what {@link Wire} says of endpoints and memory, and a checksum of all before it. It is
  * put in place by a rename, so that it is whole or the one before; a torn, old or foreign one is not used. Nothing of
  * any rule hangs on it: losing it costs what a new courier costs.
  */
@@ -30,8 +30,6 @@
     /** Bytes at most: some two thousand endpoints, and a twentieth of the disk, since it is written beside the one before. */
     private static final int MOST_BYTES = 1 << 20;
     private static final int DISK_PART = 20;
-    /** How far the two clocks may have gone apart since it was written, us: else one of them was set, or began anew. */
-    private static final long CLOCKS_APART_US = 1_000_000;
     private static final String END = "{\"t\":\"end\",\"crc\":";
 
     private final Path file;
@@ -48,10 +46,10 @@
     /**
      * What was learnt, and when that was.
      *
-     * @param learnt its moments are in Unix time, us
-     * @param takenWallUs when it was put down, Unix time, us
+     * @param learnt its moments are those of the monotonic clock
+     * @param takenUs when it was put down, us
      */
-    public record Found(Inheritance learnt, long takenWallUs) implements Continuity {
+    public record Found(Inheritance learnt, long takenUs) implements Continuity {
         @Override
         public List<Inheritance.Named> endpoints() {
             return learnt.endpoints();
@@ -60,14 +58,14 @@
         /** Its process has died: what it had learnt is as old as that. */
         @Override
         public Memory memory(final Map<Long, Long> numbers, final Clock clock) {
-            return learnt.memory(numbers, clock).aged(clock.fromWallUs(takenWallUs), clock.nowUs());
+            return learnt.memory(numbers, clock).aged(takenUs, clock.nowUs());
         }
     }
 
     /** The bytes of a file that tells what was learnt by now; null if it would be too large. */
-    byte[] bytes(final Inheritance learnt, final long wallUs, final long upUs) {
+    byte[] bytes(final Inheritance learnt, final long nowUs) {
         final StringBuilder text = new StringBuilder(Json.text(JsonNodeFactory.instance.objectNode().put("t", "learnt")
-                .put("version", Memory.VERSION).put("classes", classes).put("wall", wallUs).put("up", upUs))).append('\n');
+                .put("version", Memory.VERSION).put("classes", classes).put("taken", nowUs))).append('\n');
         Wire.lines(learnt).forEach(line -> text.append(line).append('\n'));
         final byte[] body = text.toString().getBytes(StandardCharsets.UTF_8);
         if (body.length > mostBytes) {
@@ -88,12 +86,12 @@
     }
 
     /** What the process before had learnt, if that can be trusted now; else null, with a line in the log unless there is none. */
-    public Found read(final long wallUs, final long upUs) {
+    public Found read(final long nowUs) {
         try {
             if (Files.size(file) > mostBytes + END.length() + Long.SIZE) {
                 throw new IOException("more than " + mostBytes + " bytes");
             }
-            return parse(Files.readAllBytes(file), wallUs, upUs);
+            return parse(Files.readAllBytes(file), nowUs);
         } catch (final NoSuchFileException e) {
             return null;
         } catch (final IOException | RuntimeException e) {
@@ -102,7 +100,7 @@
         }
     }
 
-    private Found parse(final byte[] bytes, final long wallUs, final long upUs) throws IOException {
+    private Found parse(final byte[] bytes, final long nowUs) throws IOException {
         final String text = new String(bytes, StandardCharsets.UTF_8);
         final int last = text.lastIndexOf(END);
         final int bodyBytes = last < 0 ? 0 : text.substring(0, last).getBytes(StandardCharsets.UTF_8).length;
@@ -114,13 +112,13 @@
         if (head.path("version").asInt() != Memory.VERSION || !head.path("classes").asText().equals(classes)) {
             throw new IOException("written by another version, or for other classes");
         }
-        final long ageUs = wallUs - head.path("wall").asLong();
-        final long upAgeUs = upUs - head.path("up").asLong();
-        if (ageUs < 0 || ageUs > Memory.MOST_AGE_US || Math.abs(ageUs - upAgeUs) > CLOCKS_APART_US) {
-            throw new IOException(ageUs < 0 || Math.abs(ageUs - upAgeUs) > CLOCKS_APART_US
-                    ? "a clock was set since it was written" : "it is " + ageUs / 1_000_000 + " s old");
+        final long takenUs = head.path("taken").asLong();
+        final long ageUs = nowUs - takenUs;
+        if (ageUs < 0 || ageUs > Memory.MOST_AGE_US) {
+            throw new IOException(ageUs < 0 ? "the machine was started anew since it was written"
+                    : "it is " + ageUs / 1_000_000 + " s old");
         }
-        return new Found(Wire.read(lines), head.path("wall").asLong());
+        return new Found(Wire.read(lines), takenUs);
     }
 
     private static long crc(final byte[] bytes, final int length) {
--- a/courier/src/main/java/thistleturn/courier/warm/LearntKeeper.java
+++ b/courier/src/main/java/thistleturn/courier/warm/LearntKeeper.java
@@ -15,14 +15,13 @@
  * freshness, never memory or time.
  */
 public final class LearntKeeper {
-    private static final long NS_PER_US = 1000;
     private static final ExecutorService WRITER = Executors.newSingleThreadExecutor(task -> {
         final Thread thread = new Thread(task, "learnt");
         thread.setDaemon(true);
         return thread;
     });
 
-    private record Taken(Inheritance learnt, long wallUs, long upUs) { }
+    private record Taken(Inheritance learnt, long nowUs) { }
 
     private final LearntFile file;
     private final Clock clock;
@@ -35,14 +34,9 @@
         this.clock = clock;
     }
 
-    /** How long the machine has been up, us: the clock that is not set, and begins anew with the machine. */
-    public static long upUs() {
-        return System.nanoTime() / NS_PER_US;
-    }
-
-    /** To be written soon; its moments are in Unix time. */
+    /** To be written soon. */
     public void keep(final Inheritance learnt) {
-        if (waiting.getAndSet(new Taken(learnt, clock.wallUs(), upUs())) == null) {
+        if (waiting.getAndSet(new Taken(learnt, clock.nowUs())) == null) {
             WRITER.execute(this::write);
         }
     }
@@ -50,7 +44,7 @@
     private void write() {
         final Taken taken = waiting.getAndSet(null);
         try {
-            final byte[] bytes = file.bytes(taken.learnt(), taken.wallUs(), taken.upUs());
+            final byte[] bytes = file.bytes(taken.learnt(), taken.nowUs());
             if (bytes != null) {
                 file.write(bytes);
                 told.set(false);
--- a/courier/src/test/java/thistleturn/courier/ReloadTest.java
+++ b/courier/src/test/java/thistleturn/courier/ReloadTest.java
@@ -132,7 +132,7 @@
         // Opened once somebody reads: from then on the process waits for what is written.
         try (OutputStream first = Files.newOutputStream(pipe)) {
             rig.hangUp();
-            rig.await("the signal", () -> rig.log.stream().anyMatch(line -> line.startsWith("SIGHUP")));
+            rig.await("the signal", () -> rig.log.stream().anyMatch(line -> line.contains("SIGHUP")));
             first.write(before.getBytes(StandardCharsets.UTF_8));
         }
         // The first reading is over by then: what is written from now on is another.
--- a/courier/src/test/java/thistleturn/courier/handover/ContinuityContractTest.java
+++ b/courier/src/test/java/thistleturn/courier/handover/ContinuityContractTest.java
@@ -43,9 +43,9 @@
     }
 
     static Stream<Continuity> both() {
-        final long wallUs = CLOCK.wallUs();
-        final Inheritance inheritance = new Inheritance(List.of(named(4, 9001), named(5, 9002)), memory(wallUs), List.of());
-        return Stream.of(inheritance, new LearntFile.Found(inheritance, wallUs));
+        final long nowUs = CLOCK.nowUs();
+        final Inheritance inheritance = new Inheritance(List.of(named(4, 9001), named(5, 9002)), memory(nowUs), List.of());
+        return Stream.of(inheritance, new LearntFile.Found(inheritance, nowUs));
     }
 
     @ParameterizedTest
--- a/courier/src/test/java/thistleturn/courier/http/CarrierTimersTest.java
+++ b/courier/src/test/java/thistleturn/courier/http/CarrierTimersTest.java
@@ -129,7 +129,7 @@
     }
 
     private void call(final String id, final long timeoutUs) throws Exception {
-        final Carrier.Parcel parcel = new Waiting(new Held(id, "safe", id, 1, clock.wallUs() + 9 * SECOND_US,
+        final Carrier.Parcel parcel = new Waiting(new Held(id, "safe", id, 1, clock.nowUs() + 9 * SECOND_US,
                 id.getBytes(StandardCharsets.UTF_8)), timeoutUs, Long.MAX_VALUE, clock.nowUs() + 9 * SECOND_US);
         CompletableFuture.runAsync(() -> carrier.start(carrier.prepare(1, List.of(parcel))), loop)
                 .get(PATIENCE_S, TimeUnit.SECONDS);
@@ -172,7 +172,7 @@
             call("trail", 2 * SECOND_US);
             assertEquals(Courier.Result.DELIVERED, told.poll(PATIENCE_S, TimeUnit.SECONDS));
             assertTrue(arrived.tryAcquire(PATIENCE_S, TimeUnit.SECONDS), "the call comes");
-            final Carrier.Parcel next = new Waiting(new Held("silent", "safe", "silent", 1, clock.wallUs() + 9 * SECOND_US,
+            final Carrier.Parcel next = new Waiting(new Held("silent", "safe", "silent", 1, clock.nowUs() + 9 * SECOND_US,
                     "silent".getBytes(StandardCharsets.UTF_8)), SECOND_US / 5, Long.MAX_VALUE, clock.nowUs() + 9 * SECOND_US);
             CompletableFuture.runAsync(() -> {
                 standing.release();
@@ -191,7 +191,7 @@
     @Test
     void aCallWhoseTimeIsUpBeforeItsFirstByteIsNotSent() throws Exception {
         for (int round = 0; round < 5; round++) {
-            final Carrier.Parcel late = new Waiting(new Held("held", "safe", "held", 1, clock.wallUs() + 9 * SECOND_US,
+            final Carrier.Parcel late = new Waiting(new Held("held", "safe", "held", 1, clock.nowUs() + 9 * SECOND_US,
                     "held".getBytes(StandardCharsets.UTF_8)), 50_000, Long.MAX_VALUE, clock.nowUs() + 9 * SECOND_US);
             CompletableFuture.runAsync(() -> {
                 carrier.start(carrier.prepare(1, List.of(late)));
@@ -219,10 +219,10 @@
         final long nowUs = clock.nowUs();
         final long briefUs = nowUs + SECOND_US / 2;
         final List<Carrier.Parcel> parcels = new ArrayList<>();
-        parcels.add(new Waiting(new Held("held", "safe", "held", 1, clock.toWallUs(briefUs),
+        parcels.add(new Waiting(new Held("held", "safe", "held", 1, briefUs,
                 "held".getBytes(StandardCharsets.UTF_8)), 5 * SECOND_US, Long.MAX_VALUE, briefUs));
         if (several) {
-            parcels.add(new Waiting(new Held("patient", "safe", "patient", 1, clock.wallUs() + 9 * SECOND_US,
+            parcels.add(new Waiting(new Held("patient", "safe", "patient", 1, clock.nowUs() + 9 * SECOND_US,
                     "patient".getBytes(StandardCharsets.UTF_8)), 5 * SECOND_US, Long.MAX_VALUE, nowUs + 9 * SECOND_US));
         }
         CompletableFuture.runAsync(() -> carrier.start(carrier.prepare(1, parcels)), loop).get(PATIENCE_S, TimeUnit.SECONDS);
--- a/courier/src/test/java/thistleturn/courier/http/LateCallTest.java
+++ b/courier/src/test/java/thistleturn/courier/http/LateCallTest.java
@@ -123,7 +123,7 @@
     }
 
     private Carrier.Parcel parcel(final String id, final long goesUntilUs, final long validUntilUs) {
-        return new Late(new Held(id, "keyed", id, DEST, clock.toWallUs(validUntilUs), id.getBytes(
+        return new Late(new Held(id, "keyed", id, DEST, validUntilUs, id.getBytes(
                 StandardCharsets.UTF_8)), goesUntilUs, validUntilUs);
     }
 
--- a/courier/src/test/java/thistleturn/courier/journal/JournalTest.java
+++ b/courier/src/test/java/thistleturn/courier/journal/JournalTest.java
@@ -1,6 +1,7 @@
 package thistleturn.courier.journal;
 
 import thistleturn.courier.port.Held;
+import thistleturn.courier.port.Store;
 import thistleturn.courier.runtime.Clock;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -8,13 +9,17 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import thistleturn.decisions.Courier;
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
+import java.util.zip.CRC32C;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -72,15 +77,20 @@
             Files.createDirectory(blocked);
             Files.createFile(blocked.resolve("in-the-way"));
             int attempts = 0;
-            while (journal.begin(second, 1000, "zone".repeat(500))) {
+            while (journal.flush() == Store.Flush.SAFE) {
+                journal.begin(second, 1000, "zone".repeat(500));
                 journal.settle(second, true);
                 attempts++;
             }
             assertTrue(attempts > 1);
+            assertFalse(journal.isWritable());
+            assertFalse(journal.take(held("third", 10)), "nothing is taken on that cannot be written down");
             journal.over(first);
             Files.delete(blocked.resolve("in-the-way"));
             Files.delete(blocked);
-            assertTrue(journal.begin(second, 2000, "b"));
+            journal.begin(second, 2000, "b");
+            assertEquals(Store.Flush.SAFE, journal.flush());
+            assertTrue(journal.isWritable());
         }
         assertEquals(List.of("second"), reopened().stream().map(held -> held.id()).toList());
     }
@@ -92,9 +102,9 @@
             final Held over = held("over", 3);
             final Held ended = held("ended", 3);
             Stream.of(sent, over, ended).forEach(one -> assertTrue(journal.take(one)));
-            assertTrue(journal.begin(sent, 1000, "a"));
+            journal.begin(sent, 1000, "a");
             journal.settle(sent, true);
-            assertTrue(journal.begin(sent, 2000, "b"));
+            journal.begin(sent, 2000, "b");
             journal.over(over);
             journal.owe(ended, new Held.Notice(false, 700));
         }
@@ -103,12 +113,11 @@
         final Held sent = live.get(0);
         assertArrayEquals(new byte[] {1, 2, 3}, sent.body());
         assertEquals("k", sent.idempotencyKey());
-        final Clock clock = new Clock();
-        final Courier.Past past = sent.past(clock);
+        final Courier.Past past = sent.past();
         assertEquals(2, past.attempts());
         assertTrue(past.mayHaveRun(), "the attempt that was out may have run");
         assertEquals("b", past.runZone());
-        assertEquals(2000, clock.toWallUs(past.firstRunUs()), 50_000, "the refused attempt before does not count");
+        assertEquals(2000, past.firstRunUs(), "the refused attempt before does not count");
         assertEquals(new Held.Notice(false, 700), live.get(1).notice());
     }
 
@@ -116,6 +125,7 @@
     void aTornTailIsCutAndWhatStandsBeforeItIsKept() throws IOException {
         try (Journal journal = Journal.open(folder, DISK_BYTES)) {
             assertTrue(journal.take(held("whole", 50)));
+            assertEquals(Store.Flush.SAFE, journal.flush());
             assertTrue(journal.take(held("torn", 50)));
         }
         final Path file = folder.resolve("journal");
@@ -130,10 +140,83 @@
         assertEquals(List.of("whole", "next"), reopened().stream().map(one -> one.id()).toList());
     }
 
+    /** All that one flush writes is there or is not, wherever a kill cuts it: half of a pass is no state that ever was. */
+    @Test
+    void aBatchIsReadBackWholeOrNotAtAll() throws IOException {
+        final Path file = folder.resolve("journal");
+        final int before;
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            assertTrue(journal.take(held("whole", 50)));
+            assertEquals(Store.Flush.SAFE, journal.flush());
+            before = (int) Files.size(file);
+            assertTrue(journal.take(held("first", 50)) && journal.take(held("second", 50)));
+        }
+        final byte[] all = Files.readAllBytes(file);
+        for (int length = before; length < all.length; length++) {
+            Files.write(file, Arrays.copyOf(all, length));
+            assertEquals(List.of("whole"), reopened().stream().map(Held::id).toList(), "cut to " + length);
+        }
+        Files.write(file, all);
+        assertEquals(List.of("whole", "first", "second"), reopened().stream().map(Held::id).toList());
+    }
+
+    /** What a client chose to look like a batch, left behind by a write that was cut off, is not taken for one. */
+    @Test
+    void bytesOfAnotherFileAreNoBatch() throws IOException {
+        final Path file = folder.resolve("journal");
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            assertTrue(journal.take(held("own", 50)));
+        }
+        final byte[] own = Files.readAllBytes(file);
+        Files.delete(file);
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            assertTrue(journal.take(held("foreign", 50)));
+        }
+        final byte[] foreign = Files.readAllBytes(file);
+        final byte[] both = Arrays.copyOf(own, own.length + foreign.length);
+        System.arraycopy(foreign, 0, both, own.length, foreign.length);
+        Files.write(file, both);
+        assertEquals(List.of("own"), reopened().stream().map(Held::id).toList());
+    }
+
+    /** The journal of the version before this one: single records, moments of the wall clock. */
+    @Test
+    void theEarlierFormatIsReadAndReplaced() throws IOException {
+        final Clock clock = new Clock();
+        final long validWallUs = clock.wallUs() + 5_000_000;
+        final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        final DataOutputStream record = new DataOutputStream(bytes);
+        record.writeByte(1);
+        record.writeUTF("old");
+        record.writeUTF("keyed");
+        record.writeBoolean(true);
+        record.writeUTF("k");
+        record.writeLong(7);
+        record.writeLong(validWallUs);
+        record.writeInt(3);
+        record.write(new byte[] {1, 2, 3});
+        record.writeInt(2);
+        record.writeLong(Held.NEVER);
+        record.writeUTF("");
+        final CRC32C crc = new CRC32C();
+        crc.update(bytes.toByteArray());
+        final ByteBuffer file = ByteBuffer.allocate(8 + bytes.size()).putInt(bytes.size()).putInt((int) crc.getValue())
+                .put(bytes.toByteArray());
+        Files.write(folder.resolve("journal"), file.array());
+        for (int time = 0; time < 2; time++) {
+            final Held held = reopened().get(0);
+            assertEquals("old", held.id());
+            assertEquals(2, held.attempts());
+            assertEquals(Held.NEVER, held.firstRunUs());
+            assertEquals(clock.nowUs() + validWallUs - clock.wallUs(), held.validUntilUs(), 1_000_000);
+        }
+    }
+
     @Test
     void aRecordThatDoesNotMatchItsSumIsTheEnd() throws IOException {
         try (Journal journal = Journal.open(folder, DISK_BYTES)) {
             assertTrue(journal.take(held("whole", 50)));
+            assertEquals(Store.Flush.SAFE, journal.flush());
             assertTrue(journal.take(held("spoilt", 50)));
         }
         final Path file = folder.resolve("journal");
@@ -148,13 +231,14 @@
         try (Journal journal = Journal.open(folder, DISK_BYTES)) {
             final Held staying = held("staying", 500);
             assertTrue(journal.take(staying));
-            assertTrue(journal.begin(staying, 3000, "a"));
+            journal.begin(staying, 3000, "a");
             for (int round = 0; round < 2000; round++) {
                 final Held passing = held("m" + round, 200);
                 assertTrue(journal.take(passing));
-                assertTrue(journal.begin(passing, round, "a"));
+                journal.begin(passing, round, "a");
                 journal.settle(passing, false);
                 journal.over(passing);
+                assertEquals(Store.Flush.SAFE, journal.flush());
                 assertTrue(used() < DISK_BYTES / 2, "used: " + used());
             }
         }
@@ -174,8 +258,9 @@
             assertFalse(journal.take(held("late", 1000)));
             for (final Held one : List.copyOf(journal.live())) {
                 for (int attempt = 0; attempt < 12; attempt++) {
-                    assertTrue(journal.begin(one, attempt, "a"), "room for how messages fare is kept");
+                    journal.begin(one, attempt, "a");
                     journal.settle(one, true);
+                    assertEquals(Store.Flush.SAFE, journal.flush(), "room for how messages fare is kept");
                 }
                 journal.owe(one, new Held.Notice(true, 0));
             }
--- a/courier/src/test/java/thistleturn/courier/warm/LearntFileTest.java
+++ b/courier/src/test/java/thistleturn/courier/warm/LearntFileTest.java
@@ -23,8 +23,7 @@
 /** A file that is torn, old, foreign or from before a clock was set is not used; nothing else hangs on it. */
 @Tag("noise")
 final class LearntFileTest {
-    private static final long WALL_US = 1_796_000_000_000_000L;
-    private static final long UP_US = 5_000_000_000L;
+    private static final long TAKEN_US = 5_000_000_000L;
     private static final long SECOND = 1_000_000;
     private static final long DISK_BYTES = 3 << 20;
     private static final List<String> CLASSES = List.of("safe", "once");
@@ -44,17 +43,17 @@
     @BeforeEach
     void write() throws IOException {
         file = new LearntFile(folder, 0, CLASSES, DISK_BYTES);
-        file.write(file.bytes(learnt(), WALL_US, UP_US));
+        file.write(file.bytes(learnt(), TAKEN_US));
     }
 
     private LearntFile.Found after(final long us) {
-        return file.read(WALL_US + us, UP_US + us);
+        return file.read(TAKEN_US + us);
     }
 
     @Test
     void whatWasLearntIsFoundAgain() {
         final LearntFile.Found found = after(SECOND);
-        assertEquals(WALL_US, found.takenWallUs());
+        assertEquals(TAKEN_US, found.takenUs());
         assertEquals(learnt().endpoints(), found.learnt().endpoints());
         final Memory.OfLane lane = found.learnt().memory().lanes().get(0);
         assertEquals("[3.0, Infinity] [1, 2]", Arrays.toString(lane.figures()) + " " + Arrays.toString(lane.moments()));
@@ -86,24 +85,22 @@
     }
 
     @Test
-    void oneFromBeforeAClockWasSetIsNotUsed() {
-        assertNull(file.read(WALL_US - SECOND, UP_US + SECOND));
-        assertNull(file.read(WALL_US + 30 * SECOND, UP_US + SECOND));
-        // The machine began anew: its clock since then is younger than the file's.
-        assertNull(file.read(WALL_US + SECOND, SECOND));
+    void oneFromBeforeTheMachineBeganAnewIsNotUsed() {
+        assertNull(file.read(TAKEN_US - 1));
+        assertNull(file.read(SECOND));
     }
 
     @Test
     void oneForOtherClassesIsNotUsed() {
-        assertNull(new LearntFile(folder, 0, List.of("once", "safe"), DISK_BYTES).read(WALL_US, UP_US));
-        assertNull(new LearntFile(folder, 1, CLASSES, DISK_BYTES).read(WALL_US, UP_US), "another shard's");
+        assertNull(new LearntFile(folder, 0, List.of("once", "safe"), DISK_BYTES).read(TAKEN_US));
+        assertNull(new LearntFile(folder, 1, CLASSES, DISK_BYTES).read(TAKEN_US), "another shard's");
     }
 
     @Test
     void whatIsTooLargeIsNeitherWrittenNorRead() throws IOException {
         final Memory.OfNode node = new Memory.OfNode(4, new double[100], new long[100]);
         final Memory large = new Memory(new double[2], new int[2], 1, List.of(), Collections.nCopies(2000, node));
-        assertNull(file.bytes(new Inheritance(List.of(), large, List.of()), WALL_US, UP_US));
+        assertNull(file.bytes(new Inheritance(List.of(), large, List.of()), TAKEN_US));
         Files.write(folder.resolve("learnt"), new byte[4 << 20]);
         assertNull(after(SECOND));
     }
--- a/eureka/src/main/java/thistleturn/eureka/EurekaCall.java
+++ b/eureka/src/main/java/thistleturn/eureka/EurekaCall.java
@@ -5,13 +5,11 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -25,6 +23,8 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.transport.Connector;
+import thistleturn.courier.transport.NoSocketException;
 
 /**
  * One call to a registry, on a connection of its own: it ends once, within its time, and reads no more than its bound.
@@ -73,7 +73,7 @@
         if (json != null) {
             request.headers().set("Content-Type", "application/json");
         }
-        final ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        final Bootstrap template = new Bootstrap()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.min(CONNECT_MS, timeUs / US_PER_MS + 1))
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(READ_BYTES, READ_BYTES, READ_BYTES).maxMessagesPerRead(1))
@@ -82,16 +82,20 @@
                     protected void initChannel(final Channel opened) {
                         opened.pipeline().addLast(new HttpClientCodec(), call.new Answer());
                     }
-                }).connect(address.at());
-        call.channel = connecting.channel();
-        connecting.addListener(done -> {
-            if (done.isSuccess() && !call.over) {
-                call.channel.writeAndFlush(request);
-            } else {
-                request.release();
-                call.fail("no connection to " + address.at() + ": " + done.cause());
-            }
-        });
+                });
+        try {
+            call.channel = Connector.connect(loop, template, address.at(), done -> {
+                if (done.isSuccess() && !call.over) {
+                    call.channel.writeAndFlush(request);
+                } else {
+                    request.release();
+                    call.fail("no connection to " + address.at() + ": " + done.cause());
+                }
+            }).channel();
+        } catch (final NoSocketException e) {
+            request.release();
+            loop.execute(() -> call.fail(e.getMessage()));
+        }
         call.limit = loop.schedule(() -> call.fail("no whole answer in " + timeUs / US_PER_MS + " ms"), timeUs,
                 TimeUnit.MICROSECONDS);
         return call;
@@ -110,7 +114,9 @@
         if (limit != null) {
             limit.cancel(false);
         }
-        channel.close();
+        if (channel != null) {
+            channel.close();
+        }
         return true;
     }
 
--- a/peers/src/main/java/thistleturn/peers/Connections.java
+++ b/peers/src/main/java/thistleturn/peers/Connections.java
@@ -13,7 +13,6 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -25,6 +24,9 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import thistleturn.courier.transport.AcceptRetry;
+import thistleturn.courier.transport.Connector;
+import thistleturn.courier.transport.NoSocketException;
 import thistleturn.decisions.peers.Full;
 import thistleturn.decisions.peers.PeerId;
 
@@ -78,6 +80,7 @@
     /** Listens there. */
     ChannelFuture bind(final InetSocketAddress listen) {
         final ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .handler(new AcceptRetry())
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -153,22 +156,25 @@
         }
 
         private void begin() {
-            final ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, PATIENCE_MS)
+            final Bootstrap template = new Bootstrap().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, PATIENCE_MS)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(final Channel made) {
                             join(made.pipeline());
                         }
-                    }).connect(way.apply(to));
-            channel = connecting.channel();
-            connecting.addListener(done -> {
-                if (!done.isSuccess()) {
-                    // Only a refusal is the word of the system there; all else may be the way's doing, or our own.
-                    end(done.cause() instanceof ConnectException && !(done.cause() instanceof ConnectTimeoutException));
-                }
-            });
+                    });
+            try {
+                channel = Connector.connect(loop, template, way.apply(to), done -> {
+                    if (!done.isSuccess()) {
+                        // Only a refusal is the word of the system there; all else may be the way's doing, or our own.
+                        end(done.cause() instanceof ConnectException && !(done.cause() instanceof ConnectTimeoutException));
+                    }
+                }).channel();
+            } catch (final NoSocketException e) {
+                // Our own doing: nothing is said of the other side.
+                loop.execute(() -> end(false));
+            }
             loop.schedule(() -> {
                 if (!greeted) {
                     end(false);
@@ -176,6 +182,12 @@
             }, PATIENCE_MS, TimeUnit.MILLISECONDS);
         }
 
+        private void close() {
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
         /** It is over, by the word of the other side or by nobody's. */
         private void end(final boolean byWord) {
             if (over) {
@@ -186,7 +198,7 @@
                 burden.release();
                 burden = null;
             }
-            channel.close();
+            close();
             if (kept && outgoing.remove(to, this) && !ending) {
                 if (byWord) {
                     told.closed(to);
@@ -245,7 +257,7 @@
         final Outgoing before = outgoing.remove(to);
         if (before != null) {
             before.over = true;
-            before.channel.close();
+            before.close();
         }
     }
 
