--- a/courier/src/main/java/thistleturn/courier/handover/Predecessor.java
+++ b/courier/src/main/java/thistleturn/courier/handover/Predecessor.java
@@ -10,6 +10,8 @@
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 import thistleturn.courier.port.Carrier;
 import thistleturn.courier.port.Front;
@@ -82,6 +84,7 @@
     @Override
     public void serve(final Listener to) {
         listener = to;
+        session.hearAll();
     }
 
     /** This process takes clients. */
@@ -98,11 +101,16 @@
 
     private final class Session extends Wire.End {
         private final Wire.Collector collector = new Wire.Collector();
+        /** What was said since it handed over, while nobody decides yet: the journal may take its time to open. */
+        private final List<JsonNode> unheard = new ArrayList<>();
+        private boolean over;
 
         @Override
         void said(final String what, final JsonNode line) {
             try {
-                if (taken == null) {
+                if (taken == null && listener == null) {
+                    unheard.add(line);
+                } else if (taken == null) {
                     hear(what, line);
                 } else if (collector.add(what, line)) {
                     final Consumer<Inheritance> heir = taken;
@@ -114,6 +122,15 @@
             }
         }
 
+        private void hearAll() {
+            final List<JsonNode> lines = List.copyOf(unheard);
+            unheard.clear();
+            lines.forEach(line -> said(line.path("t").asText(), line));
+            if (over) {
+                listener.predecessorGone();
+            }
+        }
+
         private void hear(final String what, final JsonNode line) throws IOException {
             switch (what) {
                 case "offer" -> listener.offer(Wire.held(line), new Answer(line.path("number").asLong()));
@@ -125,6 +142,7 @@
 
         @Override
         void ended() {
+            over = true;
             if (taken != null) {
                 taken = null;
                 failed.run();
--- a/courier/src/main/java/thistleturn/courier/http/HttpCall.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCall.java
@@ -23,6 +23,8 @@
     final List<Future<?>> timers = new ArrayList<>(0);
     Channel channel;
     HttpConnection reader;
+    /** How often this machine's own system refused to begin its connection. */
+    int ownFailures;
     boolean started;
     boolean written;
 
--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -43,6 +43,8 @@
     private static final long REST_US = 5_000;
     /** How soon a socket is asked for again that the system does not have, us. */
     private static final long SOCKET_RETRY_US = 5_000;
+    /** So often a call is tried again whose connection this machine's own system refused to begin. */
+    private static final int MOST_OWN_FAILURES = 4;
 
     private final Clock clock;
     private final EventLoop loop;
@@ -299,7 +301,12 @@
             call.pool.shaken(clock.nowUs() - fromUs);
         }
         if (!connecting.isSuccess() && calls.contains(call)) {
-            abandon(call, Result.NO_CONNECTION);
+            if (Connector.isOwnFailure(connecting.cause()) && call.ownFailures++ < MOST_OWN_FAILURES) {
+                call.channel = null;
+                later(call, SOCKET_RETRY_US, () -> dispatch(call));
+            } else {
+                abandon(call, Result.NO_CONNECTION);
+            }
         } else if (mayGo(call)) {
             connecting.channel().pipeline().get(HttpConnection.class).write(call);
         } else {
--- a/courier/src/main/java/thistleturn/courier/platform/Dial.java
+++ b/courier/src/main/java/thistleturn/courier/platform/Dial.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -13,12 +14,12 @@
 import thistleturn.courier.transport.NoSocketException;
 
 /**
- * One connection to the platform, from the first try to its end. While the system has no socket to give it is asked again; when
+ * One connection to the platform, from the first try to its end. While the system refuses to begin one it is asked again; when
  * to give up is the caller's to say, not the channel's own timer: that would judge before the look that tells that it has
  * come up. Used on the event loop.
  */
 final class Dial {
-    private static final long SOCKET_RETRY_MS = 10;
+    private static final long RETRY_MS = 10;
 
     private final EventLoop loop;
     private final InetSocketAddress address;
@@ -54,13 +55,21 @@
                     }
                 });
         try {
-            channel = Connector.connect(loop, template, address, done -> {
-                if (!done.isSuccess()) {
-                    failed.run();
-                }
-            }).channel();
+            channel = Connector.connect(loop, template, address, this::connected).channel();
         } catch (final NoSocketException e) {
-            loop.schedule(this::connect, SOCKET_RETRY_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(this::connect, RETRY_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void connected(final ChannelFuture connecting) {
+        if (connecting.isSuccess()) {
+            return;
+        }
+        if (!closed && Connector.isOwnFailure(connecting.cause())) {
+            channel = null;
+            loop.schedule(this::connect, RETRY_MS, TimeUnit.MILLISECONDS);
+        } else {
+            failed.run();
         }
     }
 
--- a/courier/src/main/java/thistleturn/courier/transport/Connector.java
+++ b/courier/src/main/java/thistleturn/courier/transport/Connector.java
@@ -6,7 +6,10 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
 import java.net.SocketAddress;
+import java.net.SocketException;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import thistleturn.courier.runtime.Event;
@@ -20,6 +23,15 @@
 public final class Connector {
     private Connector() { }
 
+    /**
+     * True for what this machine's system said of itself (EADDRNOTAVAIL, ENOBUFS, ENETUNREACH and the like): no word of the
+     * other side, and mostly gone in a moment. A connection that was refused, reset, found no host or ran out of time is none.
+     */
+    public static boolean isOwnFailure(final Throwable cause) {
+        return cause instanceof SocketException && !(cause instanceof ConnectException)
+                && !(cause instanceof NoRouteToHostException) && !String.valueOf(cause.getMessage()).contains("reset");
+    }
+
     /**
      * Begins to connect over TCP. Called on the loop.
      *
--- a/courier/src/test/java/thistleturn/courier/FaultScenario.java
+++ b/courier/src/test/java/thistleturn/courier/FaultScenario.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import thistleturn.testkit.CourierFiles;
 import thistleturn.testkit.StandInEndpoint;
 import thistleturn.testkit.StandInEndpoint.Manner;
@@ -19,11 +21,13 @@
     private static final int DESTINATIONS = 3;
     private static final long SERVICE_MS = 25;
     private static final double CALLS_PER_SECOND = 2000;
+    private static final long KILLED_AFTER_US = 3_700_000;
     private static final String MAIN = "thistleturn.courier.Main";
 
     final StandInWorld world;
     final List<StandInEndpoint> endpoints = new ArrayList<>();
     private final Path state;
+    private final Map<String, String> addresses = new HashMap<>();
     private final List<ChildProcess> processes = new ArrayList<>();
     private ChildProcess courier;
 
@@ -43,14 +47,50 @@
         return FaultShim.below(state);
     }
 
+    /** Couriers that are started from now on listen there. */
+    void listenAt(final int port) {
+        addresses.put("PROXY_LISTEN", "127.0.0.1:" + port);
+    }
+
+    /** Couriers that are started from now on hear operators there. */
+    void operatorAt(final int port) {
+        addresses.put("PROXY_OPERATOR", "127.0.0.1:" + port);
+    }
+
     /** Starts a courier under these faults, and waits until it serves. */
     void start(final FaultShim faults) throws IOException {
-        courier = ChildProcess.java(faults.environment(world.environment(CourierFiles.Size.usual())), "", MAIN);
+        final Map<String, String> environment = new HashMap<>(world.environment(CourierFiles.Size.usual()));
+        environment.putAll(addresses);
+        courier = ChildProcess.java(faults.environment(environment), "", MAIN);
         processes.add(courier);
         final String ready = courier.await(line -> line.contains("is ready at "));
         world.client.courier(ready.substring(ready.lastIndexOf(' ') + 1));
     }
 
+    /** Starts a newer courier beside the one that serves, and ends the older one in order once the newer one serves. */
+    void takeOver(final FaultShim faults) throws IOException {
+        final ChildProcess older = courier;
+        start(faults);
+        end(older);
+    }
+
+    /** Ends the courier in order, as the platform does, and starts another one in its folder. */
+    void restartInOrder(final FaultShim faults) throws IOException {
+        world.auditor.restarted(world.ticks.nowUs(), false);
+        end(courier);
+        world.endConnections();
+        start(faults);
+        world.auditor.restarted(world.ticks.nowUs(), true);
+    }
+
+    /** SIGTERM, and SIGKILL 3.7 s later unless the process has ended by then. */
+    private void end(final ChildProcess process) {
+        process.terminate();
+        final long untilUs = world.ticks.nowUs() + KILLED_AFTER_US;
+        world.await("the end of the process", () -> !process.isAlive() || world.ticks.nowUs() >= untilUs);
+        process.kill();
+    }
+
     /** Kills the courier and starts another one in its folder. */
     void restart(final FaultShim faults) throws IOException {
         world.auditor.restarted(world.ticks.nowUs(), false);
--- a/testkit/src/main/java/thistleturn/testkit/rig/ChildProcess.java
+++ b/testkit/src/main/java/thistleturn/testkit/rig/ChildProcess.java
@@ -67,6 +67,11 @@
         return process.pid();
     }
 
+    /** True until it has ended. */
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
     /** What it has said so far, a line each. */
     public List<String> lines() {
         return lines;
