Connections that the system refuses to watch are read all the same

Cause: Java ignores a failing epoll_ctl (EPollSelectorImpl.processUpdateQueue drops its result), so that a client's connection whose registration fails (ENOMEM, ENOSPC) is never read, and closed after 2 s with its request on it.

Measured: SystemCallFaultsTest with 2% of epoll_ctl calls failing passes; with accept, closing, crowd, bad client and signal tests green.

--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -67,6 +68,8 @@
     /** A connection without a request for so long gives back all but itself. */
     private static final long REST_US = 1_000_000;
     private static final long SWEEP_MS = 200;
+    /** A connection that has said nothing for so long, us, is read from once without the selector's word. */
+    private static final long UNHEARD_US = 50_000;
     /** For so long, us, a listener that is to be closed is asked again for connections that it cannot give. */
     private static final long LAST_ACCEPTS_US = 1_000_000;
     /** Connections looked at in one turn of the loop: what falls due in the same instant is spread. */
@@ -236,6 +239,19 @@
         }
         crowded = many;
         lookAtDue();
+        if (listener.isActive() && listener.config().isAutoRead()) {
+            readDirectly(listener);
+        }
+    }
+
+    /**
+     * Reads what a channel has, whether or not the selector says so. Java ignores that the system refuses to watch a descriptor
+     * (epoll_ctl: ENOMEM, ENOSPC): a channel of which nothing is heard may be one that nobody watches.
+     */
+    static void readDirectly(final Channel channel) {
+        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
     }
 
     private void lookAtDue() {
@@ -251,6 +267,12 @@
     }
 
     private void look(final HttpSession session, final long nowUs) {
+        if (session.mayBeUnwatched()) {
+            session.readDirectly();
+            if (!sessions.contains(session)) {
+                return;
+            }
+        }
         if (isTooLate(session, nowUs) || isIdleTooLong(session, nowUs)) {
             // What had come by now is read before it is judged, however long this process stood still.
             turns.afterLook(loop, nowUs, () -> end(session, nowUs));
@@ -290,6 +312,9 @@
 
     /** When something is to be done about a connection unless something happens to it before. */
     private long dueUs(final HttpSession session) {
+        if (session.mayBeUnwatched()) {
+            return Math.max(session.sinceUs() + UNHEARD_US, clock.nowUs());
+        }
         if (!session.isIdle()) {
             return Math.min(session.askedSinceUs(), clock.nowUs()) + REQUEST_US;
         }
--- a/courier/src/main/java/thistleturn/courier/http/HttpSession.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpSession.java
@@ -77,6 +77,10 @@
     private long currentDestination;
     private boolean reading;
     private boolean hasAsked;
+    /** It was read from once without the selector's word; it is being; that found what the selector had not told. */
+    private boolean readDirectly;
+    private boolean readsDirectly;
+    private boolean unwatched;
     /** What is said once all before it is answered; then nothing further is read. */
     private HttpResponseStatus last;
     private boolean rejected;
@@ -166,6 +170,19 @@
         }
     }
 
+    /** True while it has not been known to be watched by the selector: nothing has been heard of it, or not by that way. */
+    boolean mayBeUnwatched() {
+        return unwatched || !readDirectly && !hasAsked && askedSinceUs == Long.MAX_VALUE && !isClosing();
+    }
+
+    /** Reads what it has without the selector's word; what is found that way is watched by nobody. */
+    void readDirectly() {
+        readDirectly = true;
+        readsDirectly = true;
+        HttpFront.readDirectly(context.channel());
+        readsDirectly = false;
+    }
+
     /** Since when it has been of no use, us. */
     long sinceUs() {
         return sinceUs;
@@ -276,6 +293,10 @@
     /** Bytes have come, perhaps too few to make a head. */
     void bytesCame(final ByteBuf bytes) {
         lastByteUs = clock.nowUs();
+        if (readsDirectly && !unwatched) {
+            unwatched = true;
+            Log.event(Event.CONNECTION_UNWATCHED, "client", context.channel().remoteAddress(), "after_us", lastByteUs - sinceUs);
+        }
         arrival.read(lastByteUs, turns.previousLookUs(), bytes.isWritable());
         if (hasAsked && isIdle()) {
             front.learn(true);
@@ -482,7 +503,8 @@
                 || status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
                 || status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
                 || status.equals(HttpResponseStatus.INTERNAL_SERVER_ERROR);
-        final boolean keep = good && HttpUtil.isKeepAlive(current.head()) && !front.isDraining() && last == null;
+        final boolean keep = good && HttpUtil.isKeepAlive(current.head()) && !front.isDraining() && last == null
+                && !unwatched;
         current = null;
         currentId = null;
         sinceUs = clock.nowUs();
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -12,6 +12,8 @@
     REQUEST_UNANSWERED,
     /** A client's connection was ended from this side while it was not between two requests. */
     CONNECTION_CLOSED,
+    /** A connection has bytes of which the selector did not tell: it is read from now and then, and ended with its answer. */
+    CONNECTION_UNWATCHED,
     /** An attempt ended in something else than a delivery. */
     ATTEMPT_FAILED,
     /** An attempt did not begin, since what was planned for it has changed. */
--- a/courier/src/test/java/thistleturn/courier/SystemCallFaultsTest.java
+++ b/courier/src/test/java/thistleturn/courier/SystemCallFaultsTest.java
@@ -59,6 +59,16 @@
         }
     }
 
+    /** The selector never tells of a connection that the system refuses to watch, and Java does not say so. */
+    @Test
+    void connectionThatIsNotWatchedIsReadAllTheSame() throws IOException {
+        try (FaultScenario own = begin(9)) {
+            own.world.client.keepConnections(false);
+            play(own.faults().rule("epoll_ctl,errno=12/28,share=0.02,from=1500"));
+            allHolds();
+        }
+    }
+
     /** A call for which no socket can be had is told to its owner on the owner's thread, and tried again or given up. */
     @Test
     void socketThatFailsLeavesNoMessageWithoutAnEnd() throws IOException {
