--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -49,6 +49,7 @@
 import thistleturn.courier.runtime.Descriptors;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.LoopTasks;
 import thistleturn.courier.runtime.LoopTurns;
 import thistleturn.courier.runtime.Passing;
 import thistleturn.courier.shard.Layout;
@@ -533,7 +534,7 @@
         /** From now on what is learnt is put down: now and then, and soon after a lane went out or returns. */
         private void keepLearnt() {
             final LearntKeeper keeper = new LearntKeeper(learnt, clock);
-            loop.scheduleWithFixedDelay(() -> {
+            loop.scheduleWithFixedDelay(LoopTasks.guarded("what was learnt", () -> {
                 if (++looksSinceKept < LOOKS_A_KEEPING && host.turns() == keptTurns) {
                     return;
                 }
@@ -543,7 +544,7 @@
                 if (now != null) {
                     keeper.keep(now);
                 }
-            }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+            }), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         }
 
         private int part(final double share) {
@@ -749,7 +750,7 @@
             });
             listen(0, config.listen());
             if (operators != null) {
-                loop.scheduleWithFixedDelay(operators::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+                loop.scheduleWithFixedDelay(LoopTasks.guarded("who is left out", operators::look), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
             }
         }, loop);
     }
@@ -857,12 +858,12 @@
     private void leaveToHeir(final long stopUs) {
         final Shard only = shards.get(0);
         loop.schedule(only.front::drain, STOP_MS - LEAVE_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(() -> {
+        loop.scheduleWithFixedDelay(LoopTasks.guarded("end beside a newer process", () -> {
             final boolean due = only.host.idle() && only.front.isEmpty();
             if (due && extension.leave() || clock.nowUs() >= stopUs) {
                 stopped.countDown();
             }
-        }, STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
+        }), STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
     }
 
     private void leave(final long stopUs) {
@@ -872,16 +873,16 @@
             shard.loop.schedule(shard.front::turnAway, stopUs - 2 * LEAVE_MS * US_PER_MS - clock.nowUs(),
                     TimeUnit.MICROSECONDS);
             // A request that is coming in, or an answer on its way, would be cut off by the end of the process.
-            shard.loop.scheduleWithFixedDelay(() -> shard.idle = shard.host.idle() && shard.front.isEmpty(), 0,
+            shard.loop.scheduleWithFixedDelay(LoopTasks.guarded("end in order", () -> shard.idle = shard.host.idle() && shard.front.isEmpty()), 0,
                     STOP_CHECK_MS, TimeUnit.MILLISECONDS);
         }));
-        loop.scheduleWithFixedDelay(() -> {
+        loop.scheduleWithFixedDelay(LoopTasks.guarded("end in order", () -> {
             final boolean due = shards.stream().allMatch(shard -> shard.idle)
                     || clock.nowUs() >= stopUs - LEAVE_MS * US_PER_MS;
             if (due && extension.leave() || clock.nowUs() >= stopUs) {
                 stopped.countDown();
             }
-        }, STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
+        }), STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
     }
 
     /**
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -19,6 +19,7 @@
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.LoopTasks;
 import thistleturn.courier.shard.Room;
 import thistleturn.decisions.Control;
 import thistleturn.decisions.Courier;
@@ -741,7 +742,7 @@
         } catch (final RuntimeException | Error e) {
             Log.failure("decisions failed", e);
         }
-        outbox.forEach(this::prepareAll);
+        outbox.forEach((endpoint, parcels) -> LoopTasks.guarded("calls to an endpoint", () -> prepareAll(endpoint, parcels)).run());
         outbox.clear();
         // The journal is ahead of all that this pass promises: answers, calls, and ends that are told.
         promises.keep(store.flush(), clock.nowUs());
--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -19,6 +19,7 @@
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Descriptors;
+import thistleturn.courier.runtime.LoopTasks;
 import thistleturn.courier.runtime.LoopTurns;
 import thistleturn.courier.transport.Connector;
 import thistleturn.courier.transport.NoSocketException;
@@ -83,7 +84,7 @@
                     }
                 });
         final long sweepUs = Math.max(US_PER_MS, idleUs / 8);
-        loop.scheduleWithFixedDelay(this::closeOld, sweepUs, sweepUs, TimeUnit.MICROSECONDS);
+        loop.scheduleWithFixedDelay(LoopTasks.guarded("idle connections", this::closeOld), sweepUs, sweepUs, TimeUnit.MICROSECONDS);
     }
 
     // ---------------------------------------------------------------- state
--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -36,6 +36,7 @@
 import thistleturn.courier.runtime.Descriptors;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.LoopTasks;
 import thistleturn.courier.runtime.LoopTurns;
 import thistleturn.courier.transport.AcceptRetry;
 import thistleturn.decisions.admission.Crowd;
@@ -129,7 +130,8 @@
         final CompletableFuture<String> listening = new CompletableFuture<>();
         draining = false;
         if (sweeping == null) {
-            sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+            sweeping = loop.scheduleWithFixedDelay(LoopTasks.guarded("sweep of clients", this::sweep), SWEEP_MS, SWEEP_MS,
+                    TimeUnit.MILLISECONDS);
         }
         final Accepting accepting = new Accepting();
         try {
@@ -239,7 +241,7 @@
         }
         crowded = many;
         lookAtDue();
-        if (listener.isActive() && listener.config().isAutoRead()) {
+        if (listener != null && listener.isActive() && listener.config().isAutoRead()) {
             readDirectly(listener);
         }
     }
--- a/courier/src/main/java/thistleturn/courier/shard/Room.java
+++ b/courier/src/main/java/thistleturn/courier/shard/Room.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import thistleturn.courier.runtime.LoopTasks;
 import thistleturn.decisions.Courier;
 import thistleturn.decisions.shards.Allotment;
 
@@ -43,7 +44,7 @@
         for (int shard = 0; shard < loops.size(); shard++) {
             tell(shard);
         }
-        owner.scheduleWithFixedDelay(this::plan, PERIOD_MS, PERIOD_MS, TimeUnit.MILLISECONDS);
+        owner.scheduleWithFixedDelay(LoopTasks.guarded("room among shards", this::plan), PERIOD_MS, PERIOD_MS, TimeUnit.MILLISECONDS);
     }
 
     private void plan() {
--- a/courier/src/main/java/thistleturn/courier/shard/SharedDirectory.java
+++ b/courier/src/main/java/thistleturn/courier/shard/SharedDirectory.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import thistleturn.courier.runtime.LoopTasks;
 import thistleturn.courier.port.Directory;
 import thistleturn.courier.runtime.Config;
 import thistleturn.decisions.Courier;
@@ -39,7 +40,7 @@
     /** Begins; every view must have been started before. Called on the owner's loop. */
     public void start() {
         shared.start(this::told);
-        owner.scheduleWithFixedDelay(() -> fresh = shared.isFresh(), 0, FRESH_MS, TimeUnit.MILLISECONDS);
+        owner.scheduleWithFixedDelay(LoopTasks.guarded("freshness of the list", () -> fresh = shared.isFresh()), 0, FRESH_MS, TimeUnit.MILLISECONDS);
     }
 
     private void told(final Courier.Update update, final List<Directory.Listing> listings) {
--- a/courier/src/test/java/thistleturn/courier/FaultScenario.java
+++ b/courier/src/test/java/thistleturn/courier/FaultScenario.java
@@ -1,6 +1,7 @@
 package thistleturn.courier;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -61,6 +62,9 @@
     void start(final FaultShim faults) throws IOException {
         final Map<String, String> environment = new HashMap<>(world.environment(CourierFiles.Size.usual()));
         environment.putAll(addresses);
+        // So small a disk that the journal is replaced every few seconds.
+        final Path config = Path.of(environment.get("PROXY_CONFIG"));
+        Files.writeString(config, Files.readString(config).replace("\"disk_mb\":64", "\"disk_mb\":1"));
         courier = ChildProcess.java(faults.environment(environment), "", MAIN);
         processes.add(courier);
         final String ready = courier.await(line -> line.contains("is ready at "));
--- a/courier/src/test/java/thistleturn/courier/SystemCallFaultsTest.java
+++ b/courier/src/test/java/thistleturn/courier/SystemCallFaultsTest.java
@@ -108,6 +108,21 @@
         }
     }
 
+    /** The journal grows to its bound every few seconds, and cannot be replaced for a while. */
+    @ParameterizedTest
+    @ValueSource(strings = {"rename,errno=5/28,period=3000,for=1500", "rename,errno=5,how=whole,period=3000,for=1500",
+        "open,errno=23/5,from=1500,period=3000,for=1500"})
+    void journalThatCannotBeReplacedForAWhileLosesNothing(final String rule) throws IOException {
+        try (FaultScenario own = begin(10)) {
+            own.start(own.faults().rule(rule));
+            own.load(RATE);
+            own.pass(5000);
+            own.restart(own.faults());
+            own.pass(500);
+            assertEquals(List.of(), own.verdict(), own::story);
+        }
+    }
+
     /** What was written in part before a kill is whole or nothing: who was turned away is never sent on. */
     @ParameterizedTest
     @ValueSource(strings = {"half", "whole"})
--- a/courier/src/test/java/thistleturn/courier/health/PausedCourierTest.java
+++ b/courier/src/test/java/thistleturn/courier/health/PausedCourierTest.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -64,11 +65,21 @@
                 assertEquals(List.of(), world.stopLoad(TIMEOUT_MS));
                 final Map<String, Integer> ends = world.auditor.ends();
                 final int handed = ends.values().stream().mapToInt(Integer::intValue).sum();
-                assertTrue(ends.getOrDefault("delivered", 0) >= 0.98 * handed, "ends " + ends);
+                assertTrue(ends.getOrDefault("delivered", 0) >= 0.98 * handed, () -> "ends " + ends + events(courier));
             }
         }
     }
 
+    /** How often the courier told of each event, and its first lines of each. */
+    private static String events(final ChildProcess courier) {
+        final Map<String, List<String>> told = courier.lines().stream().filter(line -> line.contains("event="))
+                .collect(Collectors.groupingBy(line -> line.replaceFirst(".*event=(\\S+).*", "$1")));
+        final StringBuilder text = new StringBuilder();
+        told.forEach((event, lines) -> text.append('\n').append(event).append(' ').append(lines.size()).append(": ")
+                .append(lines.subList(0, Math.min(3, lines.size()))));
+        return text.toString();
+    }
+
     /** Stopped at any moment of its start, it starts; and so it does on a starved core with 2,000 messages that it holds. */
     @Test
     void aStartThatIsStoppedOrStarvedEndsInTimeAllTheSame() throws Exception {
--- a/eureka/src/main/java/thistleturn/membership/MergedDirectory.java
+++ b/eureka/src/main/java/thistleturn/membership/MergedDirectory.java
@@ -20,6 +20,7 @@
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.LoopTasks;
 import thistleturn.decisions.Courier;
 import thistleturn.decisions.membership.Member;
 import thistleturn.decisions.membership.Membership;
@@ -100,7 +101,7 @@
         listener = told;
         own.start(this::ownTold);
         registries.values().forEach(EurekaSource::start);
-        loop.scheduleWithFixedDelay(this::hear, HEARD_MS, HEARD_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(LoopTasks.guarded("registries", this::hear), HEARD_MS, HEARD_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
