A takeover without shared addresses, unwatched connections judged after a look

A connection accepted in a long first turn was taken for unwatched before any look at it.

Change: a newer process that finds the clients' address taken asks the older one to leave it, and listens then; the direct read waits for a look that began after the connection was accepted.

--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -108,6 +108,9 @@
     private StateLock lock;
     private Directory own;
     private boolean running;
+    /** The older process that handed over to this one, or null; whether it was asked to leave the clients' address before its time. */
+    private Predecessor predecessor;
+    private boolean askedForAddress;
     private boolean listening;
     private boolean stopping;
 
@@ -691,7 +694,8 @@
     }
 
     /** Begins to decide; where an older process handed over, with what it handed on. */
-    private void begin(final Inheritance inheritance, final Predecessor predecessor) {
+    private void begin(final Inheritance inheritance, final Predecessor from) {
+        predecessor = from;
         final List<EventLoop> loops = shards.stream().map(shard -> shard.loop).toList();
         final SharedDirectory shared = shards.size() == 1 ? null : new SharedDirectory(own, loop, loops);
         final Courier.Limits limits = config.settings().limits();
@@ -715,7 +719,7 @@
                     shard.host.recall(shard.learnt.read(clock.nowUs()));
                 }
                 final int resumed = inheritance == null ? shard.host.start()
-                        : shard.host.start(inheritance, predecessor);
+                        : shard.host.start(inheritance, from);
                 if (latest != config) {
                     // SIGHUP came before there was anybody to tell.
                     shard.host.reload(latest);
@@ -744,8 +748,8 @@
             shards.stream().filter(shard -> shard.learnt != null).forEach(Shard::keepLearnt);
             running = true;
             serving.thenAccept(bound -> {
-                if (predecessor != null) {
-                    predecessor.listening();
+                if (from != null) {
+                    from.listening();
                 }
             });
             listen(0, config.listen());
@@ -780,6 +784,13 @@
                 // It served before: nobody else would try again.
                 Log.event(Event.START_RETRIED, "step", "listen again", "cause", failure);
                 loop.schedule(() -> listen(index, address), Passing.RETRY_MS, TimeUnit.MILLISECONDS);
+            } else if (failure != null && predecessor != null && !askedForAddress && Passing.isAddressTaken(failure)) {
+                // Java looks once whether sockets may share an address, and takes a failure of that look for a no.
+                askedForAddress = true;
+                predecessor.listening();
+                loop.schedule(() -> listen(index, address), Passing.RETRY_MS, TimeUnit.MILLISECONDS);
+            } else if (failure != null && askedForAddress && clock.nowUs() < startedUs + Passing.PATIENCE_US) {
+                loop.schedule(() -> listen(index, address), Passing.RETRY_MS, TimeUnit.MILLISECONDS);
             } else if (failure != null) {
                 again("listen", new IOException("cannot listen on " + config.listen() + ": " + failure.getMessage(), failure),
                         () -> listen(index, address));
--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -269,7 +269,8 @@
     }
 
     private void look(final HttpSession session, final long nowUs) {
-        if (session.mayBeUnwatched()) {
+        // A look that began after it was accepted has told of it, if it is watched.
+        if (session.mayBeUnwatched() && turns.lookUs() > session.sinceUs()) {
             session.readDirectly();
             if (!sessions.contains(session)) {
                 return;
--- a/courier/src/main/java/thistleturn/courier/runtime/Passing.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Passing.java
@@ -35,6 +35,11 @@
         return system;
     }
 
+    /** True if somebody else has the address. */
+    public static boolean isAddressTaken(final Throwable failure) {
+        return failure instanceof BindException || failure != null && isAddressTaken(failure.getCause());
+    }
+
     /** Something of the system's that does not pass by itself. */
     public static final class LastingException extends IOException {
         private static final long serialVersionUID = 1L;
