--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -13,8 +13,6 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
@@ -39,6 +37,8 @@
 import thistleturn.courier.runtime.LoopTasks;
 import thistleturn.courier.runtime.LoopTurns;
 import thistleturn.courier.transport.AcceptRetry;
+import thistleturn.courier.transport.PatientServerSocketChannel;
+import thistleturn.courier.transport.PatientSocketChannel;
 import thistleturn.decisions.admission.Crowd;
 import thistleturn.decisions.index.TimeHeap;
 
@@ -140,7 +140,7 @@
             return CompletableFuture.failedFuture(e);
         }
         final ChannelFuture bound = new ServerBootstrap().group(group)
-                .channelFactory(() -> new NioServerSocketChannel(accepts))
+                .channelFactory(() -> new PatientServerSocketChannel(accepts))
                 .option(REUSE_PORT, several)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator()
@@ -217,7 +217,7 @@
         acceptsLast = false;
         try {
             for (SocketChannel next = accepts.accept(); next != null; next = accepts.accept()) {
-                listener.pipeline().fireChannelRead(new NioSocketChannel(listener, next));
+                listener.pipeline().fireChannelRead(new PatientSocketChannel(listener, next));
             }
             listener.pipeline().fireChannelReadComplete();
         } catch (final IOException | ChannelException e) {
--- a/courier/src/main/java/thistleturn/courier/operator/OperatorServer.java
+++ b/courier/src/main/java/thistleturn/courier/operator/OperatorServer.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -31,6 +30,7 @@
 import java.util.regex.Pattern;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.transport.AcceptRetry;
+import thistleturn.courier.transport.PatientServerSocketChannel;
 
 /**
  * Answers operators, one call a connection. Callers who say nothing, or half of it, hold a connection for a while and
@@ -56,7 +56,7 @@
     /** Listens; completes with the address in fact, or exceptionally. */
     public CompletableFuture<String> listen(final EventLoop loop, final InetSocketAddress address) {
         final CompletableFuture<String> listening = new CompletableFuture<>();
-        new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        new ServerBootstrap().group(loop).channel(PatientServerSocketChannel.class)
                 .handler(new AcceptRetry())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -34,6 +34,8 @@
     SOCKET_FAILED,
     /** A connection could not be made. */
     CONNECT_FAILED,
+    /** A connection could not be read or written for want of memory, and is tried again. */
+    TRANSFER_RETRIED,
     /** The journal cannot be written from now on. */
     JOURNAL_UNWRITABLE,
     /** A write of the journal failed. */
--- a/courier/src/main/java/thistleturn/courier/transport/Connector.java
+++ b/courier/src/main/java/thistleturn/courier/transport/Connector.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.ConnectException;
 import java.net.NoRouteToHostException;
 import java.net.SocketAddress;
@@ -41,7 +40,7 @@
      */
     public static ChannelFuture connect(final EventLoop loop, final Bootstrap template, final SocketAddress address,
             final Consumer<ChannelFuture> told) throws NoSocketException {
-        return connect(loop, NioSocketChannel::new, template, address, told);
+        return connect(loop, PatientSocketChannel::new, template, address, told);
     }
 
     /** The same by another kind of channel; {@code maker} throws {@link ChannelException} where there is none to have. */
--- /dev/null
+++ b/courier/src/main/java/thistleturn/courier/transport/PatientServerSocketChannel.java
@@ -0,0 +1,29 @@
+package thistleturn.courier.transport;
+
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+
+/** A listener whose connections are {@link PatientSocketChannel}s. */
+public final class PatientServerSocketChannel extends NioServerSocketChannel {
+    /** One of its own. */
+    public PatientServerSocketChannel() {
+        super();
+    }
+
+    /** One over a socket that is there. */
+    public PatientServerSocketChannel(final ServerSocketChannel socket) {
+        super(socket);
+    }
+
+    @Override
+    protected int doReadMessages(final List<Object> accepted) throws Exception {
+        final SocketChannel next = javaChannel().accept();
+        if (next == null) {
+            return 0;
+        }
+        accepted.add(new PatientSocketChannel(this, next));
+        return 1;
+    }
+}
