--- a/testkit/src/test/java/thistleturn/testkit/AuditorTest.java
+++ b/testkit/src/test/java/thistleturn/testkit/AuditorTest.java
@@ -114,6 +114,25 @@
         assertBroken(Rule.LOST);
     }
 
+    /** The next process tells ends before it is ready: from the end of the one before no notice is overdue. */
+    @Test
+    void aRestartExcusesLateEndsBeforeItIsReadyToo() {
+        take(0, "a", "safe");
+        auditor.restarted(SECOND, false);
+        auditor.noticed(TIMEOUT + 2 * SECOND, "a", true);
+        auditor.restarted(TIMEOUT + 3 * SECOND, true);
+        assertBroken();
+    }
+
+    @Test
+    void aRestartExcusesNothingThatWasOverdueBefore() {
+        take(0, "a", "safe");
+        auditor.restarted(TIMEOUT + SECOND, false);
+        auditor.noticed(TIMEOUT + 2 * SECOND, "a", true);
+        auditor.restarted(TIMEOUT + 3 * SECOND, true);
+        assertBroken(Rule.LOST);
+    }
+
     @Test
     void afterAKillWhatMayBeRepeatedGoesOnceMoreAndNothingElse() {
         for (final String kind : List.of("safe", "keyed", "once")) {
