--- a/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCarrier.java
@@ -22,6 +22,7 @@
 import thistleturn.courier.runtime.LoopTasks;
 import thistleturn.courier.runtime.LoopTurns;
 import thistleturn.courier.transport.Connector;
+import thistleturn.courier.transport.DirectRead;
 import thistleturn.courier.transport.NoSocketException;
 import thistleturn.decisions.Courier.Result;
 import thistleturn.decisions.Courier;
@@ -177,12 +178,20 @@
         armedUs = Long.MAX_VALUE;
         final long lookedUs = turns.lookUs();
         for (HttpCall late = deadlines.poll(lookedUs); late != null; late = deadlines.poll(lookedUs)) {
+            readUnwatched(late);
             abandon(late, Result.TIMED_OUT);
         }
         // What fell due since that look began is judged in the next turn, after another.
         arm();
     }
 
+    /** An answer that the selector does not tell of, since the system refused to watch its connection, counts as well. */
+    private static void readUnwatched(final HttpCall call) {
+        if (call.written && call.channel.isActive()) {
+            DirectRead.of(call.channel);
+        }
+    }
+
     /** Runs something for a call, unless the call ends first: then nothing of it is kept. */
     private void later(final HttpCall call, final long delayUs, final Runnable action) {
         call.timers.add(loop.schedule(action, delayUs, TimeUnit.MICROSECONDS));
--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -12,7 +12,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
@@ -37,6 +36,7 @@
 import thistleturn.courier.runtime.LoopTasks;
 import thistleturn.courier.runtime.LoopTurns;
 import thistleturn.courier.transport.AcceptRetry;
+import thistleturn.courier.transport.DirectRead;
 import thistleturn.courier.transport.PatientServerSocketChannel;
 import thistleturn.courier.transport.PatientSocketChannel;
 import thistleturn.decisions.admission.Crowd;
@@ -242,17 +242,7 @@
         crowded = many;
         lookAtDue();
         if (listener != null && listener.isActive() && listener.config().isAutoRead()) {
-            readDirectly(listener);
-        }
-    }
-
-    /**
-     * Reads what a channel has, whether or not the selector says so. Java ignores that the system refuses to watch a descriptor
-     * (epoll_ctl: ENOMEM, ENOSPC): a channel of which nothing is heard may be one that nobody watches.
-     */
-    static void readDirectly(final Channel channel) {
-        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-            unsafe.read();
+            DirectRead.of(listener);
         }
     }
 
--- a/courier/src/main/java/thistleturn/courier/http/HttpSession.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpSession.java
@@ -36,6 +36,7 @@
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.LoopTurns;
+import thistleturn.courier.transport.DirectRead;
 import thistleturn.decisions.Courier;
 import thistleturn.decisions.admission.Crowd;
 import thistleturn.decisions.index.TimeHeap;
@@ -179,7 +180,7 @@
     void readDirectly() {
         readDirectly = true;
         readsDirectly = true;
-        HttpFront.readDirectly(context.channel());
+        DirectRead.of(context.channel());
         readsDirectly = false;
     }
 
