--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -774,6 +774,15 @@
         }, UNWRITABLE_RETRY_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void refuseUnwritten(final OpenMessage message) {
+        final Front.Reply reply = message.reply;
+        forget(message);
+        count(refused, message);
+        control.onExpired(clock.nowUs(), message.held.id());
+        Log.event(Event.REQUEST_REFUSED, "id", message.held.id(), "class", message.kind.name(), "why", "journal_write_failed");
+        reply.refused(Front.Refusal.NO_ROOM, FULL_RETRY_US);
+    }
+
     /** Carries out what the journal holds, or need not hold. */
     private final class PromiseKeeper implements Promises.Keeper {
         @Override
@@ -786,12 +795,7 @@
 
         @Override
         public void refuseUnwritten(final OpenMessage message) {
-            final Front.Reply reply = message.reply;
-            forget(message);
-            count(refused, message);
-            control.onExpired(clock.nowUs(), message.held.id());
-            Log.event(Event.REQUEST_REFUSED, "id", message.held.id(), "class", message.kind.name(), "why", "journal_write_failed");
-            reply.refused(Front.Refusal.NO_ROOM, FULL_RETRY_US);
+            Host.this.refuseUnwritten(message);
         }
 
         @Override
