PeersFleetTest finds its line behind the time that log lines begin with

Cause: lines of the log begin with level and time now; the test looked for the text at the line's start. It looks for the same text of the same process, behind that.

--- a/cli/src/test/java/thistleturn/cli/PeersFleetTest.java
+++ b/cli/src/test/java/thistleturn/cli/PeersFleetTest.java
@@ -91,7 +91,7 @@
                 end 22s
                 at 1s cut 0,1 <-> 2,3,4 for 12s
                 """, fleet -> {
-            assertTrue(fleet.lines().stream().anyMatch(line -> line.startsWith("n01: peers: hears no majority: 2 of 5")), fleet.lines()::toString);
+            assertTrue(fleet.lines().stream().anyMatch(line -> line.startsWith("n01: ") && line.contains(" peers: hears no majority: 2 of 5")), fleet.lines()::toString);
             final JsonNode before = fleet.page(2);
             final Random random = new Random(33);
             final int strangers = 200;
