--- a/courier/src/main/java/thistleturn/courier/CourierProcess.java
+++ b/courier/src/main/java/thistleturn/courier/CourierProcess.java
@@ -49,6 +49,7 @@
 import thistleturn.courier.runtime.Descriptors;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.LoopTasks;
 import thistleturn.courier.runtime.LoopTurns;
 import thistleturn.courier.runtime.Passing;
 import thistleturn.courier.shard.Layout;
@@ -107,6 +108,9 @@
     private StateLock lock;
     private Directory own;
     private boolean running;
+    /** The older process that handed over to this one, or null; whether it was asked to leave the clients' address before its time. */
+    private Predecessor predecessor;
+    private boolean askedForAddress;
     private boolean listening;
     private boolean stopping;
 
@@ -533,7 +537,7 @@
         /** From now on what is learnt is put down: now and then, and soon after a lane went out or returns. */
         private void keepLearnt() {
             final LearntKeeper keeper = new LearntKeeper(learnt, clock);
-            loop.scheduleWithFixedDelay(() -> {
+            loop.scheduleWithFixedDelay(LoopTasks.guarded("what was learnt", () -> {
                 if (++looksSinceKept < LOOKS_A_KEEPING && host.turns() == keptTurns) {
                     return;
                 }
@@ -543,7 +547,7 @@
                 if (now != null) {
                     keeper.keep(now);
                 }
-            }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+            }), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         }
 
         private int part(final double share) {
@@ -690,7 +694,8 @@
     }
 
     /** Begins to decide; where an older process handed over, with what it handed on. */
-    private void begin(final Inheritance inheritance, final Predecessor predecessor) {
+    private void begin(final Inheritance inheritance, final Predecessor from) {
+        predecessor = from;
         final List<EventLoop> loops = shards.stream().map(shard -> shard.loop).toList();
         final SharedDirectory shared = shards.size() == 1 ? null : new SharedDirectory(own, loop, loops);
         final Courier.Limits limits = config.settings().limits();
@@ -714,7 +719,7 @@
                     shard.host.recall(shard.learnt.read(clock.nowUs()));
                 }
                 final int resumed = inheritance == null ? shard.host.start()
-                        : shard.host.start(inheritance, predecessor);
+                        : shard.host.start(inheritance, from);
                 if (latest != config) {
                     // SIGHUP came before there was anybody to tell.
                     shard.host.reload(latest);
@@ -743,13 +748,13 @@
             shards.stream().filter(shard -> shard.learnt != null).forEach(Shard::keepLearnt);
             running = true;
             serving.thenAccept(bound -> {
-                if (predecessor != null) {
-                    predecessor.listening();
+                if (from != null) {
+                    from.listening();
                 }
             });
             listen(0, config.listen());
             if (operators != null) {
-                loop.scheduleWithFixedDelay(operators::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+                loop.scheduleWithFixedDelay(LoopTasks.guarded("who is left out", operators::look), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
             }
         }, loop);
     }
@@ -779,6 +784,13 @@
                 // It served before: nobody else would try again.
                 Log.event(Event.START_RETRIED, "step", "listen again", "cause", failure);
                 loop.schedule(() -> listen(index, address), Passing.RETRY_MS, TimeUnit.MILLISECONDS);
+            } else if (failure != null && predecessor != null && !askedForAddress && Passing.isAddressTaken(failure)) {
+                // Java looks once whether sockets may share an address, and takes a failure of that look for a no.
+                askedForAddress = true;
+                predecessor.listening();
+                loop.schedule(() -> listen(index, address), Passing.RETRY_MS, TimeUnit.MILLISECONDS);
+            } else if (failure != null && askedForAddress && clock.nowUs() < startedUs + Passing.PATIENCE_US) {
+                loop.schedule(() -> listen(index, address), Passing.RETRY_MS, TimeUnit.MILLISECONDS);
             } else if (failure != null) {
                 again("listen", new IOException("cannot listen on " + config.listen() + ": " + failure.getMessage(), failure),
                         () -> listen(index, address));
@@ -857,12 +869,12 @@
     private void leaveToHeir(final long stopUs) {
         final Shard only = shards.get(0);
         loop.schedule(only.front::drain, STOP_MS - LEAVE_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(() -> {
+        loop.scheduleWithFixedDelay(LoopTasks.guarded("end beside a newer process", () -> {
             final boolean due = only.host.idle() && only.front.isEmpty();
             if (due && extension.leave() || clock.nowUs() >= stopUs) {
                 stopped.countDown();
             }
-        }, STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
+        }), STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
     }
 
     private void leave(final long stopUs) {
@@ -872,16 +884,16 @@
             shard.loop.schedule(shard.front::turnAway, stopUs - 2 * LEAVE_MS * US_PER_MS - clock.nowUs(),
                     TimeUnit.MICROSECONDS);
             // A request that is coming in, or an answer on its way, would be cut off by the end of the process.
-            shard.loop.scheduleWithFixedDelay(() -> shard.idle = shard.host.idle() && shard.front.isEmpty(), 0,
+            shard.loop.scheduleWithFixedDelay(LoopTasks.guarded("end in order", () -> shard.idle = shard.host.idle() && shard.front.isEmpty()), 0,
                     STOP_CHECK_MS, TimeUnit.MILLISECONDS);
         }));
-        loop.scheduleWithFixedDelay(() -> {
+        loop.scheduleWithFixedDelay(LoopTasks.guarded("end in order", () -> {
             final boolean due = shards.stream().allMatch(shard -> shard.idle)
                     || clock.nowUs() >= stopUs - LEAVE_MS * US_PER_MS;
             if (due && extension.leave() || clock.nowUs() >= stopUs) {
                 stopped.countDown();
             }
-        }, STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
+        }), STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
     }
 
     /**
--- a/courier/src/main/java/thistleturn/courier/Host.java
+++ b/courier/src/main/java/thistleturn/courier/Host.java
@@ -19,6 +19,7 @@
 import thistleturn.courier.runtime.Config;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.LoopTasks;
 import thistleturn.courier.shard.Room;
 import thistleturn.decisions.Control;
 import thistleturn.decisions.Courier;
@@ -741,7 +742,7 @@
         } catch (final RuntimeException | Error e) {
             Log.failure("decisions failed", e);
         }
-        outbox.forEach(this::prepareAll);
+        outbox.forEach((endpoint, parcels) -> LoopTasks.guarded("calls to an endpoint", () -> prepareAll(endpoint, parcels)).run());
         outbox.clear();
         // The journal is ahead of all that this pass promises: answers, calls, and ends that are told.
         promises.keep(store.flush(), clock.nowUs());
@@ -773,6 +774,15 @@
         }, UNWRITABLE_RETRY_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void refuseUnwritten(final OpenMessage message) {
+        final Front.Reply reply = message.reply;
+        forget(message);
+        count(refused, message);
+        control.onExpired(clock.nowUs(), message.held.id());
+        Log.event(Event.REQUEST_REFUSED, "id", message.held.id(), "class", message.kind.name(), "why", "journal_write_failed");
+        reply.refused(Front.Refusal.NO_ROOM, FULL_RETRY_US);
+    }
+
     /** Carries out what the journal holds, or need not hold. */
     private final class PromiseKeeper implements Promises.Keeper {
         @Override
@@ -785,12 +795,7 @@
 
         @Override
         public void refuseUnwritten(final OpenMessage message) {
-            final Front.Reply reply = message.reply;
-            forget(message);
-            count(refused, message);
-            control.onExpired(clock.nowUs(), message.held.id());
-            Log.event(Event.REQUEST_REFUSED, "id", message.held.id(), "class", message.kind.name(), "why", "journal_write_failed");
-            reply.refused(Front.Refusal.NO_ROOM, FULL_RETRY_US);
+            Host.this.refuseUnwritten(message);
         }
 
         @Override
--- a/courier/src/main/java/thistleturn/courier/http/HttpFront.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpFront.java
@@ -12,9 +12,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
@@ -36,8 +33,12 @@
 import thistleturn.courier.runtime.Descriptors;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.LoopTasks;
 import thistleturn.courier.runtime.LoopTurns;
 import thistleturn.courier.transport.AcceptRetry;
+import thistleturn.courier.transport.DirectRead;
+import thistleturn.courier.transport.PatientServerSocketChannel;
+import thistleturn.courier.transport.PatientSocketChannel;
 import thistleturn.decisions.admission.Crowd;
 import thistleturn.decisions.index.TimeHeap;
 
@@ -129,7 +130,8 @@
         final CompletableFuture<String> listening = new CompletableFuture<>();
         draining = false;
         if (sweeping == null) {
-            sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+            sweeping = loop.scheduleWithFixedDelay(LoopTasks.guarded("sweep of clients", this::sweep), SWEEP_MS, SWEEP_MS,
+                    TimeUnit.MILLISECONDS);
         }
         final Accepting accepting = new Accepting();
         try {
@@ -138,7 +140,7 @@
             return CompletableFuture.failedFuture(e);
         }
         final ChannelFuture bound = new ServerBootstrap().group(group)
-                .channelFactory(() -> new NioServerSocketChannel(accepts))
+                .channelFactory(() -> new PatientServerSocketChannel(accepts))
                 .option(REUSE_PORT, several)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator()
@@ -215,7 +217,7 @@
         acceptsLast = false;
         try {
             for (SocketChannel next = accepts.accept(); next != null; next = accepts.accept()) {
-                listener.pipeline().fireChannelRead(new NioSocketChannel(listener, next));
+                listener.pipeline().fireChannelRead(new PatientSocketChannel(listener, next));
             }
             listener.pipeline().fireChannelReadComplete();
         } catch (final IOException | ChannelException e) {
@@ -239,18 +241,8 @@
         }
         crowded = many;
         lookAtDue();
-        if (listener.isActive() && listener.config().isAutoRead()) {
-            readDirectly(listener);
-        }
-    }
-
-    /**
-     * Reads what a channel has, whether or not the selector says so. Java ignores that the system refuses to watch a descriptor
-     * (epoll_ctl: ENOMEM, ENOSPC): a channel of which nothing is heard may be one that nobody watches.
-     */
-    static void readDirectly(final Channel channel) {
-        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-            unsafe.read();
+        if (listener != null && listener.isActive() && listener.config().isAutoRead()) {
+            DirectRead.of(listener);
         }
     }
 
@@ -267,7 +259,8 @@
     }
 
     private void look(final HttpSession session, final long nowUs) {
-        if (session.mayBeUnwatched()) {
+        // A look that began after it was accepted has told of it, if it is watched.
+        if (session.mayBeUnwatched() && turns.lookUs() > session.sinceUs()) {
             session.readDirectly();
             if (!sessions.contains(session)) {
                 return;
