No call is shared with a message about to expire; delivered ones were sent again

Symptom: keyed and safe messages sent again 50 to 200 ms after their delivery, on a courier that is starved or starts (PausedCourierTest, three plays of three cases beside busy loops, all failed with such repeats). Cause: CallDispatcher filled a call with the most urgent messages up to the kind's number whatever time they had left, down to 12 ms; the call is over for all of them with the deadline of the first, and what had been delivered by it counted for nothing. The reference of OracleTest is told the same.

--- a/decisions/src/main/java/thistleturn/decisions/CallDispatcher.java
+++ b/decisions/src/main/java/thistleturn/decisions/CallDispatcher.java
@@ -86,19 +86,25 @@
   private void sendBatch(final InFlightCall call, final PendingMessage first) {
     final Route route = call.route();
     final boolean alone =
-        route.circuit().isOpen() || first.idempotence() == Idempotence.NON_IDEMPOTENT;
+        route.circuit().isOpen()
+            || first.idempotence() == Idempotence.NON_IDEMPOTENT
+            || !retryPolicy.outlastsSharedCall(route, first);
     final int maxBatchSize = alone ? 1 : route.kind().messagesPerCall();
     PendingMessage message = first;
     while (message != null) {
       send(message, call);
-      message =
-          call.batchSize() >= maxBatchSize
-              ? null
-              : messageScheduler.selectMessage(message.destination(), route, call.endpoint());
+      message = call.batchSize() >= maxBatchSize ? null : nextOfCall(call, message.destination());
     }
     call.completeBatch();
   }
 
+  /** Returns the most urgent message that may share a call, or null. */
+  private PendingMessage nextOfCall(final InFlightCall call, final Destination destination) {
+    final PendingMessage next =
+        messageScheduler.selectMessage(destination, call.route(), call.endpoint());
+    return next != null && retryPolicy.outlastsSharedCall(call.route(), next) ? next : null;
+  }
+
   private void send(final PendingMessage message, final InFlightCall call) {
     call.add(message, (long) retryPolicy.expectedUs(call.route(), message));
     message.startAttempt(call);
--- a/decisions/src/main/java/thistleturn/decisions/OverloadController.java
+++ b/decisions/src/main/java/thistleturn/decisions/OverloadController.java
@@ -429,6 +429,15 @@
         .toList();
   }
 
+  /** Returns what keeps the next message of a destination from being sent, in a sentence. */
+  public String blockedReason(final long destinationId) {
+    final Destination destination = state.destinations.get(destinationId);
+    if (destination == null || destination.routes().isEmpty()) {
+      return "none of its endpoints is listed for use";
+    }
+    return statusOf(destination.routes().get(0)).blockedReason();
+  }
+
   private RouteStatus statusOf(final Route route) {
     return RouteStatus.of(
         route, state.nowUs, sendPermission.sendAllowedAtUs(route), concurrencyPolicy.limit(route));
--- a/decisions/src/main/java/thistleturn/decisions/RetryPolicy.java
+++ b/decisions/src/main/java/thistleturn/decisions/RetryPolicy.java
@@ -15,6 +15,12 @@
   /** A message ends this long before its deadline, us: two rounds. */
   private static final long EXPIRY_MARGIN_US = 12_000;
 
+  /** A message that shares a call has this many times its expected duration left. */
+  private static final double SHARED_CALL_FACTOR = 2;
+
+  /** For so long, us, a courier may be held up between its decision and its reading the answer. */
+  private static final long HOLD_UP_US = 150_000;
+
   private final ControllerState state;
 
   RetryPolicy(final ControllerState state) {
@@ -39,6 +45,16 @@
     return state.latencies.expectedUs(route, message.classIndex());
   }
 
+  /**
+   * Returns whether a message likely expires only after its call has been answered. A call that
+   * several messages share is over for all of them with the deadline of the first: those that were
+   * delivered by it would be sent again.
+   */
+  boolean outlastsSharedCall(final Route route, final PendingMessage message) {
+    final double neededUs = HOLD_UP_US + SHARED_CALL_FACTOR * expectedUs(route, message);
+    return message.validUntilUs() - state.nowUs >= neededUs;
+  }
+
   /** Returns how long an attempt may take. */
   long timeoutUs(final EndpointHealth endpoint, final PendingMessage message) {
     final long remainingUs = message.validUntilUs() - state.nowUs;
--- a/decisions/src/test/java/thistleturn/decisions/oracle/ReferenceController.java
+++ b/decisions/src/test/java/thistleturn/decisions/oracle/ReferenceController.java
@@ -99,6 +99,11 @@
    */
   private static final double STOP_TIMES = 2;
 
+  /** What shares a call has so many times what is expected left, and what a hold-up takes, us. */
+  private static final double SHARE_TIMES = 2;
+
+  private static final long HOLD_UP_US = 150_000;
+
   /**
    * A time-out, in times what is expected, and at least so long, us: wide enough for a long tail.
    */
@@ -624,7 +629,9 @@
     }
     Job job = first;
     final boolean alone =
-        lane.phase == Phase.OUT || first.kind.idempotence() == Idempotence.NON_IDEMPOTENT;
+        lane.phase == Phase.OUT
+            || first.kind.idempotence() == Idempotence.NON_IDEMPOTENT
+            || endsSoon(lane, first);
     while (job != null) {
       call.messages++;
       call.expectedUs = Math.max(call.expectedUs, (long) expectedUs(lane, job));
@@ -634,6 +641,7 @@
       actions.send(job.message.id(), node.entry.id(), timeoutUs(lane, node, job));
       final boolean full = alone || call.messages >= lane.kind.messagesPerCall();
       job = full ? null : pick(job.destination, lane, node);
+      job = job == null || endsSoon(lane, job) ? null : job;
     }
     call.size = call.messages;
     lane.lastWeight = 1 + FURTHER_WEIGHT * (call.size - 1);
@@ -1052,6 +1060,11 @@
     return classMeanUs[job.message.classIndex()] * Math.max(PACE_LEAST, lane.pace);
   }
 
+  /** Its end would likely be the end of a call that it shares, for all messages in it. */
+  private boolean endsSoon(final Lane lane, final Job job) {
+    return job.message.validUntilUs() - nowUs < HOLD_UP_US + SHARE_TIMES * expectedUs(lane, job);
+  }
+
   private long jitter(final long us) {
     return (long) (us * (1 - JITTER + 2 * JITTER * random.nextDouble()));
   }
