--- a/courier/src/main/java/thistleturn/courier/DecisionLoop.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoop.java
@@ -104,7 +104,8 @@
             ports.notifier());
     this.calls =
         new CallDispatcher(context, loop, connector, ports.dispatcher(), effects, predecessorCalls);
-    final MessageCompletion completion = new MessageCompletion(context, effects);
+    final MessageCompletion completion =
+        new MessageCompletion(context, effects, this::blockedReason);
     this.controller =
         new OverloadController(
             config.settings(),
@@ -125,6 +126,10 @@
     this.role = deciding;
   }
 
+  private String blockedReason(final long destination) {
+    return controller.blockedReason(destination);
+  }
+
   private MessageIntake createIntake(final MessageCompletion completion) {
     return new MessageIntake(
         context,
@@ -220,7 +225,7 @@
 
     @Override
     public void endOverdueMessages() {
-      reportDecisionsDelayed(context.clock().nowUs());
+      controller.onDecisionsDelayed(context.clock().nowUs());
       effects.runRejectionsAndOutcomes(context.store().flush(), context.clock().nowUs());
       retryUnwritableJournal();
     }
@@ -235,7 +240,7 @@
   /** Lets the controller decide; while the journal cannot be written, only expired messages end. */
   private void decide(final long nowUs) {
     if (!context.store().isWritable() && context.store().flush() != FlushResult.DURABLE) {
-      reportDecisionsDelayed(nowUs);
+      controller.onDecisionsDelayed(nowUs);
       return;
     }
     controller.decide(nowUs);
@@ -243,10 +248,6 @@
     outages.reportChanges();
   }
 
-  private void reportDecisionsDelayed(final long nowUs) {
-    controller.onDecisionsDelayed(nowUs);
-  }
-
   @Override
   public MessageClass messageClass(final String className) {
     return context.classes().get(className);
--- a/courier/src/main/java/thistleturn/courier/MessageCompletion.java
+++ b/courier/src/main/java/thistleturn/courier/MessageCompletion.java
@@ -1,5 +1,6 @@
 package thistleturn.courier;
 
+import java.util.function.LongFunction;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage.FinalOutcome;
 import thistleturn.courier.runtime.Event;
@@ -15,10 +16,20 @@
 
   private final LoopContext context;
   private final DurableEffects effects;
+  private final LongFunction<String> blockedReason;
 
-  MessageCompletion(final LoopContext context, final DurableEffects effects) {
+  /**
+   * Ends messages of a loop.
+   *
+   * @param blockedReason says what keeps the next message of a destination from being sent
+   */
+  MessageCompletion(
+      final LoopContext context,
+      final DurableEffects effects,
+      final LongFunction<String> blockedReason) {
     this.context = context;
     this.effects = effects;
+    this.blockedReason = blockedReason;
   }
 
   /** Ends a message undelivered; handing it in again is harmless. */
@@ -84,7 +95,9 @@
         "attempts",
         delivery.message().attempts(),
         "time_left_us",
-        delivery.deadlineUs() - context.clock().nowUs());
+        delivery.deadlineUs() - context.clock().nowUs(),
+        "kept_by",
+        blockedReason.apply(delivery.message().destination()));
     context.store().recordFinalOutcome(delivery.message(), outcome);
     effects.addFinalOutcome(delivery.message());
   }
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -251,6 +251,7 @@
   }
 
   private void reportBulkOutcomes(final HttpCall completed, final DispatchOutcome callOutcome) {
+    dispatcher.onBulkResponse(completed);
     final BulkResponseParser bulk = new BulkResponseParser(response.body(), callOutcome);
     for (final Attempt attempt : completed.attempts()) {
       dispatcher.report(attempt, completed, bulk.outcomeOf(attempt.message().id()));
--- a/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
@@ -20,7 +20,9 @@
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.CourierConfig;
 import thistleturn.courier.runtime.DescriptorBudget;
+import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.GuardedTasks;
+import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.PollTracker;
 import thistleturn.courier.transport.Connector;
 import thistleturn.courier.transport.SocketUnavailableException;
@@ -178,9 +180,40 @@
 
   private void expire(final HttpCall overdue) {
     overdue.readDirectly();
+    if (calls.contains(overdue)) {
+      logIfSharedAndExpired(overdue, false);
+    }
     abandon(overdue, AttemptResult.TIMED_OUT);
   }
 
+  /**
+   * Logs that a call was over for all of its messages with the deadline of the first.
+   *
+   * @param answered whether a response arrived, which may have been written after that deadline
+   */
+  private void logIfSharedAndExpired(final HttpCall call, final boolean answered) {
+    final long overdueUs = clock.nowUs() - call.messageDeadlineUs();
+    if (!call.isBulk() || overdueUs < 0) {
+      return;
+    }
+    Log.event(
+        Event.SHARED_CALL_EXPIRED,
+        "endpoint",
+        call.endpoint(),
+        "messages",
+        call.attempts().size(),
+        "first",
+        call.attempts().get(0).message().id(),
+        "after_us",
+        clock.nowUs() - call.preparedUs(),
+        "had_us",
+        call.messageDeadlineUs() - call.preparedUs(),
+        "overdue_us",
+        overdueUs,
+        "answered",
+        answered);
+  }
+
   /** Runs an action for a call, unless the call ends first. */
   private void scheduleFor(final HttpCall call, final long delayUs, final Runnable action) {
     call.addTimer(loop.schedule(action, delayUs, TimeUnit.MICROSECONDS));
@@ -395,6 +428,11 @@
             : outcome);
   }
 
+  /** A call with several messages was answered; it is logged if that was read too late to count. */
+  void onBulkResponse(final HttpCall call) {
+    logIfSharedAndExpired(call, true);
+  }
+
   /** Reports a Retry-After that came with the response to an abandoned call. */
   void reportRetryAfter(final EndpointConnectionPool source, final long retryAfterUs) {
     listener.onRetryAfter(source.endpoint(), retryAfterUs);
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -22,6 +22,11 @@
   ATTEMPT_FAILED("attempt_failed"),
   /** An attempt was not started, since its plan was no longer valid. */
   ATTEMPT_NOT_SENT("attempt_not_sent"),
+  /**
+   * A call with several messages was over with the deadline of the first of them: the others may
+   * have been executed, and are retried.
+   */
+  SHARED_CALL_EXPIRED("shared_call_expired"),
   /** An accepted message was not delivered: the platform is notified of its outcome. */
   MESSAGE_ENDED("message_ended"),
   /** The platform confirmed an outcome long after the message's deadline. */
--- a/courier/src/test/java/thistleturn/courier/runtime/EventLineFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/runtime/EventLineFormatTest.java
@@ -70,8 +70,8 @@
   void eventsAreLoggedByTheseNames() {
     assertEquals(
         "request_refused request_unusable request_unanswered connection_closed"
-            + " connection_unwatched attempt_failed attempt_not_sent message_ended"
-            + " message_ended_late end_told_unwritten accept_failed accept_recovered"
+            + " connection_unwatched attempt_failed attempt_not_sent shared_call_expired"
+            + " message_ended message_ended_late end_told_unwritten accept_failed accept_recovered"
             + " accept_given_up socket_failed connect_failed transfer_retried"
             + " journal_unwritable journal_write_failed journal_writable"
             + " journal_write_done_all_the_same journal_tail_dropped journal_record_unknown"
