Tests that fail: the rule checker knows the last kill alone

Cause: the entry of SystemCallFaultsTest's folder that fails amid kills. Traced: a call at 4,486 ms was answered at 4,511, its process killed at 4,506, the next one at 5,746; the third one sent the message again at 7,000, which the protocol allows (nobody had read the answer); the checker measured 1.24 s from the answer to the last kill. Change: three tests; the other two hold the bound: what was answered over a second before its own process ended, and what a second process sent again and had read.

--- a/testkit/src/test/java/thistleturn/testkit/RuleCheckerTest.java
+++ b/testkit/src/test/java/thistleturn/testkit/RuleCheckerTest.java
@@ -196,6 +196,61 @@
     assertBroken(Rule.LOST);
   }
 
+  /**
+   * Two kills in a row. What the first process was answered it never read, and the second one was
+   * killed before it came to the message; the third one sends it again. Only the last kill was
+   * known here, 1.24 s after the answer, and the repeat counted as a fault.
+   *
+   * <p>Traced in {@code SystemCallFaultsTest} (folder that fails amid kills): a call at 4,486 ms was
+   * answered at 4,511; kills at 4,506 and 5,746; ready at 6,746, sent again at 7,000.
+   */
+  @Test
+  void anAnswerThatWasNotReadBeforeTheFirstOfTwoKillsMayBeRepeatedAfterTheSecond() {
+    take(4400 * MS, "a", "safe");
+    take(4400 * MS, "once", "once");
+    auditor.restarted(4506 * MS, false);
+    call(4486 * MS, 4511 * MS, "a", End.DELIVERED);
+    call(4486 * MS, 4511 * MS, "once", End.DELIVERED);
+    auditor.restarted(5000 * MS, true);
+    auditor.restarted(5746 * MS, false);
+    auditor.restarted(6746 * MS, true);
+    call(7000 * MS, 7025 * MS, "a", End.DELIVERED);
+    call(7000 * MS, 7025 * MS, "once", End.DELIVERED);
+    assertBroken(Rule.DOUBLE);
+  }
+
+  /** Whatever kill it is judged by: an answer that had time to be read was read. */
+  @Test
+  void anAnswerThatWasReadBeforeItsProcessEndedIsNoExcuseAfterTwoKills() {
+    take(0, "a", "safe");
+    call(10 * MS, 35 * MS, "a", End.DELIVERED);
+    auditor.restarted(1036 * MS, false);
+    auditor.restarted(1200 * MS, true);
+    auditor.restarted(1300 * MS, false);
+    auditor.restarted(1400 * MS, true);
+    call(1500 * MS, 1525 * MS, "a", End.DELIVERED);
+    assertBroken(Rule.LOST);
+  }
+
+  /** The second process sent it again and read the answer: the third one knows of that. */
+  @Test
+  void whatWasRepeatedAndReadIsNotRepeatedOnceMore() {
+    take(0, "a", "safe");
+    take(0, "b", "safe");
+    call(80 * MS, 95 * MS, "a", End.DELIVERED);
+    call(80 * MS, 95 * MS, "b", End.DELIVERED);
+    auditor.restarted(100 * MS, false);
+    auditor.restarted(200 * MS, true);
+    call(210 * MS, 235 * MS, "a", End.DELIVERED);
+    call(210 * MS, 235 * MS, "b", End.DELIVERED);
+    // The same process again, and another one after more than a second.
+    call(300 * MS, 325 * MS, "a", End.DELIVERED);
+    auditor.restarted(1240 * MS, false);
+    auditor.restarted(1300 * MS, true);
+    call(1400 * MS, 1425 * MS, "b", End.DELIVERED);
+    assertBroken(Rule.LOST, Rule.LOST);
+  }
+
   @Test
   void twoDifferentEndsAreCaught() {
     take(0, "a", "safe");
