Rule checker: an unread answer is judged by the kill of the process that made the call

Symptom: SystemCallFaultsTest#folderThatFailsAmidKills... reported messages sent again 1.3 to 2.7 s after their answer. Cause: RuleChecker.mayRepeat compared the answer with the last kill; where two kills follow one another before the message is reached, it is the first one that ended the process which had made the call. PROTOCOL: a call that was out when the process ended may have run, and what may be repeated is answered as delivered once more. Change: all kills and all deliveries of a message are kept; each delivery must have had its process end within a second of its answer, and before the repeat. That is narrower too: a repeat that a later process had read counts now. The text of the violation tells the calls, answers and kills.

--- a/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
+++ b/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import thistleturn.decisions.model.Idempotence;
 import thistleturn.decisions.model.MessageClass;
 import thistleturn.testkit.Violation.Rule;
@@ -46,6 +47,9 @@
   private final List<LateEnd> lateEnds = new ArrayList<>();
 
   private final List<long[]> awayUs = new ArrayList<>();
+  /** When the courier's processes were ended, in order. */
+  private final List<Long> killsUs = new ArrayList<>();
+
   private long killedUs = Long.MIN_VALUE;
   private long backUs = Long.MIN_VALUE;
 
@@ -94,6 +98,9 @@
     }
   }
 
+  /** A call that delivered a message: when its first byte came, and when it was answered. */
+  private record Delivery(long callUs, long answeredUs) {}
+
   /** An end that was seen at that moment, after its message's time. */
   private record LateEnd(Message message, long seenUs) {}
 
@@ -110,10 +117,9 @@
     private boolean over;
     private String end = "";
     private boolean delivered;
-    private long deliveredUs;
 
-    /** When the call began that delivered it. */
-    private long deliveredCallUs;
+    /** The calls that delivered it; more than one if the answer of the one before was not read. */
+    private final List<Delivery> deliveries = new ArrayList<>();
 
     private int out;
     private long firstRunUs = Long.MAX_VALUE;
@@ -285,6 +291,7 @@
       backUs = nowUs;
     } else {
       killedUs = nowUs;
+      killsUs.add(nowUs);
     }
   }
 
@@ -366,9 +373,7 @@
           message
               + " was sent after it was "
               + message.end
-              + (message.delivered
-                  ? ", " + (firstByteUs - message.deliveredUs) + " us after its answer"
-                  : ""));
+              + (message.delivered ? afterItsAnswer(message, firstByteUs) : ""));
     } else if (message.firstRunUs != Long.MAX_VALUE) {
       if (message.kind.idempotence() == Idempotence.NON_IDEMPOTENT) {
         broken(Rule.DOUBLE, firstByteUs, message + " may have run and was sent again");
@@ -396,17 +401,34 @@
     message.out++;
   }
 
+  /** What tells whose doing a repeat is: the calls that delivered the message, and all kills. */
+  private String afterItsAnswer(final Message message, final long firstByteUs) {
+    final long answeredUs = message.deliveries.get(0).answeredUs();
+    final String calls =
+        message.deliveries.stream()
+            .map(delivery -> "called " + delivery.callUs() + ", answered " + delivery.answeredUs())
+            .collect(Collectors.joining("; "));
+    return ", "
+        + (firstByteUs - answeredUs)
+        + " us after its answer ("
+        + calls
+        + "; sent again "
+        + firstByteUs
+        + "; kills "
+        + killsUs
+        + ")";
+  }
+
   /**
    * A process that was killed may not have read that a message is delivered: the answer was written
    * shortly before its end, or even after it, to a call that it had made. One that may be repeated
-   * then goes once more, and is answered as delivered once more; nothing is owed for it.
+   * then goes once more, by whichever process comes to it first, and is answered as delivered once
+   * more; nothing is owed for it.
    */
   private boolean mayRepeat(final long firstByteUs, final Message message) {
     final boolean unread =
         message.delivered
-            && killedUs >= message.deliveredCallUs
-            && killedUs - message.deliveredUs <= UNREAD_US
-            && firstByteUs > killedUs;
+            && message.deliveries.stream().allMatch(delivery -> mayBeUnread(delivery, firstByteUs));
     final boolean repeatable =
         message.kind.idempotence() == Idempotence.IDEMPOTENT
             || (message.kind.idempotence() == Idempotence.IDEMPOTENT_BY_KEY
@@ -418,6 +440,15 @@
     return false;
   }
 
+  /** True if the process that made a call had ended by now, and may not have read its answer. */
+  private boolean mayBeUnread(final Delivery delivery, final long nowUs) {
+    return killsUs.stream()
+        .filter(killUs -> killUs >= delivery.callUs())
+        .findFirst()
+        .filter(killUs -> killUs - delivery.answeredUs() <= UNREAD_US && nowUs > killUs)
+        .isPresent();
+  }
+
   /**
    * A call's part for one message ended at its endpoint; {@code firstByteUs} is when that call
    * began.
@@ -458,8 +489,7 @@
       message.firstRunUs = Math.min(message.firstRunUs, firstByteUs);
     }
     if (end == End.DELIVERED) {
-      message.deliveredUs = message.delivered ? message.deliveredUs : nowUs;
-      message.deliveredCallUs = message.delivered ? message.deliveredCallUs : firstByteUs;
+      message.deliveries.add(new Delivery(firstByteUs, nowUs));
       message.delivered = true;
       if (!message.over) {
         close(nowUs, message, "delivered");
