Rule checker: a deferral told unwritten may be told as undeliverable by a restart

Symptom: SystemCallFaultsTest#folderThatFailsAmidKills (half written), once in 12 cases beside three busy loops on its two cores: "m5-2722 (once) ended twice: deferred, then undeliverable". PROTOCOL: a notice for a message that is over does no harm.

--- a/testkit/src/test/java/thistleturn/testkit/RuleCheckerTest.java
+++ b/testkit/src/test/java/thistleturn/testkit/RuleCheckerTest.java
@@ -260,6 +260,47 @@
     assertBroken(Rule.LOST);
   }
 
+  /**
+   * While the journal cannot be written, the end of a message whose time is up is told all the same;
+   * a restart finds it without an end, and ends it by what the journal has. That one may know of an
+   * attempt and not of its never having begun: deferred, then undeliverable, with a kill between.
+   * The protocol: a notice for a message that is over does no harm.
+   *
+   * <p>Traced in {@code SystemCallFaultsTest} (folder that fails amid kills, half written) beside
+   * three busy loops on its two cores: m5-2722 was told deferred at 50.467 s ({@code
+   * end_told_unwritten ends=29}, its attempt had been dropped unsent), its process killed, and the
+   * next one, which had dropped an incomplete batch of 348 bytes, told it undeliverable at 53.381 s.
+   */
+  @Test
+  void aDeferralThatARestartTellsAsUndeliverableDoesNoHarm() {
+    take(0, "a", "once");
+    auditor.noticed(TIMEOUT + 10 * MS, "a", true);
+    auditor.restarted(TIMEOUT + 100 * MS, false);
+    auditor.restarted(TIMEOUT + 900 * MS, true);
+    auditor.noticed(TIMEOUT + 950 * MS, "a", false);
+    assertBroken();
+  }
+
+  @Test
+  void aSecondEndIsCaughtWithoutAKillBetweenOrTheOtherWayRoundOrBeforeItsTime() {
+    take(0, "sameProcess", "once");
+    take(0, "otherWay", "once");
+    take(0, "refused", "once");
+    auditor.handedIn(0, "early", "once", 1, null, 2 * TIMEOUT);
+    auditor.taken(MS, "early");
+    auditor.refused(2 * MS, "refused");
+    auditor.noticed(TIMEOUT + 10 * MS, "otherWay", false);
+    auditor.noticed(TIMEOUT + 10 * MS, "early", true);
+    auditor.restarted(TIMEOUT + 20 * MS, false);
+    auditor.noticed(TIMEOUT + 30 * MS, "sameProcess", true);
+    auditor.restarted(TIMEOUT + 40 * MS, true);
+    auditor.noticed(TIMEOUT + 50 * MS, "otherWay", true);
+    auditor.noticed(TIMEOUT + 50 * MS, "early", false);
+    auditor.noticed(TIMEOUT + 50 * MS, "sameProcess", false);
+    auditor.noticed(TIMEOUT + 50 * MS, "refused", false);
+    assertBroken(Rule.LOST, Rule.LOST, Rule.LOST, Rule.LOST);
+  }
+
   @Test
   void anUnsafeMessageThatMayHaveRunGoesNeverAgainAndIsNotRefused() {
     take(0, "a", "once");
