Test that fails: two restarts in a row excuse no late end between them

Cause: SystemCallFaultsTest#folderThatFailsAmidKills (whole) beside four busy loops: a message whose time was up at 5.43 s, between two kills at 3.5 and 6.7 s, was told at 9.416 s, before the third process was ready, and counted as 3.5 s late. PROTOCOL: from a kill until 1.5 s after the courier is ready again no notice is overdue; the two spans overlap. Change: a test, and one for the gap.

--- a/testkit/src/test/java/thistleturn/testkit/RuleCheckerTest.java
+++ b/testkit/src/test/java/thistleturn/testkit/RuleCheckerTest.java
@@ -162,6 +162,36 @@
     assertBroken(Rule.LOST);
   }
 
+  /**
+   * Two restarts in a row, the second one within the time that the first one excuses: from the first
+   * kill until a while after the last start no end is late. The last restart alone was known here.
+   *
+   * <p>Traced in {@code SystemCallFaultsTest} (folder that fails amid kills) beside four busy loops:
+   * m5-2 had its time until 5.43 s; kills at 3.5 and 6.7 s, ready at 6.3 and 9.6; the second process
+   * ended it at 6.2 s and was killed 0.5 s later, the third one told the platform at 9.416 s.
+   */
+  @Test
+  void restartsInARowExcuseLateEndsAllTheWay() {
+    take(0, "a", "safe");
+    auditor.restarted(TIMEOUT - SECOND, false);
+    auditor.restarted(TIMEOUT + SECOND, true);
+    auditor.restarted(TIMEOUT + 2 * SECOND, false);
+    auditor.restarted(TIMEOUT + 3 * SECOND, true);
+    auditor.noticed(TIMEOUT + 4 * SECOND, "a", true);
+    assertBroken();
+  }
+
+  @Test
+  void aRestartAfterTheExcuseOfTheOneBeforeHasRunOutExcusesNothing() {
+    take(0, "a", "safe");
+    auditor.restarted(TIMEOUT - SECOND, false);
+    auditor.restarted(TIMEOUT + SECOND, true);
+    auditor.restarted(TIMEOUT + 2501 * MS, false);
+    auditor.restarted(TIMEOUT + 3 * SECOND, true);
+    auditor.noticed(TIMEOUT + 3 * SECOND, "a", true);
+    assertBroken(Rule.LOST);
+  }
+
   @Test
   void afterAKillWhatMayBeRepeatedGoesOnceMoreAndNothingElse() {
     for (final String kind : List.of("safe", "keyed", "once")) {
