Rule checker: spans of restarts that overlap excuse late ends all the way

Symptom: ends 3.5 s late in SystemCallFaultsTest#folderThatFailsAmidKills, seven of them in one play of 28 cases beside busy loops. Cause: the checker knew the last restart alone; a message whose time was up in the span of the one before counted as overdue when the last one began. Change: a restart that begins before the span of the one before is over prolongs that span; after it nothing is excused.

--- a/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
+++ b/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
@@ -55,8 +55,8 @@
   /** When the courier's processes were ended, in order. */
   private final List<Long> killsUs = new ArrayList<>();
 
-  private long killedUs = Long.MIN_VALUE;
-  private long backUs = Long.MIN_VALUE;
+  /** The spans in which no end is late, in order. */
+  private final Deque<Restart> restarts = new ArrayDeque<>();
 
   /**
    * The figures of the rules.
@@ -150,6 +150,21 @@
     }
   }
 
+  /** From the end of a process until a while after the last start that followed in time. */
+  private static final class Restart {
+    private final long fromUs;
+    private long endUs = Long.MAX_VALUE;
+
+    private Restart(final long fromUs) {
+      this.fromUs = fromUs;
+    }
+
+    /** True if an end was not overdue when this began, and was seen before it was over. */
+    private boolean excuses(final long dueUs, final long seenUs) {
+      return fromUs <= dueUs && seenUs <= endUs;
+    }
+  }
+
   private static final class Endpoint {
     private final long destination;
     private long closedUs = Long.MAX_VALUE;
@@ -259,10 +274,9 @@
     message.endedUs = nowUs;
     // From the end of a process until a while after the next one is ready no end is late, also
     // ahead of its being ready.
-    final boolean restarted =
-        message.timeUpUs >= killedUs - figures.graceUs()
-            && (backUs < killedUs || nowUs <= backUs + figures.restartUs());
-    if (message.taken && nowUs > message.timeUpUs + figures.graceUs() && !restarted) {
+    final long dueUs = message.timeUpUs + figures.graceUs();
+    final boolean restarted = restarts.stream().anyMatch(one -> one.excuses(dueUs, nowUs));
+    if (message.taken && nowUs > dueUs && !restarted) {
       lateEnds.add(new LateEnd(message, nowUs));
     }
     if (message.key != null) {
@@ -308,10 +322,16 @@
   /** The courier's process was ended, or is ready again. */
   public synchronized void restarted(final long nowUs, final boolean ready) {
     if (ready) {
-      backUs = nowUs;
+      if (!restarts.isEmpty()) {
+        restarts.getLast().endUs = nowUs + figures.restartUs();
+      }
+      return;
+    }
+    killsUs.add(nowUs);
+    if (!restarts.isEmpty() && nowUs <= restarts.getLast().endUs) {
+      restarts.getLast().endUs = Long.MAX_VALUE;
     } else {
-      killedUs = nowUs;
-      killsUs.add(nowUs);
+      restarts.addLast(new Restart(nowUs));
     }
   }
 
