Revert the longer queue of the listener: it was not the cause, and made the entry worse

A client whose handshake is dropped has sent nothing; it repeats it after 1 s and is served. A longer queue holds the requests of clients that give up after 400 ms.

--- a/courier/src/main/java/thistleturn/courier/http/ClientListener.java
+++ b/courier/src/main/java/thistleturn/courier/http/ClientListener.java
@@ -33,12 +33,7 @@
   /** Limits one read from a connection, so that a flooding client does not delay the others. */
   private static final int MAX_READ_BYTES = 1 << 14;
 
-  /**
-   * Connections that may wait to be accepted. While the process does not run each request needs one
-   * of its own, and the system drops the handshakes of those that find no place without a word.
-   */
-  private static final int BACKLOG = 1024;
-
+  private static final int BACKLOG = 256;
   private static final long FINAL_ACCEPT_TIMEOUT_US = 1_000_000;
   private static final long FINAL_ACCEPT_RETRY_DELAY_US = 1000;
   private static final ChannelOption<Boolean> REUSE_PORT =
