Rule checker: lifetimes of the courier and cold destinations are classes of their own

Change: CourierLifetimes owns kills, restarts and stops and answers questions about them; ColdDestination owns what a returning destination bears. The checker keeps the messages. No rule changes.

--- a/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
+++ b/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import thistleturn.decisions.model.Idempotence;
 import thistleturn.decisions.model.MessageClass;
@@ -59,13 +60,8 @@
   private final List<LateEnd> lateEnds = new ArrayList<>();
 
   private final List<long[]> awayUs = new ArrayList<>();
-  private final List<Stop> stops = new ArrayList<>();
 
-  /** When the courier's processes were ended, in order. */
-  private final List<Long> killsUs = new ArrayList<>();
-
-  /** The spans in which no end is late, in order. */
-  private final Deque<Restart> restarts = new ArrayDeque<>();
+  private final CourierLifetimes lifetimes;
 
   /**
    * The figures of the rules.
@@ -118,9 +114,6 @@
    */
   private record Delivery(long callUs, long answeredUs, long sharedUntilUs) {}
 
-  /** A span in which the courier was stopped. */
-  private record Stop(long fromUs, long toUs) {}
-
   /** An end that was seen at that moment, after its message's time. */
   private record LateEnd(Message message, long seenUs) {}
 
@@ -171,21 +164,6 @@
     }
   }
 
-  /** From the end of a process until a while after the last start that followed in time. */
-  private static final class Restart {
-    private final long fromUs;
-    private long endUs = Long.MAX_VALUE;
-
-    private Restart(final long fromUs) {
-      this.fromUs = fromUs;
-    }
-
-    /** True if an end was not overdue when this began, and was seen before it was over. */
-    private boolean excuses(final long dueUs, final long seenUs) {
-      return fromUs <= dueUs && seenUs <= endUs;
-    }
-  }
-
   private static final class Endpoint {
     private final long destination;
     private long closedUs = Long.MAX_VALUE;
@@ -198,16 +176,17 @@
   private static final class Destination {
     private long waitToldUs = Long.MIN_VALUE;
     private long waitUntilUs = Long.MIN_VALUE;
-    private long returnedUs = Long.MAX_VALUE;
-    private double callsPerSecond;
-    private double coldFrom;
-    private long coldUs;
-    private final Deque<Long> calls = new ArrayDeque<>();
+    private final ColdDestination recovery;
+
+    private Destination(final Figures figures) {
+      recovery = new ColdDestination(figures);
+    }
   }
 
   /** An Auditor that has seen nothing yet. */
   public RuleChecker(final Figures figures, final List<MessageClass> kinds) {
     this.figures = figures;
+    this.lifetimes = new CourierLifetimes(figures.restartUs());
     kinds.forEach(kind -> classes.put(kind.name(), kind));
   }
 
@@ -287,7 +266,7 @@
     return message.end.equals(DEFERRED)
         && end.equals(UNDELIVERABLE)
         && message.endedUs >= message.timeUpUs - EXPIRY_MARGIN_US
-        && killsUs.stream().anyMatch(killUs -> killUs > message.endedUs && killUs < nowUs);
+        && lifetimes.wasKilledBetween(message.endedUs, nowUs);
   }
 
   private void close(final long nowUs, final Message message, final String end) {
@@ -297,8 +276,7 @@
     // From the end of a process until a while after the next one is ready no end is late, also
     // ahead of its being ready.
     final long dueUs = message.timeUpUs + figures.graceUs();
-    final boolean restarted = restarts.stream().anyMatch(one -> one.excuses(dueUs, nowUs));
-    if (message.taken && nowUs > dueUs && !restarted) {
+    if (message.taken && nowUs > dueUs && !lifetimes.excuseLateEnd(dueUs, nowUs)) {
       lateEnds.add(new LateEnd(message, nowUs));
     }
     if (message.key != null) {
@@ -322,7 +300,7 @@
    * be ended by nobody before it was over. It counts by as much, and no more.
    */
   public synchronized void courierStopped(final long fromUs, final long toUs) {
-    stops.add(new Stop(fromUs, toUs));
+    lifetimes.recordStop(fromUs, toUs);
     judgeAway(fromUs, toUs);
   }
 
@@ -345,16 +323,9 @@
   /** The courier's process was ended, or is ready again. */
   public synchronized void restarted(final long nowUs, final boolean ready) {
     if (ready) {
-      if (!restarts.isEmpty()) {
-        restarts.getLast().endUs = nowUs + figures.restartUs();
-      }
-      return;
-    }
-    killsUs.add(nowUs);
-    if (!restarts.isEmpty() && nowUs <= restarts.getLast().endUs) {
-      restarts.getLast().endUs = Long.MAX_VALUE;
+      lifetimes.recordReady(nowUs);
     } else {
-      restarts.addLast(new Restart(nowUs));
+      lifetimes.recordKill(nowUs);
     }
   }
 
@@ -404,7 +375,13 @@
               + (destination.waitUntilUs - firstByteUs) / MS
               + " ms before its wait was over");
     }
-    push(firstByteUs, endpoint.destination, destination);
+    destination
+        .recovery
+        .recordCall(firstByteUs)
+        .ifPresent(
+            what ->
+                broken(
+                    Rule.TIPPED, firstByteUs, "destination " + endpoint.destination + " " + what));
     noteShared(firstByteUs, ids);
     ids.forEach(id -> begun(firstByteUs, endpoint, id));
   }
@@ -488,8 +465,8 @@
         + calls
         + "; sent again "
         + firstByteUs
-        + "; kills "
-        + killsUs
+        + "; "
+        + lifetimes
         + ")";
   }
 
@@ -520,11 +497,10 @@
 
   /** True if the process that made a call had ended by now, and may not have read its answer. */
   private boolean mayBeUnread(final Delivery delivery, final long nowUs) {
-    return killsUs.stream()
-        .filter(killUs -> killUs >= delivery.callUs())
-        .findFirst()
-        .filter(killUs -> killUs - delivery.answeredUs() <= UNREAD_US && nowUs > killUs)
-        .isPresent();
+    final OptionalLong killUs = lifetimes.firstKillSince(delivery.callUs());
+    return killUs.isPresent()
+        && killUs.getAsLong() - delivery.answeredUs() <= UNREAD_US
+        && nowUs > killUs.getAsLong();
   }
 
   /**
@@ -533,17 +509,11 @@
    * patience earlier than it did.
    */
   private boolean wasOverWhenRead(final Delivery delivery, final long nowUs) {
-    if (delivery.sharedUntilUs() == Long.MAX_VALUE) {
-      return false;
-    }
-    final long overUs = delivery.sharedUntilUs() - CLIENT_PATIENCE_US;
-    return stops.stream()
-        .anyMatch(
-            stop ->
-                stop.fromUs() <= delivery.answeredUs()
-                    && delivery.answeredUs() <= stop.toUs()
-                    && overUs <= stop.toUs() + HOLD_UP_US
-                    && nowUs > stop.toUs());
+    final OptionalLong wokenUs = lifetimes.endOfStopAt(delivery.answeredUs());
+    return delivery.sharedUntilUs() != Long.MAX_VALUE
+        && wokenUs.isPresent()
+        && delivery.sharedUntilUs() - CLIENT_PATIENCE_US <= wokenUs.getAsLong() + HOLD_UP_US
+        && nowUs > wokenUs.getAsLong();
   }
 
   /**
@@ -622,58 +592,11 @@
       final double callsPerSecond,
       final double coldFrom,
       final long coldUs) {
-    final Destination back = destination(destination);
-    back.returnedUs = nowUs;
-    back.callsPerSecond = callsPerSecond;
-    back.coldFrom = coldFrom;
-    back.coldUs = coldUs;
-    back.calls.clear();
-  }
-
-  private void push(final long atUs, final long id, final Destination destination) {
-    if (atUs < destination.returnedUs
-        || atUs > destination.returnedUs + destination.coldUs + figures.fallUs()) {
-      return;
-    }
-    destination.calls.add(atUs);
-    while (destination.calls.peekFirst() < atUs - figures.fallUs()) {
-      destination.calls.pollFirst();
-    }
-    final long fromUs = Math.max(destination.returnedUs, atUs - figures.fallUs());
-    final double capacity =
-        destination.callsPerSecond * warmth(destination, fromUs, atUs) * figures.fallUs() / SECOND;
-    final double budget = figures.tipMultiple() * capacity;
-    if (destination.calls.size() > budget + 2 * Math.sqrt(budget) + 1) {
-      broken(
-          Rule.TIPPED,
-          atUs,
-          "destination "
-              + id
-              + " was sent "
-              + destination.calls.size()
-              + " calls in "
-              + figures.fallUs() / MS
-              + " ms after its return; it bears "
-              + Math.round(budget));
-      destination.returnedUs = Long.MAX_VALUE;
-    }
-  }
-
-  /** The mean share of its capacity that it has between two moments. */
-  private static double warmth(final Destination destination, final long fromUs, final long toUs) {
-    return (warmthAt(destination, fromUs) + warmthAt(destination, toUs)) / 2;
-  }
-
-  private static double warmthAt(final Destination destination, final long atUs) {
-    final double grown =
-        destination.coldUs == 0
-            ? 1
-            : Math.min(1, (double) (atUs - destination.returnedUs) / destination.coldUs);
-    return destination.coldFrom + (1 - destination.coldFrom) * grown;
+    destination(destination).recovery.markReturned(nowUs, callsPerSecond, coldFrom, coldUs);
   }
 
   private Destination destination(final long id) {
-    return destinations.computeIfAbsent(id, unused -> new Destination());
+    return destinations.computeIfAbsent(id, unused -> new Destination(figures));
   }
 
   // ---------------------------------------------------------------- the verdict
@@ -712,9 +635,10 @@
    * up waiting for its answer, unless the process that may have read it was ended.
    */
   public synchronized boolean allSettled() {
-    final long lastKillUs = killsUs.isEmpty() ? Long.MIN_VALUE : killsUs.get(killsUs.size() - 1);
     return messages.values().stream()
-        .allMatch(message -> message.over || (!message.taken && message.handedInUs < lastKillUs));
+        .allMatch(
+            message ->
+                message.over || (!message.taken && message.handedInUs < lifetimes.lastKillUs()));
   }
 
   /** For each call to an endpoint after it was told to drain or gone, how long after, us. */
