Faults scenario: a call read while its process is being killed is that process's

Cause: FaultScenario marked the kill before it sent the signal; the process went on for some milliseconds, its last call was read 4 ms after the mark and answered before its connections were reset, and counted as the next process's.

--- a/courier/src/test/java/thistleturn/courier/FaultScenario.java
+++ b/courier/src/test/java/thistleturn/courier/FaultScenario.java
@@ -140,6 +140,8 @@
     world.auditor.restarted(world.ticks.nowUs(), false);
     courier.kill();
     world.endConnections();
+    // What was called up to now is the old process's: it went on until the signal reached it.
+    world.auditor.restarted(world.ticks.nowUs(), false);
     start(faults);
     world.auditor.restarted(world.ticks.nowUs(), true);
   }
--- a/testkit/src/test/java/thistleturn/testkit/RuleCheckerTest.java
+++ b/testkit/src/test/java/thistleturn/testkit/RuleCheckerTest.java
@@ -344,6 +344,30 @@
     assertFalse(auditor.allSettled());
   }
 
+  /**
+   * Whoever kills a process tells so before and after, since it goes on calling until the signal
+   * reaches it, and the stand-in reads its last calls later still. With the first mark alone such a
+   * call counted as the next process's, and its repeat as a fault.
+   *
+   * <p>Traced in {@code SystemCallFaultsTest#startWaitsForWhatPasses} (write): the kill was marked
+   * at 3,038 ms, m6-236 was called at 3,042 and answered at 3,068 ms, while the process was being
+   * ended; the next one sent it again at 5,045 ms.
+   */
+  @Test
+  void aCallReadWhileItsProcessIsBeingKilledIsThatProcesss() {
+    for (final String id : List.of("old", "next")) {
+      take(2000 * MS, id, "safe");
+    }
+    auditor.restarted(3038 * MS, false);
+    call(3042 * MS, 3067 * MS, "old", End.DELIVERED);
+    auditor.restarted(3070 * MS, false);
+    call(3071 * MS, 3096 * MS, "next", End.DELIVERED);
+    auditor.restarted(4900 * MS, true);
+    call(5045 * MS, 5070 * MS, "old", End.DELIVERED);
+    call(5045 * MS, 5070 * MS, "next", End.DELIVERED);
+    assertBroken(Rule.LOST);
+  }
+
   @Test
   void twoDifferentEndsAreCaught() {
     take(0, "a", "safe");
