message_ended asks what keeps its destination only where a line is written

Need: the reason was made up for each message that ends undelivered, thousands at once after an outage, and the log writes 20 lines a second. Change: a field of an event may be a supplier, read where its line is written.

--- a/courier/src/main/java/thistleturn/courier/MessageCompletion.java
+++ b/courier/src/main/java/thistleturn/courier/MessageCompletion.java
@@ -1,6 +1,7 @@
 package thistleturn.courier;
 
 import java.util.function.LongFunction;
+import java.util.function.Supplier;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage.FinalOutcome;
 import thistleturn.courier.runtime.Event;
@@ -77,6 +78,7 @@
   /** Ends an accepted message with an outcome, which the journal keeps until it is confirmed. */
   void finish(final PendingDelivery delivery, final FinalOutcome outcome) {
     delivery.end();
+    final Supplier<String> keptBy = () -> blockedReason.apply(delivery.message().destination());
     if (delivery.message().timeline() != null) {
       delivery.message().timeline().markEnded(context.clock().nowUs());
     }
@@ -97,7 +99,7 @@
         "time_left_us",
         delivery.deadlineUs() - context.clock().nowUs(),
         "kept_by",
-        blockedReason.apply(delivery.message().destination()));
+        keptBy);
     context.store().recordFinalOutcome(delivery.message(), outcome);
     effects.addFinalOutcome(delivery.message());
   }
--- a/courier/src/main/java/thistleturn/courier/runtime/Log.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Log.java
@@ -1,6 +1,7 @@
 package thistleturn.courier.runtime;
 
 import java.util.concurrent.atomic.AtomicLongArray;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -42,7 +43,7 @@
   /**
    * Counts an event and logs it with its fields.
    *
-   * @param fields names and values in turn
+   * @param fields names and values in turn; a supplier gives its value only where a line is written
    */
   public static void event(final Event event, final Object... fields) {
     if (muted && event != Event.FAILURE) {
@@ -55,7 +56,7 @@
     }
     final LogLine line = LogLine.ofEvent(event);
     for (int index = 0; index + 1 < fields.length; index += 2) {
-      line.field(fields[index], fields[index + 1]);
+      line.field(fields[index], valueOf(fields[index + 1]));
     }
     if (suppressed > 0) {
       line.field("lines_left_out", suppressed);
@@ -63,6 +64,10 @@
     LOGGER.info(line.toString());
   }
 
+  private static Object valueOf(final Object field) {
+    return field instanceof Supplier<?> lazy ? lazy.get() : field;
+  }
+
   /**
    * Returns how often each event occurred since the process started, in Prometheus' text format.
    */
