--- a/courier/src/main/java/thistleturn/courier/DecisionLoop.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoop.java
@@ -75,10 +75,7 @@
 
     EndpointDirectory endpointDirectory();
 
-    /**
-     * Runs an action after a poll of the sockets that began after this time, in microseconds: what
-     * had arrived by then is reported first.
-     */
+    /** Runs an action after a poll that began after this time, us: older input comes first. */
     void afterPoll(long sinceUs, Runnable action);
   }
 
@@ -225,7 +222,7 @@
 
     @Override
     public void endOverdueMessages() {
-      controller.onDecisionsDelayed(context.clock().nowUs());
+      reportDecisionsDelayed(context.clock().nowUs());
       effects.runRejectionsAndOutcomes(context.store().flush(), context.clock().nowUs());
       retryUnwritableJournal();
     }
@@ -240,7 +237,7 @@
   /** Lets the controller decide; while the journal cannot be written, only expired messages end. */
   private void decide(final long nowUs) {
     if (!context.store().isWritable() && context.store().flush() != FlushResult.DURABLE) {
-      controller.onDecisionsDelayed(nowUs);
+      reportDecisionsDelayed(nowUs);
       return;
     }
     controller.decide(nowUs);
@@ -248,6 +245,10 @@
     outages.reportChanges();
   }
 
+  private void reportDecisionsDelayed(final long nowUs) {
+    controller.onDecisionsDelayed(nowUs);
+  }
+
   @Override
   public MessageClass messageClass(final String className) {
     return context.classes().get(className);
