Test that fails: a start whose retried step throws is neither ready nor over

Seen once: SystemCallFaultsTest#startWaitsForWhatPasses, case 6 (sockets fail for 1.5 s), while a build replaced target/. The courier logged start_retried until the sockets were to be had again, and then nothing for 60 s: alive, not ready, silent. Nobody restarts such a process.

The test makes it on demand: a copy of the classes is deleted once the first start_retried is logged.

--- a/courier/src/test/java/thistleturn/courier/StartupFailureTest.java
+++ b/courier/src/test/java/thistleturn/courier/StartupFailureTest.java
@@ -4,15 +4,21 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.URISyntaxException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
@@ -23,6 +29,8 @@
 import thistleturn.courier.runtime.ConfigurationException;
 import thistleturn.testkit.CourierFiles;
 import thistleturn.testkit.StandInWorld;
+import thistleturn.testkit.rig.ChildProcess;
+import thistleturn.testkit.rig.FaultShim;
 
 /**
  * A start that fails at any of its steps reports why in one line, and releases what the steps
@@ -123,6 +131,53 @@
     assertStartsAndReleasesFolder();
   }
 
+  /** Guards against a process that stands for ever, neither ready nor over: an error was lost. */
+  @Test
+  void classesGoneDuringRetries_processEndsWithItsReason() throws Exception {
+    final Path classes = copyCourierClasses();
+    final FaultShim faults =
+        FaultShim.below(folder.resolve("state")).rule("socket,errno=23,for=4000");
+    final String classPath = classes + File.pathSeparator + classPathWithoutCourier();
+    try (ChildProcess courier =
+        ChildProcess.java(
+            faults.environment(environment), "", "-cp", classPath, "thistleturn.courier.Main")) {
+      courier.await(line -> line.contains("event=start_retried") && line.contains("step=listen"));
+      delete(classes);
+      courier.await(line -> line.startsWith("cannot start: "));
+      world.await("the end of the process", () -> !courier.isAlive());
+    }
+  }
+
+  private static Path courierClasses() throws URISyntaxException {
+    return Path.of(CourierServer.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+  }
+
+  private Path copyCourierClasses() throws IOException, URISyntaxException {
+    final Path from = courierClasses();
+    final Path to = folder.resolve("classes");
+    try (Stream<Path> files = Files.walk(from)) {
+      for (final Path file : files.toList()) {
+        Files.copy(file, to.resolve(from.relativize(file).toString()));
+      }
+    }
+    return to;
+  }
+
+  private static String classPathWithoutCourier() throws URISyntaxException {
+    final String own = courierClasses().toString();
+    return Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
+        .filter(entry -> !Path.of(entry).toString().equals(own))
+        .collect(Collectors.joining(File.pathSeparator));
+  }
+
+  private static void delete(final Path tree) throws IOException {
+    try (Stream<Path> files = Files.walk(tree)) {
+      for (final Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(file);
+      }
+    }
+  }
+
   /** An extension that throws when it is asked for its directory. */
   private static final class FailingExtension implements CourierExtension {
     @Override
