A start ends with whatever its steps throw, and an error on a loop ends the process

What callers saw: nobody served them. A courier whose start had been retried stood for ever, not ready, silent, alive.

Cause: StartupProgress.retry handed the step to EventLoop.schedule bare; Netty keeps what a scheduled task throws in a future that nobody read, so the start was never decided.

Mend: every step and continuation of a start runs through StartupProgress.run, which ends the start with what is thrown; 30 checks of a second without a new step end it as well. The loops of a courier are GuardedEventLoopGroup: nothing that a task throws is lost, and an error ends the process (70), as a virtual machine's error did. The same fault elsewhere: the older process that takes decisions back, the warm-up of a takeover, the writers' threads, the thread that undoes a start.

GuardedEventLoopGroupTest was not played against plain loops.

--- a/cli/src/main/java/thistleturn/cli/admin/AdminServer.java
+++ b/cli/src/main/java/thistleturn/cli/admin/AdminServer.java
@@ -115,6 +115,7 @@
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+      Log.failureIfError("a connection to the admin page", cause);
       context.close();
     }
   }
--- a/courier/src/main/java/thistleturn/courier/ClientListeners.java
+++ b/courier/src/main/java/thistleturn/courier/ClientListeners.java
@@ -11,6 +11,8 @@
  * Lives on the first event loop.
  */
 final class ClientListeners {
+  private static final String STEP_NAME = "listen";
+
   private final ServerContext context;
   private final StartupProgress progress;
   private final TakeoverCoordinator takeover;
@@ -40,15 +42,17 @@
         .get(index)
         .listen(address, sharesAddress)
         .whenCompleteAsync(
-            (bound, failure) -> {
-              if (failure != null) {
-                onFailure(failure, () -> open(index, address));
-              } else if (index + 1 < context.shards().size()) {
-                open(index + 1, CourierConfig.parseAddress("listen", bound));
-              } else {
-                onListening.accept(bound);
-              }
-            },
+            progress.step(
+                STEP_NAME,
+                (bound, failure) -> {
+                  if (failure != null) {
+                    onFailure(failure, () -> open(index, address));
+                  } else if (index + 1 < context.shards().size()) {
+                    open(index + 1, CourierConfig.parseAddress("listen", bound));
+                  } else {
+                    onListening.accept(bound);
+                  }
+                }),
             context.eventLoop());
   }
 
@@ -59,11 +63,11 @@
     } else if (TransientFailures.isAddressInUse(failure) && takeover.requestClientAddress()) {
       // The JDK checks once whether sockets may share an address, and takes a failure of that check
       // for a no.
-      progress.retry(openAgain);
+      progress.retry(STEP_NAME, openAgain);
     } else if (takeover.hasRequestedClientAddress() && progress.hasTimeLeft()) {
-      progress.retry(openAgain);
+      progress.retry(STEP_NAME, openAgain);
     } else {
-      progress.retryOrFail("listen", describe(failure), openAgain);
+      progress.retryOrFail(STEP_NAME, describe(failure), openAgain);
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/CourierServer.java
+++ b/courier/src/main/java/thistleturn/courier/CourierServer.java
@@ -50,7 +50,7 @@
     try {
       lockStateFolder();
       disabledEndpoints.load();
-    } catch (final IOException | RuntimeException e) {
+    } catch (final IOException | RuntimeException | Error e) {
       kill();
       throw e;
     }
@@ -114,14 +114,25 @@
       ready.complete(address);
       return;
     }
-    // Not on an event loop: they are what is ended.
-    new Thread(
-            () -> {
-              kill();
-              ready.completeExceptionally(failure);
-            },
-            "undo the start")
-        .start();
+    try {
+      // Not on an event loop: they are what is ended.
+      new Thread(() -> undoStart(failure), "undo the start").start();
+    } catch (final RuntimeException | Error e) {
+      // The system has no thread for it: whoever waits for the outcome must hear of it all the
+      // same.
+      failure.addSuppressed(e);
+      ready.completeExceptionally(failure);
+    }
+  }
+
+  private void undoStart(final Throwable failure) {
+    try {
+      kill();
+    } catch (final RuntimeException | Error e) {
+      failure.addSuppressed(e);
+    } finally {
+      ready.completeExceptionally(failure);
+    }
   }
 
   /**
--- a/courier/src/main/java/thistleturn/courier/Main.java
+++ b/courier/src/main/java/thistleturn/courier/Main.java
@@ -26,8 +26,8 @@
   public static void main(final String[] args) {
     try {
       serve(System.getenv(), null, CourierOptions.platformDefaults());
-    } catch (final ConfigurationException | IOException e) {
-      System.err.println("cannot start: " + e.getMessage());
+    } catch (final ConfigurationException | IOException | RuntimeException | Error e) {
+      System.err.println(describe(e));
       System.exit(START_FAILED_STATUS);
     }
   }
@@ -47,6 +47,8 @@
       final CourierExtension extension,
       final CourierOptions options)
       throws ConfigurationException, IOException {
+    Thread.setDefaultUncaughtExceptionHandler(
+        (thread, failure) -> Log.failure("thread " + thread.getName(), failure));
     final AtomicReference<CourierServer> started = new AtomicReference<>();
     final AtomicBoolean reloadRequested = new AtomicBoolean();
     // First of all: until this is in place, a SIGHUP ends the process.
@@ -73,11 +75,18 @@
 
   private static void haltIfStartFailed(final String address, final Throwable failure) {
     if (failure != null) {
-      System.err.println("cannot start: " + failure.getMessage());
+      System.err.println(describe(failure));
       Runtime.getRuntime().halt(START_FAILED_STATUS);
     }
   }
 
+  /** One line on why there is no courier; what nobody foresaw is named by its type as well. */
+  private static String describe(final Throwable failure) {
+    final boolean foreseen =
+        failure instanceof ConfigurationException || failure instanceof IOException;
+    return "cannot start: " + (foreseen ? failure.getMessage() : failure);
+  }
+
   /** Retries after a transient failure: what the system cannot provide now it may provide soon. */
   private static CourierServer startWithRetry(
       final Map<String, String> environment,
--- a/courier/src/main/java/thistleturn/courier/Shard.java
+++ b/courier/src/main/java/thistleturn/courier/Shard.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -26,6 +25,7 @@
 import thistleturn.courier.runtime.CourierConfig;
 import thistleturn.courier.runtime.CourierOptions;
 import thistleturn.courier.runtime.DescriptorBudget;
+import thistleturn.courier.runtime.GuardedEventLoopGroup;
 import thistleturn.courier.runtime.GuardedTasks;
 import thistleturn.courier.runtime.PollTracker;
 
@@ -77,8 +77,8 @@
     this.latestConfig = latestConfig;
     this.pollTracker = new PollTracker(clock);
     this.eventLoopGroup =
-        new MultiThreadIoEventLoopGroup(
-            1, NioIoHandler.newFactory(SelectorProvider.provider(), pollTracker));
+        new GuardedEventLoopGroup(
+            NioIoHandler.newFactory(SelectorProvider.provider(), pollTracker));
     this.eventLoop = eventLoopGroup.next();
     this.descriptors =
         new DescriptorBudget(
--- a/courier/src/main/java/thistleturn/courier/ShardHandoverSource.java
+++ b/courier/src/main/java/thistleturn/courier/ShardHandoverSource.java
@@ -82,7 +82,7 @@
         throw new PermanentFailureException(
             "another process holds " + context.config().stateFolder());
       }
-    } catch (final IOException e) {
+    } catch (final IOException | RuntimeException e) {
       onTakeBackFailed(e, retryUntilUs);
     }
   }
@@ -96,7 +96,7 @@
     reopenListeners.run();
   }
 
-  private void onTakeBackFailed(final IOException failure, final long retryUntilUs) {
+  private void onTakeBackFailed(final Exception failure, final long retryUntilUs) {
     if (TransientFailures.isTransient(failure) && context.clock().nowUs() < retryUntilUs) {
       Log.event(Event.START_RETRIED, "step", "take up again", "cause", failure);
       context.stateFolder().unlock();
--- a/courier/src/main/java/thistleturn/courier/Startup.java
+++ b/courier/src/main/java/thistleturn/courier/Startup.java
@@ -59,22 +59,22 @@
 
   /** Runs all steps; a failure ends up in the progress of the start. */
   void run() {
-    try {
-      if (context.hasOperators()) {
-        listenToOperators();
-      }
-      directory =
-          context
-              .extension()
-              .createDirectory(shards.first().createDiscoveryClient(), extensionContext());
-      if (context.stateFolder().isLocked()) {
-        startFromJournals();
-      } else {
-        takeover.takeOver();
-      }
-    } catch (final RuntimeException e) {
-      // On the event loop this would be swallowed, and a courier left that is never ready.
-      progress.fail(e);
+    progress.watch();
+    progress.run("begin", this::begin);
+  }
+
+  private void begin() {
+    if (context.hasOperators()) {
+      listenToOperators();
+    }
+    directory =
+        context
+            .extension()
+            .createDirectory(shards.first().createDiscoveryClient(), extensionContext());
+    if (context.stateFolder().isLocked()) {
+      startFromJournals();
+    } else {
+      takeover.takeOver();
     }
   }
 
@@ -102,13 +102,15 @@
     new OperatorServer(adminService)
         .listen(eventLoop, config.operatorAddress())
         .whenComplete(
-            (bound, failure) -> {
-              if (failure == null) {
-                Log.info(config.name() + " hears operators at " + bound);
-              } else {
-                progress.retryOrFail("listen to operators", failure, this::listenToOperators);
-              }
-            });
+            progress.step(
+                "listen to operators",
+                (bound, failure) -> {
+                  if (failure == null) {
+                    Log.info(config.name() + " hears operators at " + bound);
+                  } else {
+                    progress.retryOrFail("listen to operators", failure, this::listenToOperators);
+                  }
+                }));
   }
 
   private void startFromJournals() {
@@ -135,13 +137,15 @@
     }
     CompletableFuture.allOf(started.toArray(CompletableFuture[]::new))
         .whenCompleteAsync(
-            (done, failure) -> {
-              if (failure == null) {
-                onShardsStarted(sharedDirectory);
-              } else {
-                progress.fail(failure);
-              }
-            },
+            progress.step(
+                "open the listeners",
+                (done, failure) -> {
+                  if (failure == null) {
+                    onShardsStarted(sharedDirectory);
+                  } else {
+                    progress.fail(failure);
+                  }
+                }),
             eventLoop);
   }
 
--- a/courier/src/main/java/thistleturn/courier/TakeoverCoordinator.java
+++ b/courier/src/main/java/thistleturn/courier/TakeoverCoordinator.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
 import thistleturn.courier.handover.HandoverClient;
@@ -18,6 +17,8 @@
   /** How soon a process that cannot hand over now is asked again. */
   private static final long HANDOVER_RETRY_MS = 50;
 
+  private static final String STEP_NAME = "take over";
+
   /** Who holds the address at which clients are to be accepted, as far as this process knows. */
   private enum ClientAddress {
     /** No older process handed over to this one. */
@@ -61,7 +62,8 @@
   /** Takes the state folder from the process that holds it, which goes on serving until then. */
   void takeOver() {
     Log.info(context.config().name() + " takes over from the process that serves");
-    new TakeoverWarmUp(context.config(), eventLoop, context.clock()).runThen(this::requestHandover);
+    new TakeoverWarmUp(context.config(), eventLoop, context.clock())
+        .runThen(() -> progress.run(STEP_NAME, this::requestHandover));
   }
 
   private void requestHandover() {
@@ -70,8 +72,8 @@
         HandoverClient.requestHandover(
             eventLoop,
             context.config().stateFolder(),
-            snapshot -> acceptHandover(snapshot, client.get()),
-            this::takeFolderOrRetry));
+            snapshot -> progress.run("succeed", () -> acceptHandover(snapshot, client.get())),
+            () -> progress.run(STEP_NAME, this::takeFolderOrRetry)));
   }
 
   private void acceptHandover(final HandoverSnapshot snapshot, final HandoverClient from) {
@@ -94,13 +96,13 @@
   private void takeFolderOrRetry() {
     try {
       if (!stateFolder.tryLock()) {
-        eventLoop.schedule(this::requestHandover, HANDOVER_RETRY_MS, TimeUnit.MILLISECONDS);
+        progress.retryAfter(HANDOVER_RETRY_MS, STEP_NAME, this::requestHandover);
         return;
       }
       context.shards().openJournals(stateFolder);
     } catch (final IOException e) {
       stateFolder.unlock();
-      progress.retryOrFail("take over", e, this::requestHandover);
+      progress.retryOrFail(STEP_NAME, e, this::requestHandover);
       return;
     }
     onFolderFree.run();
--- a/courier/src/main/java/thistleturn/courier/TakeoverWarmUp.java
+++ b/courier/src/main/java/thistleturn/courier/TakeoverWarmUp.java
@@ -48,12 +48,12 @@
   /** Warms up, then continues with {@code next}; a failure ends the warm-up early. */
   void runThen(final Runnable next) {
     Log.setMuted(true);
-    runRound(
-        0,
+    final Runnable end =
         () -> {
           Log.setMuted(false);
           next.run();
-        });
+        };
+    runOrEnd(() -> runRound(0, end), end);
   }
 
   private void runRound(final int round, final Runnable next) {
@@ -67,15 +67,7 @@
     for (int number = 0; number < MESSAGES; number++) {
       submitMessage(older, number);
     }
-    afterRoundTime(
-        () -> {
-          try {
-            takeOver(older, store, () -> runRound(round + 1, next));
-          } catch (final IOException | RuntimeException e) {
-            Log.failure(TASK_NAME, e);
-            next.run();
-          }
-        });
+    afterRoundTime(() -> takeOver(older, store, () -> runRound(round + 1, next), next), next);
   }
 
   private DecisionLoop newDecisionLoop(final MessageStore store) {
@@ -104,7 +96,10 @@
   }
 
   private void takeOver(
-      final DecisionLoop older, final MessageStore store, final Runnable nextRound)
+      final DecisionLoop older,
+      final MessageStore store,
+      final Runnable nextRound,
+      final Runnable next)
       throws IOException {
     final HandoverSnapshot snapshot =
         HandoverCodec.encodeAndDecode(older.handOver(new DiscardingSuccessor()));
@@ -119,7 +114,8 @@
         () -> {
           stopDeciding(newer);
           nextRound.run();
-        });
+        },
+        next);
   }
 
   /** A decision loop that has handed over does not decide beside the real one any more. */
@@ -131,8 +127,23 @@
     }
   }
 
-  private void afterRoundTime(final Runnable task) {
-    eventLoop.schedule(task, ROUND_MS, TimeUnit.MILLISECONDS);
+  /** Runs a step when the calls of a round are over; if it fails, the warm-up ends with it. */
+  private void afterRoundTime(final Step step, final Runnable next) {
+    eventLoop.schedule(() -> runOrEnd(step, next), ROUND_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private static void runOrEnd(final Step step, final Runnable next) {
+    try {
+      step.run();
+    } catch (final IOException | RuntimeException e) {
+      Log.failure(TASK_NAME, e);
+      next.run();
+    }
+  }
+
+  /** A step of a round. */
+  private interface Step {
+    void run() throws IOException;
   }
 
   /** The reply to a client that does not exist. */
--- a/courier/src/main/java/thistleturn/courier/learned/LearnedStateWriter.java
+++ b/courier/src/main/java/thistleturn/courier/learned/LearnedStateWriter.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import thistleturn.courier.handover.HandoverSnapshot;
 import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.GuardedTasks;
 import thistleturn.courier.runtime.Log;
 
 /**
@@ -42,7 +43,7 @@
   public void save(final HandoverSnapshot snapshot) {
     final PendingWrite replaced = pendingWrite.getAndSet(new PendingWrite(snapshot, clock.nowUs()));
     if (replaced == null) {
-      WRITER_THREAD.execute(this::writePending);
+      WRITER_THREAD.execute(GuardedTasks.guard("write learned state", this::writePending));
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/operator/OperatorServer.java
+++ b/courier/src/main/java/thistleturn/courier/operator/OperatorServer.java
@@ -241,6 +241,7 @@
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+      Log.failureIfError("an operator's connection", cause);
       context.close();
     }
   }
--- /dev/null
+++ b/courier/src/main/java/thistleturn/courier/runtime/GuardedEventLoopGroup.java
@@ -0,0 +1,70 @@
+package thistleturn.courier.runtime;
+
+import io.netty.channel.IoEventLoop;
+import io.netty.channel.IoEventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SingleThreadIoEventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A group of one event loop on which nothing that a task throws is lost: it is logged and counted,
+ * and an error ends the process. A loop that itself ends by an error would leave a process that
+ * stands and serves nobody.
+ */
+public final class GuardedEventLoopGroup extends MultiThreadIoEventLoopGroup {
+  private static final String TASK = "a task of the event loop";
+  private static final String LOOP = "the event loop";
+
+  /** Creates the group with its loop, which begins to run with its first task. */
+  public GuardedEventLoopGroup(final IoHandlerFactory ioHandlerFactory) {
+    super(1, ioHandlerFactory);
+  }
+
+  @Override
+  protected IoEventLoop newChild(
+      final Executor executor,
+      final IoHandlerFactory ioHandlerFactory,
+      final Object... otherArguments) {
+    return new GuardedEventLoop(this, executor, ioHandlerFactory);
+  }
+
+  /** The loop; the executor gives it its thread. */
+  private static final class GuardedEventLoop extends SingleThreadIoEventLoop {
+    private GuardedEventLoop(
+        final IoEventLoopGroup parent,
+        final Executor executor,
+        final IoHandlerFactory ioHandlerFactory) {
+      super(parent, executor, ioHandlerFactory);
+    }
+
+    @Override
+    protected void run() {
+      try {
+        super.run();
+      } catch (final RuntimeException | Error e) {
+        Log.failure(LOOP, e);
+        throw e;
+      }
+    }
+
+    @Override
+    public void execute(final Runnable task) {
+      super.execute(GuardedTasks.guard(TASK, task));
+    }
+
+    @Override
+    public ScheduledFuture<?> schedule(final Runnable task, final long delay, final TimeUnit unit) {
+      return super.schedule(GuardedTasks.guard(TASK, task), delay, unit);
+    }
+
+    @Override
+    public ScheduledFuture<?> scheduleWithFixedDelay(
+        final Runnable task, final long initialDelay, final long delay, final TimeUnit unit) {
+      return super.scheduleWithFixedDelay(
+          GuardedTasks.guard(TASK, task), initialDelay, delay, unit);
+    }
+  }
+}
--- a/courier/src/main/java/thistleturn/courier/runtime/GuardedTasks.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/GuardedTasks.java
@@ -1,14 +1,15 @@
 package thistleturn.courier.runtime;
 
 /**
- * Makes tasks of an event loop safe to throw. Netty keeps what a scheduled task throws in a future
- * that nobody reads, and never runs a periodic one again.
+ * Makes tasks safe to throw. Netty keeps what a scheduled task throws in a future that nobody
+ * reads, and never runs a periodic one again; an executor replaces its thread without a word.
  */
 public final class GuardedTasks {
   private GuardedTasks() {}
 
   /**
-   * Returns a task that logs what the given one throws, and can run again.
+   * Returns a task that logs what the given one throws, and can run again. An error ends the
+   * process, as {@link Log#failure} says.
    *
    * @param what names the task in the log
    */
@@ -16,7 +17,7 @@
     return () -> {
       try {
         task.run();
-      } catch (final RuntimeException e) {
+      } catch (final RuntimeException | Error e) {
         Log.failure(what, e);
       }
     };
--- a/courier/src/main/java/thistleturn/courier/runtime/Log.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Log.java
@@ -84,14 +84,24 @@
   }
 
   /**
-   * Logs an unexpected exception with its stack. Ends the process if the virtual machine itself has
-   * failed: nothing can be trusted after that, least of all that anyone is served, and the next
-   * process resumes.
+   * Logs an unexpected exception with its stack. An {@link Error} ends the process: memory, a class
+   * or the virtual machine itself has failed, nothing can be trusted after that, least of all that
+   * anyone is served, and the next process resumes.
    */
   public static void failure(final String what, final Throwable cause) {
     event(Event.FAILURE, "what", what, "cause", cause, "at", StackSummary.of(cause));
-    if (cause instanceof VirtualMachineError) {
+    if (cause instanceof Error) {
       Runtime.getRuntime().halt(FATAL_EXIT_STATUS);
     }
   }
+
+  /**
+   * Does the same for an {@link Error}, and nothing for an exception: where the other side can
+   * cause exceptions, they are no defect.
+   */
+  public static void failureIfError(final String what, final Throwable cause) {
+    if (cause instanceof Error) {
+      failure(what, cause);
+    }
+  }
 }
--- a/courier/src/main/java/thistleturn/courier/transport/Connector.java
+++ b/courier/src/main/java/thistleturn/courier/transport/Connector.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import thistleturn.courier.runtime.Event;
+import thistleturn.courier.runtime.GuardedTasks;
 import thistleturn.courier.runtime.Log;
 
 /**
@@ -79,10 +80,12 @@
           if (!done.isSuccess()) {
             Log.event(Event.CONNECT_FAILED, "to", address, "cause", done.cause());
           }
+          final Runnable report =
+              GuardedTasks.guard("outcome of connecting", () -> callback.accept(connecting));
           if (loop.inEventLoop()) {
-            callback.accept(connecting);
+            report.run();
           } else {
-            loop.execute(() -> callback.accept(connecting));
+            loop.execute(report);
           }
         });
     return connecting;
--- a/peers/src/main/java/thistleturn/peers/FrameHandler.java
+++ b/peers/src/main/java/thistleturn/peers/FrameHandler.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import java.io.IOException;
 import java.util.Arrays;
+import thistleturn.courier.runtime.Log;
 import thistleturn.peers.cbor.MalformedMessageException;
 
 /**
@@ -76,6 +77,7 @@
 
   @Override
   public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+    Log.failureIfError("a connection to a peer", cause);
     context.close();
   }
 }
--- a/replicas/src/main/java/thistleturn/replicas/ReplicaStorage.java
+++ b/replicas/src/main/java/thistleturn/replicas/ReplicaStorage.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.GuardedTasks;
 import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.replicas.Delta;
 import thistleturn.decisions.replicas.Entry;
@@ -145,7 +146,7 @@
 
   private void scheduleSave(final SnapshotFile.Snapshot taken) {
     if (pendingSnapshot.getAndSet(taken) == null) {
-      WRITER.execute(this::write);
+      WRITER.execute(GuardedTasks.guard("write the replicas", this::write));
     }
   }
 
