Takeover: new connections go to the newer process before the older listener closes

Cause, two windows between the older process's last accept and the end of its socket: Java keeps a closed server socket open until the next select, a round of the loop; and the system gives the socket half of the new connections until then.

Mend: the socket is deregistered, the backlog accepted, the socket closed at once (ListenerClose); at a takeover the system is told before to give every new connection to the newer listener, SO_ATTACH_REUSEPORT_CBPF (ListenerSteering), and what had begun is accepted for 0.1 s more. Netty's native library sets the option on Java's own socket; all channels stay the JDK's, and the library is loaded when a process hands over, on a thread of its own.

The same close stands at SIGTERM and at shards, and has the first half.

--- a/benchmarks/src/main/java/thistleturn/benchmarks/health/MeasureHealth.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/health/MeasureHealth.java
@@ -272,9 +272,11 @@
                       default -> Manner.after(500 + random.nextInt(1000));
                     });
             if (random.nextInt(3) > 0) {
+              final long stoppedUs = world.ticks.nowUs();
               courier.pause();
               world.until(world.ticks.nowUs() + (50 + random.nextInt(1950)) * US_PER_MS);
               courier.resume();
+              world.auditor.courierStopped(stoppedUs, world.ticks.nowUs());
             }
             // At most half of the partners are in trouble at once.
             final StandInEndpoint other = partners.get(random.nextInt(partners.size()));
--- a/courier/src/main/java/thistleturn/courier/ShardHandoverSource.java
+++ b/courier/src/main/java/thistleturn/courier/ShardHandoverSource.java
@@ -9,6 +9,7 @@
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.PermanentFailureException;
 import thistleturn.courier.runtime.TransientFailures;
+import thistleturn.courier.transport.ListenerSteering;
 import thistleturn.decisions.model.AttemptResult;
 
 /**
@@ -41,6 +42,7 @@
 
   @Override
   public HandoverSnapshot handOver(final Successor successor) throws IOException {
+    ListenerSteering.prepare();
     final HandoverSnapshot snapshot = shard.decisionLoop().handOver(successor);
     // From here on the successor decides: what fails now must not keep it from that.
     shard.releaseJournal();
--- a/courier/src/main/java/thistleturn/courier/http/ClientListener.java
+++ b/courier/src/main/java/thistleturn/courier/http/ClientListener.java
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -15,27 +14,17 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
-import thistleturn.courier.runtime.Event;
-import thistleturn.courier.runtime.Log;
 import thistleturn.courier.transport.DirectRead;
 import thistleturn.courier.transport.RetryingServerSocketChannel;
-import thistleturn.courier.transport.RetryingSocketChannel;
 
-/**
- * The listening socket of an ingress. When it is closed, the connections in its backlog are
- * accepted first, since the system would reset them.
- */
+/** The listening socket of an ingress. {@link ListenerClose} closes it without a loss. */
 final class ClientListener {
   /** Limits one read from a connection, so that a flooding client does not delay the others. */
   private static final int MAX_READ_BYTES = 1 << 14;
 
   private static final int BACKLOG = 256;
-  private static final long FINAL_ACCEPT_TIMEOUT_US = 1_000_000;
-  private static final long FINAL_ACCEPT_RETRY_DELAY_US = 1000;
   private static final ChannelOption<Boolean> REUSE_PORT =
       NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT);
 
@@ -44,7 +33,9 @@
   private final EventLoop loop;
   private Channel channel;
   private ServerSocketChannel serverSocket;
-  private boolean acceptingBacklog;
+
+  /** How the listener was last closed; null before. */
+  private ListenerClose closing;
 
   /** Creates a listener that accepts on the group; the loop owns all connections. */
   ClientListener(final IngressContext ingress, final EventLoopGroup group, final EventLoop loop) {
@@ -112,42 +103,35 @@
 
   /** Accepts once without having been reported as ready, in case the selector does not watch. */
   void acceptDirectly() {
-    if (channel != null && channel.isActive() && channel.config().isAutoRead()) {
+    if (channel != null
+        && channel.isActive()
+        && channel.isRegistered()
+        && channel.config().isAutoRead()) {
       DirectRead.readOnce(channel);
     }
   }
 
-  /** True while the listener is being closed, and connections in its backlog may be accepted. */
-  boolean isAcceptingBacklog() {
-    return acceptingBacklog;
+  /** True while the listener is being closed, and connections may still be accepted. */
+  boolean isClosing() {
+    return closing != null && !closing.isDone();
   }
 
   /** Accepts the connections in the backlog, and closes the listener. */
   void close() {
-    if (channel.isOpen()) {
-      acceptBacklogAndClose(ingress.clock().nowUs() + FINAL_ACCEPT_TIMEOUT_US);
+    if (channel.isOpen() && !isClosing()) {
+      beginClosing().close();
     }
   }
 
-  private void acceptBacklogAndClose(final long untilUs) {
-    acceptingBacklog = false;
-    try {
-      for (SocketChannel next = serverSocket.accept(); next != null; next = serverSocket.accept()) {
-        channel.pipeline().fireChannelRead(new RetryingSocketChannel(channel, next));
-      }
-      channel.pipeline().fireChannelReadComplete();
-    } catch (final IOException | ChannelException e) {
-      if (ingress.clock().nowUs() < untilUs) {
-        Log.event(Event.ACCEPT_FAILED, "at", channel.localAddress(), "cause", e, "closing", true);
-        acceptingBacklog = true;
-        loop.schedule(
-            () -> acceptBacklogAndClose(untilUs),
-            FINAL_ACCEPT_RETRY_DELAY_US,
-            TimeUnit.MICROSECONDS);
-        return;
-      }
-      Log.event(Event.ACCEPT_GIVEN_UP, "at", channel.localAddress(), "cause", e);
+  /** The same, for a listener whose address another process listens at as well. */
+  void closeForSuccessor() {
+    if (channel.isOpen() && !isClosing()) {
+      beginClosing().steerAndClose();
     }
-    channel.close();
+  }
+
+  private ListenerClose beginClosing() {
+    closing = new ListenerClose(ingress, loop, channel, serverSocket);
+    return closing;
   }
 }
--- a/courier/src/main/java/thistleturn/courier/http/HttpIngress.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpIngress.java
@@ -117,11 +117,11 @@
    */
   public void drainForHandover() {
     draining = true;
-    listener.close();
+    listener.closeForSuccessor();
   }
 
   @Override
   public boolean hasNoConnections() {
-    return connections.isEmpty() && !listener.isAcceptingBacklog();
+    return connections.isEmpty() && !listener.isClosing();
   }
 }
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -42,6 +42,8 @@
   ACCEPT_RECOVERED("accept_recovered"),
   /** The last connections of a listener could not be accepted. */
   ACCEPT_GIVEN_UP("accept_given_up"),
+  /** New connections could not be given to a newer process before the listener closes. */
+  STEERING_FAILED("steering_failed"),
   /** No socket could be created for an outgoing connection. */
   SOCKET_FAILED("socket_failed"),
   /** An outgoing connection could not be made. */
--- a/testkit/src/main/java/thistleturn/testkit/CourierLifetimes.java
+++ b/testkit/src/main/java/thistleturn/testkit/CourierLifetimes.java
@@ -31,6 +31,11 @@
     private boolean contains(final long atUs) {
       return fromUs <= atUs && atUs <= toUs;
     }
+
+    @Override
+    public String toString() {
+      return fromUs + " to " + toUs;
+    }
   }
 
   /** From the end of a process until a while after the last start that followed in time. */
@@ -95,9 +100,12 @@
     return stops.stream().filter(stop -> stop.contains(us)).mapToLong(Stop::toUs).max();
   }
 
-  /** All kills, for the text of a violation. */
-  @Override
-  public String toString() {
-    return "kills " + killsUs;
+  /** The kills and stops between two times, for the text of a violation. */
+  String describe(final long fromUs, final long toUs) {
+    final List<Long> kills =
+        killsUs.stream().filter(killUs -> killUs >= fromUs && killUs <= toUs).toList();
+    final List<Stop> overlapping =
+        stops.stream().filter(stop -> stop.toUs() >= fromUs && stop.fromUs() <= toUs).toList();
+    return "kills " + kills + ", stops " + overlapping;
   }
 }
--- a/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
+++ b/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
@@ -112,7 +112,13 @@
    * A call that delivered a message: when its first byte came, when it was answered, and when the
    * time of the first of several messages in it was up; never, for a message alone.
    */
-  private record Delivery(long callUs, long answeredUs, long sharedUntilUs) {}
+  private record Delivery(long callUs, long answeredUs, long sharedUntilUs) {
+    private String describe() {
+      final String shared =
+          sharedUntilUs == Long.MAX_VALUE ? "alone" : "shared until " + sharedUntilUs;
+      return "called " + callUs + ", answered " + answeredUs + ", " + shared;
+    }
+  }
 
   /** An end that was seen at that moment, after its message's time. */
   private record LateEnd(Message message, long seenUs) {}
@@ -456,9 +462,7 @@
   private String afterItsAnswer(final Message message, final long firstByteUs) {
     final long answeredUs = message.deliveries.get(0).answeredUs();
     final String calls =
-        message.deliveries.stream()
-            .map(delivery -> "called " + delivery.callUs() + ", answered " + delivery.answeredUs())
-            .collect(Collectors.joining("; "));
+        message.deliveries.stream().map(Delivery::describe).collect(Collectors.joining("; "));
     return ", "
         + (firstByteUs - answeredUs)
         + " us after its answer ("
@@ -466,7 +470,7 @@
         + "; sent again "
         + firstByteUs
         + "; "
-        + lifetimes
+        + lifetimes.describe(message.deliveries.get(0).callUs(), firstByteUs)
         + ")";
   }
 
