--- a/benchmarks/src/main/java/thistleturn/benchmarks/health/MeasureHealth.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/health/MeasureHealth.java
@@ -200,6 +200,7 @@
         .filter(one -> one.rule() != Violation.Rule.LOST)
         .limit(20)
         .forEach(one -> System.out.println("BROKEN: " + one));
+    world.auditor.allowedRepeats().forEach(one -> System.out.println("ALLOWED: " + one));
     return broken.isEmpty();
   }
 
--- a/testkit/src/main/java/thistleturn/testkit/HttpStandIn.java
+++ b/testkit/src/main/java/thistleturn/testkit/HttpStandIn.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.EventExecutor;
 import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -114,6 +115,16 @@
     return connections.size();
   }
 
+  /** Returns whether a loop serves the connection that comes from a port. */
+  boolean serves(final int remotePort, final EventExecutor loop) {
+    return connections.stream()
+        .anyMatch(
+            channel ->
+                channel.eventLoop() == loop
+                    && channel.remoteAddress() instanceof InetSocketAddress remote
+                    && remote.getPort() == remotePort);
+  }
+
   /** Resets all connections that stand. */
   public void resetAll() {
     connections.forEach(HttpStandIn::reset);
--- /dev/null
+++ b/testkit/src/main/java/thistleturn/testkit/SocketTable.java
@@ -0,0 +1,60 @@
+package thistleturn.testkit;
+
+import io.netty.channel.Channel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The system's own table of TCP sockets. It knows that the other side has ended a connection before
+ * a stand-in that is held up reads it.
+ */
+final class SocketTable {
+  private static final List<Path> TABLES =
+      List.of(Path.of("/proc/net/tcp"), Path.of("/proc/net/tcp6"));
+  private static final int LOCAL_COLUMN = 1;
+  private static final int REMOTE_COLUMN = 2;
+  private static final int STATE_COLUMN = 3;
+  private static final int HEXADECIMAL = 16;
+
+  /** Linux' numbers of the states in which the other side's end has come, or everything is over. */
+  private static final Set<String> ENDED_STATES = Set.of("06", "07", "08", "09", "0B");
+
+  private SocketTable() {}
+
+  /** Returns whether the other side of an accepted connection has ended it. */
+  static CallConnection.Side remoteSide(final Channel accepted) {
+    if (!(accepted.localAddress() instanceof InetSocketAddress local)
+        || !(accepted.remoteAddress() instanceof InetSocketAddress remote)) {
+      // Closed here, so its end is being told.
+      return CallConnection.Side.ENDED;
+    }
+    try {
+      for (final Path table : TABLES) {
+        for (final String row : Files.readAllLines(table, StandardCharsets.US_ASCII)) {
+          final String[] columns = row.trim().split("\\s+");
+          if (hasPort(columns[LOCAL_COLUMN], local) && hasPort(columns[REMOTE_COLUMN], remote)) {
+            return ENDED_STATES.contains(columns[STATE_COLUMN])
+                ? CallConnection.Side.ENDED
+                : CallConnection.Side.OPEN;
+          }
+        }
+      }
+      // A socket that was reset is in no table.
+      return CallConnection.Side.ENDED;
+    } catch (final IOException e) {
+      return CallConnection.Side.UNKNOWN;
+    }
+  }
+
+  private static boolean hasPort(final String column, final InetSocketAddress address) {
+    final int colon = column.lastIndexOf(':');
+    return colon > 0
+        && column.substring(colon + 1).matches("[0-9A-F]+")
+        && Integer.parseInt(column.substring(colon + 1), HEXADECIMAL) == address.getPort();
+  }
+}
--- a/testkit/src/main/java/thistleturn/testkit/StandInEndpoint.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInEndpoint.java
@@ -132,9 +132,9 @@
       exchange.answer(400, "");
       return;
     }
-    calls.incrementAndGet();
     final long beganUs = ticks.ofNs(exchange.firstByteNs());
-    auditor.called(beganUs, name, ids);
+    auditor.called(beganUs, name, ids, () -> SocketTable.remoteSide(exchange.channel()));
+    calls.incrementAndGet();
     final Call call = new Call(exchange, ids, bulk, beganUs);
     // Whatever else becomes of it: the end of its connection ends it.
     exchange.channel().closeFuture().addListener(closed -> call.end(RuleChecker.End.CUT));
--- a/testkit/src/test/java/thistleturn/testkit/RuleCheckerTest.java
+++ b/testkit/src/test/java/thistleturn/testkit/RuleCheckerTest.java
@@ -553,4 +553,44 @@
     auditor.noticed(SECOND, "never", true);
     assertBroken(Rule.DESTINATION, Rule.DESTINATION, Rule.LOST);
   }
+
+  private void callOver(final long fromUs, final String id, final CallConnection.Side laterSide) {
+    auditor.called(fromUs, "e1", List.of(id), () -> laterSide);
+  }
+
+  /** Guards against a verdict on a stand-in that read the first copy's end late. */
+  @Test
+  void secondCopyAfterFirstConnectionEnded_isAllowedHoweverLateThatIsRead() {
+    take(0, "a", "safe");
+    callOver(10 * MS, "a", CallConnection.Side.ENDED);
+    callOver(500 * MS, "a", CallConnection.Side.OPEN);
+    auditor.ended(600 * MS, 10 * MS, "a", End.CUT);
+    auditor.ended(700 * MS, 500 * MS, "a", End.DELIVERED);
+    assertBroken();
+  }
+
+  @Test
+  void secondCopyWhileFirstConnectionIsOpen_isBrokenHoweverSoonItEnds() {
+    take(0, "a", "safe");
+    callOver(10 * MS, "a", CallConnection.Side.OPEN);
+    callOver(500 * MS, "a", CallConnection.Side.OPEN);
+    auditor.ended(501 * MS, 10 * MS, "a", End.CUT);
+    auditor.ended(700 * MS, 500 * MS, "a", End.DELIVERED);
+    assertBroken(Rule.DOUBLE);
+  }
+
+  @Test
+  void secondCopyOverUnknownConnections_isAllowedWithinOneBatchAlone() {
+    take(0, "a", "safe");
+    callOver(10 * MS, "a", CallConnection.Side.UNKNOWN);
+    callOver(500 * MS, "a", CallConnection.Side.UNKNOWN);
+    auditor.ended(505 * MS, 10 * MS, "a", End.CUT);
+    auditor.ended(700 * MS, 500 * MS, "a", End.DELIVERED);
+    take(0, "b", "safe");
+    callOver(11 * MS, "b", CallConnection.Side.UNKNOWN);
+    callOver(500 * MS, "b", CallConnection.Side.UNKNOWN);
+    auditor.ended(505 * MS + 1, 11 * MS, "b", End.CUT);
+    auditor.ended(700 * MS, 500 * MS, "b", End.DELIVERED);
+    assertBroken(Rule.DOUBLE);
+  }
 }
