--- a/courier/src/main/java/thistleturn/courier/http/AcceptHandler.java
+++ b/courier/src/main/java/thistleturn/courier/http/AcceptHandler.java
@@ -17,6 +17,7 @@
   private final PollTracker polls;
   private final ReceiveTimeBound acceptTime;
   private int acceptedInPoll;
+  private long acceptedCount;
 
   AcceptHandler(final Clock clock, final PollTracker polls) {
     this.clock = clock;
@@ -29,9 +30,15 @@
     return acceptTime.earliestUs();
   }
 
+  /** The number of connections that were accepted, whether or not the selector reported them. */
+  long acceptedCount() {
+    return acceptedCount;
+  }
+
   @Override
   public void channelRead(final ChannelHandlerContext context, final Object connection) {
     acceptedInPoll++;
+    acceptedCount++;
     // Another connection may always be waiting; that is known only when the reading ends.
     acceptTime.onRead(clock.nowUs(), polls.previousPollUs(), false);
     super.channelRead(context, connection);
--- a/courier/src/main/java/thistleturn/courier/http/ClientListener.java
+++ b/courier/src/main/java/thistleturn/courier/http/ClientListener.java
@@ -16,7 +16,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import thistleturn.courier.transport.DirectRead;
 import thistleturn.courier.transport.RetryingServerSocketChannel;
 
 /** The listening socket of an ingress. {@link ListenerClose} closes it without a loss. */
@@ -34,6 +33,9 @@
   private Channel channel;
   private ServerSocketChannel serverSocket;
 
+  /** Null before the first bind. */
+  private ListenerWatch watch;
+
   /** How the listener was last closed; null before. */
   private ListenerClose closing;
 
@@ -57,8 +59,10 @@
     } catch (final IOException e) {
       return CompletableFuture.failedFuture(e);
     }
-    final ChannelFuture bound = bootstrap(reusePort).bind(address);
+    final AcceptHandler acceptHandler = new AcceptHandler(ingress.clock(), ingress.polls());
+    final ChannelFuture bound = bootstrap(acceptHandler, reusePort).bind(address);
     channel = bound.channel();
+    watch = new ListenerWatch(ingress, loop, channel, acceptHandler);
     final CompletableFuture<String> listening = new CompletableFuture<>();
     bound.addListener(
         done -> {
@@ -71,8 +75,7 @@
     return listening;
   }
 
-  private ServerBootstrap bootstrap(final boolean reusePort) {
-    final AcceptHandler acceptHandler = new AcceptHandler(ingress.clock(), ingress.polls());
+  private ServerBootstrap bootstrap(final AcceptHandler acceptHandler, final boolean reusePort) {
     return new ServerBootstrap()
         .group(group)
         .channelFactory(() -> new RetryingServerSocketChannel(serverSocket))
@@ -101,13 +104,10 @@
             });
   }
 
-  /** Accepts once without having been reported as ready, in case the selector does not watch. */
-  void acceptDirectly() {
-    if (channel != null
-        && channel.isActive()
-        && channel.isRegistered()
-        && channel.config().isAutoRead()) {
-      DirectRead.readOnce(channel);
+  /** Accepts what the selector may not have reported. Called at regular intervals. */
+  void sweep() {
+    if (watch != null) {
+      watch.sweep();
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/http/HttpIngress.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpIngress.java
@@ -89,7 +89,7 @@
 
   private void sweep() {
     connections.sweep();
-    listener.acceptDirectly();
+    listener.sweep();
   }
 
   @Override
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -44,6 +44,8 @@
   ACCEPT_GIVEN_UP("accept_given_up"),
   /** New connections could not be given to a newer process before the listener closes. */
   STEERING_FAILED("steering_failed"),
+  /** The selector did not report a listener's connections; they are accepted directly meanwhile. */
+  LISTENER_UNWATCHED("listener_unwatched"),
   /** No socket could be created for an outgoing connection. */
   SOCKET_FAILED("socket_failed"),
   /** An outgoing connection could not be made. */
--- a/courier/src/test/java/thistleturn/courier/SystemCallFaultsTest.java
+++ b/courier/src/test/java/thistleturn/courier/SystemCallFaultsTest.java
@@ -82,6 +82,20 @@
     }
   }
 
+  /**
+   * Guards against requests without an answer while the selector never tells of the listener, or of
+   * another of the first things that are watched.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {2, 3, 4, 5, 6, 7})
+  void listenerThatIsNotWatchedAcceptsAllTheSame(final int nth) throws IOException {
+    try (FaultScenario own = begin(12)) {
+      own.world.client.keepConnections(false);
+      play(own.faults().rule("epoll_ctl,errno=12,nth=" + nth));
+      allHolds();
+    }
+  }
+
   /**
    * A call for which no socket can be had is told to its owner on the owner's thread, and tried
    * again or given up.
