Soak of planned restarts under clients that stay; the checker's 0.4 s has its case

Need: no test had clients that go on using their connections up to SIGKILL at the page's earliest (3.7 s), signals in series and a crowd. ShutdownSoakTest plays three restarts a seed: load over kept connections through the whole shutdown, new ones for 0.2 to 0.4 s, SIGHUP up to three times before and behind SIGTERM, a second SIGTERM, 300 idle clients in a third of the runs, the next start 0.6 s behind the kill. Checked: all rules, and no request that a courier knows of without an answer.

--- /dev/null
+++ b/courier/src/test/java/thistleturn/courier/ShutdownSoakTest.java
@@ -0,0 +1,173 @@
+package thistleturn.courier;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import thistleturn.testkit.CourierFiles;
+import thistleturn.testkit.StandInEndpoint;
+import thistleturn.testkit.StandInEndpoint.Manner;
+import thistleturn.testkit.StandInWorld;
+import thistleturn.testkit.rig.ChildProcess;
+
+/**
+ * Planned restarts, one after another, under clients that go on using the connections that they
+ * have for as long as these stay open; signals come in series, and now and then a crowd is
+ * connected. A few seeds in every run; by hand as many as {@code -Dshutdown.seeds} and {@code
+ * -Dshutdown.first} say.
+ */
+@Tag("faults")
+final class ShutdownSoakTest {
+  private static final int SEEDS = Integer.getInteger("shutdown.seeds", 4);
+  private static final int FIRST_SEED = Integer.getInteger("shutdown.first", 1);
+  private static final String MAIN = "thistleturn.courier.Main";
+  private static final int ENDPOINTS = 4;
+  private static final int RESTARTS = 3;
+  private static final int CROWD = 300;
+  private static final double RATE = 150;
+  private static final long TIMEOUT_MS = 4000;
+  private static final long US_PER_MS = 1000;
+
+  /** From the platform's page: SIGKILL comes no sooner after SIGTERM, the next start behind it. */
+  private static final long KILL_AFTER_US = 3_700_000;
+
+  private static final long START_AFTER_US = 600_000;
+  private static final Pattern ID = Pattern.compile(" id=(\\S+)");
+
+  @TempDir private Path folder;
+  private final List<Socket> crowd = new ArrayList<>();
+  private final List<ChildProcess> couriers = new ArrayList<>();
+
+  static Stream<Integer> seeds() {
+    return IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS).boxed();
+  }
+
+  /** Guards against requests that are read and never answered when a process ends in order. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void restartsUnderClientsThatStay_loseNothing(final int seed) throws IOException {
+    final Random random = new Random(seed);
+    try (StandInWorld world = new StandInWorld(folder, seed)) {
+      for (int index = 0; index < ENDPOINTS; index++) {
+        final StandInEndpoint endpoint = world.endpoint(1 + index / 2);
+        endpoint.fare(Manner.after(5 + random.nextInt(100)));
+        world.platform.tell(endpoint, "Ready", 2000);
+      }
+      final Map<String, String> environment = world.environment(CourierFiles.Size.usual());
+      ChildProcess courier = start(world, environment);
+      world.load(RATE, TIMEOUT_MS, 1, 2);
+      for (int restart = 0; restart < RESTARTS; restart++) {
+        if (random.nextInt(3) == 0) {
+          connectCrowd(courier);
+        }
+        pass(world, 500 + random.nextInt(1000));
+        hangUpInSeries(world, courier, random);
+        end(world, courier, random);
+        courier = start(world, environment);
+        world.auditor.restarted(world.ticks.nowUs(), true);
+        world.client.openConnections(true);
+      }
+      pass(world, 500);
+      assertEquals(List.of(), world.stopLoad(TIMEOUT_MS), () -> "seed " + seed + story());
+      assertEquals(Set.of(), readAndNeverAnswered(world), () -> "seed " + seed + story());
+    } finally {
+      couriers.forEach(ChildProcess::close);
+      for (final Socket client : crowd) {
+        client.close();
+      }
+    }
+  }
+
+  private ChildProcess start(final StandInWorld world, final Map<String, String> environment)
+      throws IOException {
+    final ChildProcess courier = ChildProcess.java(environment, "", MAIN);
+    couriers.add(courier);
+    world.client.courier(address(courier));
+    return courier;
+  }
+
+  private static String address(final ChildProcess courier) {
+    final String ready = courier.await(line -> line.contains("is ready at "));
+    return ready.substring(ready.lastIndexOf(' ') + 1);
+  }
+
+  private static void pass(final StandInWorld world, final long ms) {
+    world.until(world.ticks.nowUs() + ms * US_PER_MS);
+  }
+
+  /** Clients that never send anything. */
+  private void connectCrowd(final ChildProcess courier) throws IOException {
+    final String address = address(courier);
+    final int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+    for (int number = 0; number < CROWD; number++) {
+      crowd.add(new Socket(InetAddress.getLoopbackAddress(), port));
+    }
+  }
+
+  private static void hangUpInSeries(
+      final StandInWorld world, final ChildProcess courier, final Random random)
+      throws IOException {
+    for (int count = random.nextInt(4); count > 0; count--) {
+      courier.hangUp();
+      pass(world, random.nextInt(30));
+    }
+  }
+
+  /** SIGTERM, maybe more signals behind it, and SIGKILL at the page's earliest. */
+  private static void end(final StandInWorld world, final ChildProcess courier, final Random random)
+      throws IOException {
+    final long terminatedUs = world.ticks.nowUs();
+    world.auditor.restarted(terminatedUs, false);
+    courier.terminate();
+    if (random.nextBoolean()) {
+      pass(world, random.nextInt(100));
+      courier.terminate();
+    }
+    hangUpInSeries(world, courier, random);
+    world.until(terminatedUs + (200 + random.nextInt(200)) * US_PER_MS);
+    world.client.openConnections(false);
+    world.until(terminatedUs + KILL_AFTER_US);
+    assertFalse(courier.isAlive(), () -> "it has not ended: " + courier.lines());
+    world.endConnections();
+    world.auditor.restarted(world.ticks.nowUs(), false);
+    world.until(world.ticks.nowUs() + START_AFTER_US);
+  }
+
+  /** What crossed the end of a resting connection was never read, and no courier knows of it. */
+  private Set<String> readAndNeverAnswered(final StandInWorld world) {
+    final Set<String> known =
+        couriers.stream()
+            .flatMap(courier -> courier.lines().stream())
+            .map(ID::matcher)
+            .filter(Matcher::find)
+            .map(id -> id.group(1))
+            .collect(Collectors.toSet());
+    known.retainAll(world.client.withoutAnswer());
+    return known;
+  }
+
+  private String story() {
+    return couriers.stream()
+        .flatMap(courier -> courier.lines().stream())
+        .filter(line -> line.contains("request_unanswered") || !line.contains(" id="))
+        .limit(60)
+        .collect(Collectors.joining("\n", "\n", ""));
+  }
+}
--- a/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
+++ b/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
@@ -35,6 +35,11 @@
   private static final long MS = 1000;
   private static final long SECOND = 1_000_000;
 
+  /**
+   * For so long a request may have lain unread; a courier counts its time from the earliest moment.
+   */
+  private static final long CLIENT_PATIENCE_US = 400 * MS;
+
   /** How long before its end a process may have been answered without having read it. */
   private static final long UNREAD_US = SECOND;
 
@@ -537,13 +542,14 @@
 
   /**
    * True if the courier was stopped when a call with several messages was answered, and the time of
-   * the first of them was up when it woke.
+   * the first of them was up when it woke, by the courier's reckoning: it may take a request to
+   * have come up to a client's patience earlier than it did.
    */
   private boolean wasOverWhenRead(final Delivery delivery, final long nowUs) {
     final OptionalLong wokenUs = lifetimes.endOfStopAt(delivery.answeredUs());
     return delivery.sharedUntilUs() != Long.MAX_VALUE
         && wokenUs.isPresent()
-        && delivery.sharedUntilUs() <= wokenUs.getAsLong()
+        && delivery.sharedUntilUs() - CLIENT_PATIENCE_US <= wokenUs.getAsLong()
         && nowUs > wokenUs.getAsLong();
   }
 
--- a/testkit/src/main/java/thistleturn/testkit/StandInClient.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInClient.java
@@ -51,6 +51,7 @@
   private volatile InetSocketAddress courier;
   private volatile LongConsumer latencyUs = unused -> {};
   private volatile boolean keepsConnections = true;
+  private volatile boolean opensConnections = true;
 
   /** Ids of requests that were written and never had a whole answer. */
   private final Queue<String> withoutAnswer = new ConcurrentLinkedQueue<>();
@@ -90,6 +91,11 @@
     keepsConnections = keep;
   }
 
+  /** From now on it opens new connections, or hands in over those alone that it has kept. */
+  public void openConnections(final boolean open) {
+    opensConnections = open;
+  }
+
   /**
    * The requests that were written, and then had no answer in the client's patience, or whose
    * connection ended without one.
@@ -116,6 +122,10 @@
             request.write(kept);
             return;
           }
+          if (!opensConnections) {
+            out.decrementAndGet();
+            return;
+          }
           new Bootstrap()
               .group(loop)
               .channel(NioSocketChannel.class)
--- a/testkit/src/main/java/thistleturn/testkit/rig/ChildProcess.java
+++ b/testkit/src/main/java/thistleturn/testkit/rig/ChildProcess.java
@@ -118,6 +118,11 @@
     signal("CONT");
   }
 
+  /** Is asked to read its configuration again. */
+  public void hangUp() throws IOException {
+    signal("HUP");
+  }
+
   /** Is asked to end. */
   public void terminate() {
     process.destroy();
