One base for roles that do not decide, one background executor, late ends in a class

Tests of testkit, learned state, replicas, handover, lifecycle and steering green; formatter and Checkstyle clean.

--- a/courier/src/main/java/thistleturn/courier/ForwardingRole.java
+++ b/courier/src/main/java/thistleturn/courier/ForwardingRole.java
@@ -1,20 +1,18 @@
 package thistleturn.courier;
 
-import java.util.List;
 import java.util.Set;
 import thistleturn.courier.handover.HandoverSnapshot;
 import thistleturn.courier.handover.Successor;
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
-import thistleturn.decisions.directives.Directive;
 import thistleturn.decisions.model.EndpointUpdate;
 
 /**
  * A newer process decides. This one forwards what its clients hand in, and the outcomes of the
  * calls that were in flight at the handover.
  */
-final class ForwardingRole implements LoopRole {
+final class ForwardingRole extends NonDecidingRole {
   private final LoopContext context;
   private final Successor successor;
   private final HandedOverCalls handedOver;
@@ -26,11 +24,6 @@
     this.handedOver = handedOver;
   }
 
-  @Override
-  public boolean isDeciding() {
-    return false;
-  }
-
   @Override
   public boolean hasSuccessor() {
     return true;
@@ -73,36 +66,11 @@
     }
   }
 
-  @Override
-  public void onRetryAfter(final long endpoint, final long retryAfterUs) {
-    // The newer process learns it from its own calls.
-  }
-
-  @Override
-  public void onConfirmed(final List<StoredMessage> messages) {
-    // The newer process reports them once more, which is harmless.
-  }
-
-  @Override
-  public void onProcessPaused(final long pausedUs) {
-    // Nothing is judged here.
-  }
-
-  @Override
-  public void onConnectivityRestored(final long nowUs, final long cutOffSinceUs) {
-    // Nothing is judged here.
-  }
-
   @Override
   public void setDisabledEndpoints(final Set<String> names) {
     // The newer process reads them from the same folder.
   }
 
-  @Override
-  public void applyDirective(final long destination, final Directive directive) {
-    // No calls are decided here.
-  }
-
   @Override
   public void prepareToStop(final long stopUs) {
     // No calls are decided here.
--- a/courier/src/main/java/thistleturn/courier/HaltedRole.java
+++ b/courier/src/main/java/thistleturn/courier/HaltedRole.java
@@ -1,30 +1,23 @@
 package thistleturn.courier;
 
-import java.util.List;
 import java.util.Set;
 import thistleturn.courier.handover.HandoverSnapshot;
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
-import thistleturn.decisions.directives.Directive;
 import thistleturn.decisions.model.EndpointUpdate;
 
 /**
  * The process is being ended as a power cut would end it. Nothing is decided and no outcome is
  * recorded any more: what breaks from now on breaks with the process. All else is as it was.
  */
-final class HaltedRole implements LoopRole {
+final class HaltedRole extends NonDecidingRole {
   private final LoopRole before;
 
   HaltedRole(final LoopRole before) {
     this.before = before;
   }
 
-  @Override
-  public boolean isDeciding() {
-    return false;
-  }
-
   @Override
   public boolean hasSuccessor() {
     return before.hasSuccessor();
@@ -60,36 +53,11 @@
     // The connection broke by this process's own end.
   }
 
-  @Override
-  public void onRetryAfter(final long endpoint, final long retryAfterUs) {
-    // Nothing is decided any more.
-  }
-
-  @Override
-  public void onConfirmed(final List<StoredMessage> messages) {
-    // The next process reports them once more.
-  }
-
-  @Override
-  public void onProcessPaused(final long pausedUs) {
-    // Nothing is decided any more.
-  }
-
-  @Override
-  public void onConnectivityRestored(final long nowUs, final long cutOffSinceUs) {
-    // Nothing is decided any more.
-  }
-
   @Override
   public void setDisabledEndpoints(final Set<String> names) {
     before.setDisabledEndpoints(names);
   }
 
-  @Override
-  public void applyDirective(final long destination, final Directive directive) {
-    // Nothing is decided any more.
-  }
-
   @Override
   public void prepareToStop(final long stopUs) {
     before.prepareToStop(stopUs);
--- a/courier/src/main/java/thistleturn/courier/learned/LearnedStateWriter.java
+++ b/courier/src/main/java/thistleturn/courier/learned/LearnedStateWriter.java
@@ -1,13 +1,11 @@
 package thistleturn.courier.learned;
 
 import java.io.IOException;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import thistleturn.courier.handover.HandoverSnapshot;
+import thistleturn.courier.runtime.BackgroundExecutor;
 import thistleturn.courier.runtime.Clock;
-import thistleturn.courier.runtime.GuardedTasks;
 import thistleturn.courier.runtime.Log;
 
 /**
@@ -16,13 +14,8 @@
  * that waits, so a slow disk costs freshness, but neither memory nor time on the loop.
  */
 public final class LearnedStateWriter {
-  private static final ExecutorService WRITER_THREAD =
-      Executors.newSingleThreadExecutor(
-          task -> {
-            final Thread thread = new Thread(task, "learnt");
-            thread.setDaemon(true);
-            return thread;
-          });
+  private static final BackgroundExecutor WRITER_THREAD =
+      new BackgroundExecutor("learnt", "write learned state");
 
   private record PendingWrite(HandoverSnapshot snapshot, long capturedUs) {}
 
@@ -43,7 +36,7 @@
   public void save(final HandoverSnapshot snapshot) {
     final PendingWrite replaced = pendingWrite.getAndSet(new PendingWrite(snapshot, clock.nowUs()));
     if (replaced == null) {
-      WRITER_THREAD.execute(GuardedTasks.guard("write learned state", this::writePending));
+      WRITER_THREAD.execute(this::writePending);
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/transport/ListenerSteering.java
+++ b/courier/src/main/java/thistleturn/courier/transport/ListenerSteering.java
@@ -12,10 +12,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
-import thistleturn.courier.runtime.GuardedTasks;
+import thistleturn.courier.runtime.BackgroundExecutor;
 
 /**
  * Has the system give all new connections of an address that two processes share (SO_REUSEPORT) to
@@ -47,13 +45,8 @@
   /** The older listener is number 0. */
   private static final int NEWER_LISTENER = 1;
 
-  private static final ExecutorService THREAD =
-      Executors.newSingleThreadExecutor(
-          task -> {
-            final Thread thread = new Thread(task, "listener-steering");
-            thread.setDaemon(true);
-            return thread;
-          });
+  private static final BackgroundExecutor THREAD =
+      new BackgroundExecutor("listener-steering", "steer connections");
 
   private ListenerSteering() {}
 
@@ -88,7 +81,7 @@
   /** Returns false if the system has no thread for it. */
   private static boolean runOnThread(final Runnable task) {
     try {
-      THREAD.execute(GuardedTasks.guard("steer connections", task));
+      THREAD.execute(task);
       return true;
     } catch (final RejectedExecutionException | OutOfMemoryError e) {
       return false;
--- a/replicas/src/main/java/thistleturn/replicas/ReplicaStorage.java
+++ b/replicas/src/main/java/thistleturn/replicas/ReplicaStorage.java
@@ -5,12 +5,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import thistleturn.courier.runtime.BackgroundExecutor;
 import thistleturn.courier.runtime.Clock;
-import thistleturn.courier.runtime.GuardedTasks;
 import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.replicas.Delta;
 import thistleturn.decisions.replicas.Entry;
@@ -29,13 +27,8 @@
   private static final int SLICE_SIZE = 4000;
   private static final long SAVE_PERIOD_US = 5_000_000;
   private static final long NS_PER_US = 1000;
-  private static final ExecutorService WRITER =
-      Executors.newSingleThreadExecutor(
-          task -> {
-            final Thread thread = new Thread(task, "replicas");
-            thread.setDaemon(true);
-            return thread;
-          });
+  private static final BackgroundExecutor WRITER =
+      new BackgroundExecutor("replicas", "write the replicas");
 
   private final SnapshotFile disabledEndpointsFile;
   private final SnapshotFile allEntriesFile;
@@ -146,7 +139,7 @@
 
   private void scheduleSave(final SnapshotFile.Snapshot taken) {
     if (pendingSnapshot.getAndSet(taken) == null) {
-      WRITER.execute(GuardedTasks.guard("write the replicas", this::write));
+      WRITER.execute(this::write);
     }
   }
 
--- a/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
+++ b/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -32,7 +31,10 @@
 
   private static final String DEFERRED = "deferred";
   private static final String UNDELIVERABLE = "undeliverable";
-  private static final long MS = 1000;
+
+  /** Microseconds in a millisecond. */
+  static final long MS = 1000;
+
   private static final long SECOND = 1_000_000;
 
   /**
@@ -53,13 +55,7 @@
   private final List<Long> drainLagsUs = new ArrayList<>();
   private final List<String> allowedRepeats = new ArrayList<>();
 
-  /**
-   * Ends that were seen late, and when this judge itself did not look: how much of it is the
-   * courier's is found at the end.
-   */
-  private final List<LateEnd> lateEnds = new ArrayList<>();
-
-  private final List<long[]> awayUs = new ArrayList<>();
+  private final LateEnds lateEnds;
 
   private final CourierLifetimes lifetimes;
 
@@ -120,9 +116,6 @@
     }
   }
 
-  /** An end that was seen at that moment, after its message's time. */
-  private record LateEnd(Message message, long seenUs) {}
-
   private static final class Message {
     /** That two copies were out, until it is known that the first had been ended; else null. */
     private Violation copies;
@@ -198,6 +191,7 @@
   public RuleChecker(final Figures figures, final List<MessageClass> kinds) {
     this.figures = figures;
     this.lifetimes = new CourierLifetimes(figures.restartUs());
+    this.lateEnds = new LateEnds(figures.graceUs());
     kinds.forEach(kind -> classes.put(kind.name(), kind));
   }
 
@@ -288,7 +282,7 @@
     // ahead of its being ready.
     final long dueUs = message.timeUpUs + figures.graceUs();
     if (message.taken && nowUs > dueUs && !lifetimes.excuseLateEnd(dueUs, nowUs)) {
-      lateEnds.add(new LateEnd(message, nowUs));
+      lateEnds.record(message.toString(), message.timeUpUs, nowUs);
     }
     if (message.key != null) {
       final Deque<Message> line = lines.get(message.key);
@@ -303,7 +297,7 @@
    * was seen late by their own fault. It counts by as much, and no more.
    */
   public synchronized void judgeAway(final long fromUs, final long toUs) {
-    awayUs.add(new long[] {fromUs, toUs});
+    lateEnds.excuse(fromUs, toUs);
   }
 
   /**
@@ -315,22 +309,6 @@
     judgeAway(fromUs, toUs);
   }
 
-  /**
-   * How late an end was at least, us, with what the judge itself was away for between its time and
-   * its being seen.
-   */
-  private long lateUs(final Message message, final long seenUs) {
-    long lateUs = seenUs - message.timeUpUs - figures.graceUs();
-    long untilUs = message.timeUpUs;
-    // Two of its loops may have stood still at once.
-    for (final long[] away :
-        awayUs.stream().sorted(Comparator.comparingLong(one -> one[0])).toList()) {
-      lateUs -= Math.max(0, Math.min(seenUs, away[1]) - Math.max(untilUs, away[0]));
-      untilUs = Math.max(untilUs, away[1]);
-    }
-    return lateUs;
-  }
-
   /** The courier's process was ended, or is ready again. */
   public synchronized void restarted(final long nowUs, final boolean ready) {
     if (ready) {
@@ -643,20 +621,7 @@
 
   /** All that was broken, with what was taken on and never ended although its time is up by now. */
   public synchronized List<Violation> finish(final long nowUs) {
-    for (final LateEnd late : lateEnds) {
-      if (lateUs(late.message(), late.seenUs()) > 0) {
-        broken(
-            Rule.LOST,
-            late.seenUs(),
-            late.message()
-                + " ended "
-                + (late.seenUs() - late.message().timeUpUs) / MS
-                + " ms after its time, "
-                + lateUs(late.message(), late.seenUs()) / MS
-                + " ms of it too late by the courier");
-      }
-    }
-    lateEnds.clear();
+    violations.addAll(lateEnds.takeViolations());
     for (final Message message : messages.values()) {
       if (message.taken && !message.over && nowUs > message.timeUpUs + figures.graceUs()) {
         broken(Rule.LOST, nowUs, message + " was taken on and never ended");
