--- a/testkit/src/main/java/thistleturn/testkit/StandInClient.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInClient.java
@@ -126,35 +126,37 @@
             out.decrementAndGet();
             return;
           }
-          new Bootstrap()
-              .group(loop)
-              .channel(NioSocketChannel.class)
-              .option(ChannelOption.TCP_NODELAY, true)
-              .handler(
-                  new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(final Channel channel) {
-                      channel
-                          .pipeline()
-                          .addLast(
-                              new HttpClientCodec(),
-                              new HttpObjectAggregator(1 << 16),
-                              new Answers());
-                    }
-                  })
-              .connect(to)
-              .addListener(
-                  (io.netty.channel.ChannelFuture connected) -> {
-                    if (connected.isSuccess()) {
-                      request.write(connected.channel());
-                    } else {
-                      out.decrementAndGet();
-                    }
-                  });
+          connect(to, request);
         });
     return id;
   }
 
+  private void connect(final InetSocketAddress to, final Request request) {
+    new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(final Channel channel) {
+                channel
+                    .pipeline()
+                    .addLast(
+                        new HttpClientCodec(), new HttpObjectAggregator(1 << 16), new Answers());
+              }
+            })
+        .connect(to)
+        .addListener(
+            (io.netty.channel.ChannelFuture connected) -> {
+              if (connected.isSuccess()) {
+                request.write(connected.channel());
+              } else {
+                out.decrementAndGet();
+              }
+            });
+  }
+
   @Override
   public void close() {
     loop.execute(() -> idle.forEach(Channel::close));
