--- a/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
@@ -60,6 +60,8 @@
         courier_events_total{event="accept_failed"}
         courier_events_total{event="accept_recovered"}
         courier_events_total{event="accept_given_up"}
+        courier_events_total{event="steering_failed"}
+        courier_events_total{event="listener_unwatched"}
         courier_events_total{event="socket_failed"}
         courier_events_total{event="connect_failed"}
         courier_events_total{event="transfer_retried"}
