ListenerSteering keeps the instruction's buffer until the system has read it

Found by reading the change again: the system gets the address of the buffer, of which the garbage collector knows nothing, so that it could be collected before the call. Change: a reachability fence behind the call. Beside it the first own listener at the port is returned in place of a list of which one was used, and a catch for an executor that never rejects is gone.

--- a/courier/src/main/java/thistleturn/courier/transport/ListenerSteering.java
+++ b/courier/src/main/java/thistleturn/courier/transport/ListenerSteering.java
@@ -4,15 +4,13 @@
 import io.netty.channel.unix.Buffer;
 import io.netty.channel.unix.Socket;
 import java.io.IOException;
+import java.lang.ref.Reference;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.RejectedExecutionException;
 import thistleturn.courier.runtime.BackgroundExecutor;
 
 /**
@@ -83,7 +81,7 @@
     try {
       THREAD.execute(task);
       return true;
-    } catch (final RejectedExecutionException | OutOfMemoryError e) {
+    } catch (final OutOfMemoryError e) {
       return false;
     }
   }
@@ -92,26 +90,21 @@
     if (!Epoll.isAvailable()) {
       throw new IOException("no native library", Epoll.unavailabilityCause());
     }
-    final List<Socket> listeners = ownListeners(port);
-    if (listeners.isEmpty()) {
-      throw new IOException("no listener of this process at port " + port);
-    }
-    attach(listeners.get(0));
+    attach(ownListener(port));
   }
 
-  private static List<Socket> ownListeners(final int port) throws IOException {
-    final List<Socket> listeners = new ArrayList<>();
+  private static Socket ownListener(final int port) throws IOException {
     try (DirectoryStream<Path> descriptors = Files.newDirectoryStream(OWN_DESCRIPTORS)) {
       for (final Path descriptor : descriptors) {
         if (isSocket(descriptor)) {
           final Socket socket = new Socket(Integer.parseInt(descriptor.getFileName().toString()));
           if (listensAt(socket, port)) {
-            listeners.add(socket);
+            return socket;
           }
         }
       }
     }
-    return listeners;
+    throw new IOException("no listener of this process at port " + port);
   }
 
   private static boolean isSocket(final Path descriptor) {
@@ -152,6 +145,11 @@
     final ByteBuffer program = nativeBuffer(PROGRAM_BYTES);
     program.putShort(0, (short) 1);
     program.putLong(PROGRAM_POINTER_OFFSET, Buffer.memoryAddress(instruction));
-    listener.setRawOpt(SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, program);
+    try {
+      listener.setRawOpt(SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, program);
+    } finally {
+      // The system follows its address, of which the garbage collector knows nothing.
+      Reference.reachabilityFence(instruction);
+    }
   }
 }
