TakeoverWarmUp: the next round is derived from the number of this one

Found by reading the change again: takeOver got the next round and the end of the warm-up as two tasks, the first of which follows from the round's number and the second. Change: the number is passed.

--- a/courier/src/main/java/thistleturn/courier/TakeoverWarmUp.java
+++ b/courier/src/main/java/thistleturn/courier/TakeoverWarmUp.java
@@ -67,7 +67,7 @@
     for (int number = 0; number < MESSAGES; number++) {
       submitMessage(older, number);
     }
-    afterRoundTime(() -> takeOver(older, store, () -> runRound(round + 1, next), next), next);
+    afterRoundTime(() -> takeOver(older, store, round, next), next);
   }
 
   private DecisionLoop newDecisionLoop(final MessageStore store) {
@@ -96,10 +96,7 @@
   }
 
   private void takeOver(
-      final DecisionLoop older,
-      final MessageStore store,
-      final Runnable nextRound,
-      final Runnable next)
+      final DecisionLoop older, final MessageStore store, final int round, final Runnable next)
       throws IOException {
     final HandoverSnapshot snapshot =
         HandoverCodec.encodeAndDecode(older.handOver(new DiscardingSuccessor()));
@@ -113,7 +110,7 @@
     afterRoundTime(
         () -> {
           stopDeciding(newer);
-          nextRound.run();
+          runRound(round + 1, next);
         },
         next);
   }
