HostedController replaces ControllerGateway, which only forwarded to the controller

Change: what a real process reports to its controller beyond DeliveryController is an interface of the decisions, HostedController, which OverloadController implements; DecidingRole and PendingMessageRecovery call it. Behaviour is the same.

--- a/courier/src/main/java/thistleturn/courier/DecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/DecidingRole.java
@@ -9,7 +9,7 @@
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
 import thistleturn.courier.runtime.Log;
-import thistleturn.decisions.DeliveryController;
+import thistleturn.decisions.HostedController;
 import thistleturn.decisions.directives.Directive;
 import thistleturn.decisions.model.Endpoint;
 import thistleturn.decisions.model.EndpointUpdate;
@@ -32,8 +32,7 @@
   private final LoopPorts ports;
   private final DurableEffects effects;
   private final RoundScheduler scheduler;
-  private final DeliveryController controller;
-  private final ControllerGateway gateway;
+  private final HostedController controller;
   private final MessageIntake intake;
   private final OutcomeRecorder outcomes;
   private final OutageReporter outages;
@@ -46,8 +45,7 @@
       final LoopPorts ports,
       final DurableEffects effects,
       final RoundScheduler scheduler,
-      final DeliveryController controller,
-      final ControllerGateway gateway,
+      final HostedController controller,
       final MessageIntake intake,
       final OutcomeRecorder outcomes,
       final OutageReporter outages) {
@@ -56,7 +54,6 @@
     this.effects = effects;
     this.scheduler = scheduler;
     this.controller = controller;
-    this.gateway = gateway;
     this.intake = intake;
     this.outcomes = outcomes;
     this.outages = outages;
@@ -74,7 +71,8 @@
    */
   Map<Long, Long> restoreLearnedState(final LearnedStateSource source) {
     final Map<Long, Long> endpointIds = context.endpoints().idsOfUnchanged(source.endpoints());
-    gateway.restoreControllerState(source.learnedState(endpointIds, context.clock()));
+    controller.onLearnedState(
+        context.clock().nowUs(), source.learnedState(endpointIds, context.clock()));
     return endpointIds;
   }
 
@@ -86,8 +84,7 @@
 
   /** Returns what a newer process takes over beside the journal. */
   HandoverSnapshot snapshot(final List<HandoverSnapshot.InFlightRemoteCall> calls) {
-    return new HandoverSnapshot(
-        context.endpoints().snapshot(), gateway.learnedControllerState(), calls);
+    return new HandoverSnapshot(context.endpoints().snapshot(), controller.learnedState(), calls);
   }
 
   @Override
@@ -136,7 +133,8 @@
   private void excludeDisabled(final List<Endpoint> endpoints) {
     for (final Endpoint endpoint : endpoints) {
       if (context.endpoints().isDisabled(endpoint.id())) {
-        gateway.applyEndpointDirective(endpoint.id(), DISABLED_BY_OPERATOR);
+        controller.onEndpointDirective(
+            context.clock().nowUs(), endpoint.id(), DISABLED_BY_OPERATOR);
       }
     }
   }
@@ -159,7 +157,7 @@
 
   @Override
   public void onRetryAfter(final long endpoint, final long retryAfterUs) {
-    gateway.reportRetryAfter(endpoint, retryAfterUs);
+    controller.onRetryAfter(context.clock().nowUs(), endpoint, retryAfterUs);
     scheduler.requestRound();
   }
 
@@ -170,7 +168,7 @@
 
   @Override
   public void onProcessPaused(final long pausedUs) {
-    gateway.reportPause(pausedUs);
+    controller.onHostPaused(context.clock().nowUs(), pausedUs);
   }
 
   @Override
@@ -179,7 +177,7 @@
         "this courier had no way out for "
             + (nowUs - cutOffSinceUs) / US_PER_MS
             + " ms: nobody's outage");
-    gateway.reportConnectivityRestored(nowUs, cutOffSinceUs);
+    controller.onConnectivityRestored(nowUs, cutOffSinceUs);
   }
 
   @Override
@@ -194,16 +192,18 @@
   private void setDisabled(final long endpoint, final boolean disabled) {
     // Connections kept open to an endpoint in maintenance die with its restart.
     ports.dispatcher().closeIdleConnections(endpoint);
-    gateway.applyEndpointDirective(
-        endpoint, disabled ? DISABLED_BY_OPERATOR : DISABLED_BY_OPERATOR.withdrawn());
+    controller.onEndpointDirective(
+        context.clock().nowUs(),
+        endpoint,
+        disabled ? DISABLED_BY_OPERATOR : DISABLED_BY_OPERATOR.withdrawn());
     if (!disabled) {
-      gateway.reportEndpointEnabled(endpoint);
+      controller.onEndpointEnabled(context.clock().nowUs(), endpoint);
     }
   }
 
   @Override
   public void applyDirective(final long destination, final Directive directive) {
-    if (gateway.applyDestinationDirective(destination, directive)) {
+    if (controller.onDestinationDirective(context.clock().nowUs(), destination, directive)) {
       outages.synchronize();
       scheduler.requestRound();
     }
--- a/courier/src/main/java/thistleturn/courier/DecisionLoop.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoop.java
@@ -24,14 +24,11 @@
 import thistleturn.courier.runtime.CourierConfig;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.shard.CapacityExchange;
-import thistleturn.decisions.LearnedState;
 import thistleturn.decisions.OverloadController;
 import thistleturn.decisions.directives.Directive;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.EndpointUpdate;
-import thistleturn.decisions.model.Message;
 import thistleturn.decisions.model.MessageClass;
-import thistleturn.decisions.model.PriorAttempts;
 
 /**
  * The loop that all messages of a shard go through. The ports report events to it; once those of an
@@ -45,8 +42,7 @@
     implements IngressHandler,
         Dispatcher.Listener,
         OutcomeNotifier.Listener,
-        CapacityExchange.Participant,
-        ControllerGateway {
+        CapacityExchange.Participant {
   private final CourierConfig config;
   private final LoopContext context;
   private final LoopPorts ports;
@@ -142,12 +138,12 @@
     final OutcomeRecorder outcomes =
         new OutcomeRecorder(context, completion, reachability, outages, controller, scheduler);
     return new DecidingRole(
-        context, ports, effects, scheduler, controller, this, intake, outcomes, outages);
+        context, ports, effects, scheduler, controller, intake, outcomes, outages);
   }
 
   private PendingMessageRecovery createRecovery(final MessageCompletion completion) {
     return new PendingMessageRecovery(
-        context, ports.notifier(), completion, predecessorCalls, controller, this::adoptCall);
+        context, ports.notifier(), completion, predecessorCalls, controller);
   }
 
   /**
@@ -178,15 +174,6 @@
     return resumed;
   }
 
-  private void adoptCall(
-      final Message message,
-      final PriorAttempts prior,
-      final RemoteCall call,
-      final boolean sameCall) {
-    controller.onCallAdopted(
-        context.clock().nowUs(), message, prior, call.endpoint(), call.preparedUs(), sameCall);
-  }
-
   /** Restores what an earlier process had learned as soon as endpoints are listed. */
   void restoreWhenListed(final LearnedStateSource source) {
     deciding.restoreWhenListed(source);
@@ -308,46 +295,6 @@
     role.onConfirmed(messages);
   }
 
-  @Override
-  public void reportRetryAfter(final long endpoint, final long retryAfterUs) {
-    controller.onRetryAfter(context.clock().nowUs(), endpoint, retryAfterUs);
-  }
-
-  @Override
-  public void reportPause(final long pausedUs) {
-    controller.onHostPaused(context.clock().nowUs(), pausedUs);
-  }
-
-  @Override
-  public void reportConnectivityRestored(final long nowUs, final long cutOffSinceUs) {
-    controller.onConnectivityRestored(nowUs, cutOffSinceUs);
-  }
-
-  @Override
-  public void reportEndpointEnabled(final long endpoint) {
-    controller.onEndpointEnabled(context.clock().nowUs(), endpoint);
-  }
-
-  @Override
-  public void applyEndpointDirective(final long endpoint, final Directive directive) {
-    controller.onEndpointDirective(context.clock().nowUs(), endpoint, directive);
-  }
-
-  @Override
-  public boolean applyDestinationDirective(final long destination, final Directive directive) {
-    return controller.onDestinationDirective(context.clock().nowUs(), destination, directive);
-  }
-
-  @Override
-  public LearnedState learnedControllerState() {
-    return controller.learnedState();
-  }
-
-  @Override
-  public void restoreControllerState(final LearnedState state) {
-    controller.onLearnedState(context.clock().nowUs(), state);
-  }
-
   /** A client handed a message in at an older process. */
   void onMessageSubmitted(final StoredMessage message, final Ingress.Reply reply) {
     predecessorEvents.onMessageSubmitted(message, reply);
--- a/courier/src/main/java/thistleturn/courier/PendingMessageRecovery.java
+++ b/courier/src/main/java/thistleturn/courier/PendingMessageRecovery.java
@@ -7,7 +7,7 @@
 import thistleturn.courier.handover.HandoverSnapshot;
 import thistleturn.courier.port.OutcomeNotifier;
 import thistleturn.courier.port.StoredMessage;
-import thistleturn.decisions.DeliveryController;
+import thistleturn.decisions.HostedController;
 import thistleturn.decisions.model.Endpoint;
 import thistleturn.decisions.model.EndpointState;
 import thistleturn.decisions.model.EndpointUpdate;
@@ -26,32 +26,19 @@
   private final OutcomeNotifier notifier;
   private final MessageCompletion completion;
   private final PredecessorCalls predecessorCalls;
-  private final DeliveryController controller;
-  private final CallAdoption adoption;
-
-  /** Tells the controller of calls that are in flight already. */
-  interface CallAdoption {
-    /**
-     * A message is in a call that this process did not make.
-     *
-     * @param sameCall true if it is in the call of the message adopted before it
-     */
-    void adopt(Message message, PriorAttempts prior, RemoteCall call, boolean sameCall);
-  }
+  private final HostedController controller;
 
   PendingMessageRecovery(
       final LoopContext context,
       final OutcomeNotifier notifier,
       final MessageCompletion completion,
       final PredecessorCalls predecessorCalls,
-      final DeliveryController controller,
-      final CallAdoption adoption) {
+      final HostedController controller) {
     this.context = context;
     this.notifier = notifier;
     this.completion = completion;
     this.predecessorCalls = predecessorCalls;
     this.controller = controller;
-    this.adoption = adoption;
   }
 
   /**
@@ -171,7 +158,13 @@
             mayHaveRun,
             mayHaveRun ? message.firstRunUs() : 0,
             message.runZone());
-    adoption.adopt(toControllerMessage(delivery), prior, call, sameCall);
+    controller.onCallAdopted(
+        context.clock().nowUs(),
+        toControllerMessage(delivery),
+        prior,
+        call.endpoint(),
+        call.preparedUs(),
+        sameCall);
   }
 
   private PendingDelivery pendingDelivery(final StoredMessage message) {
--- a/decisions/src/main/java/thistleturn/decisions/OverloadController.java
+++ b/decisions/src/main/java/thistleturn/decisions/OverloadController.java
@@ -35,7 +35,7 @@
  *
  * <p>Not thread-safe: one decision loop calls it.
  */
-public final class OverloadController implements DeliveryController {
+public final class OverloadController implements HostedController {
   static final long SECOND_US = 1_000_000;
 
   /** A time that never comes. */
@@ -191,13 +191,7 @@
     messages.resume(message, priorAttempts);
   }
 
-  /**
-   * Takes on a message with a call that another process of this courier has in flight; the outcome
-   * is reported here. The messages of one call come one after the other.
-   *
-   * @param priorAttempts the attempts before that call
-   * @param sameCall whether the message belongs to the call of the one before it
-   */
+  @Override
   public void onCallAdopted(
       final long nowUs,
       final Message message,
@@ -266,7 +260,7 @@
     endpointRegistry.applyUpdate(update, entries);
   }
 
-  /** Heeds a Retry-After of an endpoint whose answer is no call's outcome any more. */
+  @Override
   public void onRetryAfter(final long nowUs, final long endpointId, final long retryAfterUs) {
     state.nowUs = nowUs;
     final EndpointHealth endpoint = state.endpoints.get(endpointId);
@@ -276,7 +270,7 @@
     }
   }
 
-  /** An endpoint that was disabled by an operator comes back cold, and so may its destination. */
+  @Override
   public void onEndpointEnabled(final long nowUs, final long endpointId) {
     state.nowUs = nowUs;
     final EndpointHealth endpoint = state.endpoints.get(endpointId);
@@ -293,7 +287,7 @@
     }
   }
 
-  /** Applies a directive for an endpoint; returns whether the endpoint is known. */
+  @Override
   public boolean onEndpointDirective(
       final long nowUs, final long endpointId, final Directive directive) {
     state.nowUs = nowUs;
@@ -306,7 +300,7 @@
     return true;
   }
 
-  /** Applies a directive for a destination; returns whether the destination is known. */
+  @Override
   public boolean onDestinationDirective(
       final long nowUs, final long destinationId, final Directive directive) {
     state.nowUs = nowUs;
@@ -341,10 +335,7 @@
     state.destinations.values().forEach(state::markChanged);
   }
 
-  /**
-   * This courier did not run for so long before now. That is no call's fault: what would have been
-   * overdue becomes so later by as much.
-   */
+  @Override
   public void onHostPaused(final long nowUs, final long pauseUs) {
     state.nowUs = nowUs;
     overdueCalls.extendDeadlines(pauseUs);
@@ -356,9 +347,7 @@
     messages.endExpired();
   }
 
-  /**
-   * This courier had no connectivity since a time, and has it again: undoes outages due to that.
-   */
+  @Override
   public void onConnectivityRestored(final long nowUs, final long sinceUs) {
     state.nowUs = nowUs;
     for (final Destination destination : state.destinations.values()) {
@@ -375,7 +364,7 @@
 
   // ---------------------------------------------------------------- learned state
 
-  /** Returns what this courier has learned so far. */
+  @Override
   public LearnedState learnedState() {
     return LearnedState.of(
         state.latencies,
@@ -384,7 +373,7 @@
         state.endpoints.values());
   }
 
-  /** Takes over what another process of this courier had learned, after the endpoint list. */
+  @Override
   public void onLearnedState(final long nowUs, final LearnedState learned) {
     state.nowUs = nowUs;
     learned.restore(state.endpoints, state.latencies, nowUs);
