A call of an earlier process ends with that process, not with its line or its lock

Cause: the system closes what a killed process has open one after another; file locks and the newest descriptors go first, the process itself is gone last. PredecessorEvents took the line's end, TakeoverCoordinator, ShardHandoverSource and each start the free lock for the end of the other process, and a line also ends while both processes live.

Change: each holder of the state folder records itself (number, start time, boot, namespace) in the lock file. EarlierProcesses is the one owner of the question whether a call of theirs may still be in flight; ProcessIdentity asks the system. What may be in flight waits, without a pause of the loop (InterruptedAttempts), until those processes have ended or the message's time is up; a message that was in no call goes at once. Events calls_interrupted, interrupted_calls_ended. No line of the handover protocol changes.

--- a/courier/src/main/java/thistleturn/courier/CourierServer.java
+++ b/courier/src/main/java/thistleturn/courier/CourierServer.java
@@ -102,7 +102,7 @@
   private void lockStateFolder() throws IOException {
     final StateFolder stateFolder = context.stateFolder();
     if (stateFolder.tryLock()) {
-      context.shards().openJournals(stateFolder);
+      context.shards().openJournals(stateFolder, stateFolder.lock().earlierProcesses());
     } else if (!context.hasOperators() || context.shards().size() > 1) {
       throw new PermanentFailureException(
           context.config().stateFolder() + ": another courier that runs uses this folder");
--- a/courier/src/main/java/thistleturn/courier/DecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/DecidingRole.java
@@ -155,6 +155,16 @@
     outcomes.recordAttempt(delivery, call, outcome);
   }
 
+  @Override
+  public void onInterruptionEnded(final PendingDelivery delivery) {
+    if (delivery.hasEnded()) {
+      return;
+    }
+    context.store().recordAttemptOutcome(delivery.message(), false);
+    controller.onInterruptionEnded(context.clock().nowUs(), delivery.id());
+    scheduler.requestRound();
+  }
+
   @Override
   public void onRetryAfter(final long endpoint, final long retryAfterUs) {
     controller.onRetryAfter(context.clock().nowUs(), endpoint, retryAfterUs);
--- a/courier/src/main/java/thistleturn/courier/DecisionLoop.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoop.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Set;
+import thistleturn.courier.handover.EarlierProcesses;
 import thistleturn.courier.handover.HandoverSnapshot;
 import thistleturn.courier.handover.LearnedStateSource;
 import thistleturn.courier.handover.RemoteCallExecutor;
@@ -44,6 +45,8 @@
         OutcomeNotifier.Listener,
         CapacityExchange.Participant {
   private final CourierConfig config;
+  private final EventLoop loop;
+  private final EarlierProcesses earlierProcesses;
   private final LoopContext context;
   private final LoopPorts ports;
   private final RoundScheduler scheduler;
@@ -71,6 +74,9 @@
 
     EndpointDirectory endpointDirectory();
 
+    /** Returns whose calls the message store may show as in flight. */
+    EarlierProcesses earlierProcesses();
+
     /** Runs an action after a poll that began after this time, us: older input comes first. */
     void afterPoll(long sinceUs, Runnable action);
   }
@@ -82,6 +88,8 @@
       final MessageStore store,
       final Ports connector) {
     this.config = config;
+    this.loop = loop;
+    this.earlierProcesses = connector.earlierProcesses();
     this.context =
         LoopContext.create(
             config.settings(), loop, clock, store, pausedUs -> role.onProcessPaused(pausedUs));
@@ -115,7 +123,12 @@
     this.deciding = createDecidingRole(completion);
     this.recovery = createRecovery(completion);
     this.predecessorEvents =
-        new PredecessorEvents(context, ports.dispatcher(), predecessorCalls, this, this);
+        new PredecessorEvents(
+            context,
+            ports.dispatcher(),
+            predecessorCalls,
+            () -> interruptedAttempts(earlierProcesses),
+            this);
     this.role = deciding;
   }
 
@@ -143,7 +156,12 @@
 
   private PendingMessageRecovery createRecovery(final MessageCompletion completion) {
     return new PendingMessageRecovery(
-        context, ports.notifier(), completion, predecessorCalls, controller);
+        context,
+        ports.notifier(),
+        completion,
+        predecessorCalls,
+        controller,
+        delivery -> role.onInterruptionEnded(delivery));
   }
 
   /**
@@ -153,11 +171,18 @@
    */
   int start() {
     ports.directory().start(this::onEndpointUpdate);
-    return recoverMessages();
+    return recoverMessages(earlierProcesses);
   }
 
-  /** Does the same after an older process, which carries out the calls that it has in flight. */
-  int start(final HandoverSnapshot snapshot, final RemoteCallExecutor predecessor) {
+  /**
+   * Does the same after an older process, which carries out the calls in the snapshot.
+   *
+   * @param earlier who may have other calls in flight
+   */
+  int start(
+      final HandoverSnapshot snapshot,
+      final RemoteCallExecutor predecessor,
+      final EarlierProcesses earlier) {
     predecessorCalls.connect(predecessor);
     ports.directory().start(this::onEndpointUpdate);
     onEndpointUpdate(
@@ -165,11 +190,11 @@
         snapshot.endpoints().stream().map(HandoverSnapshot.NumberedEndpoint::entry).toList());
     recovery.adoptCalls(snapshot.calls(), deciding.restoreLearnedState(snapshot));
     predecessor.setListener(predecessorEvents);
-    return recoverMessages();
+    return recoverMessages(earlier);
   }
 
-  private int recoverMessages() {
-    final int resumed = recovery.recoverMessages();
+  private int recoverMessages(final EarlierProcesses earlier) {
+    final int resumed = recovery.recoverMessages(interruptedAttempts(earlier));
     scheduler.requestRound();
     return resumed;
   }
@@ -257,6 +282,10 @@
     role.withdraw(messageId, destination);
   }
 
+  private InterruptedAttempts interruptedAttempts(final EarlierProcesses processes) {
+    return new InterruptedAttempts(context.clock(), loop, processes);
+  }
+
   private void rejectUnjournaled(final PendingDelivery delivery) {
     intake.rejectUnjournaled(delivery);
   }
@@ -295,14 +324,9 @@
     role.onConfirmed(messages);
   }
 
-  /** A client handed a message in at an older process. */
-  void onMessageSubmitted(final StoredMessage message, final Ingress.Reply reply) {
-    predecessorEvents.onMessageSubmitted(message, reply);
-  }
-
-  /** A message's attempt ended that an older process carried out. */
-  void onRemoteOutcome(final String messageId, final Dispatcher.DispatchOutcome outcome) {
-    predecessorEvents.onRemoteOutcome(messageId, outcome);
+  /** Returns what brings the reports of an older process into this loop. */
+  PredecessorEvents predecessorEvents() {
+    return predecessorEvents;
   }
 
   /**
--- a/courier/src/main/java/thistleturn/courier/DecisionLoopReplacement.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoopReplacement.java
@@ -1,6 +1,7 @@
 package thistleturn.courier;
 
 import java.util.Set;
+import thistleturn.courier.handover.EarlierProcesses;
 import thistleturn.courier.handover.HandoverClient;
 import thistleturn.courier.handover.RemoteCallExecutor;
 import thistleturn.courier.handover.Successor;
@@ -25,8 +26,10 @@
    *
    * @param disabledEndpoints the endpoints that are administratively disabled
    * @param observer who is notified of changes, or null
+   * @param earlierProcesses whose calls the journal may show as in flight
    */
-  record Setup(Set<String> disabledEndpoints, StateObserver observer) {}
+  record Setup(
+      Set<String> disabledEndpoints, StateObserver observer, EarlierProcesses earlierProcesses) {}
 
   private DecisionLoopReplacement(final DecisionLoop replaced, final DecisionLoop current) {
     this.replaced = replaced;
@@ -42,7 +45,7 @@
       current.setObserver(setup.observer());
     }
     final DecisionLoopReplacement link = new DecisionLoopReplacement(replaced, current);
-    final int resumed = current.start(replaced.handOverAgain(link), link);
+    final int resumed = current.start(replaced.handOverAgain(link), link, setup.earlierProcesses());
     Log.info("resumed " + resumed + " messages");
     return current;
   }
@@ -50,7 +53,7 @@
   @Override
   public void submit(
       final StoredMessage message, final long validUntilUs, final Ingress.Reply reply) {
-    current.onMessageSubmitted(message, reply);
+    current.predecessorEvents().onMessageSubmitted(message, reply);
   }
 
   @Override
@@ -61,7 +64,7 @@
   @Override
   public void reportOutcome(
       final long call, final String messageId, final Dispatcher.DispatchOutcome outcome) {
-    current.onRemoteOutcome(messageId, outcome);
+    current.predecessorEvents().onRemoteOutcome(messageId, outcome);
   }
 
   @Override
--- a/courier/src/main/java/thistleturn/courier/LoopRole.java
+++ b/courier/src/main/java/thistleturn/courier/LoopRole.java
@@ -36,6 +36,9 @@
   void onOutcome(
       PendingDelivery delivery, Dispatcher.Call call, Dispatcher.DispatchOutcome outcome);
 
+  /** The attempt of an earlier process, of which no outcome was reported, counts as ended. */
+  void onInterruptionEnded(PendingDelivery delivery);
+
   /** An endpoint asked for a wait in an answer to a call that was given up before. */
   void onRetryAfter(long endpoint, long retryAfterUs);
 
--- a/courier/src/main/java/thistleturn/courier/NonDecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/NonDecidingRole.java
@@ -16,6 +16,11 @@
     // Whoever decides learns it from its own calls.
   }
 
+  @Override
+  public final void onInterruptionEnded(final PendingDelivery delivery) {
+    // Whoever decides next finds the attempt in the journal.
+  }
+
   @Override
   public final void onConfirmed(final List<StoredMessage> messages) {
     // Whoever decides next reports them once more, which is harmless.
--- a/courier/src/main/java/thistleturn/courier/PendingMessageRecovery.java
+++ b/courier/src/main/java/thistleturn/courier/PendingMessageRecovery.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import thistleturn.courier.handover.HandoverSnapshot;
 import thistleturn.courier.port.OutcomeNotifier;
 import thistleturn.courier.port.StoredMessage;
@@ -27,26 +28,30 @@
   private final MessageCompletion completion;
   private final PredecessorCalls predecessorCalls;
   private final HostedController controller;
+  private final Consumer<PendingDelivery> onInterruptionEnded;
 
   PendingMessageRecovery(
       final LoopContext context,
       final OutcomeNotifier notifier,
       final MessageCompletion completion,
       final PredecessorCalls predecessorCalls,
-      final HostedController controller) {
+      final HostedController controller,
+      final Consumer<PendingDelivery> onInterruptionEnded) {
     this.context = context;
     this.notifier = notifier;
     this.completion = completion;
     this.predecessorCalls = predecessorCalls;
     this.controller = controller;
+    this.onInterruptionEnded = onInterruptionEnded;
   }
 
   /**
-   * Recovers every message in the journal that is not pending yet.
+   * Recovers every message in the journal that is not pending yet. One whose attempt an earlier
+   * process may still have in flight waits for the end of that.
    *
    * @return how many are delivered on
    */
-  int recoverMessages() {
+  int recoverMessages(final InterruptedAttempts interrupted) {
     int resumed = 0;
     for (final StoredMessage message : context.store().pendingMessages()) {
       if (context.pending().contains(message.id())) {
@@ -55,23 +60,27 @@
       if (message.finalOutcome() != null) {
         notifier.enqueue(message);
       } else if (context.classes().contains(message.className())) {
-        resume(message);
+        resume(message, interrupted);
         resumed++;
       } else {
         failUnknownClass(message);
       }
     }
+    interrupted.awaitEnd();
     return resumed;
   }
 
-  private void resume(final StoredMessage message) {
+  private void resume(final StoredMessage message, final InterruptedAttempts interrupted) {
     final PendingDelivery delivery = pendingDelivery(message);
     final PriorAttempts prior = message.priorAttempts();
+    context.pending().add(delivery);
     if (message.hasAttemptInFlight()) {
-      context.store().recordAttemptOutcome(message, false);
+      controller.onMessageInterrupted(
+          context.clock().nowUs(), toControllerMessage(delivery), prior);
+      interrupted.add(delivery.deadlineUs(), () -> onInterruptionEnded.accept(delivery));
+    } else {
+      controller.onMessageResumed(context.clock().nowUs(), toControllerMessage(delivery), prior);
     }
-    context.pending().add(delivery);
-    controller.onMessageResumed(context.clock().nowUs(), toControllerMessage(delivery), prior);
   }
 
   private void failUnknownClass(final StoredMessage message) {
--- a/courier/src/main/java/thistleturn/courier/PredecessorCalls.java
+++ b/courier/src/main/java/thistleturn/courier/PredecessorCalls.java
@@ -20,6 +20,11 @@
     attemptsByMessageId.put(messageId, attempt);
   }
 
+  /** Returns a message's attempt; null if the predecessor carries out none. */
+  DeliveryAttempt get(final String messageId) {
+    return attemptsByMessageId.get(messageId);
+  }
+
   /** Removes and returns a message's attempt; null if the predecessor carries out none. */
   DeliveryAttempt remove(final String messageId) {
     return attemptsByMessageId.remove(messageId);
--- a/courier/src/main/java/thistleturn/courier/PredecessorEvents.java
+++ b/courier/src/main/java/thistleturn/courier/PredecessorEvents.java
@@ -1,9 +1,9 @@
 package thistleturn.courier;
 
+import java.util.function.Supplier;
 import thistleturn.courier.handover.HandoverClient;
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.Ingress;
-import thistleturn.courier.port.IngressHandler;
 import thistleturn.courier.port.MessageTimeline;
 import thistleturn.courier.port.StoredMessage;
 import thistleturn.decisions.model.AttemptResult;
@@ -19,21 +19,25 @@
   private final LoopContext context;
   private final Dispatcher dispatcher;
   private final PredecessorCalls calls;
-  private final IngressHandler handler;
-  private final Dispatcher.Listener outcomes;
+  private final Supplier<InterruptedAttempts> interruption;
+  private final DecisionLoop loop;
 
-  /** Messages go to {@code handler}, and outcomes to {@code outcomes}. */
+  /**
+   * Messages and outcomes go to {@code loop}.
+   *
+   * @param interruption creates what waits for the end of the older process
+   */
   PredecessorEvents(
       final LoopContext context,
       final Dispatcher dispatcher,
       final PredecessorCalls calls,
-      final IngressHandler handler,
-      final Dispatcher.Listener outcomes) {
+      final Supplier<InterruptedAttempts> interruption,
+      final DecisionLoop loop) {
     this.context = context;
     this.dispatcher = dispatcher;
     this.calls = calls;
-    this.handler = handler;
-    this.outcomes = outcomes;
+    this.interruption = interruption;
+    this.loop = loop;
   }
 
   @Override
@@ -41,7 +45,7 @@
     final long nowUs = context.clock().nowUs();
     message.startTimeline(new MessageTimeline(nowUs, nowUs, nowUs, message.deadlineUs()));
     if (context.classes().contains(message.className())) {
-      handler.submit(message, message.deadlineUs(), reply);
+      loop.submit(message, message.deadlineUs(), reply);
     } else {
       reply.failed();
     }
@@ -49,7 +53,7 @@
 
   @Override
   public void withdraw(final String messageId, final long destination) {
-    handler.withdraw(messageId, destination);
+    loop.withdraw(messageId, destination);
   }
 
   @Override
@@ -62,12 +66,17 @@
     if (outcome.retryAfterUs() > 0) {
       dispatcher.abandonUnwrittenCalls(call.endpoint());
     }
-    outcomes.onOutcome(attempt, call, outcome);
+    loop.onOutcome(attempt, call, outcome);
   }
 
-  /** The older process has ended: what it had in flight may have been executed. */
+  /** What the older process had in flight may have been executed, or still be in flight. */
   @Override
-  public void onPredecessorGone() {
-    calls.messageIds().forEach(messageId -> onRemoteOutcome(messageId, RESET));
+  public void onPredecessorDisconnected() {
+    final InterruptedAttempts interrupted = interruption.get();
+    for (final String messageId : calls.messageIds()) {
+      interrupted.add(
+          calls.get(messageId).messageDeadlineUs(), () -> onRemoteOutcome(messageId, RESET));
+    }
+    interrupted.awaitEnd();
   }
 }
--- a/courier/src/main/java/thistleturn/courier/Shard.java
+++ b/courier/src/main/java/thistleturn/courier/Shard.java
@@ -8,6 +8,7 @@
 import java.nio.channels.spi.SelectorProvider;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import thistleturn.courier.handover.EarlierProcesses;
 import thistleturn.courier.handover.HandoverSnapshot;
 import thistleturn.courier.handover.RemoteCallExecutor;
 import thistleturn.courier.http.HttpDispatcher;
@@ -50,6 +51,7 @@
   private final EventLoop eventLoop;
   private final DescriptorBudget descriptors;
   private Journal journal;
+  private EarlierProcesses earlierProcesses;
 
   /** Null where learned state is not retained. */
   private LearnedStateFile learnedStateFile;
@@ -105,9 +107,14 @@
     return new DiscoveryClient(config, eventLoop, clock, pollTracker);
   }
 
-  /** Sets the journal; the folder is locked by this process. */
-  void useJournal(final Journal opened) {
+  /**
+   * Sets the journal; the folder is locked by this process.
+   *
+   * @param earlier whose calls the journal may show as in flight
+   */
+  void useJournal(final Journal opened, final EarlierProcesses earlier) {
     journal = opened;
+    earlierProcesses = earlier;
   }
 
   /** Sets what the decision loop is going to follow, and where learned state is kept or null. */
@@ -136,7 +143,7 @@
 
   /** Begins to decide for an older process; returns the number of messages resumed. */
   int startFromHandover(final HandoverSnapshot snapshot, final RemoteCallExecutor predecessor) {
-    return decisionLoop.start(snapshot, predecessor);
+    return decisionLoop.start(snapshot, predecessor, earlierProcesses.withoutPredecessor());
   }
 
   /**
@@ -274,6 +281,11 @@
         latestConfig.get().discoveryAddress(), eventLoop, clock, pollTracker, listener);
   }
 
+  @Override
+  public EarlierProcesses earlierProcesses() {
+    return earlierProcesses;
+  }
+
   @Override
   public EndpointDirectory endpointDirectory() {
     return directory;
--- a/courier/src/main/java/thistleturn/courier/ShardGroup.java
+++ b/courier/src/main/java/thistleturn/courier/ShardGroup.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
+import thistleturn.courier.handover.EarlierProcesses;
 import thistleturn.courier.journal.Journal;
 
 /** All shards of a courier, and the ways to reach each of them on its own event loop. */
@@ -71,11 +72,15 @@
         .thenApply(done -> answers.stream().map(CompletableFuture::join).toList());
   }
 
-  /** Opens the journal of each shard; the folder must be locked by this process. */
-  void openJournals(final StateFolder folder) throws IOException {
+  /**
+   * Opens the journal of each shard; the folder must be locked by this process.
+   *
+   * @param earlier whose calls the journals may show as in flight
+   */
+  void openJournals(final StateFolder folder, final EarlierProcesses earlier) throws IOException {
     final List<Journal> journals = folder.openJournals(shards.size());
     for (int index = 0; index < shards.size(); index++) {
-      shards.get(index).useJournal(journals.get(index));
+      shards.get(index).useJournal(journals.get(index), earlier);
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/ShardHandoverSource.java
+++ b/courier/src/main/java/thistleturn/courier/ShardHandoverSource.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import thistleturn.courier.handover.EarlierProcesses;
 import thistleturn.courier.handover.HandoverSnapshot;
 import thistleturn.courier.handover.HandoverSource;
 import thistleturn.courier.handover.Successor;
@@ -68,8 +69,9 @@
   }
 
   /**
-   * Decides again. The system may release the lock of a process that died a moment after it has
-   * closed its connections, so the lock is tried several times.
+   * Decides again. The system releases the lock of a process that dies a moment before or after it
+   * closes the connection to this one, so the lock is tried several times. Whether the calls of
+   * that process have ended is another question ({@link EarlierProcesses}).
    */
   private void takeBack(final int lockAttemptsLeft, final long retryUntilUs) {
     if (context.lifecycle().isShuttingDown()) {
@@ -90,11 +92,12 @@
   }
 
   private void decideAgain() throws IOException {
-    context.shards().openJournals(context.stateFolder());
+    final EarlierProcesses earlier = context.stateFolder().lock().earlierProcessesAfterTakeBack();
+    context.shards().openJournals(context.stateFolder(), earlier);
     Log.info("the newer process has ended: this one takes up again");
     shard.replaceDecisionLoop(
         new DecisionLoopReplacement.Setup(
-            directives.disabledEndpoints(), directives.observerForShards()));
+            directives.disabledEndpoints(), directives.observerForShards(), earlier));
     reopenListeners.run();
   }
 
--- a/courier/src/main/java/thistleturn/courier/SimulatedEndpoints.java
+++ b/courier/src/main/java/thistleturn/courier/SimulatedEndpoints.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import thistleturn.courier.handover.EarlierProcesses;
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.EndpointDirectory;
 import thistleturn.courier.port.OutcomeNotifier;
@@ -58,6 +59,11 @@
     return this;
   }
 
+  @Override
+  public EarlierProcesses earlierProcesses() {
+    return EarlierProcesses.none();
+  }
+
   @Override
   public EndpointDirectory endpointDirectory() {
     return this;
--- a/courier/src/main/java/thistleturn/courier/StateFolder.java
+++ b/courier/src/main/java/thistleturn/courier/StateFolder.java
@@ -31,6 +31,11 @@
     return lock != null;
   }
 
+  /** Returns what is recorded of the folder's holders; this process must hold the lock. */
+  StateLock lock() {
+    return lock;
+  }
+
   /** Returns whether this process holds the lock. */
   boolean isLocked() {
     return lock != null;
--- a/courier/src/main/java/thistleturn/courier/TakeoverCoordinator.java
+++ b/courier/src/main/java/thistleturn/courier/TakeoverCoordinator.java
@@ -81,7 +81,9 @@
       if (!stateFolder.tryLock()) {
         throw new IOException(context.config().stateFolder() + ": handed over, but still in use");
       }
-      context.shards().openJournals(stateFolder);
+      context
+          .shards()
+          .openJournals(stateFolder, stateFolder.lock().earlierProcessesAfterHandover());
     } catch (final IOException e) {
       stateFolder.unlock();
       progress.retryOrFail("succeed", e, () -> acceptHandover(snapshot, from));
@@ -99,7 +101,7 @@
         progress.retryAfter(HANDOVER_RETRY_MS, STEP_NAME, this::requestHandover);
         return;
       }
-      context.shards().openJournals(stateFolder);
+      context.shards().openJournals(stateFolder, stateFolder.lock().earlierProcesses());
     } catch (final IOException e) {
       stateFolder.unlock();
       progress.retryOrFail(STEP_NAME, e, this::requestHandover);
--- a/courier/src/main/java/thistleturn/courier/TakeoverWarmUp.java
+++ b/courier/src/main/java/thistleturn/courier/TakeoverWarmUp.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import thistleturn.courier.handover.EarlierProcesses;
 import thistleturn.courier.handover.HandoverClient;
 import thistleturn.courier.handover.HandoverCodec;
 import thistleturn.courier.handover.HandoverSnapshot;
@@ -101,12 +102,12 @@
     final HandoverSnapshot snapshot =
         HandoverCodec.encodeAndDecode(older.handOver(new DiscardingSuccessor()));
     final DecisionLoop newer = newDecisionLoop(store);
-    newer.start(snapshot, HandoverClient.none());
+    newer.start(snapshot, HandoverClient.none(), EarlierProcesses.none());
     final Dispatcher.DispatchOutcome delivered =
         new Dispatcher.DispatchOutcome(AttemptResult.DELIVERED, true, 0, null);
     snapshot.calls().stream()
         .flatMap(call -> call.messageIds().stream())
-        .forEach(messageId -> newer.onRemoteOutcome(messageId, delivered));
+        .forEach(messageId -> newer.predecessorEvents().onRemoteOutcome(messageId, delivered));
     afterRoundTime(
         () -> {
           stopDeciding(newer);
--- a/courier/src/main/java/thistleturn/courier/handover/HandoverClient.java
+++ b/courier/src/main/java/thistleturn/courier/handover/HandoverClient.java
@@ -37,8 +37,11 @@
     /** The outcome of one message in a call that the older process has in flight. */
     void onRemoteOutcome(String messageId, Dispatcher.DispatchOutcome outcome);
 
-    /** The older process has ended. The calls that it still had in flight may have executed. */
-    void onPredecessorGone();
+    /**
+     * The connection to the older process has ended. That process need not have: the calls that it
+     * had in flight may go on until it has ({@link EarlierProcesses}).
+     */
+    void onPredecessorDisconnected();
   }
 
   /** How far the handover has come. */
@@ -132,7 +135,7 @@
     bufferedLines.clear();
     earlierLines.forEach(this::dispatch);
     if (state == State.CLOSED) {
-      listener.onPredecessorGone();
+      listener.onPredecessorDisconnected();
     }
   }
 
@@ -185,7 +188,7 @@
       if (before == State.REQUESTING) {
         onFailure.run();
       } else if (before == State.FORWARDING) {
-        listener.onPredecessorGone();
+        listener.onPredecessorDisconnected();
       }
     }
   }
--- a/courier/src/main/java/thistleturn/courier/handover/StateLock.java
+++ b/courier/src/main/java/thistleturn/courier/handover/StateLock.java
@@ -7,18 +7,26 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.List;
+import thistleturn.courier.runtime.ProcessIdentity;
 
 /**
  * The right to write in a courier's state folder, which one process has at a time. The operating
- * system releases the lock of a process that dies.
+ * system releases the lock of a process that dies, and does so before it has closed all connections
+ * of that process. So each holder records itself in the locked file, and the next one can ask
+ * whether the processes before it have ended ({@link EarlierProcesses}).
  */
 public final class StateLock implements AutoCloseable {
   private static final String FILE_NAME = "lock";
 
   private final FileChannel channel;
 
-  private StateLock(final FileChannel channel) {
+  /** Who held the lock before, the latest last; this process too if it did. */
+  private final List<ProcessIdentity> earlierHolders;
+
+  private StateLock(final FileChannel channel, final List<ProcessIdentity> earlierHolders) {
     this.channel = channel;
+    this.earlierHolders = earlierHolders;
   }
 
   /**
@@ -31,11 +39,14 @@
     Files.createDirectories(stateFolder);
     final FileChannel channel =
         FileChannel.open(
-            stateFolder.resolve(FILE_NAME), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+            stateFolder.resolve(FILE_NAME),
+            StandardOpenOption.CREATE,
+            StandardOpenOption.READ,
+            StandardOpenOption.WRITE);
     try {
       final FileLock lock = channel.tryLock();
       if (lock != null) {
-        return new StateLock(channel);
+        return new StateLock(channel, LockHolders.replace(channel));
       }
     } catch (final OverlappingFileLockException e) {
       // Another courier of this Java machine holds it.
@@ -49,6 +60,21 @@
     return null;
   }
 
+  /** Returns the earlier processes of a process that found the folder free. */
+  public EarlierProcesses earlierProcesses() {
+    return EarlierProcesses.beforeStart(earlierHolders);
+  }
+
+  /** Returns the earlier processes of one to which a process that runs has handed over. */
+  public EarlierProcesses earlierProcessesAfterHandover() {
+    return EarlierProcesses.beforeHandover(earlierHolders);
+  }
+
+  /** Returns the earlier processes of one that had handed over and takes the folder back. */
+  public EarlierProcesses earlierProcessesAfterTakeBack() {
+    return EarlierProcesses.beforeTakeBack(earlierHolders);
+  }
+
   /** Releases the lock. */
   @Override
   public void close() throws IOException {
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -70,6 +70,13 @@
   JOURNAL_CLOSED_UNWRITTEN("journal_closed_unwritten"),
   /** The journal was handed over without being trimmed. */
   JOURNAL_NOT_TRIMMED("journal_not_trimmed"),
+  /**
+   * An earlier process is out of reach and has not ended: its calls may still be in flight, and
+   * their messages are not sent again before it has.
+   */
+  CALLS_INTERRUPTED("calls_interrupted"),
+  /** Such calls count as ended: the process has ended, or their messages have expired. */
+  INTERRUPTED_CALLS_ENDED("interrupted_calls_ended"),
   /** A file could not be closed. */
   FILE_CLOSE_FAILED("file_close_failed"),
   /** A step of the start failed for a transient reason, and is retried. */
--- a/courier/src/test/java/thistleturn/courier/handover/HandoverConversationFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/handover/HandoverConversationFormatTest.java
@@ -119,7 +119,7 @@
     }
 
     @Override
-    public void onPredecessorGone() {
+    public void onPredecessorDisconnected() {
       events.add("gone");
     }
   }
--- a/courier/src/test/java/thistleturn/courier/handover/HandoverProtocolTest.java
+++ b/courier/src/test/java/thistleturn/courier/handover/HandoverProtocolTest.java
@@ -291,7 +291,7 @@
     }
 
     @Override
-    public void onPredecessorGone() {
+    public void onPredecessorDisconnected() {
       events.add("gone");
     }
   }
--- /dev/null
+++ b/courier/src/test/java/thistleturn/courier/runtime/ProcessIdentityTest.java
@@ -0,0 +1,103 @@
+package thistleturn.courier.runtime;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import thistleturn.courier.runtime.ProcessIdentity.State;
+
+/** Whether a process has ended is told by its threads, whatever became of its files. */
+@Tag("operators")
+@Timeout(60)
+final class ProcessIdentityTest {
+  private static final long PATIENCE_S = 20;
+  private static final int START_FIELD = 19;
+
+  private static ProcessIdentity identityOf(final long pid) throws IOException {
+    final String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
+    final String start = stat.substring(stat.lastIndexOf(')') + 2).split(" ")[START_FIELD];
+    final ProcessIdentity own = ProcessIdentity.current();
+    return new ProcessIdentity(pid, Long.parseLong(start), own.bootId(), own.pidNamespace());
+  }
+
+  private static void awaitEnd(final ProcessIdentity process) {
+    final long untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+    while (process.state() != State.ENDED) {
+      assertTrue(System.nanoTime() < untilNs, "still there: " + process);
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+    }
+  }
+
+  @Test
+  void identityIsReadAsItWasWritten() {
+    final ProcessIdentity own = ProcessIdentity.current();
+    assertEquals(ProcessHandle.current().pid(), own.pid());
+    assertEquals(Optional.of(own), ProcessIdentity.parse(own.toText()));
+    assertEquals(
+        "17 420 boot 4026531836", new ProcessIdentity(17, 420, "boot", "4026531836").toText());
+  }
+
+  @Test
+  void otherTextIsNoIdentity() {
+    assertEquals(Optional.empty(), ProcessIdentity.parse(""));
+    assertEquals(Optional.empty(), ProcessIdentity.parse("17 420 boot"));
+    assertEquals(Optional.empty(), ProcessIdentity.parse("x 420 boot 1"));
+  }
+
+  @Test
+  void processRunsUntilItIsKilled() throws IOException {
+    final Process child = new ProcessBuilder("sleep", "60").start();
+    final ProcessIdentity identity = identityOf(child.pid());
+    assertEquals(State.RUNNING, identity.state());
+    assertEquals(State.RUNNING, ProcessIdentity.current().state());
+    child.destroyForcibly();
+    awaitEnd(identity);
+  }
+
+  // Guards against waiting for a process that nobody has waited for: it stays in the table.
+  @Test
+  void zombieHasEnded() throws IOException {
+    final Process parent =
+        new ProcessBuilder("sh", "-c", "sleep 0.2 & echo $!; exec sleep 60").start();
+    try (BufferedReader out =
+        new BufferedReader(
+            new InputStreamReader(parent.getInputStream(), StandardCharsets.UTF_8))) {
+      final long pid = Long.parseLong(out.readLine());
+      awaitEnd(identityOf(pid));
+      assertTrue(Files.exists(Path.of("/proc/" + pid)), "it is in the table");
+    } finally {
+      parent.destroyForcibly();
+    }
+  }
+
+  // Guards against taking another process for one whose number it was given.
+  @Test
+  void numberGivenAnew_isAnotherProcess() {
+    final ProcessIdentity own = ProcessIdentity.current();
+    assertEquals(
+        State.ENDED,
+        new ProcessIdentity(own.pid(), own.startTicks() - 1, own.bootId(), own.pidNamespace())
+            .state());
+    assertEquals(
+        State.ENDED,
+        new ProcessIdentity(own.pid(), own.startTicks(), "earlier", own.pidNamespace()).state());
+  }
+
+  @Test
+  void processOfAnotherNamespace_isUnknown() {
+    final ProcessIdentity own = ProcessIdentity.current();
+    assertEquals(
+        State.UNKNOWN, new ProcessIdentity(own.pid(), own.startTicks(), own.bootId(), "1").state());
+  }
+}
--- a/decisions/src/main/java/thistleturn/decisions/HostedController.java
+++ b/decisions/src/main/java/thistleturn/decisions/HostedController.java
@@ -33,6 +33,18 @@
    */
   void onConnectivityRestored(long nowUs, long sinceUs);
 
+  /**
+   * Takes on a message again whose last attempt may still be in flight, by an earlier process of
+   * this courier: it keeps its place among the messages of its key, and waits until {@link
+   * #onInterruptionEnded}.
+   *
+   * @param priorAttempts the attempts so far, the interrupted one included
+   */
+  void onMessageInterrupted(long nowUs, Message message, PriorAttempts priorAttempts);
+
+  /** The interrupted attempt of a message is over; it may have been executed. */
+  void onInterruptionEnded(long nowUs, String messageId);
+
   /**
    * Takes on a message with a call that another process of this courier has in flight; the outcome
    * is reported here. The messages of one call come one after the other.
--- a/decisions/src/main/java/thistleturn/decisions/OverloadController.java
+++ b/decisions/src/main/java/thistleturn/decisions/OverloadController.java
@@ -191,6 +191,22 @@
     messages.resume(message, priorAttempts);
   }
 
+  @Override
+  public void onMessageInterrupted(
+      final long nowUs, final Message message, final PriorAttempts priorAttempts) {
+    state.nowUs = nowUs;
+    messages.resumeInterrupted(message, priorAttempts);
+  }
+
+  @Override
+  public void onInterruptionEnded(final long nowUs, final String messageId) {
+    state.nowUs = nowUs;
+    final PendingMessage message = messages.find(messageId);
+    if (message != null && !message.isWaiting() && !message.isInFlight()) {
+      messages.continueResumed(message);
+    }
+  }
+
   @Override
   public void onCallAdopted(
       final long nowUs,
--- a/decisions/src/main/java/thistleturn/decisions/PendingMessage.java
+++ b/decisions/src/main/java/thistleturn/decisions/PendingMessage.java
@@ -9,8 +9,9 @@
 /**
  * An accepted message that is owed an answer, or still has an attempt in flight.
  *
- * <p>It is either waiting in a group of its destination, or part of a call, or ended. An ended
- * message is kept for as long as its last attempt is in flight.
+ * <p>It is either waiting in a group of its destination, or part of a call, or ended, or none of
+ * these while an attempt of an earlier process may still be in flight. An ended message is kept for
+ * as long as its last attempt is in flight.
  */
 final class PendingMessage extends OrderedQueue.Entry {
   private final Message message;
--- a/decisions/src/main/java/thistleturn/decisions/PendingMessages.java
+++ b/decisions/src/main/java/thistleturn/decisions/PendingMessages.java
@@ -76,9 +76,19 @@
 
   /** Takes on a message again that an earlier process of this courier had accepted. */
   void resume(final Message accepted, final PriorAttempts priorAttempts) {
+    continueResumed(resumeInterrupted(accepted, priorAttempts));
+  }
+
+  /** Does the same for one whose last attempt may be in flight; it does not wait to be sent yet. */
+  PendingMessage resumeInterrupted(final Message accepted, final PriorAttempts priorAttempts) {
     final PendingMessage message = accept(accepted);
     dequeue(message);
     message.restore(priorAttempts);
+    return message;
+  }
+
+  /** A resumed message waits to be sent from now on. */
+  void continueResumed(final PendingMessage message) {
     if (message.mayHaveExecuted()) {
       keyOrdering.beginSettleDelay(message);
       keyOrdering.refreshHead(message.keyQueue());
--- a/decisions/src/test/java/thistleturn/decisions/TakeoverTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/TakeoverTest.java
@@ -21,6 +21,7 @@
 final class TakeoverTest {
   private static final int SAFE = 0;
   private static final int UNSAFE = 2;
+  private static final int ORDERED = 3;
 
   private final ScriptedController before =
       ScriptedController.withTwoEndpoints(ScriptedController.settings());
@@ -127,6 +128,61 @@
     assertEquals(List.of("out"), after.failedMessages, "it may have run");
   }
 
+  // Guards against a second copy while a call of a process that is being killed is still open.
+  @Test
+  void interruptedAttempt_isNotRepeatedBeforeItsEnd() {
+    final ScriptedController after = after();
+    resumeInterrupted(after, "safe", SAFE, null);
+    resumeInterrupted(after, "unsafe", UNSAFE, null);
+    after.accept("new", SAFE);
+    after.advance(SECOND);
+    assertEquals(1, after.sentCalls.size(), "what was in no call goes at once");
+    assertEquals(List.of(), after.failedMessages);
+    after.controller.onInterruptionEnded(after.nowUs, "safe");
+    after.controller.onInterruptionEnded(after.nowUs, "unsafe");
+    after.controller.decide(after.nowUs);
+    assertEquals(1, after.attempts("safe"));
+    assertEquals(List.of("unsafe"), after.failedMessages, "it may have run");
+  }
+
+  // Guards against overtaking: the messages of a key wait behind one whose attempt is interrupted.
+  @Test
+  void interruptedAttempt_keepsItsPlaceAmongMessagesOfItsKey() {
+    final ScriptedController after = after();
+    resumeInterrupted(after, "first", ORDERED, "k");
+    after.accept("second", ORDERED, "k", 16 * SECOND);
+    after.advance(SECOND);
+    assertEquals(0, after.sentCalls.size());
+    after.controller.onInterruptionEnded(after.nowUs, "first");
+    after.controller.decide(after.nowUs);
+    assertEquals("first", after.sentCalls.get(0).id());
+    assertEquals(1, after.sentCalls.size());
+  }
+
+  // Guards against a message that is sent, or never ends, after its time.
+  @Test
+  void interruptedAttemptThatEndsAtDeadline_endsItsMessage() {
+    final ScriptedController after = after();
+    resumeInterrupted(after, "late", SAFE, null);
+    after.advance(16 * SECOND);
+    after.controller.onInterruptionEnded(after.nowUs, "late");
+    after.controller.decide(after.nowUs);
+    assertEquals(0, after.sentCalls.size());
+    assertEquals(List.of("late"), after.shedMessages);
+  }
+
+  private static void resumeInterrupted(
+      final ScriptedController scripted,
+      final String id,
+      final int messageClass,
+      final String key) {
+    scripted.controller.onMessageInterrupted(
+        scripted.nowUs,
+        new Message(id, messageClass, -1, key, scripted.nowUs + 16 * SECOND, DESTINATION),
+        new PriorAttempts(1, true, scripted.nowUs - SECOND, "a"));
+    scripted.controller.decide(scripted.nowUs);
+  }
+
   @Test
   void lastEndpointEnabledByOperator_isPaced() {
     final ScriptedController scripted = new ScriptedController(ScriptedController.settings());
