--- a/courier/src/test/java/thistleturn/courier/FakeHttpServer.java
+++ b/courier/src/test/java/thistleturn/courier/FakeHttpServer.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -13,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
+import thistleturn.testkit.SocketTable;
 
 /**
  * An HTTP server for tests on any free port: it records requests, and a script responds to them.
@@ -155,6 +157,18 @@
       write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
     }
 
+    /** Returns whether the peer has ended the connection, as the system has it at this moment. */
+    boolean hasPeerEnded() {
+      try {
+        return socket.isClosed()
+            || SocketTable.hasRemoteEnded(
+                (InetSocketAddress) socket.getLocalSocketAddress(),
+                (InetSocketAddress) socket.getRemoteSocketAddress());
+      } catch (final IOException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+
     /** Resets the connection. */
     void reset() {
       try {
--- /dev/null
+++ b/courier/src/test/java/thistleturn/courier/ScriptedCourier.java
@@ -0,0 +1,148 @@
+package thistleturn.courier;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+/** The test's side of a {@link ScriptedCourierProcess}: each command returns once it is done. */
+final class ScriptedCourier implements AutoCloseable {
+  private final Process process;
+  private final PrintStream commands;
+  private final List<String> lines = new CopyOnWriteArrayList<>();
+
+  /** Starts the process. */
+  ScriptedCourier(final Path stateFolder, final String endpointAddress) throws IOException {
+    final int colon = endpointAddress.lastIndexOf(':');
+    process =
+        new ProcessBuilder(
+                System.getProperty("java.home") + "/bin/java",
+                "-Xmx64m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                ScriptedCourierProcess.class.getName(),
+                stateFolder.toString(),
+                endpointAddress.substring(0, colon),
+                endpointAddress.substring(colon + 1))
+            .redirectErrorStream(true)
+            .start();
+    commands = new PrintStream(process.getOutputStream(), true, StandardCharsets.UTF_8);
+    final BufferedReader output =
+        new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+    final Thread reader = new Thread(() -> output.lines().forEach(lines::add));
+    reader.setDaemon(true);
+    reader.start();
+  }
+
+  private static boolean isAnswer(final String line) {
+    return line.startsWith(ScriptedCourierProcess.DONE)
+        || line.startsWith(ScriptedCourierProcess.FAILED);
+  }
+
+  private List<String> answers() {
+    return lines.stream().filter(ScriptedCourier::isAnswer).toList();
+  }
+
+  /** Has the process do something, and returns once that is done. */
+  private void tell(final String command) {
+    final int earlier = answers().size();
+    commands.println(command);
+    await("the answer to " + command, () -> answers().size() > earlier);
+    final String answer = answers().get(earlier);
+    assertTrue(answer.equals(ScriptedCourierProcess.DONE + command), () -> answer + "; " + lines);
+  }
+
+  /** Takes the folder's lock and opens its journal. */
+  void lockFolder() {
+    tell("lock");
+  }
+
+  /** Writes an accepted message to the journal. */
+  void accept(final String id, final String messageClass) {
+    tell("accept " + id + " " + messageClass);
+  }
+
+  /** Writes a message to the journal and begins a call with it. */
+  void call(final String id, final String messageClass) {
+    tell("call " + id + " " + messageClass);
+  }
+
+  /** Listens for a newer courier. */
+  void listen(final ScriptedCourierProcess.HandoverManner manner) {
+    tell("listen " + manner);
+  }
+
+  /** Takes over from the courier that serves, with the lock and the journal. */
+  void takeOver() {
+    tell("take-over");
+  }
+
+  /** Ends the line to the other courier, and nothing else. */
+  void endLine() {
+    tell("end-line");
+  }
+
+  /** Ends the hold on the folder's lock, and nothing else. */
+  void freeLock() {
+    tell("free-lock");
+  }
+
+  /** Sends the other courier a line that it cannot read. */
+  void sendUnreadable(final ScriptedCourierProcess.UnreadableLine kind) {
+    tell("send-unreadable " + kind);
+  }
+
+  /** Fails unless another process holds the folder's lock. */
+  void assertLockedByOther() {
+    tell("expect-locked-by-other");
+  }
+
+  /** Returns how often an event has come. */
+  long count(final String event) {
+    return lines.stream().filter(line -> line.equals(ScriptedCourierProcess.EVENT + event)).count();
+  }
+
+  /** Waits until an event has come so often. */
+  void awaitEvent(final String event, final int times) {
+    await(event, () -> count(event) >= times);
+  }
+
+  private void await(final String what, final BooleanSupplier condition) {
+    final long untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(CourierHarness.TIMEOUT_S);
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() < untilNs, "not in time: " + what + "; output: " + lines);
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+    }
+  }
+
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
+  /** Kills the process and waits until it is gone. */
+  void kill() throws InterruptedException {
+    process.destroyForcibly();
+    assertTrue(process.waitFor(CourierHarness.TIMEOUT_S, TimeUnit.SECONDS));
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+  }
+
+  @Override
+  public String toString() {
+    return "process " + process.pid() + ": " + lines;
+  }
+}
--- /dev/null
+++ b/courier/src/test/java/thistleturn/courier/ScriptedCourierProcess.java
@@ -0,0 +1,266 @@
+package thistleturn.courier;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.socket.nio.NioDomainSocketChannel;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import thistleturn.courier.handover.HandoverClient;
+import thistleturn.courier.handover.HandoverServer;
+import thistleturn.courier.handover.HandoverSnapshot;
+import thistleturn.courier.handover.StateLock;
+import thistleturn.courier.journal.Journal;
+import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.runtime.Clock;
+
+/**
+ * A process that shares a courier's state folder as another process of it would, through the
+ * product's own classes, and ends its line, its lock and itself one by one, when it is told to. A
+ * process that is killed ends them within milliseconds, in an order that the system chooses.
+ *
+ * <p>Reads commands from its standard input, a line each, and answers each with a line on its
+ * standard output; {@link ScriptedCourier} is the test's side of that. Ends with its input.
+ */
+final class ScriptedCourierProcess {
+  /** What the answers to commands begin with. */
+  static final String DONE = "done ";
+
+  static final String FAILED = "failed ";
+
+  /** What lines begin with that tell what the other courier does. */
+  static final String EVENT = "event ";
+
+  private static final long DISK_BYTES = 3_000_000;
+  private static final long MESSAGE_TIMEOUT_US = 20_000_000;
+  private static final String ZONE = "a";
+  private static final String BODY = "hello";
+  private static final int TOO_LONG_CHARS = 300_000;
+
+  /** How a newer courier's request to hand over is answered. */
+  enum HandoverManner {
+    /** As it should be. */
+    HAND_OVER,
+    /** Not now; everything stays as it is. */
+    REFUSE,
+    /** The journal and the lock are released, and the line ends within the snapshot. */
+    DROP_WITHIN_SNAPSHOT
+  }
+
+  /** Lines that the other courier cannot read. */
+  enum UnreadableLine {
+    NO_JSON,
+    TOO_LONG
+  }
+
+  private final Path stateFolder;
+  private final InetSocketAddress endpoint;
+  private final Clock clock = new Clock();
+  private final LineTrackingEventLoop loop = new LineTrackingEventLoop();
+  private final ScriptedCalls calls;
+  private StateLock lock;
+  private Journal journal;
+
+  private ScriptedCourierProcess(final Path stateFolder, final InetSocketAddress endpoint) {
+    this.stateFolder = stateFolder;
+    this.endpoint = endpoint;
+    this.calls = new ScriptedCalls(endpoint);
+  }
+
+  /** Runs the process: the state folder, the endpoint's host and its port are the arguments. */
+  public static void main(final String[] arguments) throws IOException {
+    final InetSocketAddress endpoint =
+        new InetSocketAddress(arguments[1], Integer.parseInt(arguments[2]));
+    new ScriptedCourierProcess(Path.of(arguments[0]), endpoint).run();
+    Runtime.getRuntime().halt(0);
+  }
+
+  static void print(final String line) {
+    synchronized (System.out) {
+      System.out.println(line);
+      System.out.flush();
+    }
+  }
+
+  private void run() throws IOException {
+    final BufferedReader commands =
+        new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+    for (String command = commands.readLine(); command != null; command = commands.readLine()) {
+      try {
+        execute(command.split(" "));
+        print(DONE + command);
+      } catch (final IOException | ExecutionException | InterruptedException e) {
+        print(FAILED + command + ": " + e);
+      }
+    }
+  }
+
+  private void execute(final String[] command)
+      throws IOException, ExecutionException, InterruptedException {
+    switch (command[0]) {
+      case "lock" -> onLoop(this::lockFolder);
+      case "accept" -> onLoop(() -> accept(command[1], command[2]));
+      case "call" -> onLoop(() -> call(command[1], command[2]));
+      case "listen" -> listen(HandoverManner.valueOf(command[1]));
+      case "take-over" -> takeOver();
+      case "end-line" -> endLines();
+      case "free-lock" -> freeLockAsTheSystemDoes();
+      case "send-unreadable" -> sendUnreadable(UnreadableLine.valueOf(command[1]));
+      case "expect-locked-by-other" -> onLoop(this::expectLockedByOther);
+      default -> throw new IOException("unknown command");
+    }
+  }
+
+  private <T> T onLoop(final Callable<T> step) throws ExecutionException, InterruptedException {
+    return loop.submit(step).get();
+  }
+
+  /** Locks the folder and opens its journal. */
+  private Void lockFolder() throws IOException {
+    lock = StateLock.tryLock(stateFolder);
+    if (lock == null) {
+      throw new IOException("another process holds the folder");
+    }
+    journal = Journal.open(stateFolder, DISK_BYTES);
+    return null;
+  }
+
+  private StoredMessage accept(final String id, final String className) throws IOException {
+    final StoredMessage message =
+        new StoredMessage(
+            id,
+            className,
+            "key-" + id,
+            ScriptedCalls.DESTINATION,
+            clock.nowUs() + MESSAGE_TIMEOUT_US,
+            BODY.getBytes(StandardCharsets.UTF_8));
+    if (!journal.recordAccepted(message)) {
+      throw new IOException("not accepted");
+    }
+    flushJournal();
+    return message;
+  }
+
+  private void flushJournal() throws IOException {
+    if (journal.flush() != Journal.FlushResult.DURABLE) {
+      throw new IOException("the journal cannot be written");
+    }
+  }
+
+  /** Accepts a message and begins a call with it, which nobody ends but this process. */
+  private Void call(final String id, final String className) throws IOException {
+    final StoredMessage message = accept(id, className);
+    final long nowUs = clock.nowUs();
+    journal.recordAttemptStarted(message, nowUs, ZONE);
+    flushJournal();
+    final Socket connection = new Socket(endpoint.getAddress(), endpoint.getPort());
+    calls.add(id, nowUs, connection);
+    final String request =
+        "POST /inbox HTTP/1.1\r\nHost: e1\r\nX-Timeout-Ms: 20000\r\nX-Request-ID: "
+            + id
+            + "\r\nIdempotency-Key: key-"
+            + id
+            + "\r\nContent-Length: "
+            + BODY.length()
+            + "\r\n\r\n"
+            + BODY;
+    connection.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+    return null;
+  }
+
+  /** Listens for a newer courier. */
+  private void listen(final HandoverManner manner) throws ExecutionException, InterruptedException {
+    final HandoverServer server =
+        new HandoverServer(
+            new ScriptedHandoverSource(calls, () -> answerRequestToHandOver(manner)));
+    onLoop(
+        () -> {
+          server.listen(loop, stateFolder);
+          return null;
+        });
+    // It binds on the loop: the next task finds it bound.
+    onLoop(() -> null);
+  }
+
+  private HandoverSnapshot answerRequestToHandOver(final HandoverManner manner) throws IOException {
+    if (manner == HandoverManner.REFUSE) {
+      throw new IOException("not now");
+    }
+    journal.compactAndClose();
+    lock.close();
+    if (manner == HandoverManner.DROP_WITHIN_SNAPSHOT) {
+      calls.snapshotLinesButLast().forEach(this::sendLine);
+      throw new IOException("dropped");
+    }
+    return calls.snapshot();
+  }
+
+  /** Takes over from the courier that serves. */
+  private void takeOver() throws ExecutionException, InterruptedException {
+    final CompletableFuture<Void> tookOver = new CompletableFuture<>();
+    final CompletableFuture<HandoverClient> client = new CompletableFuture<>();
+    onLoop(
+        () ->
+            client.complete(
+                HandoverClient.requestHandover(
+                    loop,
+                    stateFolder,
+                    snapshot -> {
+                      client.join().setListener(new ScriptedSuccessorListener());
+                      completeTakeover(tookOver);
+                    },
+                    () -> tookOver.completeExceptionally(new IOException("not handed over")))));
+    tookOver.get();
+  }
+
+  private void completeTakeover(final CompletableFuture<Void> tookOver) {
+    try {
+      lockFolder();
+      tookOver.complete(null);
+    } catch (final IOException e) {
+      tookOver.completeExceptionally(e);
+    }
+  }
+
+  private void endLines() throws InterruptedException {
+    for (final NioDomainSocketChannel line : loop.openLines()) {
+      line.close().sync();
+    }
+  }
+
+  /**
+   * Releases the lock as the system does for a process that ends, and not as {@link StateLock}
+   * does: a process that is killed tells nobody. Any descriptor of the file that is closed takes
+   * the process's lock with it.
+   */
+  private void freeLockAsTheSystemDoes() throws IOException {
+    FileChannel.open(stateFolder.resolve("lock"), StandardOpenOption.WRITE).close();
+  }
+
+  private void sendUnreadable(final UnreadableLine kind) {
+    sendLine(kind == UnreadableLine.NO_JSON ? "{no JSON" : "x".repeat(TOO_LONG_CHARS));
+  }
+
+  private void sendLine(final String line) {
+    for (final NioDomainSocketChannel open : loop.openLines()) {
+      open.writeAndFlush(Unpooled.copiedBuffer(line + "\n", StandardCharsets.UTF_8));
+    }
+  }
+
+  private Void expectLockedByOther() throws IOException {
+    final StateLock taken = StateLock.tryLock(stateFolder);
+    if (taken != null) {
+      taken.close();
+      throw new IOException("the folder is not locked");
+    }
+    return null;
+  }
+}
--- a/testkit/src/main/java/thistleturn/testkit/SocketTable.java
+++ b/testkit/src/main/java/thistleturn/testkit/SocketTable.java
@@ -13,7 +13,7 @@
  * The system's own table of TCP sockets. It knows that the other side has ended a connection before
  * a stand-in that is held up reads it.
  */
-final class SocketTable {
+public final class SocketTable {
   private static final List<Path> TABLES =
       List.of(Path.of("/proc/net/tcp"), Path.of("/proc/net/tcp6"));
   private static final int LOCAL_COLUMN = 1;
@@ -34,23 +34,32 @@
       return CallConnection.Side.ENDED;
     }
     try {
-      for (final Path table : TABLES) {
-        for (final String row : Files.readAllLines(table, StandardCharsets.US_ASCII)) {
-          final String[] columns = row.trim().split("\\s+");
-          if (hasPort(columns[LOCAL_COLUMN], local) && hasPort(columns[REMOTE_COLUMN], remote)) {
-            return ENDED_STATES.contains(columns[STATE_COLUMN])
-                ? CallConnection.Side.ENDED
-                : CallConnection.Side.OPEN;
-          }
-        }
-      }
-      // A socket that was reset is in no table.
-      return CallConnection.Side.ENDED;
+      return hasRemoteEnded(local, remote) ? CallConnection.Side.ENDED : CallConnection.Side.OPEN;
     } catch (final IOException e) {
       return CallConnection.Side.UNKNOWN;
     }
   }
 
+  /**
+   * Returns whether the other side of an accepted connection has ended it, whether or not that was
+   * read here.
+   *
+   * @throws IOException if the table cannot be read
+   */
+  public static boolean hasRemoteEnded(
+      final InetSocketAddress local, final InetSocketAddress remote) throws IOException {
+    for (final Path table : TABLES) {
+      for (final String row : Files.readAllLines(table, StandardCharsets.US_ASCII)) {
+        final String[] columns = row.trim().split("\\s+");
+        if (hasPort(columns[LOCAL_COLUMN], local) && hasPort(columns[REMOTE_COLUMN], remote)) {
+          return ENDED_STATES.contains(columns[STATE_COLUMN]);
+        }
+      }
+    }
+    // A socket that was reset is in no table.
+    return true;
+  }
+
   private static boolean hasPort(final String column, final InetSocketAddress address) {
     final int colon = column.lastIndexOf(':');
     return colon > 0
