ScriptedSuccessorListener follows the listener's new method name

Cause: HandoverClient.Listener.onPredecessorGone is onPredecessorDisconnected now, since a line that has ended says nothing of the process.

--- a/courier/src/test/java/thistleturn/courier/ScriptedSuccessorListener.java
+++ b/courier/src/test/java/thistleturn/courier/ScriptedSuccessorListener.java
@@ -27,7 +27,7 @@
   }
 
   @Override
-  public void onPredecessorGone() {
+  public void onPredecessorDisconnected() {
     ScriptedCourierProcess.print(ScriptedCourierProcess.EVENT + "predecessor gone");
   }
 }
