--- a/courier/src/main/java/thistleturn/courier/handover/package-info.java
+++ b/courier/src/main/java/thistleturn/courier/handover/package-info.java
@@ -29,6 +29,10 @@
  *       that means for each message.
  * </ul>
  *
+ * <p>That the connection between the two has ended, or that the lock is free, does not mean that
+ * the other process has: its calls may be in flight until it has ({@link
+ * thistleturn.courier.handover.EarlierProcesses}).
+ *
  * <p>Each class here lives on one event loop of its process. The package does not know what a
  * message means, or how a decision is made.
  */
