A newer process that dies leaves no client of the older one without an answer

Cause: the replies stood in SuccessorConnection.pendingReplies alone, which nobody reads once the line has ended; what was handed in until the older process decided again was written to the closed line. Withdrawals got lost the same way, so that messages of clients that had gone were delivered.

Change: OpenOffers keeps each forwarded message until its client is answered. When the older process decides again, JournalHistory tells which of them the dead one had taken on: pending ones, and completed ones that had a call out whose record was safe, or an end to be reported. Those are accepted. A message that was shed before its answer has neither; it and all that was never recorded goes through the ordinary intake, behind the recovery and in the order of arrival. One that may have lost its trace by a compaction is failed, and never sent again.

--- a/courier/src/main/java/thistleturn/courier/ShardHandoverSource.java
+++ b/courier/src/main/java/thistleturn/courier/ShardHandoverSource.java
@@ -5,6 +5,7 @@
 import thistleturn.courier.handover.HandoverSnapshot;
 import thistleturn.courier.handover.HandoverSource;
 import thistleturn.courier.handover.Successor;
+import thistleturn.courier.journal.JournalHistory;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.PermanentFailureException;
@@ -30,6 +31,9 @@
   private final DirectiveBroadcaster directives;
   private final Runnable reopenListeners;
 
+  /** What clients have handed in since the handover; null before it. */
+  private OpenOffers offers;
+
   ShardHandoverSource(
       final ServerContext context,
       final DirectiveBroadcaster directives,
@@ -43,7 +47,8 @@
   @Override
   public HandoverSnapshot handOver(final Successor successor) throws IOException {
     ListenerSteering.prepare();
-    final HandoverSnapshot snapshot = shard.decisionLoop().handOver(successor);
+    offers = new OpenOffers(successor, context.clock());
+    final HandoverSnapshot snapshot = shard.decisionLoop().handOver(offers);
     // From here on the successor decides: what fails now must not keep it from that.
     shard.releaseJournal();
     context.stateFolder().unlock();
@@ -64,6 +69,7 @@
 
   @Override
   public void onSuccessorGone() {
+    offers.onLineEnded();
     takeBack(LOCK_ATTEMPTS, context.clock().nowUs() + TransientFailures.RETRY_BUDGET_US);
   }
 
@@ -72,12 +78,9 @@
    * closed its connections, so the lock is tried several times.
    */
   private void takeBack(final int lockAttemptsLeft, final long retryUntilUs) {
-    if (context.lifecycle().isShuttingDown()) {
-      return;
-    }
     try {
       if (context.stateFolder().tryLock()) {
-        decideAgain();
+        onFolderTakenBack();
       } else if (lockAttemptsLeft > 0) {
         scheduleTakeBack(lockAttemptsLeft - 1, retryUntilUs, LOCK_RETRY_MS);
       } else {
@@ -89,12 +92,25 @@
     }
   }
 
-  private void decideAgain() throws IOException {
+  private void onFolderTakenBack() throws IOException {
+    final JournalHistory history =
+        JournalHistory.read(context.config().stateFolder(), offers.offeredIds());
+    if (context.lifecycle().isShuttingDown()) {
+      // The next process delivers what the journal holds.
+      offers.rejectRemaining(history);
+      context.stateFolder().unlock();
+    } else {
+      decideAgain(history);
+    }
+  }
+
+  private void decideAgain(final JournalHistory history) throws IOException {
     context.shards().openJournals(context.stateFolder());
     Log.info("the newer process has ended: this one takes up again");
     shard.replaceDecisionLoop(
         new DecisionLoopReplacement.Setup(
             directives.disabledEndpoints(), directives.observerForShards()));
+    offers.settleBy(history, shard.decisionLoop());
     reopenListeners.run();
   }
 
@@ -105,6 +121,10 @@
       scheduleTakeBack(LOCK_ATTEMPTS, retryUntilUs, TransientFailures.RETRY_DELAY_MS);
       return;
     }
+    offers.rejectRemaining(JournalHistory.unknown());
+    if (context.lifecycle().isShuttingDown()) {
+      return;
+    }
     Log.info("the newer process has ended, and so does this one: " + failure.getMessage());
     // Not on the event loop, which the shutdown hook needs.
     new Thread(() -> System.exit(SUCCESSOR_LOST_EXIT_STATUS), "successor lost").start();
@@ -112,6 +132,7 @@
 
   private void scheduleTakeBack(
       final int lockAttempts, final long retryUntilUs, final long delayMs) {
+    offers.rejectOverdue();
     context
         .eventLoop()
         .schedule(() -> takeBack(lockAttempts, retryUntilUs), delayMs, TimeUnit.MILLISECONDS);
--- a/courier/src/main/java/thistleturn/courier/handover/package-info.java
+++ b/courier/src/main/java/thistleturn/courier/handover/package-info.java
@@ -25,7 +25,8 @@
  *       told to ({@link thistleturn.courier.handover.RemoteCallExecutor}). It ends once it has
  *       neither clients nor calls.
  *   <li><b>If the newer process ends first</b> the older one locks the folder again and decides
- *       anew. If the older one ends first, its calls may have executed; the newer one decides what
+ *       anew. It still has the clients whose messages it had forwarded: those that the journal
+ *       shows as taken on are accepted, the others are decided on. If the older one ends first, its calls may have executed; the newer one decides what
  *       that means for each message.
  * </ul>
  *
--- a/courier/src/main/java/thistleturn/courier/journal/RecordReader.java
+++ b/courier/src/main/java/thistleturn/courier/journal/RecordReader.java
@@ -13,8 +13,27 @@
 
 /** Applies the records of a journal, in order, to the messages known so far. */
 final class RecordReader {
+  private static final Observer NO_OBSERVER =
+      new Observer() {
+        @Override
+        public void onAttemptStarted(final String messageId) {}
+
+        @Override
+        public void onCompleted(final StoredMessage message) {}
+      };
+
   private final Map<String, StoredMessage> messages;
   private final LongUnaryOperator clockCorrection;
+  private final Observer observer;
+
+  /** Is told of records that leave no trace in the messages. */
+  interface Observer {
+    /** An attempt started. */
+    void onAttemptStarted(String messageId);
+
+    /** A message is completed, and forgotten; it is as the records before this one left it. */
+    void onCompleted(StoredMessage message);
+  }
 
   /**
    * Reads records into {@code messages}.
@@ -22,8 +41,17 @@
    * @param clockCorrection turns a recorded timestamp into one of this process's clock
    */
   RecordReader(final Map<String, StoredMessage> messages, final LongUnaryOperator clockCorrection) {
+    this(messages, clockCorrection, NO_OBSERVER);
+  }
+
+  /** Does the same, and tells an observer. */
+  RecordReader(
+      final Map<String, StoredMessage> messages,
+      final LongUnaryOperator clockCorrection,
+      final Observer observer) {
     this.messages = messages;
     this.clockCorrection = clockCorrection;
+    this.observer = observer;
   }
 
   /** Applies the content of a batch. */
@@ -53,7 +81,7 @@
       case RecordType.ATTEMPT_STARTED -> applyAttemptStarted(in, messages.get(messageId));
       case RecordType.ATTEMPT_OUTCOME -> applyAttemptOutcome(in, messages.get(messageId));
       case RecordType.FINAL_OUTCOME -> applyFinalOutcome(in, messages.get(messageId));
-      case RecordType.COMPLETED -> messages.remove(messageId);
+      case RecordType.COMPLETED -> applyCompleted(messages.remove(messageId));
       default -> {
         Log.event(Event.JOURNAL_RECORD_UNKNOWN, "type", type, "id", messageId);
         throw new IOException("a record of unknown type " + type);
@@ -81,6 +109,7 @@
     final String zone = in.readUTF();
     if (message != null) {
       message.startAttempt(startedUs, zone);
+      observer.onAttemptStarted(message.id());
     }
   }
 
@@ -101,6 +130,12 @@
     }
   }
 
+  private void applyCompleted(final StoredMessage message) {
+    if (message != null) {
+      observer.onCompleted(message);
+    }
+  }
+
   private long toThisClock(final long us) {
     return us == StoredMessage.NEVER ? us : clockCorrection.applyAsLong(us);
   }
--- a/courier/src/test/java/thistleturn/courier/CourierHarness.java
+++ b/courier/src/test/java/thistleturn/courier/CourierHarness.java
@@ -253,8 +253,22 @@
 
   /** Sends SIGHUP to the process. */
   void sendHangupSignal() throws IOException, InterruptedException {
+    sendSignal("-HUP");
+  }
+
+  /** Stops the process until {@link #resume}. */
+  void pause() throws IOException, InterruptedException {
+    sendSignal("-STOP");
+  }
+
+  /** Lets the process go on. */
+  void resume() throws IOException, InterruptedException {
+    sendSignal("-CONT");
+  }
+
+  private void sendSignal(final String signal) throws IOException, InterruptedException {
     assertTrue(
-        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor() == 0);
+        new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor() == 0);
   }
 
   boolean isRunning() {
