The record of a folder's holder tells when it is not complete

Change: the holder records itself once its journals are open, before its first call. An identity that is not complete is never ENDED. A record that cannot be written is emptied, so that the next holder waits the grace; event holder_unrecorded.

--- a/courier/src/main/java/thistleturn/courier/ShardGroup.java
+++ b/courier/src/main/java/thistleturn/courier/ShardGroup.java
@@ -82,6 +82,7 @@
     for (int index = 0; index < shards.size(); index++) {
       shards.get(index).useJournal(journals.get(index), earlier);
     }
+    folder.lock().recordHolder();
   }
 
   /**
--- a/courier/src/main/java/thistleturn/courier/handover/EarlierProcesses.java
+++ b/courier/src/main/java/thistleturn/courier/handover/EarlierProcesses.java
@@ -42,19 +42,20 @@
   /** A process that runs has handed over. It is the one recorded last, if that one runs. */
   static EarlierProcesses beforeHandover(final List<ProcessIdentity> recorded) {
     final boolean predecessorKnown =
-        !recorded.isEmpty() && lastOf(recorded).state() == ProcessIdentity.State.RUNNING;
+        !recorded.isEmpty()
+            && !lastOf(recorded).isCurrent()
+            && lastOf(recorded).state() == ProcessIdentity.State.RUNNING;
     return new EarlierProcesses(othersOf(recorded), predecessorKnown);
   }
 
   /** This process had handed over to one that has ended, which was recorded after this one. */
   static EarlierProcesses beforeTakeBack(final List<ProcessIdentity> recorded) {
-    final boolean successorKnown =
-        !recorded.isEmpty() && !lastOf(recorded).equals(ProcessIdentity.current());
+    final boolean successorKnown = !recorded.isEmpty() && !lastOf(recorded).isCurrent();
     return new EarlierProcesses(othersOf(recorded), successorKnown);
   }
 
   private static List<ProcessIdentity> othersOf(final List<ProcessIdentity> recorded) {
-    return recorded.stream().filter(process -> !process.equals(ProcessIdentity.current())).toList();
+    return recorded.stream().filter(process -> !process.isCurrent()).toList();
   }
 
   private static ProcessIdentity lastOf(final List<ProcessIdentity> recorded) {
--- a/courier/src/main/java/thistleturn/courier/handover/LockHolders.java
+++ b/courier/src/main/java/thistleturn/courier/handover/LockHolders.java
@@ -7,6 +7,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import thistleturn.courier.runtime.Event;
+import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.ProcessIdentity;
 
 /**
@@ -24,25 +26,35 @@
   private LockHolders() {}
 
   /**
-   * Records this process as the holder, and forgets holders that have ended.
-   *
-   * @return the holders recorded before
+   * Records this process as the holder behind earlier ones, and forgets those that have ended. A
+   * record that cannot be written is emptied.
    */
-  static List<ProcessIdentity> replace(final FileChannel lockedFile) throws IOException {
-    final List<ProcessIdentity> earlier = read(lockedFile);
-    write(lockedFile, withCurrent(earlier));
-    return earlier;
+  static void record(final FileChannel lockedFile, final List<ProcessIdentity> earlier) {
+    try {
+      write(lockedFile, withCurrent(earlier));
+    } catch (final IOException e) {
+      Log.event(Event.HOLDER_UNRECORDED, "cause", e);
+      empty(lockedFile);
+    }
+  }
+
+  private static void empty(final FileChannel lockedFile) {
+    try {
+      lockedFile.truncate(0);
+    } catch (final IOException e) {
+      Log.event(Event.HOLDER_UNRECORDED, "cause", e);
+    }
   }
 
   private static List<ProcessIdentity> withCurrent(final List<ProcessIdentity> earlier) {
     final List<ProcessIdentity> holders = new ArrayList<>(earlier);
-    holders.remove(ProcessIdentity.current());
-    holders.removeIf(holder -> holder.state() == ProcessIdentity.State.ENDED);
+    holders.removeIf(holder -> holder.isCurrent() || holder.state() == ProcessIdentity.State.ENDED);
     holders.add(ProcessIdentity.current());
     return holders.subList(Math.max(0, holders.size() - MAX_HOLDERS), holders.size());
   }
 
-  private static List<ProcessIdentity> read(final FileChannel file) throws IOException {
+  /** Returns the recorded holders. */
+  static List<ProcessIdentity> read(final FileChannel file) throws IOException {
     final ByteBuffer bytes = ByteBuffer.allocate((int) Math.min(MAX_BYTES, file.size()));
     int read = 0;
     while (bytes.hasRemaining() && read >= 0) {
--- a/courier/src/main/java/thistleturn/courier/handover/StateLock.java
+++ b/courier/src/main/java/thistleturn/courier/handover/StateLock.java
@@ -46,7 +46,7 @@
     try {
       final FileLock lock = channel.tryLock();
       if (lock != null) {
-        return new StateLock(channel, LockHolders.replace(channel));
+        return new StateLock(channel, LockHolders.read(channel));
       }
     } catch (final OverlappingFileLockException e) {
       // Another courier of this Java machine holds it.
@@ -60,6 +60,14 @@
     return null;
   }
 
+  /**
+   * Records this process as the holder, before it makes its first call. If that fails, the record
+   * is emptied where possible: then the next holder knows that it does not know this one.
+   */
+  public void recordHolder() {
+    LockHolders.record(channel, earlierHolders);
+  }
+
   /** Returns the earlier processes of a process that found the folder free. */
   public EarlierProcesses earlierProcesses() {
     return EarlierProcesses.beforeStart(earlierHolders);
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -77,6 +77,8 @@
   CALLS_INTERRUPTED("calls_interrupted"),
   /** Such calls count as ended: the process has ended, or their messages have expired. */
   INTERRUPTED_CALLS_ENDED("interrupted_calls_ended"),
+  /** This process could not record itself as the holder of the state folder. */
+  HOLDER_UNRECORDED("holder_unrecorded"),
   /** A file could not be closed. */
   FILE_CLOSE_FAILED("file_close_failed"),
   /** A step of the start failed for a transient reason, and is retried. */
--- a/courier/src/main/java/thistleturn/courier/runtime/ProcessIdentity.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/ProcessIdentity.java
@@ -39,17 +39,24 @@
     RUNNING,
     /** No thread of it is left: everything that it had open is closed. */
     ENDED,
-    /** It belongs to a namespace whose processes cannot be seen from here. */
+    /** Its namespace cannot be seen from here, or its identity could not be read when it ran. */
     UNKNOWN
   }
 
-  private static final class Current {
-    private static final ProcessIdentity IDENTITY = readCurrent();
-  }
+  /** The identity of this process, once the system has told all of it. */
+  private static volatile ProcessIdentity completeCurrent;
 
-  /** Returns the identity of this process. */
+  /** Returns the identity of this process, as far as the system tells it now. */
   public static ProcessIdentity current() {
-    return Current.IDENTITY;
+    final ProcessIdentity known = completeCurrent;
+    if (known != null) {
+      return known;
+    }
+    final ProcessIdentity read = readCurrent();
+    if (read.isComplete()) {
+      completeCurrent = read;
+    }
+    return read;
   }
 
   private static ProcessIdentity readCurrent() {
@@ -62,6 +69,16 @@
     }
   }
 
+  private boolean isComplete() {
+    return startTicks > 0;
+  }
+
+  /** Returns true for this process, also where the system did not tell all of its identity. */
+  public boolean isCurrent() {
+    final ProcessIdentity current = current();
+    return equals(current) || (pid == current.pid && !(isComplete() && current.isComplete()));
+  }
+
   private static String readBootId() throws IOException {
     return Files.readString(Path.of("/proc/sys/kernel/random/boot_id")).strip();
   }
@@ -100,15 +117,15 @@
   /** Returns what can be told of the process now. Reads a few files of the system. */
   public State state() {
     final ProcessIdentity observer = current();
+    if (!isComplete() || !observer.isComplete()) {
+      return ProcessHandle.of(pid).isPresent() ? State.RUNNING : State.UNKNOWN;
+    }
     if (!bootId.equals(observer.bootId)) {
       return State.ENDED;
     }
     if (!pidNamespace.equals(observer.pidNamespace)) {
       return State.UNKNOWN;
     }
-    if (startTicks == 0) {
-      return ProcessHandle.of(pid).isPresent() ? State.RUNNING : State.ENDED;
-    }
     return hasEnded() ? State.ENDED : State.RUNNING;
   }
 
--- a/courier/src/test/java/thistleturn/courier/ScriptedCourierProcess.java
+++ b/courier/src/test/java/thistleturn/courier/ScriptedCourierProcess.java
@@ -130,6 +130,7 @@
       throw new IOException("another process holds the folder");
     }
     journal = Journal.open(stateFolder, DISK_BYTES);
+    lock.recordHolder();
     return null;
   }
 
--- a/courier/src/test/java/thistleturn/courier/handover/EarlierProcessesTest.java
+++ b/courier/src/test/java/thistleturn/courier/handover/EarlierProcessesTest.java
@@ -82,6 +82,7 @@
         ENDED.toText() + "\nno record\n" + RUNNING.toText() + "\n" + OWN.toText() + "\n");
     try (StateLock lock = StateLock.tryLock(folder)) {
       assertFalse(lock.earlierProcesses().haveEnded(Long.MAX_VALUE));
+      lock.recordHolder();
       assertEquals(
           List.of(RUNNING.toText(), OWN.toText()), Files.readAllLines(folder.resolve("lock")));
     }
@@ -91,6 +92,7 @@
   void firstHolderHasNoRecordBeforeIt() throws IOException {
     try (StateLock lock = StateLock.tryLock(folder)) {
       assertFalse(lock.earlierProcesses().haveEnded(0), "an earlier version records nothing");
+      lock.recordHolder();
       assertEquals(List.of(OWN.toText()), Files.readAllLines(folder.resolve("lock")));
     }
   }
--- a/courier/src/test/java/thistleturn/courier/handover/ScriptedSuccessor.java
+++ b/courier/src/test/java/thistleturn/courier/handover/ScriptedSuccessor.java
@@ -159,6 +159,7 @@
       throw new IOException("the folder is in use");
     }
     journal = Journal.open(stateFolder, diskBytes);
+    lock.recordHolder();
   }
 
   private void flush() throws IOException {
--- a/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
@@ -76,6 +76,7 @@
         courier_events_total{event="journal_not_trimmed"}
         courier_events_total{event="calls_interrupted"}
         courier_events_total{event="interrupted_calls_ended"}
+        courier_events_total{event="holder_unrecorded"}
         courier_events_total{event="file_close_failed"}
         courier_events_total{event="start_retried"}
         courier_events_total{event="step_failed"}
--- a/courier/src/test/java/thistleturn/courier/runtime/EventLineFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/runtime/EventLineFormatTest.java
@@ -77,7 +77,7 @@
             + " journal_unwritable journal_write_failed journal_writable"
             + " journal_write_done_all_the_same journal_tail_dropped journal_record_unknown"
             + " journal_clock_began_anew journal_closed_unwritten journal_not_trimmed"
-            + " calls_interrupted interrupted_calls_ended"
+            + " calls_interrupted interrupted_calls_ended holder_unrecorded"
             + " file_close_failed start_retried step_failed failure",
         String.join(" ", Arrays.stream(Event.values()).map(Event::label).toList()));
   }
