An interrupted attempt waits for the process that made it, and for no other

Change: a holder's record has the time since when it held the folder. An attempt was made by the holder of its start, and waits for that process alone. A process that is not recorded is an entry of its own (ProcessIdentity.UNRECORDED) in place of a flag. Number and start time come from /proc/self/stat, which is right also where /proc is that of an outer namespace; StateLock closes its file whatever is thrown. DecisionLoop has start and startAgain in place of a parameter with two meanings.

--- a/courier/src/main/java/thistleturn/courier/DecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/DecidingRole.java
@@ -160,8 +160,9 @@
     if (delivery.hasEnded()) {
       return;
     }
+    final long nowUs = context.stallDetector().recordActivity();
     context.store().recordAttemptOutcome(delivery.message(), false);
-    controller.onInterruptionEnded(context.clock().nowUs(), delivery.id());
+    controller.onInterruptionEnded(nowUs, delivery.id());
     scheduler.requestRound();
   }
 
--- a/courier/src/main/java/thistleturn/courier/DecisionLoop.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoop.java
@@ -174,12 +174,17 @@
     return recoverMessages(earlierProcesses);
   }
 
-  /**
-   * Does the same after an older process, which carries out the calls in the snapshot.
-   *
-   * @param earlier who may have other calls in flight
-   */
-  int start(
+  /** Does the same after an older process, which carries out the calls in the snapshot. */
+  int start(final HandoverSnapshot snapshot, final RemoteCallExecutor predecessor) {
+    return start(snapshot, predecessor, earlierProcesses.withoutPredecessor());
+  }
+
+  /** Does the same after a newer process; this one itself carries out the calls in the snapshot. */
+  int startAgain(final HandoverSnapshot snapshot, final RemoteCallExecutor replaced) {
+    return start(snapshot, replaced, earlierProcesses);
+  }
+
+  private int start(
       final HandoverSnapshot snapshot,
       final RemoteCallExecutor predecessor,
       final EarlierProcesses earlier) {
--- a/courier/src/main/java/thistleturn/courier/DecisionLoopReplacement.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoopReplacement.java
@@ -1,7 +1,6 @@
 package thistleturn.courier;
 
 import java.util.Set;
-import thistleturn.courier.handover.EarlierProcesses;
 import thistleturn.courier.handover.HandoverClient;
 import thistleturn.courier.handover.RemoteCallExecutor;
 import thistleturn.courier.handover.Successor;
@@ -26,10 +25,8 @@
    *
    * @param disabledEndpoints the endpoints that are administratively disabled
    * @param observer who is notified of changes, or null
-   * @param earlierProcesses whose calls the journal may show as in flight
    */
-  record Setup(
-      Set<String> disabledEndpoints, StateObserver observer, EarlierProcesses earlierProcesses) {}
+  record Setup(Set<String> disabledEndpoints, StateObserver observer) {}
 
   private DecisionLoopReplacement(final DecisionLoop replaced, final DecisionLoop current) {
     this.replaced = replaced;
@@ -45,7 +42,7 @@
       current.setObserver(setup.observer());
     }
     final DecisionLoopReplacement link = new DecisionLoopReplacement(replaced, current);
-    final int resumed = current.start(replaced.handOverAgain(link), link, setup.earlierProcesses());
+    final int resumed = current.startAgain(replaced.handOverAgain(link), link);
     Log.info("resumed " + resumed + " messages");
     return current;
   }
--- a/courier/src/main/java/thistleturn/courier/InterruptedAttempts.java
+++ b/courier/src/main/java/thistleturn/courier/InterruptedAttempts.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongPredicate;
 import thistleturn.courier.handover.EarlierProcesses;
+import thistleturn.courier.port.StoredMessage;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.GuardedTasks;
@@ -12,9 +14,9 @@
 
 /**
  * Attempts of earlier processes whose outcomes nobody reports any more. A repeat could be a second
- * copy for as long as the first one's connection is open. So each attempt counts as ended once
- * those processes have ended, or once the deadline of its message has come, beyond which no call is
- * awaited: then the message is not sent again. On the event loop only.
+ * copy for as long as the first one's connection is open. So an attempt counts as ended once the
+ * process that made it has ended, or once the deadline of its message has come, beyond which no
+ * call is awaited: then the message is not sent again. On the event loop only.
  */
 final class InterruptedAttempts {
   private static final String TASK_NAME = "interrupted attempts";
@@ -27,10 +29,12 @@
   private final long interruptedUs;
   private final List<Attempt> attempts = new ArrayList<>();
 
-  /** How many attempts ended with their messages' deadlines. */
+  /** How many attempts were awaited, and how many of them ended with their messages' deadlines. */
+  private int awaited;
+
   private int expired;
 
-  private record Attempt(long deadlineUs, Runnable onEnded) {}
+  private record Attempt(long startedUs, long deadlineUs, Runnable onEnded) {}
 
   /** Collects attempts of these processes, which were interrupted just now. */
   InterruptedAttempts(final Clock clock, final EventLoop loop, final EarlierProcesses processes) {
@@ -41,26 +45,22 @@
   }
 
   /**
-   * Adds an attempt.
+   * Adds the attempt that a message has in flight.
    *
-   * @param deadlineUs when its message expires
    * @param onEnded called once, when the attempt counts as ended
    */
-  void add(final long deadlineUs, final Runnable onEnded) {
-    attempts.add(new Attempt(deadlineUs, onEnded));
+  void add(final StoredMessage message, final Runnable onEnded) {
+    attempts.add(new Attempt(message.attemptStartedUs(), message.deadlineUs(), onEnded));
   }
 
   /** Waits for the end of all attempts that were added; it may have come. */
   void awaitEnd() {
-    if (attempts.isEmpty()) {
-      return;
+    endWhere(processes.endedAttempts(0));
+    if (!attempts.isEmpty()) {
+      awaited = attempts.size();
+      Log.event(Event.CALLS_INTERRUPTED, "attempts", awaited, "processes", processes);
+      pollAfter(FIRST_POLL_DELAY_US);
     }
-    if (processes.haveEnded(0)) {
-      endAll();
-      return;
-    }
-    Log.event(Event.CALLS_INTERRUPTED, "attempts", attempts.size(), "processes", processes);
-    pollAfter(FIRST_POLL_DELAY_US);
   }
 
   private void pollAfter(final long delayUs) {
@@ -69,20 +69,16 @@
   }
 
   private void poll(final long delayUs) {
-    final long nowUs = clock.nowUs();
-    final int before = attempts.size();
-    if (processes.haveEnded(nowUs - interruptedUs)) {
-      endAll();
-    } else {
-      endExpired(nowUs);
-    }
+    final long elapsedUs = clock.nowUs() - interruptedUs;
+    endWhere(processes.endedAttempts(elapsedUs));
+    endExpired();
     if (attempts.isEmpty()) {
       Log.event(
           Event.INTERRUPTED_CALLS_ENDED,
           "attempts",
-          before,
+          awaited,
           "after_us",
-          nowUs - interruptedUs,
+          elapsedUs,
           "expired",
           expired);
     } else {
@@ -90,22 +86,21 @@
     }
   }
 
-  private void endAll() {
-    final List<Attempt> ended = List.copyOf(attempts);
-    attempts.clear();
-    ended.forEach(InterruptedAttempts::end);
+  private void endWhere(final LongPredicate hasEnded) {
+    end(attempts.stream().filter(attempt -> hasEnded.test(attempt.startedUs())).toList());
   }
 
-  private void endExpired(final long nowUs) {
+  private void endExpired() {
+    final long nowUs = clock.nowUs();
     final List<Attempt> due =
         attempts.stream().filter(attempt -> attempt.deadlineUs() <= nowUs).toList();
-    attempts.removeAll(due);
     expired += due.size();
-    due.forEach(InterruptedAttempts::end);
+    end(due);
   }
 
   /** One that fails does not keep the others. */
-  private static void end(final Attempt attempt) {
-    GuardedTasks.guard(TASK_NAME, attempt.onEnded()).run();
+  private void end(final List<Attempt> ended) {
+    attempts.removeAll(ended);
+    ended.forEach(attempt -> GuardedTasks.guard(TASK_NAME, attempt.onEnded()).run());
   }
 }
--- a/courier/src/main/java/thistleturn/courier/PendingMessageRecovery.java
+++ b/courier/src/main/java/thistleturn/courier/PendingMessageRecovery.java
@@ -77,7 +77,7 @@
     if (message.hasAttemptInFlight()) {
       controller.onMessageInterrupted(
           context.clock().nowUs(), toControllerMessage(delivery), prior);
-      interrupted.add(delivery.deadlineUs(), () -> onInterruptionEnded.accept(delivery));
+      interrupted.add(message, () -> onInterruptionEnded.accept(delivery));
     } else {
       controller.onMessageResumed(context.clock().nowUs(), toControllerMessage(delivery), prior);
     }
--- a/courier/src/main/java/thistleturn/courier/PredecessorEvents.java
+++ b/courier/src/main/java/thistleturn/courier/PredecessorEvents.java
@@ -74,8 +74,7 @@
   public void onPredecessorDisconnected() {
     final InterruptedAttempts interrupted = interruption.get();
     for (final String messageId : calls.messageIds()) {
-      interrupted.add(
-          calls.get(messageId).messageDeadlineUs(), () -> onRemoteOutcome(messageId, RESET));
+      interrupted.add(calls.get(messageId).message(), () -> onRemoteOutcome(messageId, RESET));
     }
     interrupted.awaitEnd();
   }
--- a/courier/src/main/java/thistleturn/courier/Shard.java
+++ b/courier/src/main/java/thistleturn/courier/Shard.java
@@ -143,7 +143,7 @@
 
   /** Begins to decide for an older process; returns the number of messages resumed. */
   int startFromHandover(final HandoverSnapshot snapshot, final RemoteCallExecutor predecessor) {
-    return decisionLoop.start(snapshot, predecessor, earlierProcesses.withoutPredecessor());
+    return decisionLoop.start(snapshot, predecessor);
   }
 
   /**
--- a/courier/src/main/java/thistleturn/courier/ShardHandoverSource.java
+++ b/courier/src/main/java/thistleturn/courier/ShardHandoverSource.java
@@ -112,7 +112,7 @@
     Log.info("the newer process has ended: this one takes up again");
     shard.replaceDecisionLoop(
         new DecisionLoopReplacement.Setup(
-            directives.disabledEndpoints(), directives.observerForShards(), earlier));
+            directives.disabledEndpoints(), directives.observerForShards()));
     offers.settleBy(history, shard.decisionLoop());
     reopenListeners.run();
   }
--- a/courier/src/main/java/thistleturn/courier/TakeoverWarmUp.java
+++ b/courier/src/main/java/thistleturn/courier/TakeoverWarmUp.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import thistleturn.courier.handover.EarlierProcesses;
 import thistleturn.courier.handover.HandoverClient;
 import thistleturn.courier.handover.HandoverCodec;
 import thistleturn.courier.handover.HandoverSnapshot;
@@ -102,7 +101,7 @@
     final HandoverSnapshot snapshot =
         HandoverCodec.encodeAndDecode(older.handOver(new DiscardingSuccessor()));
     final DecisionLoop newer = newDecisionLoop(store);
-    newer.start(snapshot, HandoverClient.none(), EarlierProcesses.none());
+    newer.start(snapshot, HandoverClient.none());
     final Dispatcher.DispatchOutcome delivered =
         new Dispatcher.DispatchOutcome(AttemptResult.DELIVERED, true, 0, null);
     snapshot.calls().stream()
--- a/courier/src/main/java/thistleturn/courier/handover/EarlierProcesses.java
+++ b/courier/src/main/java/thistleturn/courier/handover/EarlierProcesses.java
@@ -1,32 +1,34 @@
 package thistleturn.courier.handover;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.LongPredicate;
 import java.util.stream.Collectors;
 import thistleturn.courier.runtime.ProcessIdentity;
 
 /**
- * The processes of a courier that held its state folder before this one. A call that one of them
- * made may be in flight for as long as that process has not ended, whatever became of the folder's
- * lock and of the connection between the two: the system releases both before it has closed the
- * connections of the calls.
+ * The processes of a courier that held its state folder before this one. An attempt that one of
+ * them made may be in flight for as long as that process has not ended, whatever became of the
+ * folder's lock and of the connection between the two: the system releases both before it has
+ * closed the connections of the calls.
  *
- * <p>A process of a version that does not record itself in the folder is not known by name. It is
- * taken to have ended {@value #UNKNOWN_PROCESS_GRACE_US} us after its lock or its connection.
+ * <p>An attempt was made by the process that held the folder when it started. A process that did
+ * not record itself, as one of an earlier version, is taken to have ended {@value
+ * #UNKNOWN_PROCESS_GRACE_US} us after its lock or its connection.
  */
 public final class EarlierProcesses {
   /** Several times as long as the slowest end of a process that was measured. */
   static final long UNKNOWN_PROCESS_GRACE_US = 500_000;
 
-  private static final EarlierProcesses NONE = new EarlierProcesses(List.of(), true);
+  private static final EarlierProcesses NONE = new EarlierProcesses(List.of());
 
   /** The oldest first. */
-  private final List<ProcessIdentity> processes;
+  private final List<LockHolder> holders;
 
-  private final boolean allKnown;
-
-  private EarlierProcesses(final List<ProcessIdentity> processes, final boolean allKnown) {
-    this.processes = processes;
-    this.allKnown = allKnown;
+  private EarlierProcesses(final List<LockHolder> holders) {
+    this.holders = holders;
   }
 
   /** Returns that there was no other process. */
@@ -34,70 +36,93 @@
     return NONE;
   }
 
-  /** The folder was free. Its last holder recorded itself, unless the record is empty. */
-  static EarlierProcesses beforeStart(final List<ProcessIdentity> recorded) {
-    return new EarlierProcesses(othersOf(recorded), !recorded.isEmpty());
+  /** The folder was free. Its last holder recorded itself, unless there is no record. */
+  static EarlierProcesses beforeStart(final List<LockHolder> recorded) {
+    return recorded.isEmpty() ? withUnrecorded(recorded) : new EarlierProcesses(recorded);
   }
 
   /** A process that runs has handed over. It is the one recorded last, if that one runs. */
-  static EarlierProcesses beforeHandover(final List<ProcessIdentity> recorded) {
-    final boolean predecessorKnown =
+  static EarlierProcesses beforeHandover(final List<LockHolder> recorded) {
+    final boolean predecessorRecorded =
         !recorded.isEmpty()
-            && !lastOf(recorded).isCurrent()
-            && lastOf(recorded).state() == ProcessIdentity.State.RUNNING;
-    return new EarlierProcesses(othersOf(recorded), predecessorKnown);
+            && !lastOf(recorded).process().isCurrent()
+            && lastOf(recorded).process().state() == ProcessIdentity.State.RUNNING;
+    return predecessorRecorded ? new EarlierProcesses(recorded) : withUnrecorded(recorded);
   }
 
   /** This process had handed over to one that has ended, which was recorded after this one. */
-  static EarlierProcesses beforeTakeBack(final List<ProcessIdentity> recorded) {
-    final boolean successorKnown = !recorded.isEmpty() && !lastOf(recorded).isCurrent();
-    return new EarlierProcesses(othersOf(recorded), successorKnown);
+  static EarlierProcesses beforeTakeBack(final List<LockHolder> recorded) {
+    final boolean successorRecorded =
+        !recorded.isEmpty() && !lastOf(recorded).process().isCurrent();
+    return successorRecorded ? new EarlierProcesses(recorded) : withUnrecorded(recorded);
   }
 
-  private static List<ProcessIdentity> othersOf(final List<ProcessIdentity> recorded) {
-    return recorded.stream().filter(process -> !process.isCurrent()).toList();
+  /** Another process held the folder after the last one that is recorded. */
+  private static EarlierProcesses withUnrecorded(final List<LockHolder> recorded) {
+    final long sinceUs = recorded.isEmpty() ? Long.MIN_VALUE : lastOf(recorded).sinceUs();
+    final List<LockHolder> holders = new ArrayList<>(recorded);
+    holders.add(new LockHolder(ProcessIdentity.UNRECORDED, sinceUs));
+    return new EarlierProcesses(holders);
   }
 
-  private static ProcessIdentity lastOf(final List<ProcessIdentity> recorded) {
-    return recorded.get(recorded.size() - 1);
+  private static LockHolder lastOf(final List<LockHolder> holders) {
+    return holders.get(holders.size() - 1);
   }
 
   /**
-   * Returns the processes without the one that has handed over to this one, which tells by itself
-   * which calls it still carries out.
+   * Returns the processes before the one that has handed over to this one: that one tells by itself
+   * which attempts it still carries out, and has no others.
    */
   public EarlierProcesses withoutPredecessor() {
-    return processes.isEmpty()
-        ? NONE
-        : new EarlierProcesses(processes.subList(0, processes.size() - 1), true);
+    if (holders.isEmpty()) {
+      return this;
+    }
+    final List<LockHolder> before = new ArrayList<>(holders.subList(0, holders.size() - 1));
+    // This process stands in for it: what it has in flight is known here.
+    before.add(new LockHolder(ProcessIdentity.current(), lastOf(holders).sinceUs()));
+    return new EarlierProcesses(before);
   }
 
   /**
-   * Returns whether none of them can have a call in flight any more.
+   * Looks the processes up, and returns which attempts cannot be in flight any more, by the time
+   * when they started. Each process is looked up once at most.
    *
    * @param elapsedUs how long ago the last sign of them ended: a connection, or the folder's lock
    */
-  public boolean haveEnded(final long elapsedUs) {
+  public LongPredicate endedAttempts(final long elapsedUs) {
     final boolean graceOver = elapsedUs >= UNKNOWN_PROCESS_GRACE_US;
-    return (allKnown || graceOver)
-        && processes.stream().allMatch(process -> hasEnded(process, graceOver));
+    final Map<LockHolder, Boolean> ended = new HashMap<>();
+    return startedUs ->
+        holders.isEmpty()
+            || ended.computeIfAbsent(holderAt(startedUs), holder -> hasEnded(holder, graceOver));
+  }
+
+  /** Returns who held the folder at a time; the oldest that is known if it was before that. */
+  private LockHolder holderAt(final long timeUs) {
+    LockHolder found = holders.get(0);
+    for (final LockHolder holder : holders) {
+      found = holder.sinceUs() <= timeUs ? holder : found;
+    }
+    return found;
   }
 
-  private static boolean hasEnded(final ProcessIdentity process, final boolean graceOver) {
-    return switch (process.state()) {
-      case ENDED -> true;
-      case RUNNING -> false;
-      case UNKNOWN -> graceOver;
-    };
+  private static boolean hasEnded(final LockHolder holder, final boolean graceOver) {
+    // What this process itself has in flight, it knows.
+    return holder.process().isCurrent()
+        || switch (holder.process().state()) {
+          case ENDED -> true;
+          case RUNNING -> false;
+          case UNKNOWN -> graceOver;
+        };
   }
 
-  /** Returns the numbers of the processes, for the log. */
+  /** Returns the numbers of those that have not ended, for the log. */
   @Override
   public String toString() {
-    final String numbers =
-        processes.stream()
-            .map(process -> Long.toString(process.pid()))
-            .collect(Collectors.joining(","));
-    return allKnown ? numbers : numbers + "?";
+    return holders.stream()
+        .filter(holder -> !hasEnded(holder, false))
+        .map(holder -> Long.toString(holder.process().pid()))
+        .distinct()
+        .collect(Collectors.joining(","));
   }
 }
--- a/courier/src/main/java/thistleturn/courier/handover/LockHolders.java
+++ b/courier/src/main/java/thistleturn/courier/handover/LockHolders.java
@@ -4,12 +4,10 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
-import thistleturn.courier.runtime.ProcessIdentity;
 
 /**
  * The record of a state folder's holders in the locked file, a line each, the latest last. Versions
@@ -18,20 +16,18 @@
  * descriptor of the same file.
  */
 final class LockHolders {
-  /** Holders that have not ended, or of which nothing can be told: more than a few are none. */
+  /** No call outlasts so many holders. */
   private static final int MAX_HOLDERS = 16;
 
   private static final int MAX_BYTES = 1 << 13;
 
   private LockHolders() {}
 
-  /**
-   * Records this process as the holder behind earlier ones, and forgets those that have ended. A
-   * record that cannot be written is emptied.
-   */
-  static void record(final FileChannel lockedFile, final List<ProcessIdentity> earlier) {
+  /** Records the latest of these holders. A record that cannot be written is emptied. */
+  static void write(final FileChannel lockedFile, final List<LockHolder> holders) {
     try {
-      write(lockedFile, withCurrent(earlier));
+      writeAll(
+          lockedFile, holders.subList(Math.max(0, holders.size() - MAX_HOLDERS), holders.size()));
     } catch (final IOException e) {
       Log.event(Event.HOLDER_UNRECORDED, "cause", e);
       empty(lockedFile);
@@ -46,15 +42,8 @@
     }
   }
 
-  private static List<ProcessIdentity> withCurrent(final List<ProcessIdentity> earlier) {
-    final List<ProcessIdentity> holders = new ArrayList<>(earlier);
-    holders.removeIf(holder -> holder.isCurrent() || holder.state() == ProcessIdentity.State.ENDED);
-    holders.add(ProcessIdentity.current());
-    return holders.subList(Math.max(0, holders.size() - MAX_HOLDERS), holders.size());
-  }
-
   /** Returns the recorded holders. */
-  static List<ProcessIdentity> read(final FileChannel file) throws IOException {
+  static List<LockHolder> read(final FileChannel file) throws IOException {
     final ByteBuffer bytes = ByteBuffer.allocate((int) Math.min(MAX_BYTES, file.size()));
     int read = 0;
     while (bytes.hasRemaining() && read >= 0) {
@@ -65,12 +54,12 @@
         .decode(bytes)
         .toString()
         .lines()
-        .map(ProcessIdentity::parse)
+        .map(LockHolder::parse)
         .flatMap(Optional::stream)
         .toList();
   }
 
-  private static void write(final FileChannel file, final List<ProcessIdentity> holders)
+  private static void writeAll(final FileChannel file, final List<LockHolder> holders)
       throws IOException {
     final StringBuilder text = new StringBuilder();
     holders.forEach(holder -> text.append(holder.toText()).append('\n'));
--- a/courier/src/main/java/thistleturn/courier/handover/StateLock.java
+++ b/courier/src/main/java/thistleturn/courier/handover/StateLock.java
@@ -2,12 +2,13 @@
 
 import java.io.IOException;
 import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
 import java.util.List;
+import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.ProcessIdentity;
 
 /**
@@ -22,11 +23,15 @@
   private final FileChannel channel;
 
   /** Who held the lock before, the latest last; this process too if it did. */
-  private final List<ProcessIdentity> earlierHolders;
+  private final List<LockHolder> earlierHolders;
 
-  private StateLock(final FileChannel channel, final List<ProcessIdentity> earlierHolders) {
+  private final long lockedUs;
+
+  private StateLock(
+      final FileChannel channel, final List<LockHolder> earlierHolders, final long lockedUs) {
     this.channel = channel;
     this.earlierHolders = earlierHolders;
+    this.lockedUs = lockedUs;
   }
 
   /**
@@ -43,21 +48,20 @@
             StandardOpenOption.CREATE,
             StandardOpenOption.READ,
             StandardOpenOption.WRITE);
+    StateLock taken = null;
     try {
-      final FileLock lock = channel.tryLock();
-      if (lock != null) {
-        return new StateLock(channel, LockHolders.read(channel));
+      if (channel.tryLock() != null) {
+        taken = new StateLock(channel, LockHolders.read(channel), new Clock().nowUs());
       }
     } catch (final OverlappingFileLockException e) {
       // Another courier of this Java machine holds it.
-      channel.close();
       return null;
-    } catch (final IOException e) {
-      channel.close();
-      throw e;
+    } finally {
+      if (taken == null) {
+        channel.close();
+      }
     }
-    channel.close();
-    return null;
+    return taken;
   }
 
   /**
@@ -65,7 +69,9 @@
    * is emptied where possible: then the next holder knows that it does not know this one.
    */
   public void recordHolder() {
-    LockHolders.record(channel, earlierHolders);
+    final List<LockHolder> holders = new ArrayList<>(earlierHolders);
+    holders.add(new LockHolder(ProcessIdentity.current(), lockedUs));
+    LockHolders.write(channel, holders);
   }
 
   /** Returns the earlier processes of a process that found the folder free. */
--- a/courier/src/main/java/thistleturn/courier/runtime/ProcessIdentity.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/ProcessIdentity.java
@@ -22,6 +22,10 @@
  */
 public record ProcessIdentity(long pid, long startTicks, String bootId, String pidNamespace) {
   private static final String NOT_TOLD = "-";
+
+  /** Stands for a process that did not tell its identity; nothing can be told of it. */
+  public static final ProcessIdentity UNRECORDED = new ProcessIdentity(0, 0, NOT_TOLD, NOT_TOLD);
+
   private static final int TEXT_FIELDS = 4;
 
   /** The field of the state in {@code /proc/PID/stat}, counted from behind the program's name. */
@@ -60,12 +64,14 @@
   }
 
   private static ProcessIdentity readCurrent() {
-    final long pid = ProcessHandle.current().pid();
     try {
-      final long startTicks = Long.parseLong(statFields(pid)[START_FIELD]);
+      // Not by the number that the JDK has: /proc may be that of an outer namespace.
+      final String stat = Files.readString(Path.of("/proc/self/stat"));
+      final long pid = Long.parseLong(stat.substring(0, stat.indexOf(' ')));
+      final long startTicks = Long.parseLong(fieldsOf(stat)[START_FIELD]);
       return new ProcessIdentity(pid, startTicks, readBootId(), readNamespace());
-    } catch (final IOException | NumberFormatException e) {
-      return new ProcessIdentity(pid, 0, NOT_TOLD, NOT_TOLD);
+    } catch (final IOException | RuntimeException e) {
+      return new ProcessIdentity(ProcessHandle.current().pid(), 0, NOT_TOLD, NOT_TOLD);
     }
   }
 
@@ -89,8 +95,7 @@
   }
 
   /** Returns the fields of a process's status that follow the name of its program. */
-  private static String[] statFields(final long pid) throws IOException {
-    final String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
+  private static String[] fieldsOf(final String stat) {
     return stat.substring(stat.lastIndexOf(')') + 2).split(" ");
   }
 
@@ -131,7 +136,7 @@
 
   private boolean hasEnded() {
     try {
-      final String[] fields = statFields(pid);
+      final String[] fields = fieldsOf(Files.readString(Path.of("/proc/" + pid + "/stat")));
       return Long.parseLong(fields[START_FIELD]) != startTicks
           || (isExited(fields[STATE_FIELD]) && hasNoOtherThread());
     } catch (final NoSuchFileException e) {
--- a/courier/src/test/java/thistleturn/courier/runtime/ProcessIdentityTest.java
+++ b/courier/src/test/java/thistleturn/courier/runtime/ProcessIdentityTest.java
@@ -22,14 +22,6 @@
 @Timeout(60)
 final class ProcessIdentityTest {
   private static final long PATIENCE_S = 20;
-  private static final int START_FIELD = 19;
-
-  private static ProcessIdentity identityOf(final long pid) throws IOException {
-    final String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
-    final String start = stat.substring(stat.lastIndexOf(')') + 2).split(" ")[START_FIELD];
-    final ProcessIdentity own = ProcessIdentity.current();
-    return new ProcessIdentity(pid, Long.parseLong(start), own.bootId(), own.pidNamespace());
-  }
 
   private static void awaitEnd(final ProcessIdentity process) {
     final long untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
@@ -58,7 +50,7 @@
   @Test
   void processRunsUntilItIsKilled() throws IOException {
     final Process child = new ProcessBuilder("sleep", "60").start();
-    final ProcessIdentity identity = identityOf(child.pid());
+    final ProcessIdentity identity = RunningProcess.identityOf(child.pid());
     assertEquals(State.RUNNING, identity.state());
     assertEquals(State.RUNNING, ProcessIdentity.current().state());
     child.destroyForcibly();
@@ -74,7 +66,7 @@
         new BufferedReader(
             new InputStreamReader(parent.getInputStream(), StandardCharsets.UTF_8))) {
       final long pid = Long.parseLong(out.readLine());
-      awaitEnd(identityOf(pid));
+      awaitEnd(RunningProcess.identityOf(pid));
       assertTrue(Files.exists(Path.of("/proc/" + pid)), "it is in the table");
     } finally {
       parent.destroyForcibly();
