--- /dev/null
+++ b/courier/src/test/java/thistleturn/courier/BusyCore.java
@@ -0,0 +1,37 @@
+package thistleturn.courier;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A process that keeps the cores it may use busy, so that others get little of them. */
+final class BusyCore {
+  /** The line that says that it has begun. */
+  static final String BEGUN = "busy";
+
+  /** It ends by itself, should nobody end it. */
+  private static final long LIFETIME_S = 120;
+
+  private BusyCore() {}
+
+  /** Runs as many threads as the only argument says. */
+  public static void main(final String[] arguments) throws InterruptedException {
+    final long untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIFETIME_S);
+    final List<Thread> threads = new ArrayList<>();
+    for (int number = 0; number < Integer.parseInt(arguments[0]); number++) {
+      final Thread thread = new Thread(() -> spinUntil(untilNs), "busy-" + number);
+      thread.start();
+      threads.add(thread);
+    }
+    System.out.println(BEGUN);
+    for (final Thread thread : threads) {
+      thread.join();
+    }
+  }
+
+  private static void spinUntil(final long untilNs) {
+    while (System.nanoTime() < untilNs) {
+      Thread.onSpinWait();
+    }
+  }
+}
--- a/testkit/src/main/java/thistleturn/testkit/StandInClient.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInClient.java
@@ -36,6 +36,7 @@
  */
 public final class StandInClient implements AutoCloseable {
   private static final long PATIENCE_MS = 400;
+  private static final long US_PER_MS = 1000;
   private static final int TAKEN_LEAST = 200;
   private static final int TAKEN_MOST = 202;
   private static final int BUSY = 429;
@@ -53,8 +54,19 @@
   private volatile boolean keepsConnections = true;
   private volatile boolean opensConnections = true;
 
-  /** Ids of requests that were written and never had a whole answer. */
-  private final Queue<String> withoutAnswer = new ConcurrentLinkedQueue<>();
+  private final Queue<Unanswered> unansweredRequests = new ConcurrentLinkedQueue<>();
+
+  /**
+   * A request that was written and never had a whole answer.
+   *
+   * @param endedUs when its connection ended; the client ends it once its patience is over
+   */
+  public record Unanswered(String id, long writtenUs, long endedUs) {
+    /** True if the connection was open for as long as a client waits, and no answer came. */
+    public boolean isPatienceOver() {
+      return endedUs - writtenUs >= PATIENCE_MS * US_PER_MS;
+    }
+  }
 
   /** A client of the courier at that address; ids begin with the prefix. */
   public StandInClient(
@@ -101,7 +113,12 @@
    * connection ended without one.
    */
   public List<String> withoutAnswer() {
-    return List.copyOf(withoutAnswer);
+    return unansweredRequests.stream().map(Unanswered::id).toList();
+  }
+
+  /** The same requests, with the times that tell why each had no answer. */
+  public List<Unanswered> unansweredRequests() {
+    return List.copyOf(unansweredRequests);
   }
 
   /** Requests without an answer as yet. */
@@ -248,7 +265,7 @@
       if (cut != null) {
         cut.patience.cancel(false);
         out.decrementAndGet();
-        withoutAnswer.add(cut.id);
+        unansweredRequests.add(new Unanswered(cut.id, cut.sentUs, ticks.nowUs()));
       }
     }
 
--- a/testkit/src/main/java/thistleturn/testkit/rig/ChildProcess.java
+++ b/testkit/src/main/java/thistleturn/testkit/rig/ChildProcess.java
@@ -123,6 +123,13 @@
     signal("HUP");
   }
 
+  /** Runs on these cores alone from now on, with all its threads, as taskset takes them. */
+  public void runOn(final String cores) throws IOException {
+    if (process.isAlive() && Files.isExecutable(Path.of(TASKSET))) {
+      run(TASKSET, "-a", "-c", "-p", cores, Long.toString(process.pid()));
+    }
+  }
+
   /** Is asked to end. */
   public void terminate() {
     process.destroy();
@@ -143,17 +150,22 @@
   }
 
   private void signal(final String name) throws IOException {
-    if (!process.isAlive()) {
-      return;
+    if (process.isAlive()) {
+      run("kill", "-" + name, Long.toString(process.pid()));
     }
+  }
+
+  /** Runs a command on this process, which may end meanwhile. */
+  private void run(final String... command) throws IOException {
     try {
       final int status =
-          new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
-              .inheritIO()
+          new ProcessBuilder(command)
+              .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+              .redirectError(ProcessBuilder.Redirect.INHERIT)
               .start()
               .waitFor();
       if (status != 0 && process.isAlive()) {
-        throw new IOException("kill -" + name + " " + process.pid() + " ended with " + status);
+        throw new IOException(String.join(" ", command) + " ended with " + status);
       }
     } catch (final InterruptedException e) {
       Thread.currentThread().interrupt();
