--- a/testkit/src/main/java/thistleturn/testkit/SocketTable.java
+++ b/testkit/src/main/java/thistleturn/testkit/SocketTable.java
@@ -19,7 +19,6 @@
   private static final int LOCAL_COLUMN = 1;
   private static final int REMOTE_COLUMN = 2;
   private static final int STATE_COLUMN = 3;
-  private static final int HEXADECIMAL = 16;
 
   /** Linux' numbers of the states in which the other side's end has come, or everything is over. */
   private static final Set<String> ENDED_STATES = Set.of("06", "07", "08", "09", "0B");
@@ -48,10 +47,18 @@
    */
   public static boolean hasRemoteEnded(
       final InetSocketAddress local, final InetSocketAddress remote) throws IOException {
+    // Compared as text: a crowd's table has thousands of rows, and the connection may end
+    // meanwhile.
+    final String localPort = portColumnEnd(local);
+    final String remotePort = portColumnEnd(remote);
     for (final Path table : TABLES) {
       for (final String row : Files.readAllLines(table, StandardCharsets.US_ASCII)) {
+        if (!row.contains(localPort) || !row.contains(remotePort)) {
+          continue;
+        }
         final String[] columns = row.trim().split("\\s+");
-        if (hasPort(columns[LOCAL_COLUMN], local) && hasPort(columns[REMOTE_COLUMN], remote)) {
+        if (columns[LOCAL_COLUMN].endsWith(localPort)
+            && columns[REMOTE_COLUMN].endsWith(remotePort)) {
           return ENDED_STATES.contains(columns[STATE_COLUMN]);
         }
       }
@@ -60,10 +67,8 @@
     return true;
   }
 
-  private static boolean hasPort(final String column, final InetSocketAddress address) {
-    final int colon = column.lastIndexOf(':');
-    return colon > 0
-        && column.substring(colon + 1).matches("[0-9A-F]+")
-        && Integer.parseInt(column.substring(colon + 1), HEXADECIMAL) == address.getPort();
+  /** Returns how the system writes the end of an address with this port. */
+  private static String portColumnEnd(final InetSocketAddress address) {
+    return String.format(":%04X", address.getPort());
   }
 }
--- a/testkit/src/main/java/thistleturn/testkit/StandInClient.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInClient.java
@@ -52,9 +52,17 @@
   private volatile LongConsumer latencyUs = unused -> {};
   private volatile boolean keepsConnections = true;
   private volatile boolean opensConnections = true;
+  private volatile long patienceMs = PATIENCE_MS;
 
-  /** Ids of requests that were written and never had a whole answer. */
-  private final Queue<String> withoutAnswer = new ConcurrentLinkedQueue<>();
+  private final Queue<Unanswered> unansweredRequests = new ConcurrentLinkedQueue<>();
+
+  /**
+   * A request that was written and never had a whole answer.
+   *
+   * @param endedUs when its connection ended
+   * @param patienceOver whether the client ended it, having waited for as long as it does
+   */
+  public record Unanswered(String id, long writtenUs, long endedUs, boolean patienceOver) {}
 
   /** A client of the courier at that address; ids begin with the prefix. */
   public StandInClient(
@@ -96,12 +104,25 @@
     opensConnections = open;
   }
 
+  /**
+   * From now on it waits so long for an answer, where a late one is to be told from none. Clients
+   * of the protocol wait 400 ms.
+   */
+  public void patienceMs(final long ms) {
+    patienceMs = ms;
+  }
+
   /**
    * The requests that were written, and then had no answer in the client's patience, or whose
    * connection ended without one.
    */
   public List<String> withoutAnswer() {
-    return List.copyOf(withoutAnswer);
+    return unansweredRequests.stream().map(Unanswered::id).toList();
+  }
+
+  /** The same requests, with the times that tell why each had no answer. */
+  public List<Unanswered> unansweredRequests() {
+    return List.copyOf(unansweredRequests);
   }
 
   /** Requests without an answer as yet. */
@@ -170,6 +191,7 @@
     private final long timeoutMs;
     private long sentUs;
     private Future<?> patience;
+    private boolean patienceOver;
 
     Request(final String id, final String className, final long destination, final long timeoutMs) {
       this.id = id;
@@ -200,9 +222,10 @@
       patience =
           loop.schedule(
               () -> {
+                patienceOver = true;
                 channel.close();
               },
-              PATIENCE_MS,
+              patienceMs,
               TimeUnit.MILLISECONDS);
       channel.writeAndFlush(request);
     }
@@ -248,7 +271,7 @@
       if (cut != null) {
         cut.patience.cancel(false);
         out.decrementAndGet();
-        withoutAnswer.add(cut.id);
+        unansweredRequests.add(new Unanswered(cut.id, cut.sentUs, ticks.nowUs(), cut.patienceOver));
       }
     }
 
