SentMessages: what an endpoint of a test received, for the tests of a successor's death

Need: the soak of killed successors reads the messages of an endpoint as SuccessorDeathTest does. No behaviour changes.

--- a/courier/src/test/java/thistleturn/courier/SuccessorDeathTest.java
+++ b/courier/src/test/java/thistleturn/courier/SuccessorDeathTest.java
@@ -14,8 +14,6 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
@@ -39,8 +37,6 @@
   /** What a client gets that is left without an answer. */
   private static final int NO_ANSWER = -1;
 
-  private static final Pattern BULK_ID = Pattern.compile("\"id\":\"([^\"]+)\"");
-
   @TempDir private Path folder;
   private final List<Socket> clients = new ArrayList<>();
   private CourierHarness older;
@@ -53,7 +49,7 @@
     try (ServerSocket free = new ServerSocket(0)) {
       older.listenPort = free.getLocalPort();
     }
-    older.firstEndpoint.script(SuccessorDeathTest::deliver);
+    older.firstEndpoint.script(SentMessages::deliver);
     older.start();
     newer = new SuccessorProcess(folder.resolve("state"));
   }
@@ -67,37 +63,9 @@
     }
   }
 
-  private static void deliver(
-      final FakeHttpServer.Request request, final FakeHttpServer.Connection connection) {
-    final List<String> states =
-        bulkIds(request).stream()
-            .map(id -> "{\"id\":\"" + id + "\",\"state\":\"accepted\"}")
-            .toList();
-    connection.respond(200, states.isEmpty() ? "" : "[" + String.join(",", states) + "]");
-  }
-
-  private static List<String> bulkIds(final FakeHttpServer.Request request) {
-    final List<String> ids = new ArrayList<>();
-    if (request.requestLine().contains("/inbox/bulk")) {
-      final Matcher matcher = BULK_ID.matcher(request.text());
-      while (matcher.find()) {
-        ids.add(matcher.group(1));
-      }
-    }
-    return ids;
-  }
-
   /** Returns the ids of all messages that were sent, as often as each was. */
   private List<String> sentIds() {
-    final List<String> ids = new ArrayList<>();
-    for (final FakeHttpServer.Request request : older.firstEndpoint.requests) {
-      ids.addAll(bulkIds(request));
-      if (!request.requestLine().contains("/inbox/bulk")) {
-        ids.add(request.header("X-Request-ID"));
-      }
-    }
-    Collections.sort(ids);
-    return ids;
+    return SentMessages.ids(older.firstEndpoint).stream().sorted().toList();
   }
 
   /** A client hands a message in at the older process, and waits. */
