--- a/courier/src/test/java/thistleturn/courier/CourierHarness.java
+++ b/courier/src/test/java/thistleturn/courier/CourierHarness.java
@@ -11,12 +11,15 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /** A courier in a process of its own, between a fake platform and fake endpoints. */
 final class CourierHarness implements AutoCloseable {
@@ -46,6 +49,10 @@
       new FakeHttpServer((request, connection) -> connection.respond(200, ""));
   final List<String> logLines = new CopyOnWriteArrayList<>();
   volatile int outcomeResponseStatus = 204;
+
+  /** Sees each line of the log as it comes, on the thread that reads it. */
+  Consumer<String> lineListener = line -> {};
+
   int maxOpenConnections = 50;
 
   /** The limit of concurrent calls. */
@@ -202,7 +209,7 @@
     process = builder.redirectErrorStream(true).start();
     final BufferedReader out =
         new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
-    final Thread reader = new Thread(() -> out.lines().forEach(logLines::add));
+    final Thread reader = new Thread(() -> out.lines().peek(lineListener).forEach(logLines::add));
     reader.setDaemon(true);
     reader.start();
     return process;
@@ -349,6 +356,13 @@
             .anyMatch(line -> line.contains('"' + id + '"') && line.contains(status));
   }
 
+  /** Returns the ids of all messages whose outcome the platform was told. */
+  Set<String> reportedIds() {
+    final Set<String> ids = new HashSet<>();
+    outcomeReports.forEach(line -> ids.add(line.replaceAll(".*\"id\":\"([^\"]*)\".*", "$1")));
+    return ids;
+  }
+
   @Override
   public void close() throws IOException {
     if (process != null) {
