ProcessEndBoundsTest: deadline, unrecorded and stopped processes, shards, a third process

Change: ProcessEndBoundsTest, 28 cases. EndpointCopies holds several messages, and each copy is compared with the first one of the same message; ScriptedCourier takes a destination and a timeout for a call, and stops its process; ShardedCourierProcess runs Main with four shards, whose ready line the harness now reads.

No product code changed.

--- a/courier/src/test/java/thistleturn/courier/CourierHarness.java
+++ b/courier/src/test/java/thistleturn/courier/CourierHarness.java
@@ -58,6 +58,9 @@
   int socketLimit = 1024;
   String extraSetting = "\"unheard_of\":[{\"x\":1}]";
 
+  /** The program of the process. */
+  String mainClass = "thistleturn.courier.Main";
+
   /** The endpoints in the configuration. */
   String configuredHosts;
 
@@ -141,7 +144,8 @@
     final List<String> before = List.copyOf(logLines);
     await("ready", () -> readyLine(before.size()) != null);
     final String ready = readyLine(before.size());
-    port = Integer.parseInt(ready.substring(ready.lastIndexOf(':') + 1));
+    // Several shards are named behind the address.
+    port = Integer.parseInt(ready.substring(ready.lastIndexOf(':') + 1).split(" ")[0]);
     if (operatorPortEnabled) {
       final String operatorLine =
           logLines.stream()
@@ -192,7 +196,7 @@
             "-XX:TieredStopAtLevel=1",
             "-cp",
             System.getProperty("java.class.path"),
-            "thistleturn.courier.Main");
+            mainClass);
     builder.environment().put("PROXY_CONFIG", config.toString());
     if (operatorPortEnabled) {
       builder.environment().put("PROXY_OPERATOR", "127.0.0.1:0");
--- a/courier/src/test/java/thistleturn/courier/EndpointCopies.java
+++ b/courier/src/test/java/thistleturn/courier/EndpointCopies.java
@@ -2,44 +2,57 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.regex.Pattern;
 
 /**
- * An endpoint's script that holds the first copy of one message and answers everything else. It
+ * An endpoint's script that holds the first copy of some messages and answers everything else. It
  * notes each copy of a message with how the first one's connection stood when it came.
  */
 final class EndpointCopies {
   private static final Pattern BULK_ID = Pattern.compile("\"id\":\"([^\"]+)\"");
 
-  private final String heldId;
+  private final Set<String> heldIds;
   private final List<Copy> copies = new CopyOnWriteArrayList<>();
-  private volatile FakeHttpServer.Connection heldConnection;
+  private final Map<String, FakeHttpServer.Connection> heldConnections = new ConcurrentHashMap<>();
 
   /**
    * A copy of a message that has come.
    *
-   * @param heldHasEnded whether the connection of the held copy had ended by then
+   * @param heldHasEnded whether the message's first copy was held, and its connection had ended by
+   *     then
    */
   record Copy(String id, long receivedNs, boolean heldHasEnded) {}
 
-  EndpointCopies(final String heldId) {
-    this.heldId = heldId;
+  EndpointCopies(final String... heldIds) {
+    this.heldIds = Set.of(heldIds);
   }
 
   /** The script for {@link FakeHttpServer}. */
   void answer(final FakeHttpServer.Request request, final FakeHttpServer.Connection connection) {
     final List<String> ids = ids(request);
-    if (heldConnection == null && ids.contains(heldId)) {
-      heldConnection = connection;
-      copies.add(new Copy(heldId, request.receivedNs(), false));
+    final List<String> toHold =
+        ids.stream()
+            .filter(id -> heldIds.contains(id) && !heldConnections.containsKey(id))
+            .toList();
+    toHold.forEach(id -> heldConnections.put(id, connection));
+    for (final String id : ids) {
+      final boolean heldHasEnded = isHeldByEarlierCopy(id, toHold) && hasHeldEnded(id);
+      copies.add(new Copy(id, request.receivedNs(), heldHasEnded));
+    }
+    if (!toHold.isEmpty()) {
       return;
     }
-    final boolean heldHasEnded = heldConnection != null && heldConnection.hasPeerEnded();
-    ids.forEach(id -> copies.add(new Copy(id, request.receivedNs(), heldHasEnded)));
     connection.respond(200, isBulk(request) ? acceptedStates(ids) : "");
   }
 
+  private boolean isHeldByEarlierCopy(final String id, final List<String> heldNow) {
+    return heldConnections.containsKey(id) && !heldNow.contains(id);
+  }
+
   private static boolean isBulk(final FakeHttpServer.Request request) {
     return request.requestLine().contains("/bulk");
   }
@@ -65,8 +78,10 @@
     return copies.stream().filter(copy -> copy.id().equals(id)).toList();
   }
 
-  /** Returns whether the held copy's connection has ended, as the system has it now. */
-  boolean hasHeldEnded() {
-    return heldConnection.hasPeerEnded();
+  /**
+   * Returns whether the connection of a message's held copy has ended, as the system has it now.
+   */
+  boolean hasHeldEnded(final String id) {
+    return heldConnections.get(id).hasPeerEnded();
   }
 }
--- a/courier/src/test/java/thistleturn/courier/ProcessEndTest.java
+++ b/courier/src/test/java/thistleturn/courier/ProcessEndTest.java
@@ -1,22 +1,11 @@
 package thistleturn.courier;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.ServerSocket;
-import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -31,129 +20,7 @@
  */
 @Tag("operators")
 @Timeout(120)
-final class ProcessEndTest {
-  /** In a call of the other process. */
-  private static final String HELD = "held";
-
-  /** In the journal, and in no call. */
-  private static final String WAITING = "waiting";
-
-  /** For so long, and so many messages, the repeat is looked for that must not come. */
-  private static final long WATCH_NS = TimeUnit.MILLISECONDS.toNanos(1000);
-
-  private static final int WATCH_MESSAGES = 20;
-
-  /** The bound for what is to go on at once: what was in no call, and repeats after the end. */
-  private static final long AT_ONCE_NS = TimeUnit.SECONDS.toNanos(1);
-
-  private final long beganNs = System.nanoTime();
-  private final List<String> trace = new CopyOnWriteArrayList<>();
-  private final EndpointCopies copies = new EndpointCopies(HELD);
-  @TempDir private Path folder;
-  private CourierHarness courier;
-  private ScriptedCourier other;
-  private int submitted;
-
-  @BeforeEach
-  void startOtherProcess() throws IOException {
-    courier = new CourierHarness(folder);
-    courier.operatorPortEnabled = true;
-    try (ServerSocket free = new ServerSocket(0)) {
-      courier.listenPort = free.getLocalPort();
-    }
-    courier.firstEndpoint.script(copies::answer);
-    other = new ScriptedCourier(folder.resolve("state"), courier.firstEndpoint.address());
-  }
-
-  @AfterEach
-  void stopProcesses() throws IOException {
-    other.close();
-    courier.close();
-  }
-
-  private double ms(final long ns) {
-    return (ns - beganNs) / 1e6;
-  }
-
-  private void note(final String what) {
-    trace.add(String.format("%.1f ms: %s", ms(System.nanoTime()), what));
-  }
-
-  private String traceText() {
-    return trace + "; " + other + "; log: " + courier.logLines;
-  }
-
-  /** The other process takes the folder, with one message in a call and one in none. */
-  private void otherServes(final String messageClass) {
-    other.lockFolder();
-    otherCalls(messageClass);
-  }
-
-  private void otherCalls(final String messageClass) {
-    other.accept(WAITING, "safe");
-    other.call(HELD, messageClass);
-    courier.await("the held call", () -> copies.of(HELD).size() == 1);
-    note("the first copy is out");
-  }
-
-  /**
-   * New messages go through, one after the other, and so has the one that waited; the held one does
-   * not come again.
-   */
-  private void assertNotRepeatedWhileOtherLives(final CourierHarness deciding) throws IOException {
-    awaitAtOnce(deciding, WAITING);
-    final long untilNs = System.nanoTime() + WATCH_NS;
-    for (int sent = 0; sent < WATCH_MESSAGES || System.nanoTime() < untilNs; sent++) {
-      final String id = "new-" + submitted++;
-      assertEquals(202, deciding.submit(id, "safe").status(), this::traceText);
-      awaitAtOnce(deciding, id);
-      assertNoRepeat();
-    }
-    note("looked for a repeat while " + submitted + " new messages went through");
-    assertTrue(other.isAlive() && !copies.hasHeldEnded(), this::traceText);
-  }
-
-  private void awaitAtOnce(final CourierHarness deciding, final String id) {
-    final long fromNs = System.nanoTime();
-    deciding.await("delivery of " + id, () -> !copies.of(id).isEmpty());
-    final long tookNs = System.nanoTime() - fromNs;
-    assertTrue(tookNs < AT_ONCE_NS, () -> id + " took " + tookNs / 1e6 + " ms; " + traceText());
-  }
-
-  private void assertNoRepeat() {
-    final List<EndpointCopies.Copy> held = copies.of(HELD);
-    if (held.size() > 1) {
-      throw new AssertionError(
-          String.format(
-              "a second copy at %.1f ms, while the first one's connection was %s and its process %s: %s",
-              ms(held.get(1).receivedNs()),
-              held.get(1).heldHasEnded() ? "ended" : "open",
-              other.isAlive() ? "lived" : "was gone",
-              traceText()));
-    }
-  }
-
-  /** Kills the other process: what may be repeated comes again, what may not ends by a notice. */
-  private void assertRepeatedOnceOtherIsGone(
-      final CourierHarness deciding, final String messageClass) throws InterruptedException {
-    final long killedNs = System.nanoTime();
-    note("kill");
-    other.kill();
-    note("gone");
-    if (messageClass.equals("once")) {
-      deciding.await("its notice", () -> courier.hasOutcomeReport(HELD, "undeliverable"));
-      assertEquals(1, copies.of(HELD).size(), this::traceText);
-      return;
-    }
-    deciding.await("the second copy", () -> copies.of(HELD).size() == 2);
-    final EndpointCopies.Copy repeat = copies.of(HELD).get(1);
-    final long tookNs = repeat.receivedNs() - killedNs;
-    note(String.format("the second copy came %.1f ms after the kill", tookNs / 1e6));
-    assertTrue(repeat.heldHasEnded(), this::traceText);
-    assertTrue(tookNs < AT_ONCE_NS, this::traceText);
-    assertFalse(courier.hasOutcomeReport(HELD, ""), this::traceText);
-  }
-
+final class ProcessEndTest extends ProcessEndScenario {
   /** Guards against taking the end of an older process's line for the end of its calls. */
   @ParameterizedTest
   @ValueSource(strings = {"safe", "keyed", "once"})
@@ -212,17 +79,6 @@
     assertRepeatedOnceOtherIsGone(courier, messageClass);
   }
 
-  private static CompletableFuture<Void> startInBackground(final CourierHarness starting) {
-    return CompletableFuture.runAsync(
-        () -> {
-          try {
-            starting.start();
-          } catch (final IOException e) {
-            throw new UncheckedIOException(e);
-          }
-        });
-  }
-
   /** Guards against taking the end of a newer process's line and lock for the end of its calls. */
   @ParameterizedTest
   @ValueSource(strings = {"safe", "keyed", "once"})
--- a/courier/src/test/java/thistleturn/courier/ScriptedCourier.java
+++ b/courier/src/test/java/thistleturn/courier/ScriptedCourier.java
@@ -1,12 +1,15 @@
 package thistleturn.courier;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -16,6 +19,9 @@
 
 /** The test's side of a {@link ScriptedCourierProcess}: each command returns once it is done. */
 final class ScriptedCourier implements AutoCloseable {
+  /** The time that messages have, unless a test gives them another. */
+  static final long MESSAGE_TIMEOUT_MS = 20_000;
+
   private final Process process;
   private final PrintStream commands;
   private final List<String> lines = new CopyOnWriteArrayList<>();
@@ -70,12 +76,23 @@
 
   /** Writes an accepted message to the journal. */
   void accept(final String id, final String messageClass) {
-    tell("accept " + id + " " + messageClass);
+    tell("accept " + describe(id, messageClass, ScriptedCalls.DESTINATION, MESSAGE_TIMEOUT_MS));
   }
 
   /** Writes a message to the journal and begins a call with it. */
   void call(final String id, final String messageClass) {
-    tell("call " + id + " " + messageClass);
+    call(id, messageClass, ScriptedCalls.DESTINATION, MESSAGE_TIMEOUT_MS);
+  }
+
+  /** Writes a message for a destination to the journal and begins a call with it. */
+  void call(
+      final String id, final String messageClass, final long destination, final long timeoutMs) {
+    tell("call " + describe(id, messageClass, destination, timeoutMs));
+  }
+
+  private static String describe(
+      final String id, final String messageClass, final long destination, final long timeoutMs) {
+    return id + " " + messageClass + " " + destination + " " + timeoutMs;
   }
 
   /** Listens for a newer courier. */
@@ -126,10 +143,29 @@
     }
   }
 
+  long pid() {
+    return process.pid();
+  }
+
   boolean isAlive() {
     return process.isAlive();
   }
 
+  /** Stops the process with SIGSTOP and waits until it stands still. */
+  void stop() throws IOException, InterruptedException {
+    assertEquals(
+        0, new ProcessBuilder("kill", "-STOP", Long.toString(process.pid())).start().waitFor());
+    await("the stop", this::isStopped);
+  }
+
+  private boolean isStopped() {
+    try {
+      return Files.readString(Path.of("/proc/" + process.pid() + "/stat")).contains(") T ");
+    } catch (final IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** Kills the process and waits until it is gone. */
   void kill() throws InterruptedException {
     process.destroyForcibly();
--- a/courier/src/test/java/thistleturn/courier/ScriptedCourierProcess.java
+++ b/courier/src/test/java/thistleturn/courier/ScriptedCourierProcess.java
@@ -40,7 +40,7 @@
   static final String EVENT = "event ";
 
   private static final long DISK_BYTES = 3_000_000;
-  private static final long MESSAGE_TIMEOUT_US = 20_000_000;
+  private static final long US_PER_MS = 1000;
   private static final String ZONE = "a";
   private static final String BODY = "hello";
   private static final int TOO_LONG_CHARS = 300_000;
@@ -61,6 +61,14 @@
     TOO_LONG
   }
 
+  /** A message as a command describes it. */
+  private record MessageToSend(String id, String className, long destination, long timeoutMs) {
+    private static MessageToSend of(final String[] command) {
+      return new MessageToSend(
+          command[1], command[2], Long.parseLong(command[3]), Long.parseLong(command[4]));
+    }
+  }
+
   private final Path stateFolder;
   private final InetSocketAddress endpoint;
   private final Clock clock = new Clock();
@@ -107,8 +115,8 @@
       throws IOException, ExecutionException, InterruptedException {
     switch (command[0]) {
       case "lock" -> onLoop(this::lockFolder);
-      case "accept" -> onLoop(() -> accept(command[1], command[2]));
-      case "call" -> onLoop(() -> call(command[1], command[2]));
+      case "accept" -> onLoop(() -> accept(MessageToSend.of(command)));
+      case "call" -> onLoop(() -> call(MessageToSend.of(command)));
       case "listen" -> listen(HandoverManner.valueOf(command[1]));
       case "take-over" -> takeOver();
       case "end-line" -> endLines();
@@ -133,14 +141,14 @@
     return null;
   }
 
-  private StoredMessage accept(final String id, final String className) throws IOException {
+  private StoredMessage accept(final MessageToSend toSend) throws IOException {
     final StoredMessage message =
         new StoredMessage(
-            id,
-            className,
-            "key-" + id,
-            ScriptedCalls.DESTINATION,
-            clock.nowUs() + MESSAGE_TIMEOUT_US,
+            toSend.id(),
+            toSend.className(),
+            "key-" + toSend.id(),
+            toSend.destination(),
+            clock.nowUs() + toSend.timeoutMs() * US_PER_MS,
             BODY.getBytes(StandardCharsets.UTF_8));
     if (!journal.recordAccepted(message)) {
       throw new IOException("not accepted");
@@ -156,15 +164,18 @@
   }
 
   /** Accepts a message and begins a call with it, which nobody ends but this process. */
-  private Void call(final String id, final String className) throws IOException {
-    final StoredMessage message = accept(id, className);
+  private Void call(final MessageToSend toSend) throws IOException {
+    final String id = toSend.id();
+    final StoredMessage message = accept(toSend);
     final long nowUs = clock.nowUs();
     journal.recordAttemptStarted(message, nowUs, ZONE);
     flushJournal();
     final Socket connection = new Socket(endpoint.getAddress(), endpoint.getPort());
     calls.add(id, nowUs, connection);
     final String request =
-        "POST /inbox HTTP/1.1\r\nHost: e1\r\nX-Timeout-Ms: 20000\r\nX-Request-ID: "
+        "POST /inbox HTTP/1.1\r\nHost: e1\r\nX-Timeout-Ms: "
+            + toSend.timeoutMs()
+            + "\r\nX-Request-ID: "
             + id
             + "\r\nIdempotency-Key: key-"
             + id
