--- a/courier/src/main/java/thistleturn/courier/handover/package-info.java
+++ b/courier/src/main/java/thistleturn/courier/handover/package-info.java
@@ -25,10 +25,15 @@
  *       told to ({@link thistleturn.courier.handover.RemoteCallExecutor}). It ends once it has
  *       neither clients nor calls.
  *   <li><b>If the newer process ends first</b> the older one locks the folder again and decides
- *       anew. If the older one ends first, its calls may have executed; the newer one decides what
- *       that means for each message.
+ *       anew. It still has the clients whose messages it had forwarded: those that the journal
+ *       shows as taken on are accepted, the others are decided on. If the older one ends first, its
+ *       calls may have executed; the newer one decides what that means for each message.
  * </ul>
  *
+ * <p>That the connection between the two has ended, or that the lock is free, does not mean that
+ * the other process has: its calls may be in flight until it has ({@link
+ * thistleturn.courier.handover.EarlierProcesses}).
+ *
  * <p>Each class here lives on one event loop of its process. The package does not know what a
  * message means, or how a decision is made.
  */
