--- a/courier/src/main/java/thistleturn/courier/DecisionLoop.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoop.java
@@ -122,13 +122,7 @@
     this.intake = createIntake(completion);
     this.deciding = createDecidingRole(completion);
     this.recovery = createRecovery(completion);
-    this.predecessorEvents =
-        new PredecessorEvents(
-            context,
-            ports.dispatcher(),
-            predecessorCalls,
-            () -> interruptedAttempts(earlierProcesses),
-            this);
+    this.predecessorEvents = createPredecessorEvents();
     this.role = deciding;
   }
 
@@ -136,6 +130,15 @@
     return controller.blockedReason(destination);
   }
 
+  private PredecessorEvents createPredecessorEvents() {
+    return new PredecessorEvents(
+        context,
+        ports.dispatcher(),
+        predecessorCalls,
+        () -> interruptedAttempts(earlierProcesses),
+        this);
+  }
+
   private MessageIntake createIntake(final MessageCompletion completion) {
     return new MessageIntake(
         context,
