Messages whose earlier process has ended are recovered in the order accepted, as before

Change: InterruptedAttempts says which attempts had ended at once; those messages are resumed in their place. Only one whose attempt may be in flight waits.

--- a/courier/src/main/java/thistleturn/courier/InterruptedAttempts.java
+++ b/courier/src/main/java/thistleturn/courier/InterruptedAttempts.java
@@ -27,6 +27,10 @@
   private final EventLoop loop;
   private final EarlierProcesses processes;
   private final long interruptedUs;
+
+  /** Which attempts had ended when they were interrupted, by the times when they started. */
+  private final LongPredicate endedAtFirst;
+
   private final List<Attempt> attempts = new ArrayList<>();
 
   /** How many attempts were awaited, and how many of them ended with their messages' deadlines. */
@@ -42,6 +46,12 @@
     this.loop = loop;
     this.processes = processes;
     this.interruptedUs = clock.nowUs();
+    this.endedAtFirst = processes.endedAttempts(0);
+  }
+
+  /** Returns whether the attempt that a message had in flight has ended already. */
+  boolean hasEnded(final StoredMessage message) {
+    return endedAtFirst.test(message.attemptStartedUs());
   }
 
   /**
@@ -55,7 +65,7 @@
 
   /** Waits for the end of all attempts that were added; it may have come. */
   void awaitEnd() {
-    endWhere(processes.endedAttempts(0));
+    endWhere(endedAtFirst);
     if (!attempts.isEmpty()) {
       awaited = attempts.size();
       Log.event(Event.CALLS_INTERRUPTED, "attempts", awaited, "processes", processes);
--- a/courier/src/main/java/thistleturn/courier/PendingMessageRecovery.java
+++ b/courier/src/main/java/thistleturn/courier/PendingMessageRecovery.java
@@ -74,11 +74,14 @@
     final PendingDelivery delivery = pendingDelivery(message);
     final PriorAttempts prior = message.priorAttempts();
     context.pending().add(delivery);
-    if (message.hasAttemptInFlight()) {
+    if (message.hasAttemptInFlight() && !interrupted.hasEnded(message)) {
       controller.onMessageInterrupted(
           context.clock().nowUs(), toControllerMessage(delivery), prior);
       interrupted.add(message, () -> onInterruptionEnded.accept(delivery));
     } else {
+      if (message.hasAttemptInFlight()) {
+        context.store().recordAttemptOutcome(message, false);
+      }
       controller.onMessageResumed(context.clock().nowUs(), toControllerMessage(delivery), prior);
     }
   }
