--- a/courier/src/test/java/thistleturn/courier/ProcessEndBoundsTest.java
+++ b/courier/src/test/java/thistleturn/courier/ProcessEndBoundsTest.java
@@ -264,10 +264,13 @@
   /** Removes the other process's record, or all of them, as an earlier version left the file. */
   private void forgetHolders(final boolean all) throws IOException {
     final List<String> recorded = Files.readAllLines(lockFile());
-    final String ofOther = other.pid() + " ";
-    assertTrue(recorded.stream().anyMatch(line -> line.startsWith(ofOther)), recorded::toString);
-    Files.write(
-        lockFile(), recorded.stream().filter(line -> !all && !line.startsWith(ofOther)).toList());
+    assertTrue(recorded.stream().anyMatch(this::namesOther), recorded::toString);
+    Files.write(lockFile(), recorded.stream().filter(line -> !all && !namesOther(line)).toList());
+  }
+
+  /** A line of the record: since when, and the number of the process. */
+  private boolean namesOther(final String line) {
+    return line.split(" ")[1].equals(Long.toString(other.pid()));
   }
 
   /** Guards against forgetting what is held when the courier that holds it hands over. */
