Late messages go by deadline while their queue drains in time, no longer youngest first

Cause: past its latency objective a message's urgency falls with its age, so the oldest of a queue goes last, even where all of it could be served; the next stop, or what keeps coming, lets it expire. Change: of like, late messages the one with the least time left goes first, if it can still share a call and the whole queue drains, at the rate measured while others waited (BacklogDrain), in half of the time of the message passed over. Why it works: where all can be served the order costs no value and deadlines are met; where not, nothing changes.

--- a/decisions/src/main/java/thistleturn/decisions/DeadlineGroup.java
+++ b/decisions/src/main/java/thistleturn/decisions/DeadlineGroup.java
@@ -118,6 +118,11 @@
     return best;
   }
 
+  /** Returns the first message whose latency objective is at or after a time, or null. */
+  PendingMessage firstWithObjectiveFrom(final long objectiveUs) {
+    return ordered == null ? null : ordered.firstAtOrAbove(objectiveUs);
+  }
+
   /** Returns whether the clients of these messages may safely hand them in again. */
   boolean mayShed() {
     return PendingMessage.mayShed(messageClass, mayHaveExecuted);
--- a/decisions/src/main/java/thistleturn/decisions/Destination.java
+++ b/decisions/src/main/java/thistleturn/decisions/Destination.java
@@ -33,6 +33,9 @@
 
   private int waitingMessages;
 
+  /** How fast those that wait are served. */
+  private final BacklogDrain backlogDrain = new BacklogDrain();
+
   /** Whether it is among the changed destinations of the round. */
   private boolean changed;
 
@@ -81,12 +84,22 @@
     openMessages--;
   }
 
-  void startWaiting() {
+  BacklogDrain backlogDrain() {
+    return backlogDrain;
+  }
+
+  void startWaiting(final long nowUs) {
+    if (waitingMessages == 0) {
+      backlogDrain.begin(nowUs);
+    }
     waitingMessages++;
   }
 
   void stopWaiting() {
     waitingMessages--;
+    if (waitingMessages == 0) {
+      backlogDrain.end();
+    }
   }
 
   /** Puts a waiting message among those like it; {@code blocked}: another of its key goes first. */
--- a/decisions/src/main/java/thistleturn/decisions/MessageScheduler.java
+++ b/decisions/src/main/java/thistleturn/decisions/MessageScheduler.java
@@ -44,8 +44,8 @@
     destination.catchUpIdleSteps(state.stepCount);
     state.routeTimers.schedule(route.recheckTimer(), sendPermission.nextChangeUs(route));
     final boolean maySend = sendPermission.sendAllowedAtUs(route) <= state.nowUs;
-    final PendingMessage message = maySend ? selectMessage(destination, route, null) : null;
-    entry.select(message);
+    final PendingMessage message = maySend ? mostUrgent(destination, route, null) : null;
+    entry.select(message == null ? null : firstInTurn(message, route));
     if (message == null) {
       return Double.NEGATIVE_INFINITY;
     }
@@ -58,11 +58,55 @@
         : urgency;
   }
 
+  /** Returns the message to send next on a route, or to one endpoint of it if given, or null. */
+  PendingMessage selectMessage(
+      final Destination destination, final Route route, final EndpointHealth endpoint) {
+    final PendingMessage message = mostUrgent(destination, route, endpoint);
+    return message == null ? null : firstInTurn(message, route);
+  }
+
+  /**
+   * Returns the message that goes in place of the most urgent one: of those like it the one whose
+   * time is up first, if all of them are late already and all can be served.
+   *
+   * <p>The urgency of late messages falls with their age. While the queue is served in time, that
+   * order gains nothing, since each of them loses alike by waiting; but the oldest would be left
+   * for last, and expire untried if messages keep coming or the courier is held up. A queue that
+   * takes longer is served by urgency: there, some expire in any order.
+   */
+  private PendingMessage firstInTurn(final PendingMessage mostUrgent, final Route route) {
+    final boolean isLate =
+        mostUrgent.objectiveUs() <= expectedCompletionUs(route, mostUrgent.classIndex());
+    if (!isLate || !route.circuit().isClosed() || !allServedInTime(mostUrgent, route)) {
+      return mostUrgent;
+    }
+    // Who has less time left than a shared call needs would take a call of its own from five
+    // others.
+    final long timeNeededUs = (long) retryPolicy.sharedCallNeedsUs(route, mostUrgent.classIndex());
+    final long sinceObjectiveUs = mostUrgent.validUntilUs() - mostUrgent.objectiveUs();
+    final PendingMessage first =
+        mostUrgent.group().firstWithObjectiveFrom(state.nowUs + timeNeededUs - sinceObjectiveUs);
+    return first == null || first.objectiveUs() > mostUrgent.objectiveUs() ? mostUrgent : first;
+  }
+
+  /** Returns whether a message passed over for all others still had half of its time for itself. */
+  private boolean allServedInTime(final PendingMessage message, final Route route) {
+    final Destination destination = message.destination();
+    final double drainUs =
+        destination
+            .backlogDrain()
+            .drainUs(
+                destination.waitingMessages(),
+                state.nowUs,
+                state.latencies.publishedExpectedUs(route, message.classIndex()));
+    return 2 * drainUs <= message.retryDeadlineUs() - state.nowUs;
+  }
+
   /**
    * Returns the most urgent message for a route, or for one endpoint of it if given, or null.
    * Trials of an open circuit risk first the messages that lose least by a failure.
    */
-  PendingMessage selectMessage(
+  private PendingMessage mostUrgent(
       final Destination destination, final Route route, final EndpointHealth endpoint) {
     PendingMessage best = null;
     int bestRisk = 0;
--- a/decisions/src/main/java/thistleturn/decisions/OutlierDetector.java
+++ b/decisions/src/main/java/thistleturn/decisions/OutlierDetector.java
@@ -91,6 +91,7 @@
     final double part = call.partPerMessage();
     final double latencyRatio = state.latencies.recordLatency(route, classIndex, durationUs);
     route.step().recordDelivery(part, latencyRatio);
+    route.destination().backlogDrain().recordDelivery(state.nowUs);
     call.endpoint().recordSuccess(classIndex, state.nowUs, durationUs);
     if (state.classifiesFaults) {
       recordAvailableCapacity(call, latencyRatio);
--- a/decisions/src/main/java/thistleturn/decisions/OverloadController.java
+++ b/decisions/src/main/java/thistleturn/decisions/OverloadController.java
@@ -355,6 +355,7 @@
   public void onHostPaused(final long nowUs, final long pauseUs) {
     state.nowUs = nowUs;
     overdueCalls.extendDeadlines(pauseUs);
+    state.destinations.values().forEach(one -> one.backlogDrain().restartAfterPause(nowUs));
   }
 
   /** This courier runs late: ends what has expired before any other event is taken in. */
--- a/decisions/src/main/java/thistleturn/decisions/PendingMessages.java
+++ b/decisions/src/main/java/thistleturn/decisions/PendingMessages.java
@@ -101,7 +101,7 @@
     final Destination destination = message.destination();
     state.markChanged(destination);
     message.startWaiting(nextQueuePosition++);
-    destination.startWaiting();
+    destination.startWaiting(state.nowUs);
     deadlines.schedule(
         message.deadline(), retryPolicy.mayAttempt(message) ? retryPolicy.expiryUs(message) : 0);
     destination.enqueue(message, !keyOrdering.mayProceed(message));
--- a/decisions/src/main/java/thistleturn/decisions/RetryPolicy.java
+++ b/decisions/src/main/java/thistleturn/decisions/RetryPolicy.java
@@ -51,8 +51,12 @@
    * delivered by it would be sent again.
    */
   boolean outlastsSharedCall(final Route route, final PendingMessage message) {
-    final double neededUs = HOLD_UP_US + SHARED_CALL_FACTOR * expectedUs(route, message);
-    return message.validUntilUs() - state.nowUs >= neededUs;
+    return message.validUntilUs() - state.nowUs >= sharedCallNeedsUs(route, message.classIndex());
+  }
+
+  /** Returns how much time a message of a class has left that may share a call. */
+  double sharedCallNeedsUs(final Route route, final int classIndex) {
+    return HOLD_UP_US + SHARED_CALL_FACTOR * state.latencies.expectedUs(route, classIndex);
   }
 
   /** Returns how long an attempt may take. */
--- a/decisions/src/test/java/thistleturn/decisions/oracle/ReferenceController.java
+++ b/decisions/src/test/java/thistleturn/decisions/oracle/ReferenceController.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
@@ -195,6 +196,11 @@
 
   private static final long HORIZON_MOST_US = 10 * SECOND_US;
 
+  /** A line that stands for less, us, tells no rate; what it told longer ago weighs half. */
+  private static final long BACKLOG_LEAST_US = SECOND_US / 2;
+
+  private static final long BACKLOG_MEMORY_US = 4 * SECOND_US;
+
   /**
    * Share of worth beyond a quota, of which we see a part; messages in a burst that chance may
    * bring.
@@ -312,7 +318,7 @@
     open++;
     job.overQuota = overQuota(message.tenantIndex());
     job.destination = destination(message.destinationId());
-    job.destination.waiting.add(job);
+    job.destination.enqueue(job);
     job.destination.jobs++;
     busy.put(message.destinationId(), job.destination);
     if (job.kind.orderedByKey() && message.key() != null) {
@@ -377,7 +383,7 @@
     if (outcome.isFinal() || job.over) {
       end(job);
     } else {
-      job.destination.waiting.add(job);
+      job.destination.enqueue(job);
     }
   }
 
@@ -513,7 +519,52 @@
             urgency / (2 * open > settings.limits().maxPendingMessages() ? notedUs(lane, job) : 1);
       }
     }
-    return best;
+    if (best == null) {
+      return null;
+    }
+    final Job first = firstInTurn(destination, lane, best);
+    first.urgency = best.urgency;
+    return first;
+  }
+
+  /**
+   * Of late messages like the most urgent one, the first whose time is up and that may share a
+   * call, where all that waits is served before half of the most urgent one's time is over.
+   */
+  private Job firstInTurn(final Destination destination, final Lane lane, final Job urgent) {
+    final boolean late = urgent.aimUs <= nowUs + (long) notedUs(lane, urgent);
+    final double drainUs =
+        destination.backlog.drainUs(destination.waiting.size(), notedUs(lane, urgent));
+    final boolean endsWithItsKey = urgent.keyEndUs() < urgent.message.validUntilUs();
+    if (!late
+        || lane.phase != Phase.WELL
+        || 2 * drainUs > urgent.keyEndUs() - nowUs
+        || endsWithItsKey) {
+      return urgent;
+    }
+    final long neededUs = (long) (HOLD_UP_US + SHARE_TIMES * expectedUs(lane, urgent));
+    Job first = urgent;
+    for (final Job job : destination.waiting) {
+      if (alike(job, urgent)
+          && inTurn(job)
+          && job.message.validUntilUs() >= nowUs + neededUs
+          && job.aimUs < first.aimUs) {
+        first = job;
+      }
+    }
+    return first;
+  }
+
+  private boolean alike(final Job job, final Job other) {
+    final String zone = job.mayHaveRun && job.kind.keyScopedToZone() ? job.runZone : null;
+    final String otherZone =
+        other.mayHaveRun && other.kind.keyScopedToZone() ? other.runZone : null;
+    return job.kind == other.kind
+        && job.overQuota == other.overQuota
+        && job.mayHaveRun == other.mayHaveRun
+        && (job.keyEndUs() < job.message.validUntilUs())
+            == (other.keyEndUs() < other.message.validUntilUs())
+        && Objects.equals(zone, otherZone);
   }
 
   /** What a message loses by waiting for as long as its destination's line takes. */
@@ -638,6 +689,7 @@
       job.call = call;
       job.attempts++;
       job.destination.waiting.remove(job);
+      job.destination.backlog.endIfEmpty(job.destination);
       actions.send(job.message.id(), node.entry.id(), timeoutUs(lane, node, job));
       final boolean full = alone || call.messages >= lane.kind.messagesPerCall();
       job = full ? null : pick(job.destination, lane, node);
@@ -783,6 +835,7 @@
         final double ratio = learn(lane, job, outcome.durationUs());
         lane.delivered++;
         lane.served += part;
+        destinations.get(lane.destination).backlog.served();
         node.lastServedUs = nowUs;
         node.badRun[kind] = 0;
         node.avoidUntilUs[kind] = 0;
@@ -1161,6 +1214,7 @@
     open -= job.over ? 0 : 1;
     job.over = true;
     job.destination.waiting.remove(job);
+    job.destination.backlog.endIfEmpty(job.destination);
     if (job.call == null) {
       if (job.line != null) {
         job.line.jobs.remove(job);
@@ -1341,13 +1395,21 @@
   }
 
   /** A destination: what waits for it, and its lanes (one, unless its routes are apart). */
-  private static final class Destination {
+  private final class Destination {
     private final List<Job> waiting = new ArrayList<>();
+    private final Backlog backlog = new Backlog();
     private final List<Lane> lanes = new ArrayList<>();
 
     /** Its messages, waiting or out. */
     private int jobs;
 
+    private void enqueue(final Job job) {
+      if (waiting.isEmpty()) {
+        backlog.begin();
+      }
+      waiting.add(job);
+    }
+
     /** How long its line takes at the rate that it was served, us. */
     private long lineUs() {
       double sum = 0;
@@ -1359,6 +1421,38 @@
     }
   }
 
+  /** What is served of a line while it stands, and how long the rest takes at that rate. */
+  private final class Backlog {
+    private long sinceUs = NEVER;
+    private double served;
+
+    private void begin() {
+      sinceUs = nowUs;
+      served = 0;
+    }
+
+    private void endIfEmpty(final Destination destination) {
+      sinceUs = destination.waiting.isEmpty() ? NEVER : sinceUs;
+    }
+
+    private void served() {
+      if (sinceUs == NEVER) {
+        return;
+      }
+      served++;
+      if (nowUs - sinceUs > BACKLOG_MEMORY_US) {
+        sinceUs += (nowUs - sinceUs) / 2;
+        served /= 2;
+      }
+    }
+
+    private double drainUs(final int messages, final double callUs) {
+      return sinceUs == NEVER || nowUs - sinceUs < BACKLOG_LEAST_US + 2 * callUs
+          ? 0
+          : messages * ((nowUs - sinceUs) / served);
+    }
+  }
+
   /** The unit of the window: a destination, or a route of it. */
   private static final class Lane {
     private final DestinationKind kind;
