A time-out whose time was up while this courier did not run says nothing of the endpoint

Callers saw: behind a stop of the courier their messages expired untried for seconds, though the partners were well. Cause: responses that come during the stop lie unread when it wakes; those read after the time of a message count as TIMED_OUT for the message (rightly: the endpoint may have written them too late), and counted against the endpoint as well: four of them open the circuit, and the destination gets single trials and a ramp. Change: OverdueCallDetector.extendDeadlines, told of the pause before any outcome, marks calls whose first message expired by its end; their time-outs are neither a fault nor a failure. What expires later counts as before, so an endpoint that was silent before and after is found as before. Measured: HostPauseTest, three new cases; the first failed before (WELL wanted, OUT), the two bounds of it passed before and do now.

--- a/decisions/src/main/java/thistleturn/decisions/InFlightCall.java
+++ b/decisions/src/main/java/thistleturn/decisions/InFlightCall.java
@@ -30,6 +30,12 @@
   /** How long this courier did not run while the call was in flight. */
   private long hostPauseUs;
 
+  /** When the first of its messages expires: the call is over for all of them then. */
+  private long expiryUs = OverloadController.NEVER;
+
+  /** Whether that was while this courier did not run: a response in time was read too late. */
+  private boolean expiredDuringHostPause;
+
   /** Whether it went over a connection that was there already, as far as is known here. */
   private boolean reusedConnection;
 
@@ -73,6 +79,7 @@
   void add(final PendingMessage message, final long messageExpectedUs) {
     pendingMessages.add(message);
     batchSize++;
+    expiryUs = Math.min(expiryUs, message.validUntilUs());
     expectedUs = Math.max(expectedUs, messageExpectedUs);
   }
 
@@ -165,9 +172,18 @@
     return sentUs + hostPauseUs + Math.max(MIN_OVERDUE_US, (long) (OVERDUE_FACTOR * expectedUs));
   }
 
-  /** Grants the call the time in which this courier did not run. */
-  void extendBy(final long pauseUs) {
+  /** Grants the call the time in which this courier did not run, until now. */
+  void extendBy(final long pauseUs, final long nowUs) {
     hostPauseUs += pauseUs;
+    expiredDuringHostPause |= expiryUs <= nowUs;
+  }
+
+  /**
+   * Returns whether a time-out says nothing about the endpoint: the time of a message was up while
+   * this courier did not run, and a response that lies unread since may have come before.
+   */
+  boolean isTimeoutOfHostPause(final AttemptResult result) {
+    return result == AttemptResult.TIMED_OUT && expiredDuringHostPause;
   }
 
   boolean isOverdue() {
--- a/decisions/src/main/java/thistleturn/decisions/OutlierDetector.java
+++ b/decisions/src/main/java/thistleturn/decisions/OutlierDetector.java
@@ -49,6 +49,10 @@
     route.circuit().markFaultySince(state.nowUs);
     // A Retry-After may stand in any answer, also one that delivers some of a call's messages.
     route.pacing().holdUntil(state.nowUs + outcome.retryAfterUs());
+    if (call.isTimeoutOfHostPause(outcome.result())) {
+      withdrawFault(route, firstFault);
+      return;
+    }
     switch (outcome.result()) {
       case DELIVERED -> recordDelivery(call, classIndex, outcome.durationUs());
       case REFUSED -> recordRejection(call, message, outcome.retryAfterUs(), firstFault);
--- a/decisions/src/main/java/thistleturn/decisions/OverdueCallDetector.java
+++ b/decisions/src/main/java/thistleturn/decisions/OverdueCallDetector.java
@@ -79,7 +79,7 @@
       inFlight.add(call);
     }
     for (final InFlightCall call : inFlight) {
-      call.extendBy(pauseUs);
+      call.extendBy(pauseUs, state.nowUs);
       track(call);
     }
   }
--- a/decisions/src/test/java/thistleturn/decisions/HostPauseTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/HostPauseTest.java
@@ -97,6 +97,67 @@
         "time-out " + one.lastCall("next").timeoutUs());
   }
 
+  /**
+   * The time of messages in flight is up while the courier is stopped. Their responses lie unread
+   * when it wakes; it cannot tell when they were written, and counts them as time-outs. These said
+   * that the destination was out: it was left with single trials and a ramp, and what had come
+   * during the stop expired untried.
+   *
+   * <p>Seen in {@code PausedCourierTest}, stops of 2.5 s beside three busy loops: {@code
+   * shared_call_expired messages=5 had_us=2322643 overdue_us=384515 answered=true}, then {@code
+   * attempt_failed result=TIMED_OUT} for each, {@code kept_by="it is out: the next trial goes in 0
+   * ms"}, and 40 messages a second instead of 500.
+   */
+  @Test
+  void timeoutsOfMessagesThatExpiredDuringHostPause_sayNothingOfTheDestination() {
+    final ScriptedController one = beforeStopWithBriefMessages();
+    final double window = one.controller.routes().get(0).window();
+    resume(one, 3 * SECOND, true);
+    endBriefMessages(one);
+    assertEquals("WELL", one.controller.routes().get(0).circuitState());
+    assertTrue(one.controller.routes().get(0).window() >= window, "the window has shrunk");
+    for (int index = 0; index < 4; index++) {
+      one.accept("next" + index, SAFE);
+      assertEquals(1, one.attempts("next" + index), "as before, at once");
+    }
+  }
+
+  /** The same time-outs without a stop: nobody answered, and the destination is out. */
+  @Test
+  void timeoutsOfMessagesThatExpiredWithoutHostPause_openTheCircuit() {
+    final ScriptedController one = beforeStopWithBriefMessages();
+    resume(one, 3 * SECOND, false);
+    endBriefMessages(one);
+    assertEquals("OUT", one.controller.routes().get(0).circuitState());
+  }
+
+  /** Who does not answer behind the stop either is found as before. */
+  @Test
+  void timeoutsOfMessagesThatExpireAfterHostPause_openTheCircuit() {
+    final ScriptedController one = beforeStopWithBriefMessages();
+    resume(one, SECOND, true);
+    one.nowUs += 2 * SECOND;
+    endBriefMessages(one);
+    assertEquals("OUT", one.controller.routes().get(0).circuitState());
+  }
+
+  /** Four messages in flight, each with two seconds left. */
+  private static ScriptedController beforeStopWithBriefMessages() {
+    final ScriptedController one = cut();
+    for (int index = 0; index < 4; index++) {
+      one.accept("brief" + index, SAFE, null, 2 * SECOND);
+      assertEquals(1, one.attempts("brief" + index));
+    }
+    return one;
+  }
+
+  private static void endBriefMessages(final ScriptedController one) {
+    for (int index = 0; index < 4; index++) {
+      one.reportOutcome("brief" + index, AttemptResult.TIMED_OUT, 0);
+    }
+    one.controller.decide(one.nowUs);
+  }
+
   private static ScriptedController cut() {
     final ScriptedController one = busy();
     for (int index = 0; index < 4; index++) {
