Late messages of classes of equal worth go by deadline together, not class by class

Callers saw: messages of a class that shares no call deferred behind a stop, all others of the same stop delivered. It took the first by deadline within the class of the most urgent message; that message is passed over and stays, so its class went first until it was empty. Which of two classes of different worth goes first is decided by urgency as before.

--- a/decisions/src/main/java/thistleturn/decisions/DeadlineGroup.java
+++ b/decisions/src/main/java/thistleturn/decisions/DeadlineGroup.java
@@ -118,9 +118,25 @@
     return best;
   }
 
-  /** Returns the first message whose latency objective is at or after a time, or null. */
-  PendingMessage firstWithObjectiveFrom(final long objectiveUs) {
-    return ordered == null ? null : ordered.firstAtOrAbove(objectiveUs);
+  /**
+   * Returns the message with the least time left of those that are valid until a time or longer;
+   * null if there is none, or if idempotency windows end the messages before.
+   */
+  PendingMessage firstValidUntil(final long untilUs) {
+    return ordered == null
+        ? null
+        : ordered.firstAtOrAbove(
+            untilUs - messageClass.deadlineUs() + messageClass.latencyObjectiveUs());
+  }
+
+  /** Returns whether messages of the same age are worth the same here and in another group. */
+  boolean isWorthAsMuchAs(final DeadlineGroup other) {
+    final MessageClass otherClass = other.messageClass;
+    return overQuota == other.overQuota
+        && messageClass.priorityWeight() == otherClass.priorityWeight()
+        && messageClass.lateWeight() == otherClass.lateWeight()
+        && messageClass.latencyObjectiveUs() == otherClass.latencyObjectiveUs()
+        && messageClass.deadlineUs() == otherClass.deadlineUs();
   }
 
   /** Returns whether the clients of these messages may safely hand them in again. */
--- a/decisions/src/main/java/thistleturn/decisions/MessageScheduler.java
+++ b/decisions/src/main/java/thistleturn/decisions/MessageScheduler.java
@@ -45,7 +45,7 @@
     state.routeTimers.schedule(route.recheckTimer(), sendPermission.nextChangeUs(route));
     final boolean maySend = sendPermission.sendAllowedAtUs(route) <= state.nowUs;
     final PendingMessage message = maySend ? mostUrgent(destination, route, null) : null;
-    entry.select(message == null ? null : firstInTurn(message, route));
+    entry.select(message == null ? null : firstInTurn(message, route, null));
     if (message == null) {
       return Double.NEGATIVE_INFINITY;
     }
@@ -62,31 +62,44 @@
   PendingMessage selectMessage(
       final Destination destination, final Route route, final EndpointHealth endpoint) {
     final PendingMessage message = mostUrgent(destination, route, endpoint);
-    return message == null ? null : firstInTurn(message, route);
+    return message == null ? null : firstInTurn(message, route, endpoint);
   }
 
   /**
-   * Returns the message that goes in place of the most urgent one: of those like it the one whose
-   * time is up first, if all of them are late already and all can be served.
+   * Returns the message that goes in place of the most urgent one: of those worth as much the one
+   * whose time is up first, if all of them are late already and all can be served.
    *
    * <p>The urgency of late messages falls with their age. While the queue is served in time, that
    * order gains nothing, since each of them loses alike by waiting; but the oldest would be left
    * for last, and expire untried if messages keep coming or the courier is held up. A queue that
    * takes longer is served by urgency: there, some expire in any order.
    */
-  private PendingMessage firstInTurn(final PendingMessage mostUrgent, final Route route) {
+  private PendingMessage firstInTurn(
+      final PendingMessage mostUrgent, final Route route, final EndpointHealth endpoint) {
     final boolean isLate =
         mostUrgent.objectiveUs() <= expectedCompletionUs(route, mostUrgent.classIndex());
     if (!isLate || !route.circuit().isClosed() || !allServedInTime(mostUrgent, route)) {
       return mostUrgent;
     }
-    // Who has less time left than a shared call needs would take a call of its own from five
-    // others.
-    final long timeNeededUs = (long) retryPolicy.sharedCallNeedsUs(route, mostUrgent.classIndex());
-    final long sinceObjectiveUs = mostUrgent.validUntilUs() - mostUrgent.objectiveUs();
-    final PendingMessage first =
-        mostUrgent.group().firstWithObjectiveFrom(state.nowUs + timeNeededUs - sinceObjectiveUs);
-    return first == null || first.objectiveUs() > mostUrgent.objectiveUs() ? mostUrgent : first;
+    PendingMessage first = mostUrgent;
+    for (final DeadlineGroup group : mostUrgent.destination().groups()) {
+      if (!group.isBlocked()
+          && group.isWorthAsMuchAs(mostUrgent.group())
+          && maySend(group, route, endpoint)) {
+        final PendingMessage candidate = firstThatOutlastsSharedCall(group, route);
+        first = candidate != null && candidate.expiresBefore(first) ? candidate : first;
+      }
+    }
+    return first;
+  }
+
+  /**
+   * Returns the message of a group with the least time left that may still share a call, or null:
+   * one with less would take a call of its own from several others.
+   */
+  private PendingMessage firstThatOutlastsSharedCall(final DeadlineGroup group, final Route route) {
+    final long neededUs = (long) retryPolicy.sharedCallNeedsUs(route, group.classIndex());
+    return group.firstValidUntil(state.nowUs + neededUs);
   }
 
   /** Returns whether a message passed over for all others still had half of its time for itself. */
--- a/decisions/src/main/java/thistleturn/decisions/PendingMessage.java
+++ b/decisions/src/main/java/thistleturn/decisions/PendingMessage.java
@@ -87,6 +87,12 @@
     return sequence;
   }
 
+  /** Returns whether its time is up before another's, or at once and it waits ahead of it. */
+  boolean expiresBefore(final PendingMessage other) {
+    return validUntilUs() < other.validUntilUs()
+        || (validUntilUs() == other.validUntilUs() && queuePosition < other.queuePosition);
+  }
+
   long objectiveUs() {
     return objectiveUs;
   }
--- a/decisions/src/test/java/thistleturn/decisions/DeadlineOrderTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/DeadlineOrderTest.java
@@ -57,7 +57,8 @@
 
   /** One destination that serves every call in the same time, and a clock of ticks. */
   private static final class Playback {
-    private final ScriptedController courier = new ScriptedController(settings());
+    private final ScriptedController courier;
+    private final int kinds;
     private final Map<String, Long> answersDue = new LinkedHashMap<>();
     private final Set<String> delivered = new HashSet<>();
     private final List<Long> deliveryDelaysUs = new ArrayList<>();
@@ -68,6 +69,13 @@
     private long gapUs;
 
     Playback(final long lifeUs) {
+      this(lifeUs, kind(Idempotence.IDEMPOTENT));
+    }
+
+    /** Messages of several classes come in turn. */
+    Playback(final long lifeUs, final MessageClass... kinds) {
+      this.courier = new ScriptedController(settings(kinds));
+      this.kinds = kinds.length;
       this.lifeUs = lifeUs;
       courier.applyEndpointList(
           EndpointUpdate.RESTORED_SNAPSHOT,
@@ -127,7 +135,13 @@
         handedInUs.put(id, nextArrivalUs);
         courier.controller.onMessage(
             courier.nowUs,
-            new Message(id, 0, -1, null, nextArrivalUs + lifeUs, ScriptedController.DESTINATION));
+            new Message(
+                id,
+                (handedInUs.size() - 1) % kinds,
+                -1,
+                null,
+                nextArrivalUs + lifeUs,
+                ScriptedController.DESTINATION));
       }
     }
 
@@ -159,17 +173,19 @@
     }
   }
 
-  private static DeliverySettings settings() {
-    final MessageClass kind =
-        new MessageClass(
-            "safe", Idempotence.IDEMPOTENT, false, false, 1, 0, OBJECTIVE_US, CLASS_DEADLINE_US, 0);
+  private static MessageClass kind(final Idempotence effect) {
+    return new MessageClass(
+        effect.name(), effect, false, false, 1, 0, OBJECTIVE_US, CLASS_DEADLINE_US, 0);
+  }
+
+  private static DeliverySettings settings(final MessageClass... kinds) {
     return new DeliverySettings(
         2,
         "a",
         false,
         WeightMeaning.NONE,
         ValueDecay.LINEAR,
-        List.of(kind),
+        List.of(kinds),
         List.of(),
         List.of(new DestinationKind("std", false, MESSAGES_PER_CALL)),
         new Guarantees(10 * SECOND, 0.2, 10 * SECOND, 2, 3 * SECOND),
@@ -189,6 +205,23 @@
     assertTrue(playback.deliveredShare() >= DELIVERED_SHARE, playback.summary());
   }
 
+  /**
+   * Every second message shares no call. These were left behind those that go five in a call: all
+   * deferred messages of such a play were theirs.
+   */
+  @Test
+  void messagesThatShareNoCall_areNotLeftForLast() {
+    final Playback playback =
+        new Playback(TIME_US, kind(Idempotence.IDEMPOTENT), kind(Idempotence.NON_IDEMPOTENT));
+    playback.run(2 * SECOND);
+    for (int stop = 0; stop < 2; stop++) {
+      playback.stop(2500 * MS);
+      playback.run(800 * MS);
+    }
+    playback.finish();
+    assertTrue(playback.deliveredShare() >= DELIVERED_SHARE, playback.summary());
+  }
+
   /** A little more comes than can be served: the queue grows, and shrinks once less comes. */
   @Test
   void messagesOfALittleOverload_areAllDelivered() {
--- a/decisions/src/test/java/thistleturn/decisions/oracle/ReferenceController.java
+++ b/decisions/src/test/java/thistleturn/decisions/oracle/ReferenceController.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
@@ -499,12 +498,7 @@
     double bestUrgency = 0;
     final long lineUs = destination.lineUs();
     for (final Job job : destination.waiting) {
-      if (!inTurn(job)
-          || !endsInTime(lane, job)
-          || (node == null && choose(lane, job, null) == null)
-          || (node != null
-              && (!zoneAllows(job, node)
-                  || job.kind.idempotence() == Idempotence.NON_IDEMPOTENT))) {
+      if (!mayGo(lane, node, job)) {
         continue;
       }
       final double urgency = urgency(lane, job, lineUs);
@@ -522,49 +516,59 @@
     if (best == null) {
       return null;
     }
-    final Job first = firstInTurn(destination, lane, best);
+    final Job first = firstInTurn(destination, lane, node, best);
     first.urgency = best.urgency;
     return first;
   }
 
   /**
-   * Of late messages like the most urgent one, the first whose time is up and that may share a
-   * call, where all that waits is served before half of the most urgent one's time is over.
+   * Of late messages worth as much as the most urgent one, the first whose time is up and that may
+   * share a call, where all that waits is served before half of the most urgent one's time is over.
    */
-  private Job firstInTurn(final Destination destination, final Lane lane, final Job urgent) {
+  private Job firstInTurn(
+      final Destination destination, final Lane lane, final Node node, final Job urgent) {
     final boolean late = urgent.aimUs <= nowUs + (long) notedUs(lane, urgent);
     final double drainUs =
         destination.backlog.drainUs(destination.waiting.size(), notedUs(lane, urgent));
-    final boolean endsWithItsKey = urgent.keyEndUs() < urgent.message.validUntilUs();
-    if (!late
-        || lane.phase != Phase.WELL
-        || 2 * drainUs > urgent.keyEndUs() - nowUs
-        || endsWithItsKey) {
+    if (!late || lane.phase != Phase.WELL || 2 * drainUs > urgent.keyEndUs() - nowUs) {
       return urgent;
     }
-    final long neededUs = (long) (HOLD_UP_US + SHARE_TIMES * expectedUs(lane, urgent));
     Job first = urgent;
     for (final Job job : destination.waiting) {
-      if (alike(job, urgent)
-          && inTurn(job)
-          && job.message.validUntilUs() >= nowUs + neededUs
-          && job.aimUs < first.aimUs) {
+      if (worthAsMuch(job, urgent)
+          && job.keyEndUs() == job.message.validUntilUs()
+          && mayGo(lane, node, job)
+          && job.message.validUntilUs()
+              >= nowUs + (long) (HOLD_UP_US + SHARE_TIMES * expectedUs(lane, job))
+          && endsBefore(destination, job, first)) {
         first = job;
       }
     }
     return first;
   }
 
-  private boolean alike(final Job job, final Job other) {
-    final String zone = job.mayHaveRun && job.kind.keyScopedToZone() ? job.runZone : null;
-    final String otherZone =
-        other.mayHaveRun && other.kind.keyScopedToZone() ? other.runZone : null;
-    return job.kind == other.kind
-        && job.overQuota == other.overQuota
-        && job.mayHaveRun == other.mayHaveRun
-        && (job.keyEndUs() < job.message.validUntilUs())
-            == (other.keyEndUs() < other.message.validUntilUs())
-        && Objects.equals(zone, otherZone);
+  private static boolean endsBefore(final Destination destination, final Job job, final Job other) {
+    final long until = job.message.validUntilUs();
+    final long otherUntil = other.message.validUntilUs();
+    return until < otherUntil
+        || (until == otherUntil
+            && destination.waiting.indexOf(job) < destination.waiting.indexOf(other));
+  }
+
+  private static boolean worthAsMuch(final Job job, final Job other) {
+    return job.overQuota == other.overQuota
+        && job.kind.priorityWeight() == other.kind.priorityWeight()
+        && job.kind.lateWeight() == other.kind.lateWeight()
+        && job.kind.latencyObjectiveUs() == other.kind.latencyObjectiveUs()
+        && job.kind.deadlineUs() == other.kind.deadlineUs();
+  }
+
+  private boolean mayGo(final Lane lane, final Node node, final Job job) {
+    return inTurn(job)
+        && endsInTime(lane, job)
+        && (node != null || choose(lane, job, null) != null)
+        && (node == null
+            || (zoneAllows(job, node) && job.kind.idempotence() != Idempotence.NON_IDEMPOTENT));
   }
 
   /** What a message loses by waiting for as long as its destination's line takes. */
