--- a/decisions/src/test/java/thistleturn/decisions/DeadlineOrderTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/DeadlineOrderTest.java
@@ -98,6 +98,16 @@
       }
     }
 
+    /** Stops the courier for 2.5 s, so many times, and lets it run so long behind each stop. */
+    void stopRepeatedly(final int stops, final long gapUs) {
+      run(2 * SECOND);
+      for (int stop = 0; stop < stops; stop++) {
+        stop(2500 * MS);
+        run(gapUs);
+      }
+      finish();
+    }
+
     /** Stops the courier; what arrives and is answered meanwhile is read when it wakes. */
     void stop(final long us) {
       courier.nowUs += us;
@@ -196,12 +206,7 @@
   @Test
   void messagesOfAStop_areDeliveredBeforeTheNextOneLetsThemExpire() {
     final Playback playback = new Playback(TIME_US);
-    playback.run(2 * SECOND);
-    for (int stop = 0; stop < 3; stop++) {
-      playback.stop(2500 * MS);
-      playback.run(300 * MS);
-    }
-    playback.finish();
+    playback.stopRepeatedly(3, 300 * MS);
     assertTrue(playback.deliveredShare() >= DELIVERED_SHARE, playback.summary());
   }
 
@@ -213,12 +218,7 @@
   void messagesThatShareNoCall_areNotLeftForLast() {
     final Playback playback =
         new Playback(TIME_US, kind(Idempotence.IDEMPOTENT), kind(Idempotence.NON_IDEMPOTENT));
-    playback.run(2 * SECOND);
-    for (int stop = 0; stop < 2; stop++) {
-      playback.stop(2500 * MS);
-      playback.run(800 * MS);
-    }
-    playback.finish();
+    playback.stopRepeatedly(2, 800 * MS);
     assertTrue(playback.deliveredShare() >= DELIVERED_SHARE, playback.summary());
   }
 
