Log connections and calls: unexpected bytes, reasons of closes, call numbers

Change: events endpoint_bytes_unexpected, endpoint_connection_closed, platform_connection_closed, counted and rate-limited, with the latest four calls of the connection; attempt_failed and attempt_not_sent name connection and call. The line 'the platform answers notices with' became platform_connection_closed. No behaviour changes. Measured: EventLineFormatTest, OperatorPageFormatTest (three names added), MalformedResponseTest, EndpointCallBytesTest, DiscoveryWatchTest and StaleConnectionTest green.

--- a/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
+++ b/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
@@ -99,7 +99,11 @@
         "after_us",
         nowUs - call.preparedUs(),
         "wait_us",
-        outcome.retryAfterUs());
+        outcome.retryAfterUs(),
+        "connection",
+        call.connection(),
+        "call",
+        call.numberOnConnection());
   }
 
   private AttemptOutcome toControllerOutcome(
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -33,6 +33,7 @@
   private final EventLoop loop;
   private final Clock clock;
   private final EndpointResponse response = new EndpointResponse();
+  private final EndpointConnectionLog log;
   private ChannelHandlerContext context;
 
   /** The current call; null while the connection is idle. */
@@ -53,10 +54,17 @@
   /** Limits the wait for the rest of a response. */
   private Future<?> completionTimer;
 
-  EndpointConnection(final HttpDispatcher dispatcher, final EventLoop loop, final Clock clock) {
+  EndpointConnection(
+      final HttpDispatcher dispatcher, final long number, final EventLoop loop, final Clock clock) {
     this.dispatcher = dispatcher;
     this.loop = loop;
     this.clock = clock;
+    this.log = new EndpointConnectionLog(number);
+  }
+
+  /** The number of this connection, unique within its dispatcher. */
+  long number() {
+    return log.connection();
   }
 
   boolean isActive() {
@@ -79,7 +87,8 @@
   void send(final HttpCall next) {
     call = next;
     sentUs = clock.nowUs();
-    call.setConnection(this, context.channel());
+    log.onCallSent(call);
+    call.setConnection(this, log.calls(), context.channel());
     response.reset();
     context
         .writeAndFlush(CallRequestEncoder.encode(call, clock.nowUs()))
@@ -92,13 +101,18 @@
   }
 
   /** Closes the connection if it is idle. */
-  void close() {
+  void close(final EndpointCloseReason reason) {
     if (call == null) {
       removeFromPool();
-      context.close();
+      closeChannel(reason);
     }
   }
 
+  private void closeChannel(final EndpointCloseReason reason) {
+    log.closed(reason, clock.nowUs());
+    context.close();
+  }
+
   /**
    * Abandons the call by shutting down the output. Its response may be unread or still on its way:
    * input is read for a while, but only the Retry-After is used.
@@ -113,6 +127,7 @@
     if (context.channel() instanceof SocketChannel socket) {
       socket.shutdownOutput();
     }
+    log.closed(EndpointCloseReason.CALL_ABANDONED, clock.nowUs());
     loop.schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -152,7 +167,8 @@
     }
     if (call == null || !call.isWritten()) {
       // No call is in flight, or it is not fully written: the bytes belong to an earlier call.
-      onConnectionBroken(AttemptResult.RESET);
+      log.unexpectedBytes(call, clock.nowUs());
+      onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.UNEXPECTED_BYTES);
     } else {
       receivingResponse = true;
     }
@@ -173,7 +189,7 @@
     }
     if (call == null || part.decoderResult().isFailure() || !response.add(part)) {
       // The response belongs to no call or is invalid: the connection cannot be reused.
-      onConnectionBroken(AttemptResult.ERROR);
+      onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.INVALID_RESPONSE);
       return;
     }
     if (part instanceof LastHttpContent) {
@@ -190,7 +206,8 @@
     if (receivingResponse && completionTimer == null && call != null) {
       completionTimer =
           loop.schedule(
-              () -> onConnectionBroken(AttemptResult.ERROR),
+              () ->
+                  onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.INCOMPLETE_RESPONSE),
               RESPONSE_COMPLETION_TIMEOUT_MS,
               TimeUnit.MILLISECONDS);
     }
@@ -229,8 +246,9 @@
   private void onResponseComplete() {
     final HttpCall completed = call;
     call = null;
+    log.onResponse(completed, response.head(), clock.nowUs());
     if (!dispatcher.removeCall(completed)) {
-      context.close();
+      closeChannel(EndpointCloseReason.NOT_REUSABLE);
       return;
     }
     if (response.isKeepAlive() && completed.isWritten() && !completed.pool().isRemoved()) {
@@ -238,7 +256,7 @@
       pool = completed.pool();
       dispatcher.addIdle(this, pool);
     } else {
-      context.close();
+      closeChannel(EndpointCloseReason.NOT_REUSABLE);
     }
     final HttpResponse head = response.head();
     final long retryAfterUs = applyRetryAfter(completed.pool(), head);
@@ -264,11 +282,11 @@
    *
    * @param cause {@link AttemptResult#RESET} if the connection was lost
    */
-  private void onConnectionBroken(final AttemptResult cause) {
+  private void onConnectionBroken(final AttemptResult cause, final EndpointCloseReason reason) {
     final boolean answered = receivingResponse || response.hasStatusLine();
     cancelCompletionTimer();
     removeFromPool();
-    context.close();
+    closeChannel(reason);
     final HttpCall interrupted = call;
     final boolean delivered = interrupted != null && isDelivered(interrupted);
     call = null;
@@ -300,7 +318,7 @@
 
   @Override
   public void channelInactive(final ChannelHandlerContext ctx) {
-    onConnectionBroken(AttemptResult.RESET);
+    onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.ENDED_BY_ENDPOINT);
   }
 
   @Override
@@ -308,6 +326,6 @@
     if (!(cause instanceof IOException)) {
       Log.failure("endpoint connection", cause);
     }
-    onConnectionBroken(AttemptResult.RESET);
+    onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.ENDED_BY_ENDPOINT);
   }
 }
--- /dev/null
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnectionLog.java
@@ -0,0 +1,114 @@
+package thistleturn.courier.http;
+
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.StringJoiner;
+import java.util.function.Supplier;
+import thistleturn.courier.runtime.Event;
+import thistleturn.courier.runtime.Log;
+
+/**
+ * Logs what happens on one connection to an endpoint outside its calls, together with the latest
+ * calls: which message was answered with which status, and when. Used on the event loop.
+ */
+final class EndpointConnectionLog {
+  /** How many of the latest calls are kept for the log. */
+  private static final int MAX_RECENT_CALLS = 4;
+
+  private final long connection;
+  private final Deque<AnsweredCall> recentCalls = new ArrayDeque<>(MAX_RECENT_CALLS);
+  private String address = "";
+  private int calls;
+
+  /** Whether the end of the connection has been logged. */
+  private boolean closed;
+
+  /** A call and the response that was taken for its own. */
+  private record AnsweredCall(int number, String firstId, int messages, int status, long atUs) {
+    private String describe(final long nowUs) {
+      final String more = messages > 1 ? "+" + (messages - 1) : "";
+      return number + ":" + firstId + more + ":" + status + ":" + (nowUs - atUs);
+    }
+  }
+
+  EndpointConnectionLog(final long connection) {
+    this.connection = connection;
+  }
+
+  /** The number of the connection, unique within its dispatcher. */
+  long connection() {
+    return connection;
+  }
+
+  /** The number of calls that the connection has carried. */
+  int calls() {
+    return calls;
+  }
+
+  void onCallSent(final HttpCall call) {
+    calls++;
+    address = call.pool().address().getHostString() + ":" + call.pool().address().getPort();
+  }
+
+  void onResponse(final HttpCall call, final HttpResponse head, final long nowUs) {
+    if (recentCalls.size() == MAX_RECENT_CALLS) {
+      recentCalls.removeFirst();
+    }
+    recentCalls.addLast(
+        new AnsweredCall(
+            calls,
+            call.attempts().get(0).message().id(),
+            call.attempts().size(),
+            head.status().code(),
+            nowUs));
+  }
+
+  /**
+   * Bytes came that belong to no call.
+   *
+   * @param partlyWritten the call that is not written completely; null if there is no call
+   */
+  void unexpectedBytes(final HttpCall partlyWritten, final long nowUs) {
+    Log.event(
+        Event.ENDPOINT_BYTES_UNEXPECTED,
+        "to",
+        address,
+        "connection",
+        connection,
+        "call",
+        calls,
+        "while",
+        partlyWritten == null ? "idle" : "writing",
+        "recent",
+        describeRecentCalls(nowUs));
+  }
+
+  /** The connection ends; only the first reason is logged. */
+  void closed(final EndpointCloseReason reason, final long nowUs) {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    Log.event(
+        Event.ENDPOINT_CONNECTION_CLOSED,
+        "to",
+        address,
+        "connection",
+        connection,
+        "call",
+        calls,
+        "why",
+        reason.label(),
+        "recent",
+        describeRecentCalls(nowUs));
+  }
+
+  private Supplier<String> describeRecentCalls(final long nowUs) {
+    return () -> {
+      final StringJoiner text = new StringJoiner(",");
+      recentCalls.forEach(call -> text.add(call.describe(nowUs)));
+      return text.toString();
+    };
+  }
+}
--- a/courier/src/main/java/thistleturn/courier/http/HttpCall.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCall.java
@@ -27,6 +27,7 @@
 
   private Channel channel;
   private EndpointConnection connection;
+  private int numberOnConnection;
   private int localFailures;
   private Progress progress = Progress.PREPARED;
 
@@ -78,6 +79,16 @@
     return preparedUs;
   }
 
+  @Override
+  public long connection() {
+    return connection == null ? 0 : connection.number();
+  }
+
+  @Override
+  public int numberOnConnection() {
+    return numberOnConnection;
+  }
+
   /** When the first of the messages expires, which ends the call for all of them. */
   long messageDeadlineUs() {
     return messageDeadlineUs;
@@ -156,8 +167,12 @@
   }
 
   /** Sets the connection over which the call is sent. */
-  void setConnection(final EndpointConnection endpointConnection, final Channel connectionChannel) {
+  void setConnection(
+      final EndpointConnection endpointConnection,
+      final int number,
+      final Channel connectionChannel) {
     connection = endpointConnection;
+    numberOnConnection = number;
     channel = connectionChannel;
   }
 
--- a/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
@@ -60,6 +60,7 @@
   private final IdleEndpointConnections idleConnections = new IdleEndpointConnections();
   private final Set<HttpCall> calls = new HashSet<>();
   private final CallDeadlines deadlines;
+  private long connectionsOpened;
 
   /** The calls that are not written completely: a Retry-After still abandons them. */
   private final Set<HttpCall> unwritten = new LinkedHashSet<>();
@@ -97,8 +98,9 @@
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(final Channel channel) {
+                connectionsOpened++;
                 final EndpointConnection connection =
-                    new EndpointConnection(HttpDispatcher.this, loop, clock);
+                    new EndpointConnection(HttpDispatcher.this, connectionsOpened, loop, clock);
                 channel.pipeline().addLast(new ResponseDecoder(connection), connection);
               }
             });
@@ -131,7 +133,8 @@
   public void closeIdleConnections(final long endpoint) {
     final EndpointConnectionPool pool = pools.get(endpoint);
     if (pool != null) {
-      pool.idleSnapshot().forEach(EndpointConnection::close);
+      pool.idleSnapshot()
+          .forEach(connection -> connection.close(EndpointCloseReason.ENDPOINT_CHANGED));
     }
   }
 
@@ -284,7 +287,7 @@
 
   private void connect(final HttpCall call) {
     if (descriptors.isEndpointLimitReached()) {
-      idleConnections.closeLongestIdle();
+      idleConnections.closeLongestIdle(EndpointCloseReason.MAKES_ROOM);
     }
     if (descriptors.isEndpointLimitReached()) {
       abandonLater(call);
--- a/courier/src/main/java/thistleturn/courier/http/IdleEndpointConnections.java
+++ b/courier/src/main/java/thistleturn/courier/http/IdleEndpointConnections.java
@@ -65,14 +65,14 @@
   void closeIdleSince(final long sinceUs) {
     while (!longestIdleFirst.isEmpty()
         && longestIdleFirst.iterator().next().idleSinceUs() <= sinceUs) {
-      closeLongestIdle();
+      closeLongestIdle(EndpointCloseReason.IDLE_TIMEOUT);
     }
   }
 
   /** Closes the connection that has been idle longest, if there is any. */
-  void closeLongestIdle() {
+  void closeLongestIdle(final EndpointCloseReason reason) {
     if (!longestIdleFirst.isEmpty()) {
-      longestIdleFirst.iterator().next().close();
+      longestIdleFirst.iterator().next().close(reason);
     }
   }
 }
--- a/courier/src/main/java/thistleturn/courier/platform/DiscoveryClient.java
+++ b/courier/src/main/java/thistleturn/courier/platform/DiscoveryClient.java
@@ -97,7 +97,7 @@
     final WatchSession replaced = currentWatch;
     openWatch();
     if (replaced != null) {
-      replaced.close();
+      replaced.close("address_changed");
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/platform/HttpOutcomeNotifier.java
+++ b/courier/src/main/java/thistleturn/courier/platform/HttpOutcomeNotifier.java
@@ -90,7 +90,7 @@
     backingOff = false;
     backoffMs = MIN_BACKOFF_MS;
     if (replaced != null) {
-      replaced.close();
+      replaced.close("address_changed");
     }
     flush();
   }
@@ -129,7 +129,7 @@
     listener.onConfirmed(confirmed);
     if (!keepAlive) {
       session = null;
-      confirming.close();
+      confirming.close("not_kept_alive");
     }
     flush();
   }
--- a/courier/src/main/java/thistleturn/courier/platform/PlatformSession.java
+++ b/courier/src/main/java/thistleturn/courier/platform/PlatformSession.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.PollTracker;
 
@@ -55,10 +56,21 @@
     connection.write(request);
   }
 
-  final void close() {
+  final void close(final String reason) {
+    logClose(reason);
     connection.close();
   }
 
+  /** Closes the connection of a response that cannot be used. */
+  final void close(final ChannelHandlerContext ctx, final String reason) {
+    logClose(reason);
+    ctx.close();
+  }
+
+  private void logClose(final String reason) {
+    Log.event(Event.PLATFORM_CONNECTION_CLOSED, "session", logName, "why", reason);
+  }
+
   final long nowUs() {
     return clock.nowUs();
   }
@@ -79,7 +91,7 @@
     if (isCurrent()) {
       onConnected();
     } else {
-      ctx.close();
+      close(ctx, "replaced");
     }
   }
 
@@ -93,6 +105,6 @@
     if (!(cause instanceof IOException)) {
       Log.failure(logName, cause);
     }
-    ctx.close();
+    close(ctx, cause.toString());
   }
 }
--- a/courier/src/main/java/thistleturn/courier/platform/ReportSession.java
+++ b/courier/src/main/java/thistleturn/courier/platform/ReportSession.java
@@ -20,7 +20,6 @@
 import thistleturn.courier.port.StoredMessage;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Json;
-import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.PollTracker;
 
 /**
@@ -80,7 +79,7 @@
         nowUs() + timeoutUs,
         () -> {
           if (step == expectedStep && isCurrent()) {
-            close();
+            close("timeout");
           }
         });
   }
@@ -119,7 +118,7 @@
     final boolean expected = isCurrent() && !notifier.batchInFlight().isEmpty();
     if (!expected || part.decoderResult().isFailure()) {
       // A response of a replaced session, or without a request, does not confirm the batch.
-      ctx.close();
+      close(ctx, expected ? "invalid_response" : "unexpected_bytes");
       return;
     }
     if (part instanceof HttpResponse head) {
@@ -135,8 +134,7 @@
       step++;
       notifier.onBatchConfirmed(this, HttpUtil.isKeepAlive(responseHead));
     } else {
-      Log.info("the platform answers notices with " + responseHead.status());
-      ctx.close();
+      close(ctx, "status " + responseHead.status().code());
     }
   }
 }
--- a/courier/src/main/java/thistleturn/courier/platform/WatchSession.java
+++ b/courier/src/main/java/thistleturn/courier/platform/WatchSession.java
@@ -124,7 +124,7 @@
       // The time without updates counts towards the 6 s, so the next watch is opened at once.
       client.openWatch();
     }
-    close();
+    close("timeout");
   }
 
   @Override
@@ -133,7 +133,7 @@
         part.decoderResult().isFailure()
             || (part instanceof HttpResponse response && response.status().code() != OK);
     if (failed || !isCurrent()) {
-      ctx.close();
+      close(ctx, failed ? "invalid_response" : "replaced");
       return;
     }
     if (part instanceof HttpContent content) {
@@ -150,7 +150,7 @@
     if (progress == Progress.SNAPSHOT_RECEIVED) {
       sendListRequest();
     } else {
-      ctx.close();
+      close(ctx, "response_ended");
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
@@ -41,6 +41,16 @@
 
     /** Returns when the call was prepared, in microseconds of the loop's clock. */
     long preparedUs();
+
+    /** Returns the number of the connection that carries the call; 0 if there is none here. */
+    default long connection() {
+      return 0;
+    }
+
+    /** Returns which call on its connection it is, from 1; 0 if it was not sent here. */
+    default int numberOnConnection() {
+      return 0;
+    }
   }
 
   /**
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -27,6 +27,15 @@
    * executed, and are retried.
    */
   SHARED_CALL_EXPIRED("shared_call_expired"),
+  /**
+   * An endpoint sent bytes on a connection that carries no call, or whose call is not written
+   * completely: the connection is out of step with its calls.
+   */
+  ENDPOINT_BYTES_UNEXPECTED("endpoint_bytes_unexpected"),
+  /** A connection to an endpoint ended, on either side. */
+  ENDPOINT_CONNECTION_CLOSED("endpoint_connection_closed"),
+  /** A connection to the platform was closed by this side, or with a request unanswered. */
+  PLATFORM_CONNECTION_CLOSED("platform_connection_closed"),
   /** An accepted message was not delivered: the platform is notified of its outcome. */
   MESSAGE_ENDED("message_ended"),
   /** The platform confirmed an outcome long after the message's deadline. */
--- a/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
@@ -56,6 +56,9 @@
         courier_events_total{event="attempt_failed"}
         courier_events_total{event="attempt_not_sent"}
         courier_events_total{event="shared_call_expired"}
+        courier_events_total{event="endpoint_bytes_unexpected"}
+        courier_events_total{event="endpoint_connection_closed"}
+        courier_events_total{event="platform_connection_closed"}
         courier_events_total{event="message_ended"}
         courier_events_total{event="message_ended_late"}
         courier_events_total{event="end_told_unwritten"}
