--- a/testkit/src/main/java/thistleturn/testkit/HttpStandIn.java
+++ b/testkit/src/main/java/thistleturn/testkit/HttpStandIn.java
@@ -35,6 +35,7 @@
   private volatile boolean resetsAtFirstByte;
   private volatile boolean resetsReused;
   private volatile long readDelayMs;
+  private volatile ResponseCopier copier;
 
   /** Handles a complete request. Called on the connection's event loop. */
   @FunctionalInterface
@@ -75,6 +76,11 @@
     resetsReused = on;
   }
 
+  /** Sends responses on new connections twice, as the copier says; null ends that. */
+  public void copyResponses(final ResponseCopier responseCopier) {
+    copier = responseCopier;
+  }
+
   /** Starts reading new connections only after this delay. */
   public void readDelayMs(final long ms) {
     readDelayMs = ms;
@@ -160,6 +166,10 @@
             new HttpServerCodec(),
             new HttpObjectAggregator(MAX_BODY_BYTES),
             new RequestReader(firstByte));
+    final ResponseCopier current = copier;
+    if (current != null) {
+      channel.pipeline().addFirst(current.handler(() -> {}));
+    }
     if (readDelayMs > 0) {
       channel.config().setAutoRead(false);
       channel
--- a/testkit/src/main/java/thistleturn/testkit/StandInEndpoint.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInEndpoint.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 
 /**
  * An endpoint of a destination: it takes calls as the protocol says, handles each as its current
@@ -26,8 +27,8 @@
   private final long destination;
   private final RuleChecker ruleChecker;
   private final MonotonicClock clock;
-  private final AtomicReference<Behavior> behavior =
-      new AtomicReference<>(Behavior.deliverAfter(0));
+  private final AtomicReference<Supplier<Behavior>> behavior =
+      new AtomicReference<>(() -> Behavior.deliverAfter(0));
   private final AtomicLong calls = new AtomicLong();
   private final HttpStandIn server;
 
@@ -103,14 +104,19 @@
     return calls.get();
   }
 
-  /** The server; stops it, or makes it reset connections or read slowly. */
+  /** The server; stops it, or makes it reset connections, read slowly or answer twice. */
   public HttpStandIn server() {
     return server;
   }
 
   /** Sets what it does with calls from the next one on. */
   public void setBehavior(final Behavior next) {
-    behavior.set(next);
+    setBehaviors(() -> next);
+  }
+
+  /** Sets what chooses for each call, from the next one on, what it does with it. */
+  public void setBehaviors(final Supplier<Behavior> choice) {
+    behavior.set(choice);
   }
 
   @Override
@@ -145,7 +151,7 @@
         .channel()
         .closeFuture()
         .addListener(closed -> call.end(RuleChecker.CallResult.CONNECTION_LOST));
-    final Behavior current = behavior.get();
+    final Behavior current = behavior.get().get();
     if (current.action() == Action.NO_ANSWER) {
       return;
     }
