--- a/courier/src/main/java/thistleturn/courier/DecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/DecidingRole.java
@@ -155,6 +155,16 @@
     outcomes.recordAttempt(delivery, call, outcome);
   }
 
+  @Override
+  public void onDeliveryConfirmed(final PendingDelivery delivery) {
+    outcomes.recordDeliveryConfirmed(delivery.id());
+  }
+
+  @Override
+  public void onDeliveryInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
+    outcomes.reopen(delivery.id(), call);
+  }
+
   @Override
   public void onInterruptionEnded(final PendingDelivery delivery) {
     if (delivery.hasEnded()) {
@@ -235,6 +245,7 @@
   public boolean isIdle() {
     return context.pending().isEmpty()
         && ports.notifier().isEmpty()
-        && !effects.hasUnreportedOutcomes();
+        && !effects.hasUnreportedOutcomes()
+        && !outcomes.awaitsConfirmation();
   }
 }
--- a/courier/src/main/java/thistleturn/courier/DecisionLoop.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoop.java
@@ -41,10 +41,7 @@
  * to a newer one. Everything runs on the event loop's thread.
  */
 final class DecisionLoop
-    implements IngressHandler,
-        Dispatcher.Listener,
-        OutcomeNotifier.Listener,
-        CapacityExchange.Participant {
+    implements IngressHandler, OutcomeNotifier.Listener, CapacityExchange.Participant {
   private final CourierConfig config;
   private final EventLoop loop;
   private final EarlierProcesses earlierProcesses;
@@ -54,6 +51,7 @@
   private final DurableEffects effects;
   private final PredecessorCalls predecessorCalls = new PredecessorCalls();
   private final HandedOverCalls handedOverCalls = new HandedOverCalls();
+  private final DispatcherEvents dispatcherEvents;
   private final CallDispatcher calls;
   private final ReachabilityTracker reachability;
   private final OverloadController controller;
@@ -98,9 +96,10 @@
         LoopContext.create(
             config.settings(), loop, clock, store, pausedUs -> role.onProcessPaused(pausedUs));
     this.scheduler = new RoundScheduler(loop, clock, connector, new Rounds());
+    this.dispatcherEvents = new DispatcherEvents(() -> role, context.counters());
     this.ports =
         new LoopPorts(
-            connector.dispatcher(this),
+            connector.dispatcher(dispatcherEvents),
             connector.endpointDirectory(),
             connector.outcomeNotifier(this));
     this.effects =
@@ -140,6 +139,7 @@
         ports.dispatcher(),
         predecessorCalls,
         () -> interruptedAttempts(earlierProcesses),
+        dispatcherEvents,
         this);
   }
 
@@ -156,7 +156,14 @@
 
   private DecidingRole createDecidingRole(final MessageCompletion completion) {
     final OutcomeRecorder outcomes =
-        new OutcomeRecorder(context, completion, reachability, outages, controller, scheduler);
+        new OutcomeRecorder(
+            context,
+            completion,
+            new UnconfirmedDeliveries(context, loop, scheduler),
+            reachability,
+            outages,
+            controller,
+            scheduler);
     return new DecidingRole(
         context, ports, effects, scheduler, controller, intake, outcomes, outages);
   }
@@ -320,22 +327,15 @@
     role.onEndpointUpdate(update, context.endpoints().apply(update, entries, ports.dispatcher()));
   }
 
-  @Override
-  public void onOutcome(
-      final Dispatcher.Attempt attempt,
-      final Dispatcher.Call call,
-      final Dispatcher.DispatchOutcome outcome) {
-    role.onOutcome(((DeliveryAttempt) attempt).delivery(), call, outcome);
-  }
-
-  @Override
-  public void onRetryAfter(final long endpoint, final long retryAfterUs) {
-    role.onRetryAfter(endpoint, retryAfterUs);
-  }
-
-  @Override
-  public void onMessagesWritten(final int count) {
-    context.counters().addMessagesWritten(count);
+  /**
+   * Resolves the deliveries whose responses may belong to other calls, before this process ends or
+   * hands over: what it has not learned by then, it will not learn.
+   *
+   * @return true if the journal records that
+   */
+  boolean resolveUnconfirmedDeliveries() {
+    ports.dispatcher().resolveUnconfirmedDeliveries();
+    return context.store().flush() == FlushResult.DURABLE;
   }
 
   @Override
@@ -355,6 +355,7 @@
    * @throws IOException if the journal cannot be brought up to date; then nothing has changed
    */
   HandoverSnapshot handOver(final Successor successor) throws IOException {
+    ports.dispatcher().resolveUnconfirmedDeliveries();
     scheduler.runScheduledRound();
     final FlushResult flushed = context.store().flush();
     effects.runAfterFlush(flushed, context.clock().nowUs());
--- a/courier/src/main/java/thistleturn/courier/DeliveryAttempt.java
+++ b/courier/src/main/java/thistleturn/courier/DeliveryAttempt.java
@@ -2,6 +2,7 @@
 
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.decisions.model.Idempotence;
 
 /**
  * One message's attempt in a call.
@@ -17,6 +18,12 @@
     return delivery.message();
   }
 
+  @Override
+  public boolean isRepeatable() {
+    return delivery.messageClass() != null
+        && delivery.messageClass().idempotence() != Idempotence.NON_IDEMPOTENT;
+  }
+
   @Override
   public long messageDeadlineUs() {
     return delivery.deadlineUs();
--- a/courier/src/main/java/thistleturn/courier/GracefulShutdown.java
+++ b/courier/src/main/java/thistleturn/courier/GracefulShutdown.java
@@ -98,7 +98,9 @@
 
   private void finishIfDue(final boolean due, final long stopUs) {
     if ((due && extension.tryFinishShutdown()) || clock.nowUs() >= stopUs) {
-      finished.countDown();
+      shards
+          .queryEach(Shard::resolveUnconfirmedDeliveries)
+          .whenComplete((done, failure) -> finished.countDown());
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/InMemoryMessageStore.java
+++ b/courier/src/main/java/thistleturn/courier/InMemoryMessageStore.java
@@ -27,6 +27,11 @@
     return true;
   }
 
+  @Override
+  public boolean recordReopened(final StoredMessage message) {
+    return recordAccepted(message);
+  }
+
   @Override
   public void recordAttemptStarted(
       final StoredMessage message, final long nowUs, final String zone) {
--- a/courier/src/main/java/thistleturn/courier/MessageCompletion.java
+++ b/courier/src/main/java/thistleturn/courier/MessageCompletion.java
@@ -77,6 +77,19 @@
 
   /** Ends an accepted message with an outcome, which the journal keeps until it is confirmed. */
   void finish(final PendingDelivery delivery, final FinalOutcome outcome) {
+    end(delivery, outcome);
+    context.store().recordFinalOutcome(delivery.message(), outcome);
+    effects.addFinalOutcome(delivery.message());
+  }
+
+  /** Does the same for a message that the journal cannot hold any more. */
+  void finishUnrecorded(final PendingDelivery delivery, final FinalOutcome outcome) {
+    end(delivery, outcome);
+    delivery.message().end(outcome);
+    effects.addFinalOutcome(delivery.message());
+  }
+
+  private void end(final PendingDelivery delivery, final FinalOutcome outcome) {
     delivery.end();
     final Supplier<String> keptBy = () -> blockedReason.apply(delivery.message().destination());
     if (delivery.message().timeline() != null) {
@@ -100,8 +113,6 @@
         delivery.deadlineUs() - context.clock().nowUs(),
         "kept_by",
         keptBy);
-    context.store().recordFinalOutcome(delivery.message(), outcome);
-    effects.addFinalOutcome(delivery.message());
   }
 
   /**
@@ -110,11 +121,16 @@
    * @return the client's reply, or null if the client was answered before
    */
   Ingress.Reply complete(final PendingDelivery delivery) {
+    context.store().recordCompleted(delivery.message());
+    return completeUnrecorded(delivery);
+  }
+
+  /** Does the same without a record, for a delivery that may be put in doubt. */
+  Ingress.Reply completeUnrecorded(final PendingDelivery delivery) {
     delivery.end();
     final Ingress.Reply reply = delivery.takeReply();
     context.pending().remove(delivery.id());
     context.health().recordMessageCompleted();
-    context.store().recordCompleted(delivery.message());
     return reply;
   }
 }
--- a/courier/src/main/java/thistleturn/courier/NonDecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/NonDecidingRole.java
@@ -1,6 +1,7 @@
 package thistleturn.courier;
 
 import java.util.List;
+import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.StoredMessage;
 import thistleturn.decisions.directives.Directive;
 
@@ -16,6 +17,16 @@
     // The process that decides learns it from its own calls.
   }
 
+  @Override
+  public void onDeliveryConfirmed(final PendingDelivery delivery) {
+    // The outcome was passed on, or the journal keeps the attempt in flight.
+  }
+
+  @Override
+  public void onDeliveryInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
+    // The outcome was passed on, or the journal keeps the attempt in flight.
+  }
+
   @Override
   public final void onInterruptionEnded(final PendingDelivery delivery) {
     // The process that decides next finds the attempt in the journal.
--- a/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
+++ b/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
@@ -5,7 +5,7 @@
 import thistleturn.courier.port.StoredMessage;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
-import thistleturn.decisions.DeliveryController;
+import thistleturn.decisions.HostedController;
 import thistleturn.decisions.model.AttemptOutcome;
 import thistleturn.decisions.model.AttemptResult;
 
@@ -20,22 +20,28 @@
   /** Stands for a response time that is unreliable, since this process was paused meanwhile. */
   private static final long NOT_MEASURED = -1;
 
+  private static final StoredMessage.FinalOutcome UNDELIVERABLE =
+      new StoredMessage.FinalOutcome(true, 0);
+
   private final LoopContext context;
   private final MessageCompletion completion;
+  private final UnconfirmedDeliveries unconfirmed;
   private final ReachabilityTracker reachability;
   private final OutageReporter outages;
-  private final DeliveryController controller;
+  private final HostedController controller;
   private final RoundScheduler scheduler;
 
   OutcomeRecorder(
       final LoopContext context,
       final MessageCompletion completion,
+      final UnconfirmedDeliveries unconfirmed,
       final ReachabilityTracker reachability,
       final OutageReporter outages,
-      final DeliveryController controller,
+      final HostedController controller,
       final RoundScheduler scheduler) {
     this.context = context;
     this.completion = completion;
+    this.unconfirmed = unconfirmed;
     this.reachability = reachability;
     this.outages = outages;
     this.controller = controller;
@@ -70,13 +76,78 @@
     final String className = delivery.message().className();
     if (outcome.result() == AttemptResult.DELIVERED) {
       context.counters().countDelivered(className);
-      completion.complete(delivery);
+      completeDelivered(delivery, outcome);
     } else if (outcome.completed()) {
       context.counters().countFailed(className);
       completion.complete(delivery);
     } else {
-      context.store().recordAttemptOutcome(delivery.message(), outcome.result().neverExecuted());
+      context.store().recordAttemptOutcome(delivery.message(), outcome.neverExecuted());
+    }
+  }
+
+  private void completeDelivered(
+      final PendingDelivery delivery, final Dispatcher.DispatchOutcome outcome) {
+    if (outcome.isUnconfirmedDelivery()) {
+      completion.completeUnrecorded(delivery);
+      unconfirmed.add(delivery);
+    } else {
+      completion.complete(delivery);
+    }
+  }
+
+  /** Returns whether the journal keeps a delivery open because it may be put in doubt. */
+  boolean awaitsConfirmation() {
+    return unconfirmed.hasUnrecorded();
+  }
+
+  /** Records that the response to a delivery was its own. */
+  void recordDeliveryConfirmed(final String messageId) {
+    unconfirmed.confirm(messageId);
+  }
+
+  /**
+   * Reopens a message whose delivery is in doubt: it may have been executed or not. It is sent
+   * again if its class allows that and time is left, and ends as failed otherwise.
+   */
+  void reopen(final String messageId, final Dispatcher.Call call) {
+    final PendingDelivery delivery = unconfirmed.remove(messageId);
+    if (delivery == null) {
+      return;
+    }
+    final StoredMessage message = delivery.message();
+    logInDoubt(delivery, call);
+    if (!context.store().contains(messageId) && !context.store().recordReopened(message)) {
+      completion.finishUnrecorded(delivery, UNDELIVERABLE);
+      return;
     }
+    context.store().recordAttemptOutcome(message, false);
+    final PendingDelivery reopened =
+        new PendingDelivery(message, delivery.messageClass(), delivery.deadlineUs(), null);
+    context.pending().add(reopened);
+    controller.onMessageResumed(
+        context.clock().nowUs(),
+        reopened.toControllerMessage(context.classes().indexOf(message.className())),
+        message.priorAttempts());
+    scheduler.requestRound();
+  }
+
+  private void logInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
+    Log.event(
+        Event.DELIVERY_IN_DOUBT,
+        "id",
+        delivery.id(),
+        "class",
+        delivery.message().className(),
+        "endpoint",
+        context.endpoints().nameOf(call.endpoint()),
+        "after_us",
+        context.clock().nowUs() - call.preparedUs(),
+        "time_left_us",
+        delivery.deadlineUs() - context.clock().nowUs(),
+        "connection",
+        call.connection(),
+        "call",
+        call.numberOnConnection());
   }
 
   private void logUndelivered(
@@ -103,7 +174,9 @@
         "connection",
         call.connection(),
         "call",
-        call.numberOnConnection());
+        call.numberOnConnection(),
+        "certainty",
+        outcome.certainty());
   }
 
   private AttemptOutcome toControllerOutcome(
@@ -119,7 +192,8 @@
         call.endpoint(),
         measured ? nowUs - call.preparedUs() : NOT_MEASURED,
         outcome.retryAfterUs(),
-        outcome.loadReport());
+        outcome.loadReport(),
+        outcome.certainty());
   }
 
   /** Records that the platform has confirmed these final outcomes, which completes the messages. */
--- a/courier/src/main/java/thistleturn/courier/PredecessorEvents.java
+++ b/courier/src/main/java/thistleturn/courier/PredecessorEvents.java
@@ -20,11 +20,13 @@
   private final Dispatcher dispatcher;
   private final PredecessorCalls calls;
   private final Supplier<InterruptedAttempts> interruption;
+  private final Dispatcher.Listener outcomes;
   private final DecisionLoop loop;
 
   /**
-   * Creates a listener that passes messages and outcomes to {@code loop}.
+   * Creates a listener that passes messages to {@code loop}.
    *
+   * @param outcomes receives the outcomes of calls
    * @param interruption creates the attempts that wait for the end of the older process
    */
   PredecessorEvents(
@@ -32,11 +34,13 @@
       final Dispatcher dispatcher,
       final PredecessorCalls calls,
       final Supplier<InterruptedAttempts> interruption,
+      final Dispatcher.Listener outcomes,
       final DecisionLoop loop) {
     this.context = context;
     this.dispatcher = dispatcher;
     this.calls = calls;
     this.interruption = interruption;
+    this.outcomes = outcomes;
     this.loop = loop;
   }
 
@@ -66,7 +70,7 @@
     if (outcome.retryAfterUs() > 0) {
       dispatcher.abandonUnwrittenCalls(call.endpoint());
     }
-    loop.onOutcome(attempt, call, outcome);
+    outcomes.onOutcome(attempt, call, outcome);
   }
 
   /**
--- a/courier/src/main/java/thistleturn/courier/Shard.java
+++ b/courier/src/main/java/thistleturn/courier/Shard.java
@@ -252,6 +252,13 @@
     return decisionLoop.isIdle() && ingress.hasNoConnections();
   }
 
+  /**
+   * Records the deliveries that are not confirmed, before the process ends; returns if it could.
+   */
+  boolean resolveUnconfirmedDeliveries() {
+    return decisionLoop.resolveUnconfirmedDeliveries();
+  }
+
   /** Returns whether nothing was under way lately; may be called on any thread. */
   boolean isIdle() {
     return idle;
--- a/courier/src/main/java/thistleturn/courier/SimulatedEndpoints.java
+++ b/courier/src/main/java/thistleturn/courier/SimulatedEndpoints.java
@@ -133,6 +133,11 @@
     // Every call that was started counts as written.
   }
 
+  @Override
+  public void resolveUnconfirmedDeliveries() {
+    // Every delivery is certain.
+  }
+
   @Override
   public void closeIdleConnections(final long endpoint) {
     // There are no connections.
--- /dev/null
+++ b/courier/src/main/java/thistleturn/courier/UnconfirmedDeliveries.java
@@ -0,0 +1,118 @@
+package thistleturn.courier;
+
+import io.netty.channel.EventLoop;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.runtime.GuardedTasks;
+
+/**
+ * The messages whose delivery is not confirmed: the response may belong to another call. They have
+ * ended for the controller, and are kept to be reopened if their delivery proves to be in doubt.
+ *
+ * <p>The journal keeps each as an attempt in flight for a short time, in which most of what
+ * contradicts a delivery arrives. A process that is killed then repeats the attempt; later it is
+ * recorded as completed, so that a restart repeats few deliveries. Used on the event loop.
+ */
+final class UnconfirmedDeliveries {
+  /** How long the journal keeps the attempt in flight, us: longer than most calls take. */
+  private static final long RECORD_DELAY_US = 700_000;
+
+  private static final long CHECK_INTERVAL_MS = 100;
+
+  /** Beyond this number the oldest delivery counts as confirmed. */
+  private static final int MAX_MESSAGES = 2000;
+
+  /** Beyond this size of all bodies the oldest delivery counts as confirmed. */
+  private static final long MAX_BODY_BYTES = 4L << 20;
+
+  private final LoopContext context;
+  private final EventLoop loop;
+  private final RoundScheduler scheduler;
+
+  /** By message id, in the order of delivery. */
+  private final Map<String, Unconfirmed> deliveries = new LinkedHashMap<>();
+
+  private long bodyBytes;
+  private boolean checkScheduled;
+
+  /** A delivery, and when it was reported. */
+  private record Unconfirmed(PendingDelivery delivery, long deliveredUs) {}
+
+  UnconfirmedDeliveries(
+      final LoopContext context, final EventLoop loop, final RoundScheduler scheduler) {
+    this.context = context;
+    this.loop = loop;
+    this.scheduler = scheduler;
+  }
+
+  void add(final PendingDelivery delivery) {
+    deliveries.put(delivery.id(), new Unconfirmed(delivery, context.clock().nowUs()));
+    bodyBytes += delivery.message().body().length;
+    while (deliveries.size() > MAX_MESSAGES || bodyBytes > MAX_BODY_BYTES) {
+      confirm(deliveries.keySet().iterator().next());
+    }
+    scheduleCheck();
+  }
+
+  /** The delivery of a message is confirmed; nothing is left to do for it. */
+  void confirm(final String messageId) {
+    final PendingDelivery delivery = remove(messageId);
+    if (delivery != null) {
+      recordCompleted(delivery.message());
+    }
+  }
+
+  /** Removes and returns a delivery; null if there is none of that message. */
+  PendingDelivery remove(final String messageId) {
+    final Unconfirmed removed = deliveries.remove(messageId);
+    if (removed == null) {
+      return null;
+    }
+    bodyBytes -= removed.delivery().message().body().length;
+    return removed.delivery();
+  }
+
+  /** Returns whether the journal keeps an attempt of one of them in flight. */
+  boolean hasUnrecorded() {
+    return deliveries.values().stream()
+        .anyMatch(unconfirmed -> context.store().contains(unconfirmed.delivery().id()));
+  }
+
+  private void recordCompleted(final StoredMessage message) {
+    if (context.store().contains(message.id())) {
+      context.store().recordCompleted(message);
+      scheduler.requestRound();
+    }
+  }
+
+  private void scheduleCheck() {
+    if (!checkScheduled) {
+      checkScheduled = true;
+      loop.schedule(
+          GuardedTasks.guard("check of unconfirmed messages", this::check),
+          CHECK_INTERVAL_MS,
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Records the older deliveries; the latest one is last. */
+  private void check() {
+    checkScheduled = false;
+    final long recordedUs = context.clock().nowUs() - RECORD_DELAY_US;
+    boolean hasLater = false;
+    final Iterator<Unconfirmed> oldestFirst = deliveries.values().iterator();
+    while (oldestFirst.hasNext() && !hasLater) {
+      final Unconfirmed unconfirmed = oldestFirst.next();
+      hasLater = unconfirmed.deliveredUs() > recordedUs;
+      if (!hasLater) {
+        recordCompleted(unconfirmed.delivery().message());
+      }
+    }
+    if (hasLater) {
+      scheduleCheck();
+    }
+  }
+}
--- a/courier/src/main/java/thistleturn/courier/http/BulkResponseParser.java
+++ b/courier/src/main/java/thistleturn/courier/http/BulkResponseParser.java
@@ -29,6 +29,13 @@
     }
   }
 
+  /** True if the response names exactly the messages of a call, so that it belongs to it. */
+  boolean identifies(final HttpCall call) {
+    return statesById.size() == call.attempts().size()
+        && call.attempts().stream()
+            .allMatch(attempt -> statesById.containsKey(attempt.message().id()));
+  }
+
   /** The outcome of one message; a message without a known state may have been executed. */
   DispatchOutcome outcomeOf(final String messageId) {
     return switch (statesById.getOrDefault(messageId, "")) {
--- a/courier/src/main/java/thistleturn/courier/http/EndpointCloseReason.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointCloseReason.java
@@ -12,7 +12,9 @@
   ENDPOINT_CHANGED,
   /** The endpoint ended or reset it. */
   ENDED_BY_ENDPOINT,
-  /** Bytes came that belong to no call. */
+  /** A response came that belongs to no call. */
+  UNEXPECTED_RESPONSE,
+  /** Other bytes came that belong to no call. */
   UNEXPECTED_BYTES,
   /** The response could not be parsed. */
   INVALID_RESPONSE,
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -1,5 +1,6 @@
 package thistleturn.courier.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -8,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.port.Dispatcher.Attempt;
@@ -23,12 +25,22 @@
  */
 final class EndpointConnection extends SimpleChannelInboundHandler<HttpObject>
     implements ResponseDecoder.Listener {
+  private static final String RESPONSE_START = "HTTP/";
+
   /** How long the rest of a response may take: its sender has all of it when it begins. */
   private static final long RESPONSE_COMPLETION_TIMEOUT_MS = 500;
 
   /** How long the response to an abandoned call is still read, for its Retry-After. */
   private static final long LINGER_MS = 500;
 
+  /** The outcome of a call whose response is not known. It says nothing about the endpoint. */
+  private static final DispatchOutcome IN_DOUBT =
+      new DispatchOutcome(AttemptResult.STALE, false, 0, null);
+
+  /** The outcome of a call that was not written completely when bytes of another call came. */
+  private static final DispatchOutcome NOT_SENT =
+      new DispatchOutcome(AttemptResult.NOT_SENT, false, 0, null);
+
   private final HttpDispatcher dispatcher;
   private final EventLoop loop;
   private final Clock clock;
@@ -108,6 +120,12 @@
     }
   }
 
+  /** Closes the connection if it is idle; returns false if it carries a call. */
+  boolean endIfIdle() {
+    close(EndpointCloseReason.NOT_REUSABLE);
+    return call == null;
+  }
+
   private void closeChannel(final EndpointCloseReason reason) {
     log.closed(reason, clock.nowUs());
     context.close();
@@ -161,17 +179,29 @@
   // ---------------------------------------------------------------- reading
 
   @Override
-  public void onResponseStarted() {
-    if (abandonedPool != null) {
+  public void onBytesReceived(final ByteBuf bytes) {
+    if (abandonedPool != null || log.isClosed()) {
       return;
     }
-    if (call == null || !call.isWritten()) {
-      // No call is in flight, or it is not fully written: the bytes belong to an earlier call.
-      log.unexpectedBytes(call, clock.nowUs());
-      onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.UNEXPECTED_BYTES);
-    } else {
+    if (call != null && call.isWritten()) {
       receivingResponse = true;
+      return;
     }
+    // No call is in flight, or it is not fully written: the bytes belong to an earlier call.
+    log.unexpectedBytes(call, bytes, clock.nowUs());
+    onConnectionBroken(
+        AttemptResult.RESET,
+        beginsLikeResponse(bytes)
+            ? EndpointCloseReason.UNEXPECTED_RESPONSE
+            : EndpointCloseReason.UNEXPECTED_BYTES);
+  }
+
+  /** Bytes that do not begin like a response belong to the body of the previous one. */
+  private static boolean beginsLikeResponse(final ByteBuf bytes) {
+    final int length = Math.min(bytes.readableBytes(), RESPONSE_START.length());
+    return bytes
+        .toString(bytes.readerIndex(), length, StandardCharsets.US_ASCII)
+        .equals(RESPONSE_START.substring(0, length));
   }
 
   @Override
@@ -236,11 +266,17 @@
   }
 
   /** The outcome of a delivery whose response may be incomplete. */
-  DispatchOutcome partialDelivery() {
+  DispatchOutcome partialDelivery(final HttpCall delivered) {
     final HttpResponse head = response.head();
-    return head == null
-        ? new DispatchOutcome(AttemptResult.DELIVERED, true, 0, null)
-        : EndpointResponseParser.parse(head, EndpointResponseParser.retryAfterUs(head));
+    final DispatchOutcome outcome =
+        head == null
+            ? new DispatchOutcome(AttemptResult.DELIVERED, true, 0, null)
+            : EndpointResponseParser.parse(head, EndpointResponseParser.retryAfterUs(head));
+    if (!isReused()) {
+      return outcome;
+    }
+    dispatcher.unconfirmedCalls().add(delivered, this);
+    return outcome.unconfirmed();
   }
 
   private void onResponseComplete() {
@@ -251,31 +287,75 @@
       closeChannel(EndpointCloseReason.NOT_REUSABLE);
       return;
     }
-    if (response.isKeepAlive() && completed.isWritten() && !completed.pool().isRemoved()) {
-      idleSinceUs = clock.nowUs();
-      pool = completed.pool();
-      dispatcher.addIdle(this, pool);
-    } else {
-      closeChannel(EndpointCloseReason.NOT_REUSABLE);
-    }
     final HttpResponse head = response.head();
     final long retryAfterUs = applyRetryAfter(completed.pool(), head);
     final DispatchOutcome outcome = EndpointResponseParser.parse(head, retryAfterUs);
     if (completed.isBulk() && head.status().code() == EndpointResponseParser.OK) {
-      reportBulkOutcomes(completed, outcome);
-    } else {
+      onBulkResponse(completed, new BulkResponseParser(response.body(), outcome));
+    } else if (!isReused()) {
+      keepOrClose(completed);
       dispatcher.report(completed, outcome);
+    } else {
+      onAmbiguousResponse(completed, outcome);
     }
   }
 
-  private void reportBulkOutcomes(final HttpCall completed, final DispatchOutcome callOutcome) {
+  /** The response is that of the call, a copy of an earlier one, or that of an earlier call. */
+  private void onAmbiguousResponse(final HttpCall completed, final DispatchOutcome outcome) {
+    if (outcome.result() == AttemptResult.DELIVERED) {
+      dispatcher.unconfirmedCalls().add(completed, this);
+      keepOrClose(completed);
+    } else {
+      // The call may still be in flight: it ends here before its messages are sent again.
+      closeChannel(EndpointCloseReason.NOT_REUSABLE);
+    }
+    dispatcher.report(completed, outcome.unconfirmed());
+  }
+
+  /** The ids in a response to several messages show whether it belongs to the call. */
+  private void onBulkResponse(final HttpCall completed, final BulkResponseParser bulk) {
     dispatcher.onBulkResponse(completed);
-    final BulkResponseParser bulk = new BulkResponseParser(response.body(), callOutcome);
+    final boolean identified = bulk.identifies(completed);
+    if (isReused() && !identified) {
+      onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.UNEXPECTED_RESPONSE);
+      dispatcher.report(completed, IN_DOUBT);
+      return;
+    }
+    if (identified) {
+      dispatcher.unconfirmedCalls().onIdentifiedResponse(this);
+    }
+    keepOrClose(completed);
     for (final Attempt attempt : completed.attempts()) {
       dispatcher.report(attempt, completed, bulk.outcomeOf(attempt.message().id()));
     }
   }
 
+  /** Keeps the connection for further calls if they can use it, and closes it otherwise. */
+  private void keepOrClose(final HttpCall completed) {
+    final boolean usable =
+        response.isKeepAlive() && completed.isWritten() && !completed.pool().isRemoved();
+    pool = completed.pool();
+    if (usable && (isUsefulAfter(completed) || dispatcher.unconfirmedCalls().isUnconfirmed(this))) {
+      idleSinceUs = clock.nowUs();
+      dispatcher.addIdle(this, pool);
+    } else {
+      closeChannel(EndpointCloseReason.NOT_REUSABLE);
+    }
+  }
+
+  /** A class whose calls need connections of their own would leave one behind with each call. */
+  private boolean isUsefulAfter(final HttpCall completed) {
+    return !dispatcher.unconfirmedCalls().isReuseSuspended(completed.endpoint())
+        && !(completed.needsOwnConnection() && pool.hasIdle());
+  }
+
+  /** Whether the connection has carried an earlier call than the current or latest one. */
+  private boolean isReused() {
+    return log.calls() > 1;
+  }
+
+  // ---------------------------------------------------------------- the end of the connection
+
   /**
    * Closes a connection that is broken or cannot be used any more. An invalid response shows that
    * the endpoint exists and has handled the call: that is an error, not a reset.
@@ -289,17 +369,27 @@
     closeChannel(reason);
     final HttpCall interrupted = call;
     final boolean delivered = interrupted != null && isDelivered(interrupted);
+    // Its calls and responses do not match: it carried a call before whose response came again.
+    final boolean outOfStep = reason == EndpointCloseReason.UNEXPECTED_RESPONSE && pool != null;
     call = null;
+    if (outOfStep) {
+      dispatcher
+          .unconfirmedCalls()
+          .onOutOfStep(this, interrupted == null ? pool : interrupted.pool());
+    }
     if (interrupted == null || !dispatcher.removeCall(interrupted)) {
       return;
     }
-    final AttemptResult result =
-        delivered ? AttemptResult.DELIVERED : failedResult(interrupted, cause, answered);
     // The head of an incomplete response may have a Retry-After.
     final long retryAfterUs = applyRetryAfter(interrupted.pool(), response.head());
-    dispatcher.report(
-        interrupted,
-        delivered ? partialDelivery() : new DispatchOutcome(result, false, retryAfterUs, null));
+    if (outOfStep) {
+      dispatcher.report(interrupted, NOT_SENT);
+    } else if (delivered) {
+      dispatcher.report(interrupted, partialDelivery(interrupted));
+    } else {
+      final AttemptResult result = failedResult(interrupted, cause, answered);
+      dispatcher.report(interrupted, new DispatchOutcome(result, false, retryAfterUs, null));
+    }
   }
 
   private AttemptResult failedResult(
@@ -319,6 +409,7 @@
   @Override
   public void channelInactive(final ChannelHandlerContext ctx) {
     onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.ENDED_BY_ENDPOINT);
+    dispatcher.unconfirmedCalls().onConnectionEnded(this);
   }
 
   @Override
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnectionLog.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnectionLog.java
@@ -1,6 +1,8 @@
 package thistleturn.courier.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.StringJoiner;
@@ -16,6 +18,9 @@
   /** How many of the latest calls are kept for the log. */
   private static final int MAX_RECENT_CALLS = 4;
 
+  /** How much of unexpected bytes is logged. */
+  private static final int MAX_LOGGED_BYTES = 24;
+
   private final long connection;
   private final Deque<AnsweredCall> recentCalls = new ArrayDeque<>(MAX_RECENT_CALLS);
   private String address = "";
@@ -46,6 +51,11 @@
     return calls;
   }
 
+  /** True once this side has closed the connection, or has noticed its end. */
+  boolean isClosed() {
+    return closed;
+  }
+
   void onCallSent(final HttpCall call) {
     calls++;
     address = call.pool().address().getHostString() + ":" + call.pool().address().getPort();
@@ -67,9 +77,10 @@
   /**
    * Bytes came that belong to no call.
    *
+   * @param bytes what was received
    * @param partlyWritten the call that is not written completely; null if there is no call
    */
-  void unexpectedBytes(final HttpCall partlyWritten, final long nowUs) {
+  void unexpectedBytes(final HttpCall partlyWritten, final ByteBuf bytes, final long nowUs) {
     Log.event(
         Event.ENDPOINT_BYTES_UNEXPECTED,
         "to",
@@ -80,10 +91,22 @@
         calls,
         "while",
         partlyWritten == null ? "idle" : "writing",
+        "bytes",
+        bytes.readableBytes(),
+        "begin",
+        beginning(bytes),
         "recent",
         describeRecentCalls(nowUs));
   }
 
+  private static Supplier<String> beginning(final ByteBuf bytes) {
+    return () ->
+        bytes.toString(
+            bytes.readerIndex(),
+            Math.min(MAX_LOGGED_BYTES, bytes.readableBytes()),
+            StandardCharsets.ISO_8859_1);
+  }
+
   /** The connection ends; only the first reason is logged. */
   void closed(final EndpointCloseReason reason, final long nowUs) {
     if (closed) {
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnectionPool.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnectionPool.java
@@ -87,6 +87,10 @@
     return handshakeUs;
   }
 
+  boolean hasIdle() {
+    return !idle.isEmpty();
+  }
+
   /** Adds an idle connection as the most recently used one. */
   void addIdle(final EndpointConnection connection) {
     idle.addLast(connection);
--- a/courier/src/main/java/thistleturn/courier/http/HttpCall.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCall.java
@@ -109,6 +109,14 @@
     return attempts.size() > 1;
   }
 
+  /**
+   * True if the call needs a new connection, whose first response is certainly its own: a message
+   * in it may not be repeated, so its outcome must not be in doubt.
+   */
+  boolean needsOwnConnection() {
+    return attempts.stream().anyMatch(attempt -> !attempt.isRepeatable());
+  }
+
   /** True if all of the call may be sent at this time. */
   boolean isSendable(final long nowUs) {
     return latestSendUs >= nowUs;
@@ -186,7 +194,7 @@
   /** The delivery that an incomplete response already shows; empty if it shows none. */
   Optional<Dispatcher.DispatchOutcome> partialDelivery() {
     return connection != null && connection.isDelivered(this)
-        ? Optional.of(connection.partialDelivery())
+        ? Optional.of(connection.partialDelivery(this))
         : Optional.empty();
   }
 
--- a/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
@@ -60,6 +60,7 @@
   private final IdleEndpointConnections idleConnections = new IdleEndpointConnections();
   private final Set<HttpCall> calls = new HashSet<>();
   private final CallDeadlines deadlines;
+  private final UnconfirmedCalls unconfirmedCalls;
   private long connectionsOpened;
 
   /** The calls that are not written completely: a Retry-After still abandons them. */
@@ -82,6 +83,7 @@
     this.listener = listener;
     this.descriptors = descriptors;
     this.bootstrapTemplate = bootstrapTemplate();
+    this.unconfirmedCalls = new UnconfirmedCalls(loop, clock, listener);
     this.deadlines = new CallDeadlines(loop, clock, polls, this::expire);
     final long sweepUs = Math.max(MIN_SWEEP_INTERVAL_US, idleTimeoutUs / SWEEPS_PER_IDLE_TIMEOUT);
     loop.scheduleWithFixedDelay(
@@ -156,6 +158,16 @@
     idleConnections.remove(connection, pool);
   }
 
+  /** The calls whose deliveries are to be confirmed or put in doubt. */
+  UnconfirmedCalls unconfirmedCalls() {
+    return unconfirmedCalls;
+  }
+
+  @Override
+  public void resolveUnconfirmedDeliveries() {
+    unconfirmedCalls.resolveAll();
+  }
+
   // ---------------------------------------------------------------- calls
 
   @Override
@@ -269,6 +281,10 @@
       return;
     }
     final long nowUs = clock.nowUs();
+    if (call.needsOwnConnection() || unconfirmedCalls.isReuseSuspended(call.endpoint())) {
+      connect(call);
+      return;
+    }
     final EndpointConnection reusable =
         idleConnections.takeReusable(call.pool(), polls.currentPollUs());
     if (reusable != null) {
--- a/courier/src/main/java/thistleturn/courier/http/ResponseDecoder.java
+++ b/courier/src/main/java/thistleturn/courier/http/ResponseDecoder.java
@@ -18,8 +18,8 @@
 
   /** Notified of the progress of a response. */
   interface Listener {
-    /** Bytes of a response were received. */
-    void onResponseStarted();
+    /** Bytes were received; they must not be changed or kept. */
+    void onBytesReceived(ByteBuf bytes);
 
     /** The status line of a response was received completely. */
     void onStatusLine(HttpResponse statusLine);
@@ -42,7 +42,7 @@
       final ChannelHandlerContext context, final ByteBuf bytes, final List<Object> out)
       throws Exception {
     if (bytes.isReadable()) {
-      listener.onResponseStarted();
+      listener.onBytesReceived(bytes);
     }
     super.decode(context, bytes, out);
   }
--- /dev/null
+++ b/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
@@ -0,0 +1,110 @@
+package thistleturn.courier.http;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import thistleturn.courier.port.Dispatcher;
+import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.Event;
+import thistleturn.courier.runtime.GuardedTasks;
+import thistleturn.courier.runtime.Log;
+import thistleturn.decisions.pools.DeliveryConfirmation;
+
+/**
+ * The calls whose deliveries are known only by the place of a response on its connection. Notifies
+ * the listener when each is confirmed or in doubt. While there are any, they are checked
+ * periodically. Used on the event loop.
+ */
+final class UnconfirmedCalls {
+  private static final long CHECK_INTERVAL_MS = 250;
+
+  private final EventLoop loop;
+  private final Clock clock;
+  private final Dispatcher.Listener listener;
+  private final DeliveryConfirmation<HttpCall, EndpointConnection> deliveries =
+      new DeliveryConfirmation<>();
+  private boolean checkScheduled;
+
+  UnconfirmedCalls(final EventLoop loop, final Clock clock, final Dispatcher.Listener listener) {
+    this.loop = loop;
+    this.clock = clock;
+    this.listener = listener;
+  }
+
+  /** A call was answered as delivered, perhaps by the response of another call. */
+  void add(final HttpCall call, final EndpointConnection connection) {
+    deliveries.add(call, connection, call.endpoint(), call.deadlineUs());
+    scheduleCheck();
+  }
+
+  /** True if each call to an endpoint needs a connection of its own. */
+  boolean isReuseSuspended(final long endpoint) {
+    return deliveries.isReuseSuspended(endpoint, clock.nowUs());
+  }
+
+  boolean isUnconfirmed(final EndpointConnection connection) {
+    return deliveries.isUnconfirmed(connection);
+  }
+
+  /** A response named the messages of its call: the connection is in step. */
+  void onIdentifiedResponse(final EndpointConnection connection) {
+    confirm(deliveries.onIdentifiedResponse(connection));
+  }
+
+  /** Bytes came on a connection that do not belong to the call for which they were read. */
+  void onOutOfStep(final EndpointConnection connection, final EndpointConnectionPool pool) {
+    if (!isReuseSuspended(pool.endpoint())) {
+      Log.event(Event.ENDPOINT_REUSE_SUSPENDED, "to", pool.address());
+    }
+    putInDoubt(deliveries.onOutOfStep(connection, pool.endpoint(), clock.nowUs()));
+    // Connections that may still show whether their deliveries are in doubt stay open.
+    pool.idleSnapshot().stream()
+        .filter(idle -> !isUnconfirmed(idle))
+        .forEach(idle -> idle.close(EndpointCloseReason.NOT_REUSABLE));
+  }
+
+  /** A connection has ended. */
+  void onConnectionEnded(final EndpointConnection connection) {
+    putInDoubt(deliveries.onConnectionEnded(connection, clock.nowUs()));
+  }
+
+  /** Resolves all deliveries now, since this process will not learn more about them. */
+  void resolveAll() {
+    apply(deliveries.resolveAll(clock.nowUs()));
+  }
+
+  private void scheduleCheck() {
+    if (!checkScheduled && !deliveries.isEmpty()) {
+      checkScheduled = true;
+      loop.schedule(
+          GuardedTasks.guard("check of unconfirmed deliveries", this::check),
+          CHECK_INTERVAL_MS,
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void check() {
+    checkScheduled = false;
+    apply(deliveries.resolveDue(clock.nowUs()));
+    scheduleCheck();
+  }
+
+  private void apply(
+      final DeliveryConfirmation.Resolution<HttpCall, EndpointConnection> resolution) {
+    confirm(resolution.confirmed());
+    for (final EndpointConnection connection : resolution.toEnd()) {
+      if (connection.endIfIdle()) {
+        onConnectionEnded(connection);
+      }
+    }
+  }
+
+  private void confirm(final List<HttpCall> calls) {
+    calls.forEach(call -> call.attempts().forEach(listener::onDeliveryConfirmed));
+  }
+
+  private void putInDoubt(final List<HttpCall> calls) {
+    calls.forEach(
+        call -> call.attempts().forEach(attempt -> listener.onDeliveryInDoubt(attempt, call)));
+  }
+}
--- a/courier/src/main/java/thistleturn/courier/journal/Journal.java
+++ b/courier/src/main/java/thistleturn/courier/journal/Journal.java
@@ -134,13 +134,30 @@
 
   @Override
   public boolean recordAccepted(final StoredMessage message) {
+    if (!reserve(message)) {
+      return false;
+    }
+    unwritten.addAccepted(message);
+    return true;
+  }
+
+  @Override
+  public boolean recordReopened(final StoredMessage message) {
+    if (!reserve(message)) {
+      return false;
+    }
+    unwritten.addSnapshot(message);
+    return true;
+  }
+
+  /** Adds a message to the pending ones; returns false if it cannot be recorded now. */
+  private boolean reserve(final StoredMessage message) {
     final long bytes = reservedBytes(message);
     if (!writable
         || pendingMessages.containsKey(message.id())
         || reservedTotalBytes + bytes > ACCEPT_SHARE * fileBytes) {
       return false;
     }
-    unwritten.addAccepted(message);
     pendingMessages.put(message.id(), message);
     reservedTotalBytes += bytes;
     return true;
--- a/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
@@ -5,6 +5,7 @@
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.Endpoint;
 import thistleturn.decisions.model.LoadReport;
+import thistleturn.decisions.model.ResponseCertainty;
 
 /**
  * Calls endpoints. It makes a call only on request and never repeats one by itself, and reports the
@@ -32,6 +33,9 @@
 
     /** Returns how long to wait for its answer, in microseconds. */
     long timeoutUs();
+
+    /** Returns whether the message may be sent again though it may have been executed. */
+    boolean isRepeatable();
   }
 
   /** One call, from its preparation to the outcomes of its attempts. */
@@ -59,9 +63,48 @@
    * @param completed true if the answer is final for the message, whatever its result
    * @param retryAfterUs how long the endpoint asked to wait, in microseconds; 0 if it did not
    * @param loadReport null if the answer carried none
+   * @param certainty whether the answer is known to be that of the call; an unconfirmed delivery is
+   *     confirmed or put in doubt later
    */
   record DispatchOutcome(
-      AttemptResult result, boolean completed, long retryAfterUs, LoadReport loadReport) {}
+      AttemptResult result,
+      boolean completed,
+      long retryAfterUs,
+      LoadReport loadReport,
+      ResponseCertainty certainty) {
+
+    /** Creates an outcome whose answer, if any, is known to be that of the call. */
+    public DispatchOutcome(
+        final AttemptResult result,
+        final boolean completed,
+        final long retryAfterUs,
+        final LoadReport loadReport) {
+      this(result, completed, retryAfterUs, loadReport, ResponseCertainty.CERTAIN);
+    }
+
+    /**
+     * Returns the same outcome of an answer that may belong to another call. Only a delivery still
+     * completes its message, until it is put in doubt.
+     */
+    public DispatchOutcome unconfirmed() {
+      return new DispatchOutcome(
+          result,
+          result == AttemptResult.DELIVERED,
+          retryAfterUs,
+          loadReport,
+          ResponseCertainty.UNCONFIRMED);
+    }
+
+    /** Returns whether the message certainly had no effect, so that a retry is safe. */
+    public boolean neverExecuted() {
+      return result.neverExecuted() && certainty == ResponseCertainty.CERTAIN;
+    }
+
+    /** Returns whether it is a delivery that is to be confirmed or put in doubt. */
+    public boolean isUnconfirmedDelivery() {
+      return result == AttemptResult.DELIVERED && certainty == ResponseCertainty.UNCONFIRMED;
+    }
+  }
 
   /** Receives outcomes: exactly one for each attempt of a call. */
   interface Listener {
@@ -74,6 +117,15 @@
      */
     void onRetryAfter(long endpoint, long retryAfterUs);
 
+    /** The answer to an attempt, reported as an unconfirmed delivery, was its own. */
+    void onDeliveryConfirmed(Attempt attempt);
+
+    /**
+     * The answer to an attempt, reported as an unconfirmed delivery, may be that of another call.
+     * The connection has ended on this side, and the message may have been executed or not.
+     */
+    void onDeliveryInDoubt(Attempt attempt, Call call);
+
     /** A call with this many messages has been written completely. */
     void onMessagesWritten(int count);
   }
@@ -105,6 +157,12 @@
    */
   void abandonUnwrittenCalls(long endpoint);
 
+  /**
+   * Confirms all unconfirmed deliveries now, or puts them in doubt, since this process will not
+   * learn more about them.
+   */
+  void resolveUnconfirmedDeliveries();
+
   /** Closes the idle connections to an endpoint. */
   void closeIdleConnections(long endpoint);
 }
--- a/courier/src/main/java/thistleturn/courier/port/MessageStore.java
+++ b/courier/src/main/java/thistleturn/courier/port/MessageStore.java
@@ -39,6 +39,14 @@
    */
   boolean recordAccepted(StoredMessage message);
 
+  /**
+   * Records a completed message again, with its attempts, since it has not ended after all.
+   *
+   * @return false if there is no capacity for it or the store cannot be written now; then nothing
+   *     is recorded
+   */
+  boolean recordReopened(StoredMessage message);
+
   /** Records an attempt that starts now, before its call's first byte. */
   void recordAttemptStarted(StoredMessage message, long nowUs, String zone);
 
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -32,6 +32,13 @@
    * completely: the connection is out of step with its calls.
    */
   ENDPOINT_BYTES_UNEXPECTED("endpoint_bytes_unexpected"),
+  /**
+   * A connection to an endpoint was out of step: for some time each call to it gets a connection of
+   * its own.
+   */
+  ENDPOINT_REUSE_SUSPENDED("endpoint_reuse_suspended"),
+  /** A response that counted as a delivery may belong to another call: the message is reopened. */
+  DELIVERY_IN_DOUBT("delivery_in_doubt"),
   /** A connection to an endpoint ended, on either side. */
   ENDPOINT_CONNECTION_CLOSED("endpoint_connection_closed"),
   /** A connection to the platform was closed by this side, or with a request unanswered. */
--- a/courier/src/test/java/thistleturn/courier/http/DispatcherFixture.java
+++ b/courier/src/test/java/thistleturn/courier/http/DispatcherFixture.java
@@ -102,6 +102,16 @@
       retryAfterReports.add(retryAfterUs);
     }
 
+    @Override
+    public void onDeliveryConfirmed(final Dispatcher.Attempt attempt) {
+      // Not recorded: the tests wait for the outcome.
+    }
+
+    @Override
+    public void onDeliveryInDoubt(final Dispatcher.Attempt attempt, final Dispatcher.Call call) {
+      // Not recorded: the tests wait for the outcome.
+    }
+
     @Override
     public void onMessagesWritten(final int messages) {
       // Not recorded: the tests wait for the outcome.
--- a/courier/src/test/java/thistleturn/courier/http/EndpointCallBytesTest.java
+++ b/courier/src/test/java/thistleturn/courier/http/EndpointCallBytesTest.java
@@ -20,6 +20,11 @@
 
   /** The attempt of one message in a call that times out after two and a half seconds. */
   private record MessageAttempt(StoredMessage message) implements Dispatcher.Attempt {
+    @Override
+    public boolean isRepeatable() {
+      return true;
+    }
+
     @Override
     public long messageDeadlineUs() {
       return message.deadlineUs();
--- a/courier/src/test/java/thistleturn/courier/http/TestAttempt.java
+++ b/courier/src/test/java/thistleturn/courier/http/TestAttempt.java
@@ -8,6 +8,11 @@
 record TestAttempt(StoredMessage message, long timeoutUs, long latestSendUs, long messageDeadlineUs)
     implements Dispatcher.Attempt {
 
+  @Override
+  public boolean isRepeatable() {
+    return true;
+  }
+
   /** An attempt that may be sent until its message expires. */
   static TestAttempt of(final String id, final long timeoutUs, final long messageDeadlineUs) {
     final StoredMessage message =
--- a/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
@@ -57,6 +57,8 @@
         courier_events_total{event="attempt_not_sent"}
         courier_events_total{event="shared_call_expired"}
         courier_events_total{event="endpoint_bytes_unexpected"}
+        courier_events_total{event="endpoint_reuse_suspended"}
+        courier_events_total{event="delivery_in_doubt"}
         courier_events_total{event="endpoint_connection_closed"}
         courier_events_total{event="platform_connection_closed"}
         courier_events_total{event="message_ended"}
--- a/decisions/src/main/java/thistleturn/decisions/OverloadController.java
+++ b/decisions/src/main/java/thistleturn/decisions/OverloadController.java
@@ -6,6 +6,7 @@
 import thistleturn.decisions.model.DeliverySettings;
 import thistleturn.decisions.model.Endpoint;
 import thistleturn.decisions.model.EndpointUpdate;
+import thistleturn.decisions.model.Idempotence;
 import thistleturn.decisions.model.Message;
 import thistleturn.decisions.model.PriorAttempts;
 
@@ -265,7 +266,8 @@
 
   private void recordEffect(
       final PendingMessage message, final InFlightCall call, final AttemptOutcome outcome) {
-    if (outcome.result().neverExecuted()) {
+    if (outcome.neverExecuted()
+        || (outcome.result().neverExecuted() && message.idempotence() == Idempotence.IDEMPOTENT)) {
       return;
     }
     message.recordPossibleExecution(call.sentUs(), call.endpoint().zone());
--- /dev/null
+++ b/decisions/src/test/java/thistleturn/decisions/pools/DeliveryConfirmationTest.java
@@ -0,0 +1,145 @@
+package thistleturn.decisions.pools;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+
+/** Virtual time: calls are numbers, connections are names, times are microseconds. */
+final class DeliveryConfirmationTest {
+  private static final long SECOND = 1_000_000;
+  private static final long ENDPOINT = 1;
+  private static final long OTHER_ENDPOINT = 2;
+  private static final long THIRD_ENDPOINT = 3;
+
+  private final DeliveryConfirmation<Integer, String> deliveries = new DeliveryConfirmation<>();
+
+  @Test
+  void quietConnection_confirmsAtDeadlineOfCall() {
+    deliveries.add(1, "a", ENDPOINT, 2 * SECOND);
+    assertEquals(List.of(), deliveries.resolveDue(2 * SECOND - 1).confirmed());
+    assertEquals(List.of(1), deliveries.resolveDue(2 * SECOND).confirmed());
+    assertTrue(deliveries.isEmpty());
+  }
+
+  @Test
+  void surplusResponse_putsAllDeliveriesOfItsConnectionInDoubt() {
+    deliveries.add(1, "a", ENDPOINT, 2 * SECOND);
+    deliveries.add(2, "a", ENDPOINT, 3 * SECOND);
+    deliveries.add(3, "b", ENDPOINT, 3 * SECOND);
+    assertEquals(List.of(1, 2), deliveries.onOutOfStep("a", ENDPOINT, SECOND));
+    assertTrue(deliveries.isUnconfirmed("b"));
+  }
+
+  @Test
+  void deliveryOfEndedConnection_isInDoubtOnceAnyConnectionIsOutOfStep() {
+    deliveries.add(1, "a", ENDPOINT, 2 * SECOND);
+    assertEquals(List.of(), deliveries.onConnectionEnded("a", SECOND));
+    assertEquals(List.of(1), deliveries.onOutOfStep("b", OTHER_ENDPOINT, SECOND + 1));
+  }
+
+  @Test
+  void connectionThatEndsAfterAnotherWasOutOfStep_leavesItsDeliveriesInDoubt() {
+    deliveries.add(1, "a", ENDPOINT, 20 * SECOND);
+    deliveries.onOutOfStep("b", OTHER_ENDPOINT, SECOND);
+    assertEquals(List.of(1), deliveries.onConnectionEnded("a", 10 * SECOND));
+  }
+
+  @Test
+  void endedConnection_confirmsAtDeadlineIfNoneWasOutOfStep() {
+    deliveries.add(1, "a", ENDPOINT, 2 * SECOND);
+    deliveries.onConnectionEnded("a", SECOND);
+    assertEquals(List.of(1), deliveries.resolveDue(2 * SECOND).confirmed());
+  }
+
+  @Test
+  void endpointOutOfStep_hasToEndConnectionsWhoseOwnResponseMayNeverCome() {
+    deliveries.onOutOfStep("b", ENDPOINT, 0);
+    deliveries.add(1, "a", ENDPOINT, 2 * SECOND);
+    final var due = deliveries.resolveDue(2 * SECOND);
+    assertEquals(List.of(), due.confirmed());
+    assertEquals(Set.of("a"), due.toEnd());
+    assertEquals(List.of(1), deliveries.onConnectionEnded("a", 2 * SECOND));
+  }
+
+  @Test
+  void responseThatNamesItsMessages_confirmsEarlierDeliveriesOfItsConnection() {
+    deliveries.add(1, "a", ENDPOINT, 2 * SECOND);
+    deliveries.add(2, "b", ENDPOINT, 2 * SECOND);
+    assertEquals(List.of(1), deliveries.onIdentifiedResponse("a"));
+    assertFalse(deliveries.isUnconfirmed("a"));
+    assertTrue(deliveries.isUnconfirmed("b"));
+  }
+
+  @Test
+  void reuseIsSuspended_forTheEndpointAndForAllOnceTwoWereOutOfStep() {
+    deliveries.onOutOfStep("a", ENDPOINT, 0);
+    assertTrue(deliveries.isReuseSuspended(ENDPOINT, SECOND));
+    assertFalse(deliveries.isReuseSuspended(THIRD_ENDPOINT, SECOND));
+    deliveries.onOutOfStep("b", OTHER_ENDPOINT, 2 * SECOND);
+    assertTrue(deliveries.isReuseSuspended(THIRD_ENDPOINT, 3 * SECOND));
+  }
+
+  @Test
+  void suspension_endsAfterItsTime() {
+    deliveries.onOutOfStep("a", ENDPOINT, 0);
+    deliveries.onOutOfStep("b", OTHER_ENDPOINT, SECOND);
+    final long firstEndsUs = DeliveryConfirmation.SUSPENSION_US;
+    assertFalse(deliveries.isReuseSuspended(THIRD_ENDPOINT, firstEndsUs));
+    assertTrue(deliveries.isReuseSuspended(OTHER_ENDPOINT, firstEndsUs));
+    assertFalse(deliveries.isReuseSuspended(OTHER_ENDPOINT, firstEndsUs + SECOND));
+  }
+
+  @Test
+  void endOfProcess_confirmsUnlessAConnectionWasOutOfStepLately() {
+    deliveries.add(1, "a", ENDPOINT, 2 * SECOND);
+    assertEquals(List.of(1), deliveries.resolveAll(SECOND).confirmed());
+    deliveries.onOutOfStep("b", OTHER_ENDPOINT, SECOND);
+    deliveries.add(2, "c", ENDPOINT, 3 * SECOND);
+    assertEquals(Set.of("c"), deliveries.resolveAll(2 * SECOND).toEnd());
+  }
+
+  /**
+   * Guards against a copy that is taken for a later response and never noticed: connections with
+   * one copy at a random place carry calls until they are idle for longer than a call takes.
+   */
+  @Test
+  void randomCopies_leaveNoWrongDeliveryConfirmed() {
+    for (long seed = 1; seed <= 2000; seed++) {
+      final Random random = new Random(seed);
+      final DeliveryConfirmation<Integer, String> played = new DeliveryConfirmation<>();
+      final int calls = 2 + random.nextInt(6);
+      final int copied = 1 + random.nextInt(calls - 1);
+      final boolean[] delivers = new boolean[calls + 1];
+      for (int call = 1; call <= calls; call++) {
+        delivers[call] = call == copied || random.nextInt(5) > 0;
+      }
+      final Set<Integer> inDoubt = new TreeSet<>();
+      final Set<Integer> wrong = new TreeSet<>();
+      int read = 0;
+      boolean open = true;
+      for (int call = 1; open && call <= calls; call++) {
+        // From the call after the copied one, each reads the response of the one before.
+        read = call > copied ? call - 1 : call;
+        if (!delivers[read]) {
+          inDoubt.addAll(played.onConnectionEnded("a", call));
+          open = false;
+        } else if (call > 1) {
+          played.add(call, "a", ENDPOINT, 3 * SECOND);
+          if (!delivers[call]) {
+            wrong.add(call);
+          }
+        }
+      }
+      final String lastConnection = open ? "a" : "b";
+      inDoubt.addAll(played.onOutOfStep(lastConnection, ENDPOINT, SECOND));
+      assertTrue(inDoubt.containsAll(wrong), "seed " + seed + ": " + wrong + ", " + inDoubt);
+      assertEquals(List.of(), played.resolveDue(4 * SECOND).confirmed(), "seed " + seed);
+    }
+  }
+}
--- a/testkit/src/main/java/thistleturn/testkit/HttpStandIn.java
+++ b/testkit/src/main/java/thistleturn/testkit/HttpStandIn.java
@@ -36,6 +36,7 @@
   private volatile boolean resetsReused;
   private volatile long readDelayMs;
   private volatile ResponseCopier copier;
+  private volatile Runnable copyListener = () -> {};
 
   /** Handles a complete request. Called on the connection's event loop. */
   @FunctionalInterface
@@ -76,8 +77,13 @@
     resetsReused = on;
   }
 
-  /** Sends responses on new connections twice, as the copier says; null ends that. */
-  public void copyResponses(final ResponseCopier responseCopier) {
+  /**
+   * Sends responses on new connections twice, as the copier says; null ends that.
+   *
+   * @param onCopy called before each copy, on the connection's event loop
+   */
+  public void copyResponses(final ResponseCopier responseCopier, final Runnable onCopy) {
+    copyListener = onCopy;
     copier = responseCopier;
   }
 
@@ -168,7 +174,7 @@
             new RequestReader(firstByte));
     final ResponseCopier current = copier;
     if (current != null) {
-      channel.pipeline().addFirst(current.handler(() -> {}));
+      channel.pipeline().addFirst(current.handler(copyListener));
     }
     if (readDelayMs > 0) {
       channel.config().setAutoRead(false);
--- a/testkit/src/main/java/thistleturn/testkit/StandInEndpoint.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInEndpoint.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import io.netty.channel.EventLoopGroup;
+import io.netty.util.AttributeKey;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -23,6 +24,9 @@
   private static final int UNAVAILABLE = 503;
   private static final ObjectMapper JSON = new ObjectMapper();
 
+  /** How many calls a connection has carried. */
+  private static final AttributeKey<Integer> CALLS = AttributeKey.valueOf("callsOnConnection");
+
   private final String name;
   private final long destination;
   private final RuleChecker ruleChecker;
@@ -119,6 +123,11 @@
     behavior.set(choice);
   }
 
+  /** Sends some responses on new connections twice from now on; null ends that. */
+  public void copyResponses(final ResponseCopier copier) {
+    server.copyResponses(copier, ruleChecker::recordCopiedResponse);
+  }
+
   @Override
   public void close() {
     server.close();
@@ -168,6 +177,7 @@
     private final List<String> ids;
     private final boolean bulk;
     private final long beganUs;
+    private final boolean reusedConnection;
     private boolean ended;
 
     Call(
@@ -179,6 +189,9 @@
       this.ids = ids;
       this.bulk = bulk;
       this.beganUs = beganUs;
+      final Integer earlier = exchange.channel().attr(CALLS).get();
+      this.reusedConnection = earlier != null;
+      exchange.channel().attr(CALLS).set(earlier == null ? 1 : earlier + 1);
     }
 
     void end(final RuleChecker.CallResult result) {
@@ -195,6 +208,9 @@
       switch (current.action()) {
         case DELIVER -> {
           end(RuleChecker.CallResult.DELIVERED);
+          if (reusedConnection) {
+            ids.forEach(ruleChecker::recordAnswerOnReusedConnection);
+          }
           exchange.answer(OK, bulk ? bulkAnswer() : "");
         }
         case FAIL -> {
