Ignore lines of the endpoint list's watch that come a second time

Callers would see calls to draining endpoints: an older line of the watch (an endpoint Ready) that came again behind 'Terminating' made the endpoint available again. Cause: DiscoveryClient applied each line whatever its version. Change: decisions.membership.WatchSequence. On one watch a line that was applied before is ignored; an unknown line of a lower version has the complete list requested. On a new watch a lower complete list is that of a service that started anew and is applied; lower changes alone have the complete list requested. Event list_line_ignored. Why this works: versions rise along a watch, so a known line cannot say anything newer, and whatever else is lower ends in the complete list.

--- a/courier/src/main/java/thistleturn/courier/platform/DiscoveryClient.java
+++ b/courier/src/main/java/thistleturn/courier/platform/DiscoveryClient.java
@@ -123,6 +123,11 @@
     return listVersion;
   }
 
+  /** Requests the complete list with the next watch. */
+  void forgetListVersion() {
+    listVersion = UNKNOWN_VERSION;
+  }
+
   /** Notifies the listener of an update. */
   void publish(final JsonNode list, final EndpointUpdate update) {
     final List<Entry> entries = EndpointListParser.parseEntries(list);
--- a/courier/src/main/java/thistleturn/courier/platform/WatchSession.java
+++ b/courier/src/main/java/thistleturn/courier/platform/WatchSession.java
@@ -14,8 +14,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Json;
+import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.PollTracker;
+import thistleturn.decisions.membership.WatchSequence;
 import thistleturn.decisions.model.EndpointUpdate;
 
 /**
@@ -39,6 +42,7 @@
   private final DiscoveryClient client;
   private final InetSocketAddress address;
   private final JsonObjectFramer framer = new JsonObjectFramer(this);
+  private final WatchSequence sequence;
   private Progress progress = Progress.WATCH_REQUESTED;
 
   /** True once the watch has sent a complete object or a heartbeat. */
@@ -64,6 +68,8 @@
     super(loop, clock, polls, "endpoint list watch");
     this.client = client;
     this.address = address;
+    this.sequence =
+        new WatchSequence(client.hasListVersion() ? client.listVersion() : WatchSequence.UNKNOWN);
   }
 
   /** Begins to connect. */
@@ -157,12 +163,7 @@
   @Override
   public void onObject(final String text) {
     try {
-      final JsonNode list = Json.read(text);
-      client.publish(
-          list,
-          list.path("whole").asBoolean()
-              ? EndpointUpdate.COMPLETE_SNAPSHOT
-              : EndpointUpdate.CHANGES);
+      applyLine(text, Json.read(text));
     } catch (final IOException e) {
       throw new IllegalArgumentException("cannot read the endpoint list: " + e.getMessage(), e);
     }
@@ -173,6 +174,21 @@
     }
   }
 
+  private void applyLine(final String text, final JsonNode list) {
+    final boolean complete = list.path("whole").asBoolean();
+    final long version = list.path("seq").asLong(WatchSequence.UNKNOWN);
+    switch (sequence.onLine(text, version, complete)) {
+      case APPLY ->
+          client.publish(
+              list, complete ? EndpointUpdate.COMPLETE_SNAPSHOT : EndpointUpdate.CHANGES);
+      case IGNORE -> Log.event(Event.LIST_LINE_IGNORED, "seq", version, "complete", complete);
+      case REQUEST_COMPLETE_LIST -> {
+        client.forgetListVersion();
+        close("version_" + version + "_out_of_sequence");
+      }
+    }
+  }
+
   @Override
   public void onLineEnd() {
     if (progress == Progress.WATCH_REQUESTED) {
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -43,6 +43,8 @@
   ENDPOINT_CONNECTION_CLOSED("endpoint_connection_closed"),
   /** A connection to the platform was closed by this side, or with a request unanswered. */
   PLATFORM_CONNECTION_CLOSED("platform_connection_closed"),
+  /** A line of the endpoint list's watch came a second time. */
+  LIST_LINE_IGNORED("list_line_ignored"),
   /** An accepted message was not delivered: the platform is notified of its outcome. */
   MESSAGE_ENDED("message_ended"),
   /** The platform confirmed an outcome long after the message's deadline. */
