Report each batch of outcomes on a connection of its own

Callers saw messages lost: accepted, neither delivered nor reported. Cause: ReportSession sent the next batch on the same connection and took the next response for its confirmation. A copy of a 204 confirmed a batch that the platform never read. Change: one batch a connection, closed with its confirmation. The first response on a connection belongs to its only request; bytes are as before. Cost: a connection for each batch of up to 200 outcomes, one at a time, none without outcomes.

--- a/courier/src/main/java/thistleturn/courier/platform/HttpOutcomeNotifier.java
+++ b/courier/src/main/java/thistleturn/courier/platform/HttpOutcomeNotifier.java
@@ -15,8 +15,8 @@
 
 /**
  * Reports to the platform the outcomes of messages that were accepted and not delivered: in
- * batches, one in flight at a time, and repeatedly until each is confirmed. A repeated report does
- * no harm; a missing one loses a message.
+ * batches, each on a connection of its own, one at a time, and repeatedly until each is confirmed.
+ * A repeated report does no harm; a missing one loses a message.
  */
 public final class HttpOutcomeNotifier implements OutcomeNotifier {
   private static final int MAX_BATCH_SIZE = 200;
@@ -67,10 +67,6 @@
       return;
     }
     batchInFlight = unconfirmed.values().stream().limit(MAX_BATCH_SIZE).toList();
-    if (session != null) {
-      session.sendBatch();
-      return;
-    }
     final ReportSession opened = new ReportSession(this, address, loop, clock, polls);
     session = opened;
     opened.connect();
@@ -121,16 +117,14 @@
   }
 
   /** Called when the current session has received the confirmation of the batch in flight. */
-  void onBatchConfirmed(final ReportSession confirming, final boolean keepAlive) {
+  void onBatchConfirmed(final ReportSession confirming) {
     final List<StoredMessage> confirmed = batchInFlight;
     batchInFlight = List.of();
     backoffMs = MIN_BACKOFF_MS;
     confirmed.forEach(message -> unconfirmed.remove(message.id()));
     listener.onConfirmed(confirmed);
-    if (!keepAlive) {
-      session = null;
-      confirming.close("not_kept_alive");
-    }
+    session = null;
+    confirming.close("confirmed");
     flush();
   }
 
--- a/courier/src/main/java/thistleturn/courier/platform/ReportSession.java
+++ b/courier/src/main/java/thistleturn/courier/platform/ReportSession.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.net.InetSocketAddress;
@@ -23,7 +22,8 @@
 import thistleturn.courier.runtime.PollTracker;
 
 /**
- * Reports outcomes over one connection to the platform, one batch at a time.
+ * Reports one batch of outcomes over one connection to the platform. Nothing in a confirmation says
+ * which batch it confirms, so no second batch follows: it could be confirmed by a copy.
  *
  * <p>A message ends 200 ms before its deadline, and its report is due 300 ms after the deadline.
  * The platform responds at once; if a connection is not established or is unresponsive, another
@@ -38,8 +38,8 @@
   private final InetSocketAddress address;
   private HttpResponse responseHead;
 
-  /** Counts requests and confirmations, so that the timeout of an earlier one has no effect. */
-  private long step;
+  /** True once the batch is sent; a connection that is established later is closed. */
+  private boolean sent;
 
   ReportSession(
       final HttpOutcomeNotifier notifier,
@@ -55,7 +55,7 @@
   /** Begins to connect, in order to send the batch in flight. */
   void connect() {
     open(address);
-    closeUnlessContinuedWithin(CONNECT_TIMEOUT_US);
+    runAfterPollAt(nowUs() + CONNECT_TIMEOUT_US, this::closeUnlessSent);
   }
 
   @Override
@@ -73,28 +73,28 @@
     notifier.onSessionEnded(this);
   }
 
-  private void closeUnlessContinuedWithin(final long timeoutUs) {
-    final long expectedStep = step;
-    runAfterPollAt(
-        nowUs() + timeoutUs,
-        () -> {
-          if (step == expectedStep && isCurrent()) {
-            close("timeout");
-          }
-        });
+  private void closeUnlessSent() {
+    if (!sent) {
+      closeIfCurrent();
+    }
+  }
+
+  /** A session whose batch is confirmed is not the current one any more. */
+  private void closeIfCurrent() {
+    if (isCurrent()) {
+      close("timeout");
+    }
   }
 
-  /** Sends the batch in flight. The connection must be established. */
-  void sendBatch() {
+  private void sendBatch() {
     final ByteBuf body = encode(notifier.batchInFlight());
     final var request =
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/v1/outcomes", body);
     request.headers().set(HttpHeaderNames.HOST, address.getHostString());
     request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-    responseHead = null;
-    step++;
+    sent = true;
     write(request);
-    closeUnlessContinuedWithin(RESPONSE_TIMEOUT_US);
+    runAfterPollAt(nowUs() + RESPONSE_TIMEOUT_US, this::closeIfCurrent);
   }
 
   private static ByteBuf encode(final List<StoredMessage> batch) {
@@ -131,8 +131,7 @@
 
   private void onResponseComplete(final ChannelHandlerContext ctx) {
     if (responseHead.status().code() == STATUS_CONFIRMED) {
-      step++;
-      notifier.onBatchConfirmed(this, HttpUtil.isKeepAlive(responseHead));
+      notifier.onBatchConfirmed(this);
     } else {
       close(ctx, "status " + responseHead.status().code());
     }
--- a/testkit/src/main/java/thistleturn/testkit/StandInPlatform.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInPlatform.java
@@ -8,9 +8,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
@@ -24,8 +26,11 @@
   private final HttpStandIn server;
   private final Map<String, ObjectNode> hosts = new LinkedHashMap<>();
   private final List<HttpExchange> watches = new CopyOnWriteArrayList<>();
+  private final List<String> changes = new ArrayList<>();
   private long seq = 1;
   private volatile boolean unresponsive;
+  private volatile Random noticeResets = new Random(0);
+  private volatile double noticeResetShare;
 
   /** Listens on 127.0.0.1, on a port that the system chooses; its list is empty. */
   public StandInPlatform(
@@ -48,6 +53,27 @@
     unresponsive = on;
   }
 
+  /** The server; makes it answer twice. */
+  public HttpStandIn server() {
+    return server;
+  }
+
+  /** Resets a share of the connections that bring outcome notices, without reading these. */
+  public void resetNotices(final double share, final long seed) {
+    noticeResets = new Random(seed);
+    noticeResetShare = share;
+  }
+
+  /**
+   * Sends an earlier change again to all watches, as a network might that delivers it twice.
+   *
+   * @param before how many changes were sent after it
+   */
+  public synchronized void repeatChange(final int before) {
+    final String line = changes.get(changes.size() - 1 - before);
+    watches.forEach(watch -> watch.chunk(line));
+  }
+
   /** True while at least one watch is open. */
   public boolean isWatched() {
     return !watches.isEmpty();
@@ -91,6 +117,7 @@
     if (health.equals("Ready")) {
       ruleChecker.recordReady(endpoint.name());
     }
+    changes.add(change + "\n");
     for (final HttpExchange watch : watches) {
       watch
           .chunk(change + "\n")
@@ -142,6 +169,10 @@
   }
 
   private void receiveOutcomes(final HttpExchange exchange) {
+    if (noticeResets.nextDouble() < noticeResetShare) {
+      exchange.reset();
+      return;
+    }
     try {
       for (final String line : new String(exchange.body(), StandardCharsets.UTF_8).split("\n")) {
         final JsonNode notice = JSON.readTree(line);
