Repeat unconfirmed outcome reports soon enough for five failures in a row

Cause: the pauses between reports grew to 250 ms, so four failures in a row took up to 0.6 s, and an outcome has 0.5 s (it is reported 200 ms before the deadline and due 300 ms after). Change: pauses of 20 to 80 ms: six failures in a row take 0.4 s at most. Still one report at a time.

--- a/courier/src/main/java/thistleturn/courier/platform/HttpOutcomeNotifier.java
+++ b/courier/src/main/java/thistleturn/courier/platform/HttpOutcomeNotifier.java
@@ -20,8 +20,8 @@
  */
 public final class HttpOutcomeNotifier implements OutcomeNotifier {
   private static final int MAX_BATCH_SIZE = 200;
-  private static final int MIN_BACKOFF_MS = 50;
-  private static final int MAX_BACKOFF_MS = 250;
+  private static final int MIN_BACKOFF_MS = 20;
+  private static final int MAX_BACKOFF_MS = 80;
 
   private final EventLoop loop;
   private final Clock clock;
