--- /dev/null
+++ b/courier/src/test/java/thistleturn/courier/RestartedCourier.java
@@ -0,0 +1,152 @@
+package thistleturn.courier;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import thistleturn.testkit.StandInWorld;
+import thistleturn.testkit.rig.ChildProcess;
+
+/**
+ * A courier in processes of its own that are restarted one after another, under clients that keep
+ * using their connections until the process ends.
+ */
+final class RestartedCourier implements AutoCloseable {
+  private static final String MAIN = "thistleturn.courier.Main";
+  private static final int IDLE_CLIENTS = 300;
+  private static final long US_PER_MS = 1000;
+
+  /** The shortest time from SIGTERM to SIGKILL that the platform documents. */
+  private static final long KILL_AFTER_US = 3_700_000;
+
+  /** The time from SIGKILL to the next start. */
+  private static final long START_AFTER_US = 600_000;
+
+  private static final Pattern ID = Pattern.compile(" id=(\\S+)");
+
+  private final StandInWorld world;
+  private final Map<String, String> environment;
+  private final Random random;
+  private final List<Socket> idleClients = new ArrayList<>();
+  private final List<ChildProcess> processes = new ArrayList<>();
+
+  /** All choices come from the random numbers. */
+  RestartedCourier(
+      final StandInWorld world, final Map<String, String> environment, final Random random) {
+    this.world = world;
+    this.environment = environment;
+    this.random = random;
+  }
+
+  /** Starts the next process, and returns once it is ready. */
+  void start() throws IOException {
+    final boolean restarted = !processes.isEmpty();
+    processes.add(ChildProcess.java(environment, "", MAIN));
+    world.client.setCourierAddress(address());
+    if (restarted) {
+      world.ruleChecker.recordRestart(world.clock.nowUs(), true);
+      world.client.openConnections(true);
+    }
+  }
+
+  private ChildProcess current() {
+    return processes.get(processes.size() - 1);
+  }
+
+  private String address() {
+    final String ready = current().await(line -> line.contains("is ready at "));
+    return ready.substring(ready.lastIndexOf(' ') + 1);
+  }
+
+  void waitUnderLoad(final long ms) {
+    world.waitUntil(world.clock.nowUs() + ms * US_PER_MS);
+  }
+
+  /** Clients that never send anything. */
+  void connectIdleClients() throws IOException {
+    final String address = address();
+    final int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+    for (int number = 0; number < IDLE_CLIENTS; number++) {
+      idleClients.add(new Socket(InetAddress.getLoopbackAddress(), port));
+    }
+  }
+
+  /** Sends up to three SIGHUPs in a row. */
+  void sendHangupSignals() throws IOException {
+    for (int count = random.nextInt(4); count > 0; count--) {
+      current().hangUp();
+      waitUnderLoad(random.nextInt(30));
+    }
+  }
+
+  /** Sends SIGTERM, in some runs more signals, and checks that the process exits before SIGKILL. */
+  void shutDown() throws IOException {
+    final long terminatedUs = world.clock.nowUs();
+    world.ruleChecker.recordRestart(terminatedUs, false);
+    current().terminate();
+    if (random.nextBoolean()) {
+      waitUnderLoad(random.nextInt(100));
+      current().terminate();
+    }
+    sendHangupSignals();
+    world.waitUntil(terminatedUs + (200 + random.nextInt(200)) * US_PER_MS);
+    world.client.openConnections(false);
+    world.waitUntil(terminatedUs + KILL_AFTER_US);
+    assertFalse(current().isAlive(), () -> "the process has not exited: " + current().lines());
+    recordEnd();
+  }
+
+  /** Sends SIGKILL. */
+  void kill() {
+    current().kill();
+    recordEnd();
+  }
+
+  private void recordEnd() {
+    world.resetConnections();
+    world.ruleChecker.recordRestart(world.clock.nowUs(), false);
+    world.waitUntil(world.clock.nowUs() + START_AFTER_US);
+  }
+
+  /**
+   * Returns the ids of unanswered requests that a courier has logged. Requests that were under way
+   * when an idle connection was closed were never read, so no courier has logged them.
+   */
+  Set<String> readButUnansweredIds() {
+    final Set<String> logged =
+        processes.stream()
+            .flatMap(courier -> courier.lines().stream())
+            .map(ID::matcher)
+            .filter(Matcher::find)
+            .map(id -> id.group(1))
+            .collect(Collectors.toSet());
+    logged.retainAll(world.client.unansweredIds());
+    return logged;
+  }
+
+  String logExcerpt() {
+    return processes.stream()
+        .flatMap(courier -> courier.lines().stream())
+        .filter(line -> line.contains("request_unanswered") || !line.contains(" id="))
+        .filter(line -> !line.contains("endpoint_connection_closed"))
+        .limit(60)
+        .collect(Collectors.joining("\n", "\n", ""));
+  }
+
+  @Override
+  public void close() throws IOException {
+    processes.forEach(ChildProcess::close);
+    for (final Socket client : idleClients) {
+      client.close();
+    }
+  }
+}
