Take an invalid response on a reused connection for no delivery

Callers would see a message lost: half of a copied 200 and the own 503 behind it make one invalid response whose first line says 200, and it counted as delivered. Cause: the first line of an invalid or incomplete response was believed on connections that had carried another call. Change: there the attempt may have run, and its message is sent again if its class allows it; it says nothing about the endpoint.

--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -384,6 +384,9 @@
     final long retryAfterUs = applyRetryAfter(interrupted.pool(), response.head());
     if (outOfStep) {
       dispatcher.report(interrupted, NOT_SENT);
+    } else if (delivered && isReused() && reason != EndpointCloseReason.ENDED_BY_ENDPOINT) {
+      // Part of a copy and the own response make one that is invalid or never complete.
+      dispatcher.report(interrupted, IN_DOUBT);
     } else if (delivered) {
       dispatcher.report(interrupted, partialDelivery(interrupted));
     } else {
--- /dev/null
+++ b/courier/src/test/java/thistleturn/courier/CopyPositionTest.java
@@ -0,0 +1,132 @@
+package thistleturn.courier;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * One copy of a response, forced at each place in which the next call on the connection meets it.
+ */
+@Tag("connections")
+@Timeout(120)
+final class CopyPositionTest {
+  private static final String DELIVERED = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  private static final String REJECTED =
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+
+  @TempDir private Path workDirectory;
+  private CourierHarness harness;
+
+  /** What the second call on a connection reads before its own response, which is a rejection. */
+  enum Position {
+    COPY_BEFORE_OWN_RESPONSE(DELIVERED, REJECTED),
+    COPY_IN_ONE_READ_WITH_OWN_RESPONSE(DELIVERED + REJECTED, ""),
+    HALF_A_COPY_BEFORE_OWN_RESPONSE(DELIVERED.substring(0, DELIVERED.length() / 2), REJECTED),
+    HALF_A_COPY_IN_ONE_READ_WITH_OWN_RESPONSE(
+        DELIVERED.substring(0, DELIVERED.length() / 2) + REJECTED, ""),
+    THREE_COPIES(DELIVERED + DELIVERED + DELIVERED, REJECTED),
+    INTERIM_RESPONSE_AND_COPY("HTTP/1.1 103 Hints\r\n\r\n" + DELIVERED, REJECTED);
+
+    private final String first;
+    private final String rest;
+
+    Position(final String first, final String rest) {
+      this.first = first;
+      this.rest = rest;
+    }
+  }
+
+  @BeforeEach
+  void createHarness() throws IOException {
+    harness = new CourierHarness(workDirectory);
+  }
+
+  @AfterEach
+  void closeHarness() throws IOException {
+    harness.close();
+  }
+
+  private List<FakeHttpServer.Request> callsOf(final String id) {
+    return harness.firstEndpoint.requests.stream()
+        .filter(request -> id.equals(request.header("X-Request-ID")))
+        .toList();
+  }
+
+  private void submitAndAwaitCalls(final String id, final String className, final int calls)
+      throws IOException {
+    assertEquals(202, harness.submit(id, className).status());
+    harness.await("call " + calls + " of " + id, () -> callsOf(id).size() == calls);
+  }
+
+  /** Guards against a message that is lost because a copy is taken for its delivery. */
+  @ParameterizedTest
+  @EnumSource
+  void copyReadByNextCall_doesNotLoseItsMessage(final Position position) throws IOException {
+    harness.firstEndpoint.script(
+        (request, connection) -> {
+          if (callsOf("m2").size() == 1 && "m2".equals(request.header("X-Request-ID"))) {
+            connection.write(position.first);
+            connection.write(position.rest);
+          } else {
+            connection.respond(200, "");
+          }
+        });
+    harness.start();
+    submitAndAwaitCalls("m1", "safe", 1);
+    submitAndAwaitCalls("m2", "keyed", 2);
+    final FakeHttpServer.Connection first = callsOf("m2").get(0).connection();
+    assertNotSame(first, callsOf("m2").get(1).connection(), position.name());
+    assertTrue(first.closedByPeer || first.hasPeerEnded(), "the first attempt has been ended");
+  }
+
+  /** Guards against a rejection that is believed though it may be that of another call. */
+  @ParameterizedTest
+  @CsvSource({"503, safe", "429, keyed", "500, safe", "504, keyed", "410, safe", "410, keyed"})
+  void copyOfOtherStatus_neitherCompletesNorOverlapsNextAttempt(
+      final int status, final String className) throws IOException {
+    final String copy =
+        String.format(Locale.ROOT, "HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n", status);
+    harness.firstEndpoint.script(
+        (request, connection) -> {
+          if (callsOf("m2").size() == 1 && "m2".equals(request.header("X-Request-ID"))) {
+            connection.write(copy);
+          } else {
+            connection.respond(200, "");
+          }
+        });
+    harness.start();
+    submitAndAwaitCalls("m1", "safe", 1);
+    submitAndAwaitCalls("m2", className, 2);
+    final FakeHttpServer.Connection first = callsOf("m2").get(0).connection();
+    assertTrue(first.closedByPeer || first.hasPeerEnded(), "the first attempt has been ended");
+  }
+
+  /** Guards against the second execution of a message that may not be repeated. */
+  @Test
+  void nonIdempotentMessage_isNoSecondCallOnConnection() throws IOException {
+    harness.firstEndpoint.script((request, connection) -> connection.respond(200, ""));
+    harness.start();
+    submitAndAwaitCalls("m1", "safe", 1);
+    submitAndAwaitCalls("m2", "once", 1);
+    submitAndAwaitCalls("m3", "once", 1);
+    final List<FakeHttpServer.Connection> connections =
+        harness.firstEndpoint.requests.stream().map(FakeHttpServer.Request::connection).toList();
+    assertEquals(3, connections.stream().distinct().count());
+    assertFalse(harness.hasOutcomeReport("m2", "") || harness.hasOutcomeReport("m3", ""));
+  }
+}
