Suspend reuse for the endpoint concerned alone; a takeover passes on what may have run

Need: a surplus response at two endpoints suspended the reuse of all connections for 60 s, though safety rests on the unconfirmed deliveries. Change: reuse is suspended for the endpoint alone. A delivery whose connection has ended is in doubt at once if its own endpoint was out of step in the last 60 s, and otherwise if any connection is out of step before the call's deadline. After a handover a rejection that may be that of another call is passed on as an attempt that may have run (the line has no field for certainty).

--- a/courier/src/main/java/thistleturn/courier/ForwardingRole.java
+++ b/courier/src/main/java/thistleturn/courier/ForwardingRole.java
@@ -6,6 +6,7 @@
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.EndpointUpdate;
 
 /**
@@ -62,10 +63,20 @@
     delivery.endCall();
     final Long number = handedOver.numberOf(call);
     if (number != null && context.pending().remove(delivery.id())) {
-      successor.reportOutcome(number, delivery.id(), outcome);
+      successor.reportOutcome(number, delivery.id(), withoutCertainty(outcome));
     }
   }
 
+  /** The newer process is not told the certainty: an attempt that may have run is told as such. */
+  private static Dispatcher.DispatchOutcome withoutCertainty(
+      final Dispatcher.DispatchOutcome outcome) {
+    final boolean mayHaveRun = outcome.result().neverExecuted() && !outcome.neverExecuted();
+    return mayHaveRun
+        ? new Dispatcher.DispatchOutcome(
+            AttemptResult.STALE, false, outcome.retryAfterUs(), outcome.loadReport())
+        : outcome;
+  }
+
   @Override
   public void setDisabledEndpoints(final Set<String> names) {
     // The newer process reads them from the same folder.
--- a/decisions/src/main/java/thistleturn/decisions/pools/DeliveryConfirmation.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/DeliveryConfirmation.java
@@ -1,9 +1,9 @@
 package thistleturn.decisions.pools;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,8 +21,10 @@
  * unconfirmed deliveries are then in doubt, and so are those of other connections that have ended,
  * on which nothing more can come.
  *
- * <p>A connection that was out of step is rarely the only one: connections to its endpoint are not
- * reused for some time, and if two endpoints had such connections, neither are those to others.
+ * <p>A connection that was out of step is rarely the only one to its endpoint: for some time these
+ * are not reused, and a delivery on one that ends is in doubt at once. Deliveries of other
+ * endpoints whose connections have ended are in doubt if a connection proves to be out of step
+ * before their time has come, since the cause may lie between this courier and all of them.
  *
  * @param <C> identifies a call
  * @param <N> identifies a connection
@@ -31,20 +33,13 @@
   /** How long each call gets a connection of its own after one was out of step, us. */
   public static final long SUSPENSION_US = 60_000_000;
 
-  /** From this number of endpoints on, connections to all endpoints are not reused. */
-  static final int ENDPOINTS_TO_SUSPEND_ALL = 2;
-
-  private static final long NEVER = Long.MIN_VALUE;
-
   private final List<Unconfirmed<C, N>> unconfirmed = new ArrayList<>();
 
   /** The connections with unconfirmed deliveries that have ended. */
   private final Set<N> ended = new HashSet<>();
 
-  /** When a connection to an endpoint was last out of step, the earliest first. */
-  private final Map<Long, Long> outOfStepUs = new LinkedHashMap<>();
-
-  private long latestOutOfStepUs = NEVER;
+  /** When a connection to an endpoint was last out of step. */
+  private final Map<Long, Long> outOfStepUs = new HashMap<>();
 
   /** A delivery that is confirmed at a time unless its connection proves to be out of step. */
   private record Unconfirmed<C, N>(C call, N connection, long endpoint, long dueUs) {}
@@ -82,22 +77,10 @@
 
   /** Returns whether each call to an endpoint needs a connection of its own. */
   public boolean isReuseSuspended(final long endpoint, final long nowUs) {
-    if (!wasOutOfStepLately(nowUs)) {
-      return false;
-    }
-    outOfStepUs.values().removeIf(atUs -> atUs + SUSPENSION_US <= nowUs);
-    return outOfStepUs.containsKey(endpoint) || outOfStepUs.size() >= ENDPOINTS_TO_SUSPEND_ALL;
-  }
-
-  private boolean wasOutOfStepLately(final long endpoint, final long nowUs) {
     final Long atUs = outOfStepUs.get(endpoint);
     return atUs != null && nowUs < atUs + SUSPENSION_US;
   }
 
-  private boolean wasOutOfStepLately(final long nowUs) {
-    return latestOutOfStepUs != NEVER && nowUs < latestOutOfStepUs + SUSPENSION_US;
-  }
-
   /**
    * A response on a connection named the messages of its call. Responses come in the order of their
    * calls, so all earlier ones were in step.
@@ -114,11 +97,10 @@
    * @return the calls whose deliveries are in doubt
    */
   public List<C> onOutOfStep(final N connection, final long endpoint, final long nowUs) {
-    outOfStepUs.remove(endpoint);
+    outOfStepUs.values().removeIf(atUs -> atUs + SUSPENSION_US <= nowUs);
     outOfStepUs.put(endpoint, nowUs);
-    latestOutOfStepUs = nowUs;
     ended.add(connection);
-    return takeEnded();
+    return take(delivery -> ended.contains(delivery.connection()));
   }
 
   /**
@@ -127,42 +109,36 @@
    * @return the calls whose deliveries are in doubt
    */
   public List<C> onConnectionEnded(final N connection, final long nowUs) {
-    if (!isUnconfirmed(connection)) {
-      return List.of();
+    if (isUnconfirmed(connection)) {
+      ended.add(connection);
     }
-    ended.add(connection);
-    return wasOutOfStepLately(nowUs) ? takeEnded() : List.of();
+    return take(
+        delivery ->
+            ended.contains(delivery.connection()) && isReuseSuspended(delivery.endpoint(), nowUs));
   }
 
   /** Resolves the deliveries whose calls would have timed out by now. */
   public Resolution<C, N> resolveDue(final long nowUs) {
+    return resolve(delivery -> delivery.dueUs() <= nowUs, nowUs);
+  }
+
+  /** Resolves all deliveries now, since this process will not learn more about them. */
+  public Resolution<C, N> resolveAll(final long nowUs) {
+    return resolve(delivery -> true, nowUs);
+  }
+
+  private Resolution<C, N> resolve(final Predicate<Unconfirmed<C, N>> due, final long nowUs) {
     final Set<N> toEnd = new HashSet<>();
     for (final Unconfirmed<C, N> delivery : unconfirmed) {
-      if (delivery.dueUs() <= nowUs && wasOutOfStepLately(delivery.endpoint(), nowUs)) {
+      if (due.test(delivery) && isReuseSuspended(delivery.endpoint(), nowUs)) {
         toEnd.add(delivery.connection());
       }
     }
     final List<C> confirmed =
-        take(
-            delivery ->
-                delivery.dueUs() <= nowUs && !wasOutOfStepLately(delivery.endpoint(), nowUs));
+        take(delivery -> due.test(delivery) && !isReuseSuspended(delivery.endpoint(), nowUs));
     return new Resolution<>(confirmed, toEnd);
   }
 
-  /** Resolves all deliveries now, since this process will not learn more about them. */
-  public Resolution<C, N> resolveAll(final long nowUs) {
-    if (!wasOutOfStepLately(nowUs)) {
-      return new Resolution<>(take(delivery -> true), Set.of());
-    }
-    final Set<N> toEnd = new HashSet<>();
-    unconfirmed.forEach(delivery -> toEnd.add(delivery.connection()));
-    return new Resolution<>(List.of(), toEnd);
-  }
-
-  private List<C> takeEnded() {
-    return take(delivery -> ended.contains(delivery.connection()));
-  }
-
   private List<C> take(final Predicate<Unconfirmed<C, N>> selected) {
     final List<C> calls = new ArrayList<>();
     final Iterator<Unconfirmed<C, N>> deliveries = unconfirmed.iterator();
