Keep hidden deliveries until the message's deadline; complete others at once

Change: a delivery whose connection ends is in doubt at once if any connection was out of step in the last 10 s, and else until the message's deadline. DeliveryConfirmation is indexed by connection, and bounded by 4,000 messages and 4 MiB of bodies; a busy courier would have looked through all at each end of a connection. Measured: OperatorEndpointTest, CopiedResponsesTest 12 of 12, CopyPositionTest 13, DeliveryConfirmationTest 11 green.

--- a/courier/src/main/java/thistleturn/courier/DecisionLoop.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoop.java
@@ -159,7 +159,8 @@
         new OutcomeRecorder(
             context,
             completion,
-            new UnconfirmedDeliveries(context, loop, scheduler),
+            new UnconfirmedDeliveries(
+                context, loop, scheduler, ports.dispatcher()::areResponsesSuspect),
             reachability,
             outages,
             controller,
--- a/courier/src/main/java/thistleturn/courier/SimulatedEndpoints.java
+++ b/courier/src/main/java/thistleturn/courier/SimulatedEndpoints.java
@@ -133,6 +133,11 @@
     // Every call that was started counts as written.
   }
 
+  @Override
+  public boolean areResponsesSuspect() {
+    return false;
+  }
+
   @Override
   public void resolveUnconfirmedDeliveries() {
     // Every delivery is certain.
--- a/courier/src/main/java/thistleturn/courier/UnconfirmedDeliveries.java
+++ b/courier/src/main/java/thistleturn/courier/UnconfirmedDeliveries.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import thistleturn.courier.port.StoredMessage;
 import thistleturn.courier.runtime.GuardedTasks;
 
@@ -12,9 +13,10 @@
  * The messages whose delivery is not confirmed: the response may belong to another call. They have
  * ended for the controller, and are kept to be reopened if their delivery proves to be in doubt.
  *
- * <p>The journal keeps each as an attempt in flight for a short time, in which most of what
- * contradicts a delivery arrives. A process that is killed then repeats the attempt; later it is
- * recorded as completed, so that a restart repeats few deliveries. Used on the event loop.
+ * <p>While responses are suspect, the journal keeps each as an attempt in flight for a short time,
+ * in which most of what contradicts a delivery arrives: a process that is killed then repeats the
+ * attempt. Otherwise it is recorded as completed at once, so that a restart repeats nothing. Used
+ * on the event loop.
  */
 final class UnconfirmedDeliveries {
   /** How long the journal keeps the attempt in flight, us: longer than most calls take. */
@@ -22,27 +24,30 @@
 
   private static final long CHECK_INTERVAL_MS = 100;
 
-  /** Beyond this number the oldest delivery counts as confirmed. */
-  private static final int MAX_MESSAGES = 2000;
-
-  /** Beyond this size of all bodies the oldest delivery counts as confirmed. */
-  private static final long MAX_BODY_BYTES = 4L << 20;
-
   private final LoopContext context;
   private final EventLoop loop;
   private final RoundScheduler scheduler;
+  private final BooleanSupplier suspect;
 
   /** By message id, in the order of delivery. */
   private final Map<String, Unconfirmed> deliveries = new LinkedHashMap<>();
 
-  private long bodyBytes;
   private boolean checkScheduled;
 
   /** A delivery, and when it was reported. */
   private record Unconfirmed(PendingDelivery delivery, long deliveredUs) {}
 
+  /**
+   * Creates an empty set of deliveries.
+   *
+   * @param suspect returns whether responses that belong to no call have come lately
+   */
   UnconfirmedDeliveries(
-      final LoopContext context, final EventLoop loop, final RoundScheduler scheduler) {
+      final LoopContext context,
+      final EventLoop loop,
+      final RoundScheduler scheduler,
+      final BooleanSupplier suspect) {
+    this.suspect = suspect;
     this.context = context;
     this.loop = loop;
     this.scheduler = scheduler;
@@ -50,9 +55,9 @@
 
   void add(final PendingDelivery delivery) {
     deliveries.put(delivery.id(), new Unconfirmed(delivery, context.clock().nowUs()));
-    bodyBytes += delivery.message().body().length;
-    while (deliveries.size() > MAX_MESSAGES || bodyBytes > MAX_BODY_BYTES) {
-      confirm(deliveries.keySet().iterator().next());
+    if (!suspect.getAsBoolean()) {
+      recordCompleted(delivery.message());
+      return;
     }
     scheduleCheck();
   }
@@ -68,11 +73,7 @@
   /** Removes and returns a delivery; null if there is none of that message. */
   PendingDelivery remove(final String messageId) {
     final Unconfirmed removed = deliveries.remove(messageId);
-    if (removed == null) {
-      return null;
-    }
-    bodyBytes -= removed.delivery().message().body().length;
-    return removed.delivery();
+    return removed == null ? null : removed.delivery();
   }
 
   /** Returns whether the journal keeps an attempt of one of them in flight. */
--- a/courier/src/main/java/thistleturn/courier/http/HttpCall.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCall.java
@@ -104,6 +104,11 @@
     return attempts;
   }
 
+  /** The size of the bodies of all messages. */
+  long bodyBytes() {
+    return attempts.stream().mapToLong(attempt -> attempt.message().body().length).sum();
+  }
+
   /** True if the call has several messages: then the body of its response has their outcomes. */
   boolean isBulk() {
     return attempts.size() > 1;
--- a/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
@@ -163,6 +163,11 @@
     return unconfirmedCalls;
   }
 
+  @Override
+  public boolean areResponsesSuspect() {
+    return unconfirmedCalls.wasAnyOutOfStep();
+  }
+
   @Override
   public void resolveUnconfirmedDeliveries() {
     unconfirmedCalls.resolveAll();
--- a/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
+++ b/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
@@ -18,11 +18,22 @@
 final class UnconfirmedCalls {
   private static final long CHECK_INTERVAL_MS = 250;
 
+  /** The time that is left for a notice to the platform when a delivery is put in doubt. */
+  private static final long NOTICE_TIME_US = 200_000;
+
+  /** Beyond this number of messages the earliest deliveries count as confirmed. */
+  private static final int MAX_MESSAGES = 4000;
+
+  /** Beyond this size of all bodies the earliest deliveries count as confirmed. */
+  private static final long MAX_BODY_BYTES = 4L << 20;
+
   private final EventLoop loop;
   private final Clock clock;
   private final Dispatcher.Listener listener;
   private final DeliveryConfirmation<HttpCall, EndpointConnection> deliveries =
       new DeliveryConfirmation<>();
+  private int messages;
+  private long bodyBytes;
   private boolean checkScheduled;
 
   UnconfirmedCalls(final EventLoop loop, final Clock clock, final Dispatcher.Listener listener) {
@@ -33,7 +44,17 @@
 
   /** A call was answered as delivered, perhaps by the response of another call. */
   void add(final HttpCall call, final EndpointConnection connection) {
-    deliveries.add(call, connection, call.endpoint(), call.deadlineUs());
+    deliveries.add(
+        call,
+        connection,
+        call.endpoint(),
+        call.deadlineUs(),
+        call.messageDeadlineUs() - NOTICE_TIME_US);
+    messages += call.attempts().size();
+    bodyBytes += call.bodyBytes();
+    while (messages > MAX_MESSAGES || bodyBytes > MAX_BODY_BYTES) {
+      confirm(List.of(deliveries.confirmOldest()));
+    }
     scheduleCheck();
   }
 
@@ -42,6 +63,11 @@
     return deliveries.isReuseSuspended(endpoint, clock.nowUs());
   }
 
+  /** True if connections to any endpoint were out of step lately. */
+  boolean wasAnyOutOfStep() {
+    return deliveries.wasAnyOutOfStep(clock.nowUs());
+  }
+
   boolean isUnconfirmed(final EndpointConnection connection) {
     return deliveries.isUnconfirmed(connection);
   }
@@ -100,11 +126,21 @@
   }
 
   private void confirm(final List<HttpCall> calls) {
-    calls.forEach(call -> call.attempts().forEach(listener::onDeliveryConfirmed));
+    for (final HttpCall call : calls) {
+      release(call);
+      call.attempts().forEach(listener::onDeliveryConfirmed);
+    }
   }
 
   private void putInDoubt(final List<HttpCall> calls) {
-    calls.forEach(
-        call -> call.attempts().forEach(attempt -> listener.onDeliveryInDoubt(attempt, call)));
+    for (final HttpCall call : calls) {
+      release(call);
+      call.attempts().forEach(attempt -> listener.onDeliveryInDoubt(attempt, call));
+    }
+  }
+
+  private void release(final HttpCall call) {
+    messages -= call.attempts().size();
+    bodyBytes -= call.bodyBytes();
   }
 }
--- a/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
@@ -157,6 +157,9 @@
    */
   void abandonUnwrittenCalls(long endpoint);
 
+  /** Returns whether responses that belong to no call have come lately. */
+  boolean areResponsesSuspect();
+
   /**
    * Confirms all unconfirmed deliveries now, or puts them in doubt, since this process will not
    * learn more about them.
--- a/decisions/src/main/java/thistleturn/decisions/pools/DeliveryConfirmation.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/DeliveryConfirmation.java
@@ -1,9 +1,11 @@
 package thistleturn.decisions.pools;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,10 +23,10 @@
  * unconfirmed deliveries are then in doubt, and so are those of other connections that have ended,
  * on which nothing more can come.
  *
- * <p>A connection that was out of step is rarely the only one to its endpoint: for some time these
- * are not reused, and a delivery on one that ends is in doubt at once. Deliveries of other
- * endpoints whose connections have ended are in doubt if a connection proves to be out of step
- * before their time has come, since the cause may lie between this courier and all of them.
+ * <p>A connection that was out of step is rarely the only one. Those to its endpoint are not reused
+ * for some time. A delivery whose connection ends is in doubt at once if any connection was out of
+ * step lately, and otherwise if one proves to be before the message's deadline, since the cause may
+ * lie between this courier and all endpoints.
  *
  * @param <C> identifies a call
  * @param <N> identifies a connection
@@ -33,16 +35,23 @@
   /** How long each call gets a connection of its own after one was out of step, us. */
   public static final long SUSPENSION_US = 60_000_000;
 
-  private final List<Unconfirmed<C, N>> unconfirmed = new ArrayList<>();
+  /**
+   * How long a connection that was out of step makes deliveries of other endpoints doubtful, us.
+   */
+  static final long COMMON_CAUSE_US = 10_000_000;
+
+  /** By connection; the connection with the earliest delivery is first. */
+  private final Map<N, Deque<Unconfirmed<C, N>>> unconfirmed = new LinkedHashMap<>();
 
   /** The connections with unconfirmed deliveries that have ended. */
-  private final Set<N> ended = new HashSet<>();
+  private final Set<N> ended = new LinkedHashSet<>();
 
   /** When a connection to an endpoint was last out of step. */
   private final Map<Long, Long> outOfStepUs = new HashMap<>();
 
   /** A delivery that is confirmed at a time unless its connection proves to be out of step. */
-  private record Unconfirmed<C, N>(C call, N connection, long endpoint, long dueUs) {}
+  private record Unconfirmed<C, N>(
+      C call, N connection, long endpoint, long callDeadlineUs, long messageDeadlineUs) {}
 
   /**
    * What becomes of deliveries whose time has come.
@@ -59,10 +68,18 @@
    * Adds an unconfirmed delivery.
    *
    * @param callDeadlineUs when the call would have timed out
+   * @param messageDeadlineUs until when it may be put in doubt if its connection ends: the message
+   *     can be sent again, or ended by a notice, until then
    */
   public void add(
-      final C call, final N connection, final long endpoint, final long callDeadlineUs) {
-    unconfirmed.add(new Unconfirmed<>(call, connection, endpoint, callDeadlineUs));
+      final C call,
+      final N connection,
+      final long endpoint,
+      final long callDeadlineUs,
+      final long messageDeadlineUs) {
+    unconfirmed
+        .computeIfAbsent(connection, unused -> new ArrayDeque<>())
+        .add(new Unconfirmed<>(call, connection, endpoint, callDeadlineUs, messageDeadlineUs));
   }
 
   /** Returns whether there are no unconfirmed deliveries. */
@@ -72,7 +89,18 @@
 
   /** Returns whether a connection has unconfirmed deliveries. */
   public boolean isUnconfirmed(final N connection) {
-    return unconfirmed.stream().anyMatch(delivery -> delivery.connection().equals(connection));
+    return unconfirmed.containsKey(connection);
+  }
+
+  /**
+   * Confirms the earliest delivery of the connection that has had one for longest, for lack of
+   * memory.
+   */
+  public C confirmOldest() {
+    final Deque<Unconfirmed<C, N>> oldest = unconfirmed.values().iterator().next();
+    final Unconfirmed<C, N> confirmed = oldest.removeFirst();
+    removeIfEmpty(confirmed.connection());
+    return confirmed.call();
   }
 
   /** Returns whether each call to an endpoint needs a connection of its own. */
@@ -81,6 +109,11 @@
     return atUs != null && nowUs < atUs + SUSPENSION_US;
   }
 
+  /** Returns whether connections to any endpoint were out of step lately. */
+  public boolean wasAnyOutOfStep(final long nowUs) {
+    return outOfStepUs.values().stream().anyMatch(atUs -> nowUs < atUs + COMMON_CAUSE_US);
+  }
+
   /**
    * A response on a connection named the messages of its call. Responses come in the order of their
    * calls, so all earlier ones were in step.
@@ -88,7 +121,7 @@
    * @return the calls whose deliveries are confirmed
    */
   public List<C> onIdentifiedResponse(final N connection) {
-    return take(delivery -> delivery.connection().equals(connection));
+    return takeAll(connection);
   }
 
   /**
@@ -99,8 +132,9 @@
   public List<C> onOutOfStep(final N connection, final long endpoint, final long nowUs) {
     outOfStepUs.values().removeIf(atUs -> atUs + SUSPENSION_US <= nowUs);
     outOfStepUs.put(endpoint, nowUs);
-    ended.add(connection);
-    return take(delivery -> ended.contains(delivery.connection()));
+    final List<C> inDoubt = takeAll(connection);
+    List.copyOf(ended).forEach(other -> inDoubt.addAll(takeAll(other)));
+    return inDoubt;
   }
 
   /**
@@ -109,17 +143,25 @@
    * @return the calls whose deliveries are in doubt
    */
   public List<C> onConnectionEnded(final N connection, final long nowUs) {
-    if (isUnconfirmed(connection)) {
-      ended.add(connection);
+    final Deque<Unconfirmed<C, N>> deliveries = unconfirmed.get(connection);
+    if (deliveries == null) {
+      return List.of();
     }
-    return take(
-        delivery ->
-            ended.contains(delivery.connection()) && isReuseSuspended(delivery.endpoint(), nowUs));
+    ended.add(connection);
+    final boolean inDoubt =
+        isReuseSuspended(deliveries.getFirst().endpoint(), nowUs) || wasAnyOutOfStep(nowUs);
+    return inDoubt ? takeAll(connection) : List.of();
   }
 
   /** Resolves the deliveries whose calls would have timed out by now. */
   public Resolution<C, N> resolveDue(final long nowUs) {
-    return resolve(delivery -> delivery.dueUs() <= nowUs, nowUs);
+    return resolve(
+        delivery ->
+            nowUs
+                >= (ended.contains(delivery.connection())
+                    ? delivery.messageDeadlineUs()
+                    : delivery.callDeadlineUs()),
+        nowUs);
   }
 
   /** Resolves all deliveries now, since this process will not learn more about them. */
@@ -128,30 +170,40 @@
   }
 
   private Resolution<C, N> resolve(final Predicate<Unconfirmed<C, N>> due, final long nowUs) {
-    final Set<N> toEnd = new HashSet<>();
-    for (final Unconfirmed<C, N> delivery : unconfirmed) {
-      if (due.test(delivery) && isReuseSuspended(delivery.endpoint(), nowUs)) {
-        toEnd.add(delivery.connection());
+    final List<C> confirmed = new ArrayList<>();
+    final Set<N> toEnd = new LinkedHashSet<>();
+    for (final N connection : List.copyOf(unconfirmed.keySet())) {
+      final Deque<Unconfirmed<C, N>> deliveries = unconfirmed.get(connection);
+      if (!isReuseSuspended(deliveries.getFirst().endpoint(), nowUs)) {
+        confirmed.addAll(take(connection, due));
+      } else if (deliveries.stream().anyMatch(due)) {
+        toEnd.add(connection);
       }
     }
-    final List<C> confirmed =
-        take(delivery -> due.test(delivery) && !isReuseSuspended(delivery.endpoint(), nowUs));
     return new Resolution<>(confirmed, toEnd);
   }
 
-  private List<C> take(final Predicate<Unconfirmed<C, N>> selected) {
+  private List<C> takeAll(final N connection) {
+    return take(connection, delivery -> true);
+  }
+
+  /** Removes and returns deliveries of a connection, which all have the same endpoint. */
+  private List<C> take(final N connection, final Predicate<Unconfirmed<C, N>> selected) {
     final List<C> calls = new ArrayList<>();
-    final Iterator<Unconfirmed<C, N>> deliveries = unconfirmed.iterator();
-    while (deliveries.hasNext()) {
-      final Unconfirmed<C, N> delivery = deliveries.next();
-      if (selected.test(delivery)) {
-        deliveries.remove();
-        calls.add(delivery.call());
-      }
-    }
-    if (!calls.isEmpty()) {
-      ended.removeIf(connection -> !isUnconfirmed(connection));
+    final Deque<Unconfirmed<C, N>> deliveries = unconfirmed.get(connection);
+    if (deliveries == null) {
+      return calls;
     }
+    deliveries.stream().filter(selected).map(Unconfirmed::call).forEach(calls::add);
+    deliveries.removeIf(selected);
+    removeIfEmpty(connection);
     return calls;
   }
+
+  private void removeIfEmpty(final N connection) {
+    if (unconfirmed.get(connection).isEmpty()) {
+      unconfirmed.remove(connection);
+      ended.remove(connection);
+    }
+  }
 }
