--- a/courier/src/main/java/thistleturn/courier/platform/WatchSession.java
+++ b/courier/src/main/java/thistleturn/courier/platform/WatchSession.java
@@ -18,7 +18,7 @@
 import thistleturn.courier.runtime.Json;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.PollTracker;
-import thistleturn.decisions.membership.WatchSequence;
+import thistleturn.decisions.discovery.WatchSequence;
 import thistleturn.decisions.model.EndpointUpdate;
 
 /**
--- a/decisions/src/main/java/thistleturn/decisions/membership/WatchSequence.java
+++ b/decisions/src/main/java/thistleturn/decisions/discovery/WatchSequence.java
@@ -1,4 +1,4 @@
-package thistleturn.decisions.membership;
+package thistleturn.decisions.discovery;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/decisions/src/test/java/thistleturn/decisions/membership/WatchSequenceTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/discovery/WatchSequenceTest.java
@@ -1,9 +1,9 @@
-package thistleturn.decisions.membership;
+package thistleturn.decisions.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import org.junit.jupiter.api.Test;
-import thistleturn.decisions.membership.WatchSequence.Decision;
+import thistleturn.decisions.discovery.WatchSequence.Decision;
 
 /** Lines of a watch that come again, out of order, or from a service that started anew. */
 final class WatchSequenceTest {
