Count routine closes without a line

Change: idle_timeout and not_reusable of endpoint_connection_closed, and the close behind a confirmed report, are counted and not logged. Measured: PausedFleetTest, ServeTest, ArchitectureTest, CopiedPlatformResponsesTest green.

--- a/courier/src/main/java/thistleturn/courier/http/EndpointCloseReason.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointCloseReason.java
@@ -25,6 +25,11 @@
   /** Its call was abandoned. */
   CALL_ABANDONED;
 
+  /** Returns whether it is part of normal operation: such ends are counted and not logged. */
+  boolean isRoutine() {
+    return this == IDLE_TIMEOUT || this == NOT_REUSABLE;
+  }
+
   /** Returns the name of the reason in the log. */
   String label() {
     return name().toLowerCase(Locale.ROOT);
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnectionLog.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnectionLog.java
@@ -113,6 +113,10 @@
       return;
     }
     closed = true;
+    if (reason.isRoutine()) {
+      Log.count(Event.ENDPOINT_CONNECTION_CLOSED);
+      return;
+    }
     Log.event(
         Event.ENDPOINT_CONNECTION_CLOSED,
         "to",
--- a/courier/src/main/java/thistleturn/courier/platform/HttpOutcomeNotifier.java
+++ b/courier/src/main/java/thistleturn/courier/platform/HttpOutcomeNotifier.java
@@ -124,7 +124,7 @@
     confirmed.forEach(message -> unconfirmed.remove(message.id()));
     listener.onConfirmed(confirmed);
     session = null;
-    confirming.close("confirmed");
+    confirming.closeCompleted();
     flush();
   }
 
--- a/courier/src/main/java/thistleturn/courier/platform/PlatformSession.java
+++ b/courier/src/main/java/thistleturn/courier/platform/PlatformSession.java
@@ -61,6 +61,12 @@
     connection.close();
   }
 
+  /** Closes the connection since all that it was opened for is done. */
+  final void closeCompleted() {
+    Log.count(Event.PLATFORM_CONNECTION_CLOSED);
+    connection.close();
+  }
+
   /** Closes the connection of a response that cannot be used. */
   final void close(final ChannelHandlerContext ctx, final String reason) {
     logClose(reason);
