A response that names its messages confirms no earlier delivery

Cause: a 200 to several messages that named exactly the call's was taken as proof that every earlier response on the connection was in step, since endpoints answer in order. An endpoint that was sent a call before it answered the one before, because a copy was taken for that answer, works on two at once and may answer the later one first.

Now such a response says something about its own messages alone. Earlier deliveries stay unconfirmed until their deadline, as without it.

--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -315,15 +315,11 @@
   /** The ids in a response to several messages show whether it belongs to the call. */
   private void onBulkResponse(final HttpCall completed, final BulkResponseParser bulk) {
     dispatcher.onBulkResponse(completed);
-    final boolean identified = bulk.identifies(completed);
-    if (isReused() && !identified) {
+    if (isReused() && !bulk.identifies(completed)) {
       onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.UNEXPECTED_RESPONSE);
       dispatcher.report(completed, IN_DOUBT);
       return;
     }
-    if (identified) {
-      dispatcher.unconfirmedCalls().onIdentifiedResponse(this);
-    }
     keepOrClose(completed);
     for (final Attempt attempt : completed.attempts()) {
       dispatcher.report(attempt, completed, bulk.outcomeOf(attempt.message().id()));
--- a/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
+++ b/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
@@ -72,11 +72,6 @@
     return deliveries.isUnconfirmed(connection);
   }
 
-  /** A response named the messages of its call: the connection is in step. */
-  void onIdentifiedResponse(final EndpointConnection connection) {
-    confirm(deliveries.onIdentifiedResponse(connection));
-  }
-
   /** Bytes came on a connection that do not belong to the call for which they were read. */
   void onOutOfStep(final EndpointConnection connection, final EndpointConnectionPool pool) {
     if (!isReuseSuspended(pool.endpoint())) {
--- a/courier/src/test/java/thistleturn/courier/CopyPositionTest.java
+++ b/courier/src/test/java/thistleturn/courier/CopyPositionTest.java
@@ -3,10 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
 import org.junit.jupiter.api.AfterEach;
@@ -25,6 +27,7 @@
 @Tag("connections")
 @Timeout(120)
 final class CopyPositionTest {
+  private static final String BULK_PATH = "/inbox/bulk";
   private static final String DELIVERED = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
   private static final String REJECTED =
       "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
@@ -67,6 +70,12 @@
         .toList();
   }
 
+  private List<FakeHttpServer.Request> bulkCalls() {
+    return harness.firstEndpoint.requests.stream()
+        .filter(request -> request.requestLine().contains(BULK_PATH))
+        .toList();
+  }
+
   private void submitAndAwaitCalls(final String id, final String className, final int calls)
       throws IOException {
     assertEquals(202, harness.submit(id, className).status());
@@ -116,6 +125,32 @@
     assertTrue(first.closedByPeer || first.hasPeerEnded(), "the first attempt has been ended");
   }
 
+  /** Guards against a later response that is taken as proof that all before it were in step. */
+  @Test
+  void identifiedResponse_doesNotConfirmDeliveryWhoseOwnResponseComesAfterIt() throws IOException {
+    harness.maxCallsInFlight = 1;
+    harness.firstEndpoint.script(
+        (request, connection) -> {
+          if (callsOf("m3").size() != 1 || !bulkCalls().isEmpty()) {
+            SentMessages.deliver(request, connection);
+          }
+        });
+    harness.start();
+    submitAndAwaitCalls("m1", "safe", 1);
+    submitAndAwaitCalls("m2", "keyed", 1);
+    submitAndAwaitCalls("m3", "safe", 1);
+    assertEquals(202, harness.submit("m4", "safe").status());
+    assertEquals(202, harness.submit("m5", "safe").status());
+    final FakeHttpServer.Connection connection = callsOf("m2").get(0).connection();
+    connection.respond(200, "");
+    harness.await("the call with both", () -> bulkCalls().size() == 1);
+    assertSame(connection, bulkCalls().get(0).connection());
+    connection.write(REJECTED);
+    harness.await(
+        "the second call of m2",
+        () -> Collections.frequency(SentMessages.ids(harness.firstEndpoint), "m2") == 2);
+  }
+
   /** Guards against the second execution of a message that may not be repeated. */
   @Test
   void nonIdempotentMessage_isNoSecondCallOnConnection() throws IOException {
--- a/decisions/src/main/java/thistleturn/decisions/pools/DeliveryConfirmation.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/DeliveryConfirmation.java
@@ -17,11 +17,12 @@
  *
  * <p>HTTP/1.1 matches a response with a request only by its place, so one response that comes twice
  * or late shifts all that follow. The first response on a connection belongs to its first call, and
- * a response that names its messages belongs to theirs. Any other delivery is unconfirmed until its
- * call's deadline: if the response was not its own, its own comes by then on a connection without a
- * call, or in place of a later one. Such bytes prove that the connection is out of step. All its
- * unconfirmed deliveries are then in doubt, and so are those of other connections that have ended,
- * on which nothing more can come.
+ * a response that names its messages belongs to theirs, which says nothing about earlier ones: an
+ * endpoint that works on several calls may respond in any order. Any other delivery is unconfirmed
+ * until its call's deadline: if the response was not its own, its own comes by then on a connection
+ * without a call, or in place of a later one. Such bytes prove that the connection is out of step.
+ * All its unconfirmed deliveries are then in doubt, and so are those of other connections that have
+ * ended, on which nothing more can come.
  *
  * <p>A connection that was out of step is rarely the only one. Those to its endpoint are not reused
  * for some time. A delivery whose connection ends is in doubt at once if any connection was out of
@@ -114,16 +115,6 @@
     return outOfStepUs.values().stream().anyMatch(atUs -> nowUs < atUs + COMMON_CAUSE_US);
   }
 
-  /**
-   * A response on a connection named the messages of its call. Responses come in the order of their
-   * calls, so all earlier ones were in step.
-   *
-   * @return the calls whose deliveries are confirmed
-   */
-  public List<C> onIdentifiedResponse(final N connection) {
-    return takeAll(connection);
-  }
-
   /**
    * Bytes came on a connection that do not belong to the call for which they were read.
    *
