Tests take fixed ports outside the range that the system hands out

The test had taken a free port from the system and released it; the courier then opened its operators' address on any port (0), and was given that very port by the system before it listened to clients. So the courier did what it was told, and the test's port was not free.

FreePorts (testkit) picks a free port below 32,768, where the system takes none for connections or for listeners on any port. It takes the place of nine copies of the same few lines in eight test classes of the courier and one of the cli; no check is changed.

--- a/cli/src/test/java/thistleturn/cli/ServeTest.java
+++ b/cli/src/test/java/thistleturn/cli/ServeTest.java
@@ -12,8 +12,6 @@
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -28,6 +26,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import thistleturn.testkit.CourierFiles;
+import thistleturn.testkit.FreePorts;
 import thistleturn.testkit.StandInEndpoint;
 import thistleturn.testkit.StandInRegistry;
 import thistleturn.testkit.StandInWorld;
@@ -92,12 +91,6 @@
     }
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return free.getLocalPort();
-    }
-  }
-
   @Test
   void processWithoutSettingsFile_loadsNoSubsystem() throws Exception {
     try (StandInWorld world = new StandInWorld(folder, 1);
@@ -128,7 +121,7 @@
     try (StandInWorld world = new StandInWorld(folder, 2)) {
       final StandInEndpoint endpoint = world.endpoint(7);
       world.registry.register(StandInRegistry.endpoint("heat", "i", endpoint.port(), 7, "UP"));
-      final int admin = freePort();
+      final int admin = FreePorts.next();
       final Path file = folder.resolve("t.toml");
       final String text = settings(admin, world.registry.url());
       Files.writeString(file, text);
--- a/courier/src/test/java/thistleturn/courier/HandoverListenerTest.java
+++ b/courier/src/test/java/thistleturn/courier/HandoverListenerTest.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -25,6 +24,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import thistleturn.testkit.CourierFiles;
+import thistleturn.testkit.FreePorts;
 import thistleturn.testkit.StandInWorld;
 
 /**
@@ -56,7 +56,7 @@
       world.platform.announce(world.endpoint(1), "Ready", 2000);
       final Map<String, String> environment =
           new HashMap<>(world.environment(CourierFiles.Size.usual()));
-      final int port = freePort();
+      final int port = FreePorts.next();
       environment.put("PROXY_LISTEN", "127.0.0.1:" + port);
       environment.put("PROXY_OPERATOR", "127.0.0.1:0");
       CourierServer serving = startCourier(environment);
@@ -79,12 +79,6 @@
     }
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return free.getLocalPort();
-    }
-  }
-
   private static CourierServer startCourier(final Map<String, String> environment)
       throws Exception {
     final CourierServer courier = CourierServer.start(environment);
--- a/courier/src/test/java/thistleturn/courier/HandoverTest.java
+++ b/courier/src/test/java/thistleturn/courier/HandoverTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.HashSet;
@@ -19,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import thistleturn.testkit.FreePorts;
 
 /**
  * A newer process takes over from the serving one; clients, endpoints and the platform see a single
@@ -35,9 +35,7 @@
   void startOlderProcess() throws IOException {
     older = new CourierHarness(folder);
     older.operatorPortEnabled = true;
-    try (ServerSocket free = new ServerSocket(0)) {
-      older.listenPort = free.getLocalPort();
-    }
+    older.listenPort = FreePorts.next();
     older.start();
     newer = older.successor();
   }
--- a/courier/src/test/java/thistleturn/courier/InterruptedAttemptsTest.java
+++ b/courier/src/test/java/thistleturn/courier/InterruptedAttemptsTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +17,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import thistleturn.courier.ScriptedCourierProcess.HandoverManner;
+import thistleturn.testkit.FreePorts;
 
 /**
  * A message is held while an earlier process may still have its attempt in flight. It is neither
@@ -53,9 +53,7 @@
   void startOtherProcess() throws IOException {
     courier = new CourierHarness(folder);
     courier.operatorPortEnabled = true;
-    try (ServerSocket free = new ServerSocket(0)) {
-      courier.listenPort = free.getLocalPort();
-    }
+    courier.listenPort = FreePorts.next();
     courier.firstEndpoint.script(copies::answer);
     other = new ScriptedCourier(folder.resolve("state"), courier.firstEndpoint.address());
     other.lockFolder();
--- a/courier/src/test/java/thistleturn/courier/ProcessEndScenario.java
+++ b/courier/src/test/java/thistleturn/courier/ProcessEndScenario.java
@@ -6,7 +6,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -15,6 +14,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.io.TempDir;
+import thistleturn.testkit.FreePorts;
 
 /**
  * A courier process beside another process of the same courier that closes its connection, releases
@@ -54,9 +54,7 @@
   void startOtherProcess() throws IOException {
     courier = new CourierHarness(folder);
     courier.operatorPortEnabled = true;
-    try (ServerSocket free = new ServerSocket(0)) {
-      courier.listenPort = free.getLocalPort();
-    }
+    courier.listenPort = FreePorts.next();
     courier.firstEndpoint.script(copies::answer);
     other = new ScriptedCourier(folder.resolve("state"), courier.firstEndpoint.address());
   }
--- a/courier/src/test/java/thistleturn/courier/SuccessorDeathTest.java
+++ b/courier/src/test/java/thistleturn/courier/SuccessorDeathTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -20,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import thistleturn.testkit.FreePorts;
 
 /**
  * A newer process takes over and is killed. Whatever it had done with a message that a client sent
@@ -46,9 +46,7 @@
   void startProcesses() throws IOException {
     older = new CourierHarness(folder);
     older.operatorPortEnabled = true;
-    try (ServerSocket free = new ServerSocket(0)) {
-      older.listenPort = free.getLocalPort();
-    }
+    older.listenPort = FreePorts.next();
     older.firstEndpoint.script(SentMessages::deliver);
     older.start();
     newer = new SuccessorProcess(folder.resolve("state"));
--- a/courier/src/test/java/thistleturn/courier/SuccessorKillSoakTest.java
+++ b/courier/src/test/java/thistleturn/courier/SuccessorKillSoakTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -23,6 +22,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import thistleturn.testkit.FreePorts;
 
 /**
  * Kills newer processes at random moments of their takeover, under load. Every client of the older
@@ -75,9 +75,7 @@
   @BeforeEach
   void startOlderProcess() throws IOException {
     older = new CourierHarness(folder);
-    try (ServerSocket free = new ServerSocket(0)) {
-      older.listenPort = free.getLocalPort();
-    }
+    older.listenPort = FreePorts.next();
     raiseLimits(older);
     older.firstEndpoint.script(SentMessages::deliver);
     older.lineListener =
--- a/courier/src/test/java/thistleturn/courier/TakeoverScenario.java
+++ b/courier/src/test/java/thistleturn/courier/TakeoverScenario.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -11,6 +10,7 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import thistleturn.testkit.CourierFiles;
+import thistleturn.testkit.FreePorts;
 import thistleturn.testkit.StandInClient.Unanswered;
 import thistleturn.testkit.StandInWorld;
 import thistleturn.testkit.Violation;
@@ -52,16 +52,10 @@
   TakeoverScenario(final StandInWorld world, final CourierFiles.Size size) throws IOException {
     this.world = world;
     this.environment = new HashMap<>(world.environment(size));
-    environment.put("PROXY_LISTEN", "127.0.0.1:" + freePort());
+    environment.put("PROXY_LISTEN", "127.0.0.1:" + FreePorts.next());
     environment.put("PROXY_OPERATOR", "127.0.0.1:0");
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return free.getLocalPort();
-    }
-  }
-
   /** Returns the address at which each process accepts clients. */
   String address() {
     return environment.get("PROXY_LISTEN");
--- a/courier/src/test/java/thistleturn/courier/health/FaultyFleetTest.java
+++ b/courier/src/test/java/thistleturn/courier/health/FaultyFleetTest.java
@@ -3,9 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -18,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import thistleturn.testkit.CourierFiles;
+import thistleturn.testkit.FreePorts;
 import thistleturn.testkit.StandInEndpoint;
 import thistleturn.testkit.StandInEndpoint.Action;
 import thistleturn.testkit.StandInEndpoint.Behavior;
@@ -89,12 +87,6 @@
     }
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return free.getLocalPort();
-    }
-  }
-
   /**
    * A newer process takes over while it, or the older one, is paused at a random moment for longer
    * than any step of the takeover takes.
@@ -106,10 +98,10 @@
     try (StandInWorld world = new StandInWorld(folder, seed)) {
       endpoints(world, 2);
       final Map<String, String> older = new HashMap<>(world.environment(CourierFiles.Size.usual()));
-      older.put("PROXY_LISTEN", "127.0.0.1:" + freePort());
-      older.put("PROXY_OPERATOR", "127.0.0.1:" + freePort());
+      older.put("PROXY_LISTEN", "127.0.0.1:" + FreePorts.next());
+      older.put("PROXY_OPERATOR", "127.0.0.1:" + FreePorts.next());
       final Map<String, String> newer = new HashMap<>(older);
-      newer.put("PROXY_OPERATOR", "127.0.0.1:" + freePort());
+      newer.put("PROXY_OPERATOR", "127.0.0.1:" + FreePorts.next());
       try (ChildProcess first = ChildProcess.java(older, "", "thistleturn.courier.Main")) {
         world.client.setCourierAddress(address(first));
         world.startLoad(60, TIMEOUT_MS, 1, 2);
