A connection to an endpoint keeps its own state; one place for fields of log lines

EndpointConnection asked its log whether it was closed, and two events of EndpointConnectionLog and two of OutcomeRecorder each listed the same fields.

Change: the connection has the flag `closed`; one method in each class adds the fields that its events share.

--- a/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
+++ b/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
@@ -1,5 +1,7 @@
 package thistleturn.courier;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.StoredMessage;
@@ -132,22 +134,15 @@
   }
 
   private void logInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
-    Log.event(
+    final long nowUs = context.clock().nowUs();
+    logAttempt(
         Event.DELIVERY_IN_DOUBT,
-        "id",
-        delivery.id(),
-        "class",
-        delivery.message().className(),
-        "endpoint",
-        context.endpoints().nameOf(call.endpoint()),
+        delivery,
+        call,
         "after_us",
-        context.clock().nowUs() - call.preparedUs(),
+        nowUs - call.preparedUs(),
         "time_left_us",
-        delivery.deadlineUs() - context.clock().nowUs(),
-        "connection",
-        call.connection(),
-        "call",
-        call.numberOnConnection());
+        delivery.deadlineUs() - nowUs);
   }
 
   private void logUndelivered(
@@ -155,14 +150,10 @@
       final Dispatcher.Call call,
       final Dispatcher.DispatchOutcome outcome,
       final long nowUs) {
-    Log.event(
+    logAttempt(
         outcome.result() == AttemptResult.NOT_SENT ? Event.ATTEMPT_NOT_SENT : Event.ATTEMPT_FAILED,
-        "id",
-        delivery.id(),
-        "class",
-        delivery.message().className(),
-        "endpoint",
-        context.endpoints().nameOf(call.endpoint()),
+        delivery,
+        call,
         "result",
         outcome.result(),
         "attempts",
@@ -171,14 +162,24 @@
         nowUs - call.preparedUs(),
         "wait_us",
         outcome.retryAfterUs(),
-        "connection",
-        call.connection(),
-        "call",
-        call.numberOnConnection(),
         "certainty",
         outcome.certainty());
   }
 
+  /** Logs an event with these details among the fields that all events of an attempt have. */
+  private void logAttempt(
+      final Event event,
+      final PendingDelivery delivery,
+      final Dispatcher.Call call,
+      final Object... details) {
+    final List<Object> fields = new ArrayList<>();
+    Collections.addAll(fields, "id", delivery.id(), "class", delivery.message().className());
+    Collections.addAll(fields, "endpoint", context.endpoints().nameOf(call.endpoint()));
+    Collections.addAll(fields, details);
+    Collections.addAll(fields, "connection", call.connection(), "call", call.numberOnConnection());
+    Log.event(event, fields.toArray());
+  }
+
   private AttemptOutcome toControllerOutcome(
       final PendingDelivery delivery,
       final Dispatcher.Call call,
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -60,6 +60,9 @@
   private long idleSinceUs;
   private long sentUs;
 
+  /** True once this side has closed the connection, or has noticed its end. */
+  private boolean closed;
+
   /** True while a response has begun and is not complete. */
   private boolean receivingResponse;
 
@@ -127,10 +130,18 @@
   }
 
   private void closeChannel(final EndpointCloseReason reason) {
-    log.closed(reason, clock.nowUs());
+    markClosed(reason);
     context.close();
   }
 
+  /** Only the first reason counts. */
+  private void markClosed(final EndpointCloseReason reason) {
+    if (!closed) {
+      closed = true;
+      log.closed(reason, clock.nowUs());
+    }
+  }
+
   /**
    * Abandons the call by shutting down the output. Its response may be unread or still on its way:
    * input is read for a while, but only the Retry-After is used.
@@ -145,7 +156,7 @@
     if (context.channel() instanceof SocketChannel socket) {
       socket.shutdownOutput();
     }
-    log.closed(EndpointCloseReason.CALL_ABANDONED, clock.nowUs());
+    markClosed(EndpointCloseReason.CALL_ABANDONED);
     loop.schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -180,7 +191,7 @@
 
   @Override
   public void onBytesReceived(final ByteBuf bytes) {
-    if (abandonedPool != null || log.isClosed()) {
+    if (abandonedPool != null || closed) {
       return;
     }
     if (call != null && call.isWritten()) {
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnectionLog.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnectionLog.java
@@ -4,7 +4,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
+import java.util.List;
 import java.util.StringJoiner;
 import java.util.function.Supplier;
 import thistleturn.courier.runtime.Event;
@@ -26,9 +29,6 @@
   private String address = "";
   private int calls;
 
-  /** Whether the end of the connection has been logged. */
-  private boolean closed;
-
   /** A call and the response that was taken for its own. */
   private record AnsweredCall(int number, String firstId, int messages, int status, long atUs) {
     private String describe(final long nowUs) {
@@ -51,11 +51,6 @@
     return calls;
   }
 
-  /** True once this side has closed the connection, or has noticed its end. */
-  boolean isClosed() {
-    return closed;
-  }
-
   void onCallSent(final HttpCall call) {
     calls++;
     address = call.pool().address().getHostString() + ":" + call.pool().address().getPort();
@@ -81,22 +76,15 @@
    * @param partlyWritten the call that is not written completely; null if there is no call
    */
   void unexpectedBytes(final HttpCall partlyWritten, final ByteBuf bytes, final long nowUs) {
-    Log.event(
+    log(
         Event.ENDPOINT_BYTES_UNEXPECTED,
-        "to",
-        address,
-        "connection",
-        connection,
-        "call",
-        calls,
+        nowUs,
         "while",
         partlyWritten == null ? "idle" : "writing",
         "bytes",
         bytes.readableBytes(),
         "begin",
-        beginning(bytes),
-        "recent",
-        describeRecentCalls(nowUs));
+        beginning(bytes));
   }
 
   private static Supplier<String> beginning(final ByteBuf bytes) {
@@ -107,28 +95,22 @@
             StandardCharsets.ISO_8859_1);
   }
 
-  /** The connection ends; only the first reason is logged. */
+  /** The connection ends. */
   void closed(final EndpointCloseReason reason, final long nowUs) {
-    if (closed) {
-      return;
-    }
-    closed = true;
     if (reason.isRoutine()) {
       Log.count(Event.ENDPOINT_CONNECTION_CLOSED);
       return;
     }
-    Log.event(
-        Event.ENDPOINT_CONNECTION_CLOSED,
-        "to",
-        address,
-        "connection",
-        connection,
-        "call",
-        calls,
-        "why",
-        reason.label(),
-        "recent",
-        describeRecentCalls(nowUs));
+    log(Event.ENDPOINT_CONNECTION_CLOSED, nowUs, "why", reason.label());
+  }
+
+  /** Logs an event with these details among the fields that all events of a connection have. */
+  private void log(final Event event, final long nowUs, final Object... details) {
+    final List<Object> fields = new ArrayList<>();
+    Collections.addAll(fields, "to", address, "connection", connection, "call", calls);
+    Collections.addAll(fields, details);
+    Collections.addAll(fields, "recent", describeRecentCalls(nowUs));
+    Log.event(event, fields.toArray());
   }
 
   private Supplier<String> describeRecentCalls(final long nowUs) {
