A request that comes again after its message's end is not executed again

While the message was pending it was answered 409.

Cause: the courier forgot an id with its message's end, so the copy was a new message. Ids are new for each message by the protocol, so a known one is a copy.

A message that ended deferred may be handed in again. Not covered: a copy behind a restart or a takeover, whose process has not seen the end.

--- a/courier/src/main/java/thistleturn/courier/MessageIntake.java
+++ b/courier/src/main/java/thistleturn/courier/MessageIntake.java
@@ -59,7 +59,7 @@
       reply.invalid(Ingress.InvalidReason.NO_DESTINATION);
       return;
     }
-    if (context.pending().contains(message.id()) || context.store().contains(message.id())) {
+    if (isKnown(message.id())) {
       reply.invalid(Ingress.InvalidReason.HELD_ALREADY);
       return;
     }
@@ -71,6 +71,13 @@
     admit(message, deadlineUs, reply);
   }
 
+  /** Ids are unique, so a request with a known one is a copy of an earlier request. */
+  private boolean isKnown(final String messageId) {
+    return context.pending().contains(messageId)
+        || context.store().contains(messageId)
+        || completion.wasExecuted(messageId);
+  }
+
   private void reject(final StoredMessage message, final Ingress.Reply reply) {
     context.counters().countRejected(message.className());
     Log.event(
@@ -102,6 +109,9 @@
   void withdraw(final String messageId) {
     final PendingDelivery delivery = context.pending().get(messageId);
     if (delivery != null) {
+      if (delivery.message().attempts() > 0) {
+        completion.recordExecuted(messageId);
+      }
       completion.complete(delivery);
       controller.onMessageAbandoned(context.clock().nowUs(), messageId);
       scheduler.requestRound();
--- a/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
+++ b/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
@@ -77,9 +77,11 @@
       final PendingDelivery delivery, final Dispatcher.DispatchOutcome outcome) {
     final String className = delivery.message().className();
     if (outcome.result() == AttemptResult.DELIVERED) {
+      completion.recordExecuted(delivery.id());
       context.counters().countDelivered(className);
       completeDelivered(delivery, outcome);
     } else if (outcome.completed()) {
+      completion.recordExecuted(delivery.id());
       context.counters().countFailed(className);
       completion.complete(delivery);
     } else {
--- a/courier/src/main/java/thistleturn/courier/port/Ingress.java
+++ b/courier/src/main/java/thistleturn/courier/port/Ingress.java
@@ -27,7 +27,10 @@
   enum InvalidReason {
     /** No destination of that number is known now. */
     NO_DESTINATION,
-    /** A message with that id is already pending, or its final outcome is still to be reported. */
+    /**
+     * A message with that id is already pending, or its final outcome is still to be reported, or
+     * it ended lately and was or may have been executed.
+     */
     HELD_ALREADY
   }
 
