Bytes left over of a response put unconfirmed deliveries in doubt

Cause: half of a copied response to several messages came as the start of the answer to the next call, and that call's own rejection filled the rest of its body, so the call read a 200. Two bytes were left over. Bytes that do not begin like a response closed the connection and put nothing in doubt, since they were held to be the end of the call's own, longer answer.

Now such bytes prove that a connection is out of step where it has unconfirmed deliveries, as a surplus response does. An endpoint that always sends more than it announces loses its connection with each first answer, whose delivery is certain, so nothing of it comes in doubt.

--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -376,8 +376,7 @@
     closeChannel(reason);
     final HttpCall interrupted = call;
     final boolean delivered = interrupted != null && isDelivered(interrupted);
-    // Its calls and responses do not match: it carried a call before whose response came again.
-    final boolean outOfStep = reason == EndpointCloseReason.UNEXPECTED_RESPONSE && pool != null;
+    final boolean outOfStep = provesOutOfStep(reason);
     call = null;
     if (outOfStep) {
       dispatcher
@@ -402,6 +401,18 @@
     }
   }
 
+  /**
+   * Whether the calls and responses do not match: the connection carried a call before whose
+   * response came again, or bytes are left over of a response that may be parts of two.
+   */
+  private boolean provesOutOfStep(final EndpointCloseReason reason) {
+    return switch (reason) {
+      case UNEXPECTED_RESPONSE -> pool != null;
+      case UNEXPECTED_BYTES -> dispatcher.unconfirmedCalls().isUnconfirmed(this);
+      default -> false;
+    };
+  }
+
   private AttemptResult failedResult(
       final HttpCall interrupted, final AttemptResult cause, final boolean answered) {
     if (interrupted.isWritten() && cause != AttemptResult.RESET) {
