One method waits for a courier's address instead of eight copies

Three new tests had written again how the address is read from the line "is ready at"; five places had it before.

Change: ChildProcess.awaitReadyAddress, which all eight call. Nothing else changes; the line and the wait are the same.

--- a/benchmarks/src/main/java/thistleturn/benchmarks/health/MeasureHealth.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/health/MeasureHealth.java
@@ -172,8 +172,7 @@
       final String when,
       final Fault fault)
       throws IOException {
-    final String ready = courier.await(line -> line.contains("is ready at "));
-    world.client.setCourierAddress(ready.substring(ready.lastIndexOf(' ') + 1));
+    world.client.setCourierAddress(courier.awaitReadyAddress());
     world.startLoad(rate, TIMEOUT_MS, 1, 2, 3);
     final double undeliverable = fault.play(world, courier);
     final List<Violation> broken = world.stopLoadAndCheck(TIMEOUT_MS);
--- a/benchmarks/src/main/java/thistleturn/benchmarks/peers/MeasurePeersCost.java
+++ b/benchmarks/src/main/java/thistleturn/benchmarks/peers/MeasurePeersCost.java
@@ -196,8 +196,7 @@
   }
 
   private void startLoad(final StandInWorld world, final ChildProcess courier) {
-    final String ready = courier.await(line -> line.contains("is ready at "));
-    world.client.setCourierAddress(ready.substring(ready.lastIndexOf(' ') + 1));
+    world.client.setCourierAddress(courier.awaitReadyAddress());
     world.startLoad(rate, TIMEOUT_MS, 1, 2, 3);
   }
 
--- a/courier/src/test/java/thistleturn/courier/CopiedPlatformResponsesTest.java
+++ b/courier/src/test/java/thistleturn/courier/CopiedPlatformResponsesTest.java
@@ -35,8 +35,7 @@
     final ChildProcess courier =
         ChildProcess.java(
             world.environment(CourierFiles.Size.usual()), "", "thistleturn.courier.Main");
-    final String ready = courier.await(line -> line.contains("is ready at "));
-    world.client.setCourierAddress(ready.substring(ready.lastIndexOf(' ') + 1));
+    world.client.setCourierAddress(courier.awaitReadyAddress());
     return courier;
   }
 
--- a/courier/src/test/java/thistleturn/courier/CopiedResponsesTest.java
+++ b/courier/src/test/java/thistleturn/courier/CopiedResponsesTest.java
@@ -97,8 +97,7 @@
           ChildProcess.java(
               world.environment(CourierFiles.Size.usual()), "", "thistleturn.courier.Main");
       try (courier) {
-        final String ready = courier.await(line -> line.contains("is ready at "));
-        world.client.setCourierAddress(ready.substring(ready.lastIndexOf(' ') + 1));
+        world.client.setCourierAddress(courier.awaitReadyAddress());
         world.startLoad(RATE, TIMEOUT_MS, 1, 2, DESTINATIONS);
         world.waitUntil(world.clock.nowUs() + LOAD_MS * US_PER_MS);
         assertEquals(
--- a/courier/src/test/java/thistleturn/courier/FaultScenario.java
+++ b/courier/src/test/java/thistleturn/courier/FaultScenario.java
@@ -85,8 +85,7 @@
     Files.writeString(config, Files.readString(config).replace("\"disk_mb\":64", "\"disk_mb\":1"));
     courier = ChildProcess.java(faults.environment(environment), "", MAIN);
     processes.add(courier);
-    final String ready = courier.await(line -> line.contains("is ready at "));
-    world.client.setCourierAddress(ready.substring(ready.lastIndexOf(' ') + 1));
+    world.client.setCourierAddress(courier.awaitReadyAddress());
   }
 
   /**
--- a/courier/src/test/java/thistleturn/courier/RestartedCourier.java
+++ b/courier/src/test/java/thistleturn/courier/RestartedCourier.java
@@ -54,7 +54,7 @@
   void start() throws IOException {
     final boolean restarted = !processes.isEmpty();
     processes.add(ChildProcess.java(environment, "", MAIN));
-    world.client.setCourierAddress(address());
+    world.client.setCourierAddress(current().awaitReadyAddress());
     if (restarted) {
       world.ruleChecker.recordRestart(world.clock.nowUs(), true);
       world.client.openConnections(true);
@@ -65,18 +65,13 @@
     return processes.get(processes.size() - 1);
   }
 
-  private String address() {
-    final String ready = current().await(line -> line.contains("is ready at "));
-    return ready.substring(ready.lastIndexOf(' ') + 1);
-  }
-
   void waitUnderLoad(final long ms) {
     world.waitUntil(world.clock.nowUs() + ms * US_PER_MS);
   }
 
   /** Clients that never send anything. */
   void connectIdleClients() throws IOException {
-    final String address = address();
+    final String address = current().awaitReadyAddress();
     final int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
     for (int number = 0; number < IDLE_CLIENTS; number++) {
       idleClients.add(new Socket(InetAddress.getLoopbackAddress(), port));
--- a/courier/src/test/java/thistleturn/courier/health/FaultyFleetTest.java
+++ b/courier/src/test/java/thistleturn/courier/health/FaultyFleetTest.java
@@ -31,11 +31,6 @@
 
   @TempDir private Path folder;
 
-  private static String address(final ChildProcess courier) {
-    final String ready = courier.await(line -> line.contains("is ready at "));
-    return ready.substring(ready.lastIndexOf(' ') + 1);
-  }
-
   private static List<StandInEndpoint> endpoints(final StandInWorld world, final int destinations) {
     final List<StandInEndpoint> endpoints = new ArrayList<>();
     for (int index = 0; index < 2 * destinations; index++) {
@@ -63,7 +58,7 @@
       try (ChildProcess courier =
           ChildProcess.java(
               world.environment(CourierFiles.Size.usual()), "", "thistleturn.courier.Main")) {
-        world.client.setCourierAddress(address(courier));
+        world.client.setCourierAddress(courier.awaitReadyAddress());
         world.startLoad(30, TIMEOUT_MS, 1, 2, 3);
         world.await("calls", () -> delivered(world) > 200);
         world.platform.setUnresponsive(true);
@@ -103,7 +98,7 @@
       final Map<String, String> newer = new HashMap<>(older);
       newer.put("PROXY_OPERATOR", "127.0.0.1:" + FreePorts.next());
       try (ChildProcess first = ChildProcess.java(older, "", "thistleturn.courier.Main")) {
-        world.client.setCourierAddress(address(first));
+        world.client.setCourierAddress(first.awaitReadyAddress());
         world.startLoad(60, TIMEOUT_MS, 1, 2);
         world.await("calls", () -> delivered(world) > 100);
         try (ChildProcess second = ChildProcess.java(newer, "", "thistleturn.courier.Main")) {
@@ -115,7 +110,7 @@
           final long resumeUs = world.clock.nowUs() + 500_000 + random.nextInt(1_000_000);
           world.await("the end of the pause", () -> world.clock.nowUs() >= resumeUs);
           paused.resume();
-          address(second);
+          second.awaitReadyAddress();
           first.terminate();
           final int before = delivered(world);
           world.await("calls by the newer process", () -> delivered(world) > before + 100);
--- a/courier/src/test/java/thistleturn/courier/health/PausedCourierTest.java
+++ b/courier/src/test/java/thistleturn/courier/health/PausedCourierTest.java
@@ -49,8 +49,7 @@
       try (ChildProcess courier =
           ChildProcess.java(
               world.environment(CourierFiles.Size.usual()), "", "thistleturn.courier.Main")) {
-        final String ready = courier.await(line -> line.contains("is ready at "));
-        world.client.setCourierAddress(ready.substring(ready.lastIndexOf(' ') + 1));
+        world.client.setCourierAddress(courier.awaitReadyAddress());
         world.startLoad(RATE, TIMEOUT_MS, 1, 2);
         for (int pause = 1; pause <= 3; pause++) {
           // Time-outs are learned after some calls; only learned ones could expire too soon.
@@ -108,8 +107,7 @@
       final Map<String, String> environment =
           world.environment(new CourierFiles.Size(2 * pending, 64, 1024));
       try (ChildProcess first = ChildProcess.java(environment, "", "thistleturn.courier.Main")) {
-        final String ready = first.await(line -> line.contains("is ready at "));
-        world.client.setCourierAddress(ready.substring(ready.lastIndexOf(' ') + 1));
+        world.client.setCourierAddress(first.awaitReadyAddress());
         world.startLoad(PENDING_PER_SECOND, PENDING_DEADLINE_MS, 1);
         world.await(
             "pending messages",
--- a/testkit/src/main/java/thistleturn/testkit/rig/ChildProcess.java
+++ b/testkit/src/main/java/thistleturn/testkit/rig/ChildProcess.java
@@ -108,6 +108,12 @@
     }
   }
 
+  /** Waits until the courier is ready, and returns the address at which it accepts clients. */
+  public String awaitReadyAddress() {
+    final String ready = await(line -> line.contains("is ready at "));
+    return ready.substring(ready.lastIndexOf(' ') + 1);
+  }
+
   /** Pauses the process (SIGSTOP). */
   public void pause() throws IOException {
     signal("STOP");
