Tests of one courier between fakes share their set-up

CopyPositionTest and RepeatedRequestTest had written the set-up of NodeTest and MalformedResponseTest again: a folder, a CourierHarness before each test, its end after it.

Change: HarnessScenario, which the four classes extend. Their tests and assertions are unchanged.

`mvn verify -DskipTests` clean. The whole suite was not played again.

--- a/courier/src/test/java/thistleturn/courier/CopyPositionTest.java
+++ b/courier/src/test/java/thistleturn/courier/CopyPositionTest.java
@@ -7,16 +7,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -26,15 +22,12 @@
  */
 @Tag("connections")
 @Timeout(120)
-final class CopyPositionTest {
+final class CopyPositionTest extends HarnessScenario {
   private static final String BULK_PATH = "/inbox/bulk";
   private static final String DELIVERED = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
   private static final String REJECTED =
       "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 
-  @TempDir private Path workDirectory;
-  private CourierHarness harness;
-
   /** What the second call on a connection reads before its own response, which is a rejection. */
   enum Position {
     COPY_BEFORE_OWN_RESPONSE(DELIVERED, REJECTED),
@@ -57,16 +50,6 @@
     }
   }
 
-  @BeforeEach
-  void createHarness() throws IOException {
-    harness = new CourierHarness(workDirectory);
-  }
-
-  @AfterEach
-  void closeHarness() throws IOException {
-    harness.close();
-  }
-
   private List<FakeHttpServer.Request> callsOf(final String id) {
     return harness.firstEndpoint.requests.stream()
         .filter(request -> id.equals(request.header("X-Request-ID")))
--- a/courier/src/test/java/thistleturn/courier/MalformedResponseTest.java
+++ b/courier/src/test/java/thistleturn/courier/MalformedResponseTest.java
@@ -4,31 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** Responses of endpoints that are invalid or incomplete, or are followed by surplus bytes. */
 @Timeout(120)
-final class MalformedResponseTest {
-  @TempDir private Path workDirectory;
-  private CourierHarness harness;
-
-  @BeforeEach
-  void createHarness() throws IOException {
-    harness = new CourierHarness(workDirectory);
-  }
-
-  @AfterEach
-  void closeHarness() throws IOException {
-    harness.close();
-  }
-
+final class MalformedResponseTest extends HarnessScenario {
   /**
    * Submits a non-idempotent message that gets this response, and waits until its connection is
    * closed.
--- a/courier/src/test/java/thistleturn/courier/NodeTest.java
+++ b/courier/src/test/java/thistleturn/courier/NodeTest.java
@@ -6,37 +6,20 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /**
  * A courier process over loopback sockets: the guarantees of its protocol, and the faults of a
  * network.
  */
 @Timeout(120)
-final class NodeTest {
+final class NodeTest extends HarnessScenario {
   private static final long MAX_SHUTDOWN_MS = 3700;
 
-  @TempDir private Path workDirectory;
-  private CourierHarness harness;
-
-  @BeforeEach
-  void createHarness() throws IOException {
-    harness = new CourierHarness(workDirectory);
-  }
-
-  @AfterEach
-  void closeHarness() throws IOException {
-    harness.close();
-  }
-
   private static List<String> idsAt(final FakeHttpServer server) {
     return server.requests.stream().map(request -> request.header("X-Request-ID")).toList();
   }
--- a/courier/src/test/java/thistleturn/courier/RepeatedRequestTest.java
+++ b/courier/src/test/java/thistleturn/courier/RepeatedRequestTest.java
@@ -4,15 +4,11 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.file.Path;
 import java.util.Collections;
 import java.util.List;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -21,20 +17,7 @@
  */
 @Tag("connections")
 @Timeout(120)
-final class RepeatedRequestTest {
-  @TempDir private Path workDirectory;
-  private CourierHarness harness;
-
-  @BeforeEach
-  void createHarness() throws IOException {
-    harness = new CourierHarness(workDirectory);
-  }
-
-  @AfterEach
-  void closeHarness() throws IOException {
-    harness.close();
-  }
-
+final class RepeatedRequestTest extends HarnessScenario {
   private int calls(final String id) {
     return Collections.frequency(SentMessages.ids(harness.firstEndpoint), id);
   }
