Logs and metrics: why a message ended, attempts behind an end, why connections close

Change: events `message_over` (an endpoint's 410, 504, `expired` or `no_more`, with connection, call, certainty and the message's way) and `attempt_after_end` (to stay 0), rate-limited as all events are. An answer's statement on its message is a MessageDisposition now, which is kept beside its certainty. EndedMessages remembers what ended a message; it takes the place of the list of executed ids, with the same bounds. What is sent, retried or closed is unchanged.

--- a/courier/src/main/java/thistleturn/courier/CallDispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/CallDispatcher.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import thistleturn.courier.port.Dispatcher;
+import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.GuardedTasks;
+import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.PriorAttempts;
 
@@ -76,6 +78,7 @@
   private void prepareCall(final long endpoint, final List<DeliveryAttempt> batch) {
     final Dispatcher.Call call = dispatcher.prepare(endpoint, batch);
     for (final DeliveryAttempt attempt : batch) {
+      reportIfEnded(attempt, endpoint);
       attempt.delivery().startCall(call);
       if (attempt.message().timeline() != null) {
         attempt.message().timeline().markAttemptStarted(context.clock().nowUs());
@@ -88,6 +91,25 @@
     effects.addCall(call);
   }
 
+  /** No attempt follows the end of its message: each such event is a fault of this courier. */
+  private void reportIfEnded(final DeliveryAttempt attempt, final long endpoint) {
+    final MessageEnd end = context.ended().get(attempt.message().id());
+    if (end != null) {
+      Log.event(
+          Event.ATTEMPT_AFTER_END,
+          "id",
+          attempt.message().id(),
+          "class",
+          attempt.message().className(),
+          "endpoint",
+          context.endpoints().nameOf(endpoint),
+          "attempts",
+          attempt.message().attempts(),
+          "end",
+          end.label());
+    }
+  }
+
   /** Abandons a call of this process, or of the older process that makes it. */
   void abandon(final Dispatcher.Call call, final AttemptResult result) {
     if (call instanceof RemoteCall remote) {
--- a/courier/src/main/java/thistleturn/courier/LoopContext.java
+++ b/courier/src/main/java/thistleturn/courier/LoopContext.java
@@ -15,6 +15,7 @@
  * @param classes the configured message classes
  * @param endpoints the listed endpoints
  * @param pending the messages that have not ended
+ * @param ended the messages that ended lately
  * @param counters the counters reported as metrics
  * @param health the local health: whether this process runs and is connected
  * @param stallDetector detects that this process did not run for a while
@@ -25,6 +26,7 @@
     MessageClasses classes,
     EndpointTable endpoints,
     PendingDeliveries pending,
+    EndedMessages ended,
     DeliveryCounters counters,
     LocalHealth health,
     StallDetector stallDetector) {
@@ -48,6 +50,7 @@
         classes,
         new EndpointTable(settings.kinds(), clock::nowUs),
         new PendingDeliveries(),
+        new EndedMessages(clock),
         new DeliveryCounters(classes),
         health,
         new StallDetector(loop, clock, health, pauseListener));
--- a/courier/src/main/java/thistleturn/courier/MessageCompletion.java
+++ b/courier/src/main/java/thistleturn/courier/MessageCompletion.java
@@ -6,7 +6,6 @@
 import thistleturn.courier.port.StoredMessage.FinalOutcome;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
-import thistleturn.decisions.index.RecentIds;
 
 /**
  * Ends messages, each exactly once. A message whose client still waits ends with the answer to the
@@ -16,15 +15,9 @@
 final class MessageCompletion {
   private static final long US_PER_MS = 1000;
 
-  /** How long a request with the id of a message that may have been executed is recognized, us. */
-  private static final long EXECUTED_RETENTION_US = 20_000_000;
-
-  private static final int MAX_EXECUTED_IDS = 10_000;
-
   private final LoopContext context;
   private final DurableEffects effects;
   private final LongFunction<String> blockedReason;
-  private final RecentIds executed = new RecentIds(EXECUTED_RETENTION_US, MAX_EXECUTED_IDS);
 
   /**
    * Creates the part of a loop that ends its messages.
@@ -51,6 +44,7 @@
       finish(delivery, new FinalOutcome(false, retryAfterUs / US_PER_MS));
       return;
     }
+    context.ended().record(messageId, MessageEnd.REJECTED);
     final Ingress.Reply reply = complete(delivery);
     Log.event(
         Event.REQUEST_REFUSED,
@@ -78,21 +72,11 @@
       finish(delivery, new FinalOutcome(true, 0));
       return;
     }
-    recordExecuted(messageId);
+    context.ended().record(messageId, MessageEnd.FAILED);
     final Ingress.Reply reply = complete(delivery);
     effects.addRejection(reply::failed, context.clock().nowUs());
   }
 
-  /** A message ends that was executed, or may have been: it must not be accepted again. */
-  void recordExecuted(final String messageId) {
-    executed.add(messageId, context.clock().nowUs());
-  }
-
-  /** Returns whether a message with this id ended lately, and was or may have been executed. */
-  boolean wasExecuted(final String messageId) {
-    return executed.contains(messageId, context.clock().nowUs());
-  }
-
   /** Ends an accepted message with an outcome, which the journal keeps until it is confirmed. */
   void finish(final PendingDelivery delivery, final FinalOutcome outcome) {
     end(delivery, outcome);
@@ -109,9 +93,8 @@
 
   private void end(final PendingDelivery delivery, final FinalOutcome outcome) {
     delivery.end();
-    if (outcome.failed()) {
-      recordExecuted(delivery.id());
-    }
+    final MessageEnd end = outcome.failed() ? MessageEnd.UNDELIVERABLE : MessageEnd.DEFERRED;
+    context.ended().record(delivery.id(), end);
     final Supplier<String> keptBy = () -> blockedReason.apply(delivery.message().destination());
     if (delivery.message().timeline() != null) {
       delivery.message().timeline().markEnded(context.clock().nowUs());
@@ -127,7 +110,7 @@
         "dest",
         delivery.message().destination(),
         "end",
-        outcome.failed() ? "undeliverable" : "deferred",
+        end.label(),
         "attempts",
         delivery.message().attempts(),
         "time_left_us",
--- a/courier/src/main/java/thistleturn/courier/MessageIntake.java
+++ b/courier/src/main/java/thistleturn/courier/MessageIntake.java
@@ -75,7 +75,7 @@
   private boolean isKnown(final String messageId) {
     return context.pending().contains(messageId)
         || context.store().contains(messageId)
-        || completion.wasExecuted(messageId);
+        || context.ended().wasExecuted(messageId);
   }
 
   private void reject(final StoredMessage message, final Ingress.Reply reply) {
@@ -98,6 +98,7 @@
     final int classIndex = context.classes().indexOf(message.className());
     final PendingDelivery delivery =
         new PendingDelivery(message, context.classes().get(message.className()), deadlineUs, reply);
+    context.ended().remove(message.id());
     context.pending().add(delivery);
     effects.addAcceptance(delivery, context.clock().nowUs());
     message.timeline().markAccepted(context.clock().nowUs());
@@ -109,9 +110,13 @@
   void withdraw(final String messageId) {
     final PendingDelivery delivery = context.pending().get(messageId);
     if (delivery != null) {
-      if (delivery.message().attempts() > 0) {
-        completion.recordExecuted(messageId);
-      }
+      context
+          .ended()
+          .record(
+              messageId,
+              delivery.message().attempts() > 0
+                  ? MessageEnd.WITHDRAWN_AFTER_ATTEMPT
+                  : MessageEnd.WITHDRAWN);
       completion.complete(delivery);
       controller.onMessageAbandoned(context.clock().nowUs(), messageId);
       scheduler.requestRound();
@@ -120,6 +125,7 @@
 
   /** Rejects an admitted message that the journal could not record. */
   void rejectUnjournaled(final PendingDelivery delivery) {
+    context.ended().record(delivery.id(), MessageEnd.REJECTED);
     final Ingress.Reply reply = completion.complete(delivery);
     context.counters().countRejected(delivery.message().className());
     controller.onMessageAbandoned(context.clock().nowUs(), delivery.id());
--- a/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
+++ b/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
@@ -3,13 +3,16 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.function.Supplier;
 import thistleturn.courier.port.Dispatcher;
+import thistleturn.courier.port.MessageTimeline;
 import thistleturn.courier.port.StoredMessage;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.HostedController;
 import thistleturn.decisions.model.AttemptOutcome;
 import thistleturn.decisions.model.AttemptResult;
+import thistleturn.decisions.model.MessageDisposition;
 
 /**
  * Records the outcomes of attempts in the journal, the metrics and the log, and passes each to the
@@ -61,6 +64,7 @@
       delivery.message().timeline().markAttemptEnded(context.clock().nowUs());
     }
     if (!delivery.hasEnded()) {
+      recordStatedEnd(delivery, call, outcome);
       completeOrRecord(delivery, outcome);
     }
     if (outcome.result() != AttemptResult.DELIVERED) {
@@ -73,15 +77,52 @@
     scheduler.requestRound();
   }
 
+  /** Records what the answer itself says, whatever becomes of it here. */
+  private void recordStatedEnd(
+      final PendingDelivery delivery,
+      final Dispatcher.Call call,
+      final Dispatcher.DispatchOutcome outcome) {
+    if (outcome.result() == AttemptResult.DELIVERED) {
+      context.ended().record(delivery.id(), MessageEnd.DELIVERED);
+    } else if (outcome.disposition() != MessageDisposition.OPEN) {
+      final MessageEnd end = MessageEnd.of(outcome.disposition());
+      context.ended().record(delivery.id(), end);
+      logOver(delivery, call, outcome, end);
+    }
+  }
+
+  private void logOver(
+      final PendingDelivery delivery,
+      final Dispatcher.Call call,
+      final Dispatcher.DispatchOutcome outcome,
+      final MessageEnd end) {
+    final long nowUs = context.clock().nowUs();
+    final MessageTimeline timeline = delivery.message().timeline();
+    logAttempt(
+        Event.MESSAGE_OVER,
+        delivery,
+        call,
+        "end",
+        end.label(),
+        "attempts",
+        delivery.message().attempts(),
+        "after_us",
+        nowUs - call.preparedUs(),
+        "time_left_us",
+        delivery.deadlineUs() - nowUs,
+        "certainty",
+        outcome.certainty(),
+        "way",
+        (Supplier<String>) () -> timeline == null ? "earlier process" : timeline.describe(nowUs));
+  }
+
   private void completeOrRecord(
       final PendingDelivery delivery, final Dispatcher.DispatchOutcome outcome) {
     final String className = delivery.message().className();
     if (outcome.result() == AttemptResult.DELIVERED) {
-      completion.recordExecuted(delivery.id());
       context.counters().countDelivered(className);
       completeDelivered(delivery, outcome);
     } else if (outcome.completed()) {
-      completion.recordExecuted(delivery.id());
       context.counters().countFailed(className);
       completion.complete(delivery);
     } else {
@@ -119,6 +160,7 @@
       return;
     }
     final StoredMessage message = delivery.message();
+    context.ended().remove(messageId);
     logInDoubt(delivery, call);
     if (!context.store().contains(messageId) && !context.store().recordReopened(message)) {
       completion.finishUnrecorded(delivery, UNDELIVERABLE);
--- a/courier/src/main/java/thistleturn/courier/http/BulkResponseParser.java
+++ b/courier/src/main/java/thistleturn/courier/http/BulkResponseParser.java
@@ -7,6 +7,7 @@
 import thistleturn.courier.port.Dispatcher.DispatchOutcome;
 import thistleturn.courier.runtime.Json;
 import thistleturn.decisions.model.AttemptResult;
+import thistleturn.decisions.model.MessageDisposition;
 
 /** Parses the response to a call with several messages: a JSON array with a state for each. */
 final class BulkResponseParser {
@@ -39,16 +40,17 @@
   /** The outcome of one message; a message without a known state may have been executed. */
   DispatchOutcome outcomeOf(final String messageId) {
     return switch (statesById.getOrDefault(messageId, "")) {
-      case "accepted" -> outcome(AttemptResult.DELIVERED, true);
-      case "deferred" -> outcome(AttemptResult.REFUSED, false);
-      case "expired" -> outcome(AttemptResult.NOT_SENT, true);
-      case "no_more" -> outcome(AttemptResult.NOT_SENT, false);
-      default -> outcome(AttemptResult.ERROR, false);
+      case "accepted" -> outcome(AttemptResult.DELIVERED, MessageDisposition.OVER);
+      case "deferred" -> outcome(AttemptResult.REFUSED, MessageDisposition.OPEN);
+      case "expired" -> outcome(AttemptResult.NOT_SENT, MessageDisposition.OVER);
+      case "no_more" -> outcome(AttemptResult.NOT_SENT, MessageDisposition.NO_FURTHER_ATTEMPT);
+      default -> outcome(AttemptResult.ERROR, MessageDisposition.OPEN);
     };
   }
 
-  private DispatchOutcome outcome(final AttemptResult result, final boolean completed) {
+  private DispatchOutcome outcome(
+      final AttemptResult result, final MessageDisposition disposition) {
     return new DispatchOutcome(
-        result, completed, callOutcome.retryAfterUs(), callOutcome.loadReport());
+        result, disposition, callOutcome.retryAfterUs(), callOutcome.loadReport());
   }
 }
--- a/courier/src/main/java/thistleturn/courier/http/EndpointCloseReason.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointCloseReason.java
@@ -20,14 +20,31 @@
   INVALID_RESPONSE,
   /** The rest of a response did not come in time. */
   INCOMPLETE_RESPONSE,
-  /** The response, or the end of its call, does not allow another call. */
-  NOT_REUSABLE,
+  /** The response says that no other call may follow, or ended the endpoint's part. */
+  CLOSE_REQUESTED,
+  /** The response came when its call had ended on this side. */
+  LATE_RESPONSE,
+  /** Its messages are sent again, and the response may be that of another call. */
+  UNCONFIRMED_REJECTION,
+  /** Its class needs a connection for each call, and the pool has an idle one for other calls. */
+  SURPLUS,
+  /** A connection to its endpoint was out of step, so that connections to it are not reused. */
+  REUSE_SUSPENDED,
   /** Its call was abandoned. */
   CALL_ABANDONED;
 
   /** Returns whether it is part of normal operation: such ends are counted and not logged. */
   boolean isRoutine() {
-    return this == IDLE_TIMEOUT || this == NOT_REUSABLE;
+    return switch (this) {
+      case IDLE_TIMEOUT,
+          CLOSE_REQUESTED,
+          LATE_RESPONSE,
+          UNCONFIRMED_REJECTION,
+          SURPLUS,
+          REUSE_SUSPENDED ->
+          true;
+      default -> false;
+    };
   }
 
   /** Returns the name of the reason in the log. */
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -125,7 +125,7 @@
 
   /** Closes the connection if it is idle; returns false if it carries a call. */
   boolean endIfIdle() {
-    close(EndpointCloseReason.NOT_REUSABLE);
+    close(EndpointCloseReason.REUSE_SUSPENDED);
     return call == null;
   }
 
@@ -295,7 +295,7 @@
     call = null;
     log.onResponse(completed, response.head(), clock.nowUs());
     if (!dispatcher.removeCall(completed)) {
-      closeChannel(EndpointCloseReason.NOT_REUSABLE);
+      closeChannel(EndpointCloseReason.LATE_RESPONSE);
       return;
     }
     final HttpResponse head = response.head();
@@ -318,7 +318,7 @@
       keepOrClose(completed);
     } else {
       // The call may still be in flight: it ends here before its messages are sent again.
-      closeChannel(EndpointCloseReason.NOT_REUSABLE);
+      closeChannel(EndpointCloseReason.UNCONFIRMED_REJECTION);
     }
     dispatcher.report(completed, outcome.unconfirmed());
   }
@@ -339,21 +339,32 @@
 
   /** Keeps the connection for further calls if they can use it, and closes it otherwise. */
   private void keepOrClose(final HttpCall completed) {
-    final boolean usable =
-        response.isKeepAlive() && completed.isWritten() && !completed.pool().isRemoved();
     pool = completed.pool();
-    if (usable && (isUsefulAfter(completed) || dispatcher.unconfirmedCalls().isUnconfirmed(this))) {
+    final EndpointCloseReason obstacle = obstacleToReuse(completed);
+    if (obstacle == null) {
       idleSinceUs = clock.nowUs();
       dispatcher.addIdle(this, pool);
     } else {
-      closeChannel(EndpointCloseReason.NOT_REUSABLE);
+      closeChannel(obstacle);
     }
   }
 
-  /** A class whose calls need connections of their own would leave one behind with each call. */
-  private boolean isUsefulAfter(final HttpCall completed) {
-    return !dispatcher.unconfirmedCalls().isReuseSuspended(completed.endpoint())
-        && !(completed.needsOwnConnection() && pool.hasIdle());
+  /** Returns why no call can follow; null if one can, or if deliveries are still unconfirmed. */
+  private EndpointCloseReason obstacleToReuse(final HttpCall completed) {
+    if (!response.isKeepAlive() || !completed.isWritten()) {
+      return EndpointCloseReason.CLOSE_REQUESTED;
+    }
+    if (completed.pool().isRemoved()) {
+      return EndpointCloseReason.ENDPOINT_CHANGED;
+    }
+    if (dispatcher.unconfirmedCalls().isUnconfirmed(this)) {
+      return null;
+    }
+    if (dispatcher.unconfirmedCalls().isReuseSuspended(completed.endpoint())) {
+      return EndpointCloseReason.REUSE_SUSPENDED;
+    }
+    // A class whose calls need connections of their own would leave one behind with each call.
+    return completed.needsOwnConnection() && pool.hasIdle() ? EndpointCloseReason.SURPLUS : null;
   }
 
   /** Whether the connection has carried an earlier call than the current or latest one. */
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnectionLog.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnectionLog.java
@@ -11,7 +11,9 @@
 import java.util.StringJoiner;
 import java.util.function.Supplier;
 import thistleturn.courier.runtime.Event;
+import thistleturn.courier.runtime.LabelledCounter;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.Metrics;
 
 /**
  * Logs what happens on one connection to an endpoint outside its calls, together with the latest
@@ -24,6 +26,13 @@
   /** How much of unexpected bytes is logged. */
   private static final int MAX_LOGGED_BYTES = 24;
 
+  private static final LabelledCounter CLOSED =
+      Metrics.counter(
+          "courier_endpoint_connections_closed_total",
+          "why",
+          EndpointCloseReason.values(),
+          EndpointCloseReason::label);
+
   private final long connection;
   private final Deque<AnsweredCall> recentCalls = new ArrayDeque<>(MAX_RECENT_CALLS);
   private String address = "";
@@ -97,6 +106,7 @@
 
   /** The connection ends. */
   void closed(final EndpointCloseReason reason, final long nowUs) {
+    CLOSED.increment(reason.ordinal());
     if (reason.isRoutine()) {
       Log.count(Event.ENDPOINT_CONNECTION_CLOSED);
       return;
--- a/courier/src/main/java/thistleturn/courier/http/EndpointResponseParser.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointResponseParser.java
@@ -6,6 +6,7 @@
 import thistleturn.courier.port.Dispatcher.DispatchOutcome;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.LoadReport;
+import thistleturn.decisions.model.MessageDisposition;
 
 /** Parses the heads of endpoints' responses strictly: outcome, Retry-After and load report. */
 final class EndpointResponseParser {
@@ -43,7 +44,8 @@
           new DispatchOutcome(
               lineBusy ? AttemptResult.NOT_SENT : AttemptResult.REFUSED, false, retryAfterUs, load);
       case GATEWAY_TIMEOUT ->
-          new DispatchOutcome(AttemptResult.NOT_SENT, false, retryAfterUs, load);
+          new DispatchOutcome(
+              AttemptResult.NOT_SENT, MessageDisposition.NO_FURTHER_ATTEMPT, retryAfterUs, load);
       case GONE -> new DispatchOutcome(AttemptResult.NOT_SENT, true, retryAfterUs, load);
       default -> new DispatchOutcome(AttemptResult.ERROR, false, retryAfterUs, load);
     };
--- a/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
+++ b/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
@@ -81,7 +81,7 @@
     // Connections that may still show whether their deliveries are in doubt stay open.
     pool.idleSnapshot().stream()
         .filter(idle -> !isUnconfirmed(idle))
-        .forEach(idle -> idle.close(EndpointCloseReason.NOT_REUSABLE));
+        .forEach(idle -> idle.close(EndpointCloseReason.REUSE_SUSPENDED));
   }
 
   /** A connection has ended. */
--- a/courier/src/main/java/thistleturn/courier/operator/OperatorServer.java
+++ b/courier/src/main/java/thistleturn/courier/operator/OperatorServer.java
@@ -32,6 +32,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.runtime.Metrics;
 import thistleturn.courier.transport.AcceptRetryHandler;
 import thistleturn.courier.transport.RetryingServerSocketChannel;
 
@@ -170,7 +171,10 @@
         .thenApply(
             metrics ->
                 new OperatorResponse(
-                    HttpResponseStatus.OK, metrics.toPrometheusText() + Log.prometheusCounters()));
+                    HttpResponseStatus.OK,
+                    metrics.toPrometheusText()
+                        + Log.prometheusCounters()
+                        + Metrics.prometheusText()));
   }
 
   private CompletionStage<OperatorResponse> setEndpointDisabled(
--- a/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
@@ -5,6 +5,7 @@
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.Endpoint;
 import thistleturn.decisions.model.LoadReport;
+import thistleturn.decisions.model.MessageDisposition;
 import thistleturn.decisions.model.ResponseCertainty;
 
 /**
@@ -60,7 +61,7 @@
   /**
    * The outcome of a call for one message.
    *
-   * @param completed true if the answer is final for the message, whatever its result
+   * @param disposition what the answer says about the message beyond this call
    * @param retryAfterUs how long the endpoint asked to wait, in microseconds; 0 if it did not
    * @param loadReport null if the answer carried none
    * @param certainty whether the answer is known to be that of the call; an unconfirmed delivery is
@@ -68,7 +69,7 @@
    */
   record DispatchOutcome(
       AttemptResult result,
-      boolean completed,
+      MessageDisposition disposition,
       long retryAfterUs,
       LoadReport loadReport,
       ResponseCertainty certainty) {
@@ -76,23 +77,42 @@
     /** Creates an outcome whose answer, if any, is known to be that of the call. */
     public DispatchOutcome(
         final AttemptResult result,
-        final boolean completed,
+        final MessageDisposition disposition,
         final long retryAfterUs,
         final LoadReport loadReport) {
-      this(result, completed, retryAfterUs, loadReport, ResponseCertainty.CERTAIN);
+      this(result, disposition, retryAfterUs, loadReport, ResponseCertainty.CERTAIN);
     }
 
     /**
-     * Returns the same outcome of an answer that may belong to another call. Only a delivery still
-     * completes its message, until it is put in doubt.
+     * Does the same for a message that is over or may be sent again.
+     *
+     * @param completed true if the answer is final for the message, whatever its result
      */
-    public DispatchOutcome unconfirmed() {
-      return new DispatchOutcome(
+    public DispatchOutcome(
+        final AttemptResult result,
+        final boolean completed,
+        final long retryAfterUs,
+        final LoadReport loadReport) {
+      this(
           result,
-          result == AttemptResult.DELIVERED,
+          completed ? MessageDisposition.OVER : MessageDisposition.OPEN,
           retryAfterUs,
-          loadReport,
-          ResponseCertainty.UNCONFIRMED);
+          loadReport);
+    }
+
+    /** Returns the same outcome of an answer that may belong to another call. */
+    public DispatchOutcome unconfirmed() {
+      return new DispatchOutcome(
+          result, disposition, retryAfterUs, loadReport, ResponseCertainty.UNCONFIRMED);
+    }
+
+    /**
+     * Returns whether the answer is final for the message. Of those that may belong to another call
+     * only a delivery is, until it is put in doubt.
+     */
+    public boolean completed() {
+      return disposition == MessageDisposition.OVER
+          && (result == AttemptResult.DELIVERED || certainty == ResponseCertainty.CERTAIN);
     }
 
     /** Returns whether the message certainly had no effect, so that a retry is safe. */
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -45,6 +45,13 @@
   PLATFORM_CONNECTION_CLOSED("platform_connection_closed"),
   /** A line of the endpoint list's watch came a second time. */
   LIST_LINE_IGNORED("list_line_ignored"),
+  /**
+   * An endpoint answered that a message is over, or has had all its attempts: nothing of it is sent
+   * from then on.
+   */
+  MESSAGE_OVER("message_over"),
+  /** An attempt began after its message had ended; this shows a fault of the courier. */
+  ATTEMPT_AFTER_END("attempt_after_end"),
   /** An accepted message was not delivered: the platform is notified of its outcome. */
   MESSAGE_ENDED("message_ended"),
   /** The platform confirmed an outcome long after the message's deadline. */
--- a/courier/src/main/java/thistleturn/courier/runtime/Log.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Log.java
@@ -28,6 +28,11 @@
     muted = mute;
   }
 
+  /** Returns whether events are neither counted nor logged now. */
+  static boolean isMuted() {
+    return muted;
+  }
+
   /** Logs a line of text, for information about the process as a whole that operators need. */
   public static void info(final String text) {
     LOGGER.info(LogLine.ofText(text));
--- a/decisions/src/test/java/thistleturn/decisions/index/RecentIdsTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/index/RecentEntriesTest.java
@@ -2,20 +2,21 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 
 /** Virtual time, in microseconds. */
-final class RecentIdsTest {
+final class RecentEntriesTest {
   private static final long RETENTION_US = 1000;
   private static final int MAX_IDS = 3;
 
-  private final RecentIds ids = new RecentIds(RETENTION_US, MAX_IDS);
+  private final RecentEntries<Integer> ids = new RecentEntries<>(RETENTION_US, MAX_IDS);
 
   @Test
   void id_isKeptForItsTime() {
-    ids.add("a", 5);
+    ids.put("a", 1, 5);
     assertTrue(ids.contains("a", 5 + RETENTION_US - 1));
     assertFalse(ids.contains("a", 5 + RETENTION_US));
     assertFalse(ids.contains("b", 5));
@@ -23,10 +24,10 @@
 
   @Test
   void addingAgain_startsTheTimeAnew() {
-    ids.add("a", 0);
-    ids.add("b", 1);
-    ids.add("a", 500);
-    ids.add("c", RETENTION_US + 1);
+    ids.put("a", 1, 0);
+    ids.put("b", 1, 1);
+    ids.put("a", 1, 500);
+    ids.put("c", 1, RETENTION_US + 1);
     assertTrue(ids.contains("a", RETENTION_US + 1));
     assertEquals(2, ids.size());
   }
@@ -34,7 +35,7 @@
   @Test
   void tooMany_forgetTheEarliest() {
     for (int number = 0; number < 10; number++) {
-      ids.add("m" + number, number);
+      ids.put("m" + number, 1, number);
     }
     assertEquals(MAX_IDS, ids.size());
     assertFalse(ids.contains("m6", 9));
@@ -43,9 +44,18 @@
 
   @Test
   void expiredIds_takeNoRoom() {
-    ids.add("a", 0);
-    ids.add("b", 1);
-    ids.add("c", 2 * RETENTION_US);
+    ids.put("a", 1, 0);
+    ids.put("b", 1, 1);
+    ids.put("c", 1, 2 * RETENTION_US);
     assertEquals(1, ids.size());
   }
+
+  @Test
+  void removedId_isForgotten() {
+    ids.put("a", 1, 0);
+    ids.put("a", 2, 1);
+    assertEquals(2, ids.get("a", 1));
+    ids.remove("a");
+    assertNull(ids.get("a", 1));
+  }
 }
