--- a/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
+++ b/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
@@ -99,6 +99,10 @@
     ERROR(true),
     /** Rejected; the message never ran. */
     REJECTED(false),
+    /** Answered that it is over; it never ran, and nothing more is due for it. */
+    GONE(false),
+    /** Answered that it has had all its attempts; it never ran, and its outcome is still due. */
+    NO_MORE_ATTEMPTS(false),
     /** Its connection ended after the last byte of the request, without an answer. */
     CONNECTION_LOST(true),
     /** Its connection ended before the last byte of the request. */
@@ -109,6 +113,11 @@
     CallResult(final boolean mayHaveRun) {
       this.mayHaveRun = mayHaveRun;
     }
+
+    /** Returns whether no call of the message begins after such an answer. */
+    boolean endsMessage() {
+      return this == DELIVERED || this == GONE || this == NO_MORE_ATTEMPTS;
+    }
   }
 
   /**
@@ -156,9 +165,12 @@
     /** The connections of the calls in flight, by the start of the call. */
     private final Map<Long, CallConnection> connectionsInFlight = new HashMap<>();
 
-    /** Whether the response that delivered it came on a connection with an earlier call. */
+    /** Whether the response that ended it came on a connection with an earlier call. */
     private boolean answeredOnReusedConnection;
 
+    /** The answer after which no call of it may begin; null if there is none. */
+    private StatedEnd statedEnd;
+
     private long firstRunUs = Long.MAX_VALUE;
     private long settleUntilUs;
 
@@ -265,6 +277,7 @@
       final long nowUs, final Message message, final String outcome, final boolean deferred) {
     if (message.ended) {
       if (!message.delivered
+          && !isOver(message)
           && !message.outcome.equals(outcome)
           && !isReportedAgainAfterRestart(message, outcome, nowUs)) {
         addViolation(
@@ -282,6 +295,11 @@
     closeMessage(nowUs, message, outcome);
   }
 
+  /** A notice for a message that an endpoint has declared over does no harm. */
+  private static boolean isOver(final Message message) {
+    return message.statedEnd != null && message.statedEnd.result() == CallResult.GONE;
+  }
+
   /**
    * While the journal cannot be written, a deferral is reported once the message's deadline has
    * passed. After a restart the journal may hold an attempt without its result: the message is then
@@ -436,6 +454,10 @@
     }
     checkCopies(firstByteUs, message);
     message.connectionsInFlight.put(firstByteUs, connection);
+    if (message.statedEnd != null) {
+      checkCallAfterStatedEnd(firstByteUs, message);
+      return;
+    }
     if (message.ended && isAllowedRepeat(firstByteUs, message)) {
       return;
     }
@@ -476,6 +498,22 @@
     }
   }
 
+  /**
+   * No call begins after an answer that ended its message, unless the process that was answered may
+   * not have read it, or the answer may have been a copy of another.
+   */
+  private void checkCallAfterStatedEnd(final long firstByteUs, final Message message) {
+    final StatedEnd end = message.statedEnd;
+    final String what = message + end.describeLaterCall(firstByteUs);
+    final boolean unread =
+        mayBeUnread(new Delivery(end.callUs(), end.answeredUs(), Long.MAX_VALUE), firstByteUs);
+    if (unread || (responsesCopied && message.answeredOnReusedConnection)) {
+      allowedRepeats.add(what);
+    } else {
+      addViolation(Rule.ENDED, firstByteUs, what);
+    }
+  }
+
   /**
    * A second copy while the first one's connection is open is a violation. If the end of the first
    * connection has arrived and lies unread at a stand-in, the courier ended the first copy before
@@ -569,7 +607,8 @@
     if (message == null) {
       return;
     }
-    message.connectionsInFlight.remove(firstByteUs);
+    final CallConnection connection = message.connectionsInFlight.remove(firstByteUs);
+    recordStatedEnd(nowUs, firstByteUs, message, result, connection);
     if (message.copiesViolation != null
         && message.firstCopySide == CallConnection.Side.UNKNOWN
         && (result == CallResult.CONNECTION_LOST || result == CallResult.INCOMPLETE_REQUEST)
@@ -619,7 +658,32 @@
     }
   }
 
-  /** A message was delivered over a connection that had carried another call. */
+  /** An answer to a call that the courier has given up says nothing: it may not be read. */
+  private void recordStatedEnd(
+      final long nowUs,
+      final long firstByteUs,
+      final Message message,
+      final CallResult result,
+      final CallConnection connection) {
+    if (!result.endsMessage()
+        || result == CallResult.DELIVERED
+        || message.statedEnd != null
+        || (connection != null && connection.courierSide() == CallConnection.Side.ENDED)) {
+      return;
+    }
+    message.statedEnd = new StatedEnd(result, firstByteUs, nowUs);
+    if (result == CallResult.GONE && !message.ended) {
+      closeMessage(nowUs, message, "over");
+    }
+  }
+
+  /** Returns what an endpoint has answered that ended a message; null if none did. */
+  public synchronized CallResult statedEnd(final String id) {
+    final Message message = messages.get(id);
+    return message == null || message.statedEnd == null ? null : message.statedEnd.result();
+  }
+
+  /** A message was ended over a connection that had carried another call. */
   public synchronized void recordAnswerOnReusedConnection(final String id) {
     final Message message = messages.get(id);
     if (message != null) {
--- a/testkit/src/main/java/thistleturn/testkit/StandInEndpoint.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInEndpoint.java
@@ -7,10 +7,14 @@
 import io.netty.util.AttributeKey;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 /**
@@ -22,6 +26,13 @@
   private static final int ERROR = 500;
   private static final int BUSY = 429;
   private static final int UNAVAILABLE = 503;
+  private static final int GONE = 410;
+  private static final int NO_MORE = 504;
+
+  /** Some of a body of which the head announces more. */
+  private static final byte[] INCOMPLETE_GONE =
+      "HTTP/1.1 410 Gone\r\nContent-Length: 20\r\n\r\nwithdr".getBytes(StandardCharsets.US_ASCII);
+
   private static final ObjectMapper JSON = new ObjectMapper();
 
   /** How many calls a connection has carried. */
@@ -46,6 +57,12 @@
     REJECT,
     /** 503 after the delay, without a Retry-After header. */
     UNAVAILABLE,
+    /** 410 after the delay; {@code expired} for some messages of a call with several. */
+    GONE,
+    /** The same; the connection ends within the body of the 410. */
+    GONE_INCOMPLETE,
+    /** 504 after the delay; {@code no_more} for some messages of a call with several. */
+    NO_MORE_ATTEMPTS,
     /** Never answers. */
     NO_ANSWER,
     /** The connection is reset after the delay. */
@@ -195,23 +212,47 @@
     }
 
     void end(final RuleChecker.CallResult result) {
+      endEach(id -> result);
+    }
+
+    private void endEach(final Function<String, RuleChecker.CallResult> resultOf) {
       if (!ended) {
         ended = true;
-        ids.forEach(id -> ruleChecker.recordCallEnd(clock.nowUs(), beganUs, id, result));
+        ids.forEach(id -> recordEnd(id, resultOf.apply(id)));
+      }
+    }
+
+    private void recordEnd(final String id, final RuleChecker.CallResult result) {
+      if (reusedConnection && result.endsMessage()) {
+        ruleChecker.recordAnswerOnReusedConnection(id);
+      }
+      ruleChecker.recordCallEnd(clock.nowUs(), beganUs, id, result);
+    }
+
+    /** An endpoint that has ended a message answers each later call of it in the same way. */
+    private Action actionOf(final Behavior current) {
+      final RuleChecker.CallResult earlier = bulk ? null : ruleChecker.statedEnd(ids.get(0));
+      if (earlier == null || current.action() == Action.RESET) {
+        return current.action();
       }
+      return earlier == RuleChecker.CallResult.GONE ? Action.GONE : Action.NO_MORE_ATTEMPTS;
     }
 
     void perform(final Behavior current) {
       if (ended) {
         return;
       }
-      switch (current.action()) {
-        case DELIVER -> {
-          end(RuleChecker.CallResult.DELIVERED);
-          if (reusedConnection) {
-            ids.forEach(ruleChecker::recordAnswerOnReusedConnection);
+      switch (actionOf(current)) {
+        case DELIVER -> answerEach(RuleChecker.CallResult.DELIVERED, OK);
+        case GONE -> answerEach(RuleChecker.CallResult.GONE, GONE);
+        case NO_MORE_ATTEMPTS -> answerEach(RuleChecker.CallResult.NO_MORE_ATTEMPTS, NO_MORE);
+        case GONE_INCOMPLETE -> {
+          if (bulk) {
+            answerEach(RuleChecker.CallResult.GONE, GONE);
+          } else {
+            end(RuleChecker.CallResult.GONE);
+            exchange.raw(INCOMPLETE_GONE).addListener(written -> exchange.channel().close());
           }
-          exchange.answer(OK, bulk ? bulkAnswer() : "");
         }
         case FAIL -> {
           end(RuleChecker.CallResult.ERROR);
@@ -236,10 +277,40 @@
       }
     }
 
-    private String bulkAnswer() {
+    /** Answers a call with one message by a status, and one with several by a state for each. */
+    private void answerEach(final RuleChecker.CallResult result, final int status) {
+      if (!bulk) {
+        end(result);
+        exchange.answer(status, "");
+        return;
+      }
+      final Map<String, RuleChecker.CallResult> results = bulkResults(result);
+      endEach(results::get);
       final ArrayNode items = JSON.createArrayNode();
-      ids.forEach(id -> items.addObject().put("id", id).put("state", "accepted"));
-      return items.toString();
+      results.forEach((id, each) -> items.addObject().put("id", id).put("state", stateOf(each)));
+      exchange.answer(OK, items.toString());
+    }
+
+    /** Each second answer that ends messages ends the first one of its call alone. */
+    private Map<String, RuleChecker.CallResult> bulkResults(final RuleChecker.CallResult result) {
+      final boolean firstAlone = calls.get() % 2 == 0;
+      final Map<String, RuleChecker.CallResult> results = new LinkedHashMap<>();
+      for (final String id : ids) {
+        final RuleChecker.CallResult earlier = ruleChecker.statedEnd(id);
+        final RuleChecker.CallResult now =
+            firstAlone && !results.isEmpty() ? RuleChecker.CallResult.DELIVERED : result;
+        results.put(id, earlier == null ? now : earlier);
+      }
+      return results;
+    }
+
+    private static String stateOf(final RuleChecker.CallResult result) {
+      return switch (result) {
+        case DELIVERED -> "accepted";
+        case GONE -> "expired";
+        case NO_MORE_ATTEMPTS -> "no_more";
+        default -> throw new IllegalArgumentException("no state of a message: " + result);
+      };
     }
   }
 }
--- a/testkit/src/main/java/thistleturn/testkit/Violation.java
+++ b/testkit/src/main/java/thistleturn/testkit/Violation.java
@@ -3,7 +3,10 @@
 /** A violated rule: which, when (us after the start of the stand-ins' clock), and what happened. */
 public record Violation(Rule rule, long atUs, String what) {
 
-  /** The six delivery rules, and the rule that a message goes to its own destination only. */
+  /**
+   * The six delivery rules, the rule that a message goes to its own destination only, and the rule
+   * that no call of a message begins after an endpoint has ended it.
+   */
   public enum Rule {
     LOST,
     DOUBLE,
@@ -11,7 +14,8 @@
     TIPPED,
     ORDER,
     WAIT,
-    DESTINATION
+    DESTINATION,
+    ENDED
   }
 
   @Override
--- a/testkit/src/test/java/thistleturn/testkit/RuleCheckerTest.java
+++ b/testkit/src/test/java/thistleturn/testkit/RuleCheckerTest.java
@@ -565,6 +565,53 @@
     assertViolations(Rule.ORDER, Rule.ORDER);
   }
 
+  @Test
+  void callAfterAnswerThatEndedItsMessage_isViolation() {
+    for (final CallResult result : List.of(CallResult.GONE, CallResult.NO_MORE_ATTEMPTS)) {
+      accept(0, "m" + result, "safe");
+      call(10 * MS, 20 * MS, "m" + result, result);
+      call(30 * MS, 40 * MS, "m" + result, result);
+    }
+    ruleChecker.recordOutcomeNotice(50 * MS, "m" + CallResult.NO_MORE_ATTEMPTS, true);
+    assertViolations(Rule.ENDED, Rule.ENDED);
+  }
+
+  @Test
+  void messageThatIsOver_needsNoOutcomeAndMayHaveOne() {
+    accept(0, "m1", "once");
+    call(10 * MS, 20 * MS, "m1", CallResult.GONE);
+    accept(0, "m2", "once");
+    call(10 * MS, 20 * MS, "m2", CallResult.GONE);
+    ruleChecker.recordOutcomeNotice(50 * MS, "m2", true);
+    assertViolations();
+  }
+
+  @Test
+  void messageWithoutFurtherAttempts_needsItsOutcome() {
+    accept(0, "m1", "safe");
+    call(10 * MS, 20 * MS, "m1", CallResult.NO_MORE_ATTEMPTS);
+    assertViolations(Rule.LOST);
+  }
+
+  @Test
+  void callAfterGoneThatKilledProcessMayNotHaveRead_isAllowed() {
+    accept(0, "m1", "safe");
+    call(10 * MS, 20 * MS, "m1", CallResult.GONE);
+    ruleChecker.recordRestart(30 * MS, false);
+    ruleChecker.recordRestart(700 * MS, true);
+    call(710 * MS, 720 * MS, "m1", CallResult.GONE);
+    assertViolations();
+  }
+
+  @Test
+  void goneToCallThatCourierHasGivenUp_endsNothing() {
+    accept(0, "m1", "safe");
+    callOverConnection(10 * MS, "m1", CallConnection.Side.ENDED);
+    ruleChecker.recordCallEnd(20 * MS, 10 * MS, "m1", CallResult.GONE);
+    call(30 * MS, 40 * MS, "m1", CallResult.DELIVERED);
+    assertViolations();
+  }
+
   @Test
   void wrongDestinationOrUnknownMessage_isViolation() {
     accept(0, "a", "safe");
