A 410 on a connection used before ends its message

Cause: the mend of copied responses took every answer on a reused connection but a delivery for "may be another call's", so a plain 410 lost its finality.

Change: AnswerTreatment, a pure module, decides what an answer needs so that it can be taken back. An answer that ends its message counts at once and leaves its connection open; if the call's own answer comes there, or another connection proves to be out of step, the message is reopened, as deliveries were. This works since a copied 410 is always followed by the call's own answer. DeliveryConfirmation and UnconfirmedDeliveries serve both now and are called AnswerConfirmation and UnconfirmedEnds.

--- a/courier/src/main/java/thistleturn/courier/DecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/DecidingRole.java
@@ -156,12 +156,12 @@
   }
 
   @Override
-  public void onDeliveryConfirmed(final PendingDelivery delivery) {
-    outcomes.recordDeliveryConfirmed(delivery.id());
+  public void onAnswerConfirmed(final PendingDelivery delivery) {
+    outcomes.recordAnswerConfirmed(delivery.id());
   }
 
   @Override
-  public void onDeliveryInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
+  public void onAnswerInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
     outcomes.reopen(delivery.id(), call);
   }
 
--- a/courier/src/main/java/thistleturn/courier/DecisionLoop.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoop.java
@@ -159,8 +159,7 @@
         new OutcomeRecorder(
             context,
             completion,
-            new UnconfirmedDeliveries(
-                context, loop, scheduler, ports.dispatcher()::areResponsesSuspect),
+            new UnconfirmedEnds(context, loop, scheduler, ports.dispatcher()::areResponsesSuspect),
             reachability,
             outages,
             controller,
@@ -334,8 +333,8 @@
    *
    * @return true if the journal records that
    */
-  boolean resolveUnconfirmedDeliveries() {
-    ports.dispatcher().resolveUnconfirmedDeliveries();
+  boolean resolveUnconfirmedAnswers() {
+    ports.dispatcher().resolveUnconfirmedAnswers();
     return context.store().flush() == FlushResult.DURABLE;
   }
 
@@ -356,7 +355,7 @@
    * @throws IOException if the journal cannot be brought up to date; then nothing has changed
    */
   HandoverSnapshot handOver(final Successor successor) throws IOException {
-    ports.dispatcher().resolveUnconfirmedDeliveries();
+    ports.dispatcher().resolveUnconfirmedAnswers();
     scheduler.runScheduledRound();
     final FlushResult flushed = context.store().flush();
     effects.runAfterFlush(flushed, context.clock().nowUs());
--- a/courier/src/main/java/thistleturn/courier/DispatcherEvents.java
+++ b/courier/src/main/java/thistleturn/courier/DispatcherEvents.java
@@ -31,13 +31,13 @@
   }
 
   @Override
-  public void onDeliveryConfirmed(final Dispatcher.Attempt attempt) {
-    role.get().onDeliveryConfirmed(delivery(attempt));
+  public void onAnswerConfirmed(final Dispatcher.Attempt attempt) {
+    role.get().onAnswerConfirmed(delivery(attempt));
   }
 
   @Override
-  public void onDeliveryInDoubt(final Dispatcher.Attempt attempt, final Dispatcher.Call call) {
-    role.get().onDeliveryInDoubt(delivery(attempt), call);
+  public void onAnswerInDoubt(final Dispatcher.Attempt attempt, final Dispatcher.Call call) {
+    role.get().onAnswerInDoubt(delivery(attempt), call);
   }
 
   @Override
--- a/courier/src/main/java/thistleturn/courier/ForwardingRole.java
+++ b/courier/src/main/java/thistleturn/courier/ForwardingRole.java
@@ -70,7 +70,8 @@
   /** The newer process is not told the certainty: an attempt that may have run is told as such. */
   private static Dispatcher.DispatchOutcome withoutCertainty(
       final Dispatcher.DispatchOutcome outcome) {
-    final boolean mayHaveRun = outcome.result().neverExecuted() && !outcome.neverExecuted();
+    final boolean mayHaveRun =
+        !outcome.completed() && outcome.result().neverExecuted() && !outcome.neverExecuted();
     return mayHaveRun
         ? new Dispatcher.DispatchOutcome(
             AttemptResult.STALE, false, outcome.retryAfterUs(), outcome.loadReport())
--- a/courier/src/main/java/thistleturn/courier/GracefulShutdown.java
+++ b/courier/src/main/java/thistleturn/courier/GracefulShutdown.java
@@ -99,7 +99,7 @@
   private void finishIfDue(final boolean due, final long stopUs) {
     if ((due && extension.tryFinishShutdown()) || clock.nowUs() >= stopUs) {
       shards
-          .queryEach(Shard::resolveUnconfirmedDeliveries)
+          .queryEach(Shard::resolveUnconfirmedAnswers)
           .whenComplete((done, failure) -> finished.countDown());
     }
   }
--- a/courier/src/main/java/thistleturn/courier/LoopRole.java
+++ b/courier/src/main/java/thistleturn/courier/LoopRole.java
@@ -37,10 +37,10 @@
       PendingDelivery delivery, Dispatcher.Call call, Dispatcher.DispatchOutcome outcome);
 
   /** The response to an unconfirmed delivery was its own. */
-  void onDeliveryConfirmed(PendingDelivery delivery);
+  void onAnswerConfirmed(PendingDelivery delivery);
 
   /** The response to an unconfirmed delivery may belong to another call. */
-  void onDeliveryInDoubt(PendingDelivery delivery, Dispatcher.Call call);
+  void onAnswerInDoubt(PendingDelivery delivery, Dispatcher.Call call);
 
   /** The attempt of an earlier process, whose outcome was not reported, counts as ended. */
   void onInterruptionEnded(PendingDelivery delivery);
--- a/courier/src/main/java/thistleturn/courier/NonDecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/NonDecidingRole.java
@@ -18,12 +18,12 @@
   }
 
   @Override
-  public void onDeliveryConfirmed(final PendingDelivery delivery) {
+  public void onAnswerConfirmed(final PendingDelivery delivery) {
     // The outcome was passed on, or the journal keeps the attempt in flight.
   }
 
   @Override
-  public void onDeliveryInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
+  public void onAnswerInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
     // The outcome was passed on, or the journal keeps the attempt in flight.
   }
 
--- a/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
+++ b/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
@@ -30,7 +30,7 @@
 
   private final LoopContext context;
   private final MessageCompletion completion;
-  private final UnconfirmedDeliveries unconfirmed;
+  private final UnconfirmedEnds unconfirmed;
   private final ReachabilityTracker reachability;
   private final OutageReporter outages;
   private final HostedController controller;
@@ -39,7 +39,7 @@
   OutcomeRecorder(
       final LoopContext context,
       final MessageCompletion completion,
-      final UnconfirmedDeliveries unconfirmed,
+      final UnconfirmedEnds unconfirmed,
       final ReachabilityTracker reachability,
       final OutageReporter outages,
       final HostedController controller,
@@ -118,21 +118,21 @@
 
   private void completeOrRecord(
       final PendingDelivery delivery, final Dispatcher.DispatchOutcome outcome) {
+    if (!outcome.completed()) {
+      context.store().recordAttemptOutcome(delivery.message(), outcome.neverExecuted());
+      return;
+    }
     final String className = delivery.message().className();
     if (outcome.result() == AttemptResult.DELIVERED) {
       context.counters().countDelivered(className);
-      completeDelivered(delivery, outcome);
-    } else if (outcome.completed()) {
-      context.counters().countFailed(className);
-      completion.complete(delivery);
     } else {
-      context.store().recordAttemptOutcome(delivery.message(), outcome.neverExecuted());
+      context.counters().countFailed(className);
     }
+    complete(delivery, outcome);
   }
 
-  private void completeDelivered(
-      final PendingDelivery delivery, final Dispatcher.DispatchOutcome outcome) {
-    if (outcome.isUnconfirmedDelivery()) {
+  private void complete(final PendingDelivery delivery, final Dispatcher.DispatchOutcome outcome) {
+    if (outcome.isUnconfirmedEnd()) {
       completion.completeUnrecorded(delivery);
       unconfirmed.add(delivery);
     } else {
@@ -140,19 +140,19 @@
     }
   }
 
-  /** Returns whether the journal keeps a delivery open because it may be put in doubt. */
+  /** Returns whether the journal keeps a message open because its end it may be put in doubt. */
   boolean awaitsConfirmation() {
     return unconfirmed.hasUnrecorded();
   }
 
-  /** Records that the response to a delivery was its own. */
-  void recordDeliveryConfirmed(final String messageId) {
+  /** Records that the response that ended a message was its own. */
+  void recordAnswerConfirmed(final String messageId) {
     unconfirmed.confirm(messageId);
   }
 
   /**
-   * Reopens a message whose delivery is in doubt: it may have been executed or not. It is sent
-   * again if its class allows that and time is left, and ends as failed otherwise.
+   * Reopens a message whose end by an answer is in doubt: it may have been executed or not. It is
+   * sent again if its class allows that and time is left, and ends as failed otherwise.
    */
   void reopen(final String messageId, final Dispatcher.Call call) {
     final PendingDelivery delivery = unconfirmed.remove(messageId);
--- a/courier/src/main/java/thistleturn/courier/Shard.java
+++ b/courier/src/main/java/thistleturn/courier/Shard.java
@@ -255,8 +255,8 @@
   /**
    * Records the deliveries that are not confirmed, before the process ends; returns if it could.
    */
-  boolean resolveUnconfirmedDeliveries() {
-    return decisionLoop.resolveUnconfirmedDeliveries();
+  boolean resolveUnconfirmedAnswers() {
+    return decisionLoop.resolveUnconfirmedAnswers();
   }
 
   /** Returns whether nothing was under way lately; may be called on any thread. */
--- a/courier/src/main/java/thistleturn/courier/SimulatedEndpoints.java
+++ b/courier/src/main/java/thistleturn/courier/SimulatedEndpoints.java
@@ -139,7 +139,7 @@
   }
 
   @Override
-  public void resolveUnconfirmedDeliveries() {
+  public void resolveUnconfirmedAnswers() {
     // Every delivery is certain.
   }
 
--- a/courier/src/main/java/thistleturn/courier/UnconfirmedDeliveries.java
+++ b/courier/src/main/java/thistleturn/courier/UnconfirmedEnds.java
@@ -10,15 +10,15 @@
 import thistleturn.courier.runtime.GuardedTasks;
 
 /**
- * The messages whose delivery is not confirmed: the response may belong to another call. They have
- * ended for the controller, and are kept to be reopened if their delivery proves to be in doubt.
+ * The messages that were ended by an answer which is not confirmed: it may belong to another call.
+ * They have ended for the controller, and are kept to be reopened if it proves to be in doubt.
  *
  * <p>While responses are suspect, the journal keeps each as an attempt in flight for a short time,
- * in which most of what contradicts a delivery arrives: a process that is killed then repeats the
+ * in which most of what contradicts an answer arrives: a process that is killed then repeats the
  * attempt. Otherwise it is recorded as completed at once, so that a restart repeats nothing. Used
  * on the event loop.
  */
-final class UnconfirmedDeliveries {
+final class UnconfirmedEnds {
   /** How long the journal keeps the attempt in flight, us: longer than most calls take. */
   private static final long RECORD_DELAY_US = 700_000;
 
@@ -29,20 +29,20 @@
   private final RoundScheduler scheduler;
   private final BooleanSupplier suspect;
 
-  /** By message id, in the order of delivery. */
-  private final Map<String, Unconfirmed> deliveries = new LinkedHashMap<>();
+  /** By message id, in the order of their ends. */
+  private final Map<String, Unconfirmed> ends = new LinkedHashMap<>();
 
   private boolean checkScheduled;
 
-  /** A delivery, and when it was reported. */
-  private record Unconfirmed(PendingDelivery delivery, long deliveredUs) {}
+  /** A message that has ended, and when. */
+  private record Unconfirmed(PendingDelivery delivery, long endedUs) {}
 
   /**
-   * Creates an empty set of deliveries.
+   * Creates an empty set of messages.
    *
    * @param suspect returns whether responses that belong to no call have come lately
    */
-  UnconfirmedDeliveries(
+  UnconfirmedEnds(
       final LoopContext context,
       final EventLoop loop,
       final RoundScheduler scheduler,
@@ -54,7 +54,7 @@
   }
 
   void add(final PendingDelivery delivery) {
-    deliveries.put(delivery.id(), new Unconfirmed(delivery, context.clock().nowUs()));
+    ends.put(delivery.id(), new Unconfirmed(delivery, context.clock().nowUs()));
     if (!suspect.getAsBoolean()) {
       recordCompleted(delivery.message());
       return;
@@ -62,7 +62,7 @@
     scheduleCheck();
   }
 
-  /** The delivery of a message is confirmed; nothing is left to do for it. */
+  /** The end of a message is confirmed; nothing is left to do for it. */
   void confirm(final String messageId) {
     final PendingDelivery delivery = remove(messageId);
     if (delivery != null) {
@@ -70,15 +70,15 @@
     }
   }
 
-  /** Removes and returns a delivery; null if there is none of that message. */
+  /** Removes and returns a message that has ended; null if there is none of that message. */
   PendingDelivery remove(final String messageId) {
-    final Unconfirmed removed = deliveries.remove(messageId);
+    final Unconfirmed removed = ends.remove(messageId);
     return removed == null ? null : removed.delivery();
   }
 
   /** Returns whether the journal keeps an attempt of one of them in flight. */
   boolean hasUnrecorded() {
-    return deliveries.values().stream()
+    return ends.values().stream()
         .anyMatch(unconfirmed -> context.store().contains(unconfirmed.delivery().id()));
   }
 
@@ -99,15 +99,15 @@
     }
   }
 
-  /** Records the older deliveries; the latest one is last. */
+  /** Records the older ends; the latest one is last. */
   private void check() {
     checkScheduled = false;
     final long recordedUs = context.clock().nowUs() - RECORD_DELAY_US;
     boolean hasLater = false;
-    final Iterator<Unconfirmed> oldestFirst = deliveries.values().iterator();
+    final Iterator<Unconfirmed> oldestFirst = ends.values().iterator();
     while (oldestFirst.hasNext() && !hasLater) {
       final Unconfirmed unconfirmed = oldestFirst.next();
-      hasLater = unconfirmed.deliveredUs() > recordedUs;
+      hasLater = unconfirmed.endedUs() > recordedUs;
       if (!hasLater) {
         recordCompleted(unconfirmed.delivery().message());
       }
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -17,6 +17,7 @@
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.model.AttemptResult;
+import thistleturn.decisions.pools.AnswerTreatment;
 import thistleturn.decisions.pools.ConnectionLoss;
 
 /**
@@ -303,24 +304,28 @@
     final DispatchOutcome outcome = EndpointResponseParser.parse(head, retryAfterUs);
     if (completed.isBulk() && head.status().code() == EndpointResponseParser.OK) {
       onBulkResponse(completed, new BulkResponseParser(response.body(), outcome));
-    } else if (!isReused()) {
-      keepOrClose(completed);
-      dispatcher.report(completed, outcome);
     } else {
-      onAmbiguousResponse(completed, outcome);
+      onSingleOutcome(completed, outcome);
     }
   }
 
-  /** The response is that of the call, a copy of an earlier one, or that of an earlier call. */
-  private void onAmbiguousResponse(final HttpCall completed, final DispatchOutcome outcome) {
-    if (outcome.result() == AttemptResult.DELIVERED) {
-      dispatcher.unconfirmedCalls().add(completed, this);
-      keepOrClose(completed);
-    } else {
-      // The call may still be in flight: it ends here before its messages are sent again.
-      closeChannel(EndpointCloseReason.UNCONFIRMED_REJECTION);
+  /** The response says the same of all messages of its call. */
+  private void onSingleOutcome(final HttpCall completed, final DispatchOutcome outcome) {
+    switch (AnswerTreatment.of(outcome.disposition(), !isReused())) {
+      case CERTAIN -> {
+        keepOrClose(completed);
+        dispatcher.report(completed, outcome);
+      }
+      case COUNTS_UNTIL_IN_DOUBT -> {
+        dispatcher.unconfirmedCalls().add(completed, this);
+        keepOrClose(completed);
+        dispatcher.report(completed, outcome.unconfirmed());
+      }
+      case COUNTS_AFTER_CLOSE -> {
+        closeChannel(EndpointCloseReason.UNCONFIRMED_REJECTION);
+        dispatcher.report(completed, outcome.unconfirmed());
+      }
     }
-    dispatcher.report(completed, outcome.unconfirmed());
   }
 
   /** The ids in a response to several messages show whether it belongs to the call. */
--- a/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
@@ -169,7 +169,7 @@
   }
 
   @Override
-  public void resolveUnconfirmedDeliveries() {
+  public void resolveUnconfirmedAnswers() {
     unconfirmedCalls.resolveAll();
   }
 
--- a/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
+++ b/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
@@ -8,30 +8,30 @@
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.GuardedTasks;
 import thistleturn.courier.runtime.Log;
-import thistleturn.decisions.pools.DeliveryConfirmation;
+import thistleturn.decisions.pools.AnswerConfirmation;
 
 /**
- * The calls whose deliveries are known only by the place of a response on its connection. Notifies
- * the listener when each is confirmed or in doubt. While there are any, they are checked
- * periodically. Used on the event loop.
+ * The calls whose messages were ended by a response that is known only by its place on a
+ * connection. Notifies the listener when each is confirmed or in doubt. While there are any, they
+ * are checked periodically. Used on the event loop.
  */
 final class UnconfirmedCalls {
   private static final long CHECK_INTERVAL_MS = 250;
 
-  /** The time that is left for a notice to the platform when a delivery is put in doubt. */
+  /** The time that is left for a notice to the platform when an answer is put in doubt. */
   private static final long NOTICE_TIME_US = 200_000;
 
-  /** Beyond this number of messages the earliest deliveries count as confirmed. */
+  /** Beyond this number of messages the earliest answers count as confirmed. */
   private static final int MAX_MESSAGES = 4000;
 
-  /** Beyond this size of all bodies the earliest deliveries count as confirmed. */
+  /** Beyond this size of all bodies the earliest answers count as confirmed. */
   private static final long MAX_BODY_BYTES = 4L << 20;
 
   private final EventLoop loop;
   private final Clock clock;
   private final Dispatcher.Listener listener;
-  private final DeliveryConfirmation<HttpCall, EndpointConnection> deliveries =
-      new DeliveryConfirmation<>();
+  private final AnswerConfirmation<HttpCall, EndpointConnection> answers =
+      new AnswerConfirmation<>();
   private int messages;
   private long bodyBytes;
   private boolean checkScheduled;
@@ -42,9 +42,9 @@
     this.listener = listener;
   }
 
-  /** A call was answered as delivered, perhaps by the response of another call. */
+  /** A call was answered as delivered or over, perhaps by the response of another call. */
   void add(final HttpCall call, final EndpointConnection connection) {
-    deliveries.add(
+    answers.add(
         call,
         connection,
         call.endpoint(),
@@ -53,23 +53,23 @@
     messages += call.attempts().size();
     bodyBytes += call.bodyBytes();
     while (messages > MAX_MESSAGES || bodyBytes > MAX_BODY_BYTES) {
-      confirm(List.of(deliveries.confirmOldest()));
+      confirm(List.of(answers.confirmOldest()));
     }
     scheduleCheck();
   }
 
   /** True if each call to an endpoint needs a connection of its own. */
   boolean isReuseSuspended(final long endpoint) {
-    return deliveries.isReuseSuspended(endpoint, clock.nowUs());
+    return answers.isReuseSuspended(endpoint, clock.nowUs());
   }
 
   /** True if connections to any endpoint were out of step lately. */
   boolean wasAnyOutOfStep() {
-    return deliveries.wasAnyOutOfStep(clock.nowUs());
+    return answers.wasAnyOutOfStep(clock.nowUs());
   }
 
   boolean isUnconfirmed(final EndpointConnection connection) {
-    return deliveries.isUnconfirmed(connection);
+    return answers.isUnconfirmed(connection);
   }
 
   /** Bytes came on a connection that do not belong to the call for which they were read. */
@@ -77,8 +77,8 @@
     if (!isReuseSuspended(pool.endpoint())) {
       Log.event(Event.ENDPOINT_REUSE_SUSPENDED, "to", pool.address());
     }
-    putInDoubt(deliveries.onOutOfStep(connection, pool.endpoint(), clock.nowUs()));
-    // Connections that may still show whether their deliveries are in doubt stay open.
+    putInDoubt(answers.onOutOfStep(connection, pool.endpoint(), clock.nowUs()));
+    // Connections that may still show whether their answers are in doubt stay open.
     pool.idleSnapshot().stream()
         .filter(idle -> !isUnconfirmed(idle))
         .forEach(idle -> idle.close(EndpointCloseReason.REUSE_SUSPENDED));
@@ -86,19 +86,19 @@
 
   /** A connection has ended. */
   void onConnectionEnded(final EndpointConnection connection) {
-    putInDoubt(deliveries.onConnectionEnded(connection, clock.nowUs()));
+    putInDoubt(answers.onConnectionEnded(connection, clock.nowUs()));
   }
 
-  /** Resolves all deliveries now, since this process will not learn more about them. */
+  /** Resolves all answers now, since this process will not learn more about them. */
   void resolveAll() {
-    apply(deliveries.resolveAll(clock.nowUs()));
+    apply(answers.resolveAll(clock.nowUs()));
   }
 
   private void scheduleCheck() {
-    if (!checkScheduled && !deliveries.isEmpty()) {
+    if (!checkScheduled && !answers.isEmpty()) {
       checkScheduled = true;
       loop.schedule(
-          GuardedTasks.guard("check of unconfirmed deliveries", this::check),
+          GuardedTasks.guard("check of unconfirmed answers", this::check),
           CHECK_INTERVAL_MS,
           TimeUnit.MILLISECONDS);
     }
@@ -106,12 +106,11 @@
 
   private void check() {
     checkScheduled = false;
-    apply(deliveries.resolveDue(clock.nowUs()));
+    apply(answers.resolveDue(clock.nowUs()));
     scheduleCheck();
   }
 
-  private void apply(
-      final DeliveryConfirmation.Resolution<HttpCall, EndpointConnection> resolution) {
+  private void apply(final AnswerConfirmation.Resolution<HttpCall, EndpointConnection> resolution) {
     confirm(resolution.confirmed());
     for (final EndpointConnection connection : resolution.toEnd()) {
       if (connection.endIfIdle()) {
@@ -123,14 +122,14 @@
   private void confirm(final List<HttpCall> calls) {
     for (final HttpCall call : calls) {
       release(call);
-      call.attempts().forEach(listener::onDeliveryConfirmed);
+      call.attempts().forEach(listener::onAnswerConfirmed);
     }
   }
 
   private void putInDoubt(final List<HttpCall> calls) {
     for (final HttpCall call : calls) {
       release(call);
-      call.attempts().forEach(attempt -> listener.onDeliveryInDoubt(attempt, call));
+      call.attempts().forEach(attempt -> listener.onAnswerInDoubt(attempt, call));
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
@@ -64,8 +64,8 @@
    * @param disposition what the answer says about the message beyond this call
    * @param retryAfterUs how long the endpoint asked to wait, in microseconds; 0 if it did not
    * @param loadReport null if the answer carried none
-   * @param certainty whether the answer is known to be that of the call; an unconfirmed delivery is
-   *     confirmed or put in doubt later
+   * @param certainty whether the answer is known to be that of the call; an unconfirmed one that
+   *     ends its message is confirmed or put in doubt later
    */
   record DispatchOutcome(
       AttemptResult result,
@@ -107,12 +107,11 @@
     }
 
     /**
-     * Returns whether the answer is final for the message. Of those that may belong to another call
-     * only a delivery is, until it is put in doubt.
+     * Returns whether the answer is final for the message; one that may belong to another call is,
+     * until it is put in doubt.
      */
     public boolean completed() {
-      return disposition == MessageDisposition.OVER
-          && (result == AttemptResult.DELIVERED || certainty == ResponseCertainty.CERTAIN);
+      return disposition == MessageDisposition.OVER;
     }
 
     /** Returns whether the message certainly had no effect, so that a retry is safe. */
@@ -120,9 +119,9 @@
       return result.neverExecuted() && certainty == ResponseCertainty.CERTAIN;
     }
 
-    /** Returns whether it is a delivery that is to be confirmed or put in doubt. */
-    public boolean isUnconfirmedDelivery() {
-      return result == AttemptResult.DELIVERED && certainty == ResponseCertainty.UNCONFIRMED;
+    /** Returns whether it ends its message, and is to be confirmed or put in doubt. */
+    public boolean isUnconfirmedEnd() {
+      return completed() && certainty == ResponseCertainty.UNCONFIRMED;
     }
   }
 
@@ -137,14 +136,14 @@
      */
     void onRetryAfter(long endpoint, long retryAfterUs);
 
-    /** The answer to an attempt, reported as an unconfirmed delivery, was its own. */
-    void onDeliveryConfirmed(Attempt attempt);
+    /** The answer to an attempt, reported as an unconfirmed end, was its own. */
+    void onAnswerConfirmed(Attempt attempt);
 
     /**
-     * The answer to an attempt, reported as an unconfirmed delivery, may be that of another call.
-     * The connection has ended on this side, and the message may have been executed or not.
+     * The answer to an attempt, reported as an unconfirmed end, may be that of another call. The
+     * connection has ended on this side, and the message may have been executed or not.
      */
-    void onDeliveryInDoubt(Attempt attempt, Call call);
+    void onAnswerInDoubt(Attempt attempt, Call call);
 
     /** A call with this many messages has been written completely. */
     void onMessagesWritten(int count);
@@ -181,10 +180,10 @@
   boolean areResponsesSuspect();
 
   /**
-   * Confirms all unconfirmed deliveries now, or puts them in doubt, since this process will not
-   * learn more about them.
+   * Confirms all unconfirmed ends now, or puts them in doubt, since this process will not learn
+   * more about them.
    */
-  void resolveUnconfirmedDeliveries();
+  void resolveUnconfirmedAnswers();
 
   /** Closes the idle connections to an endpoint. */
   void closeIdleConnections(long endpoint);
--- a/decisions/src/main/java/thistleturn/decisions/pools/DeliveryConfirmation.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/AnswerConfirmation.java
@@ -12,61 +12,59 @@
 import java.util.function.Predicate;
 
 /**
- * Confirms deliveries that are known only by the place of a response on its connection, or puts
- * them in doubt.
+ * Confirms answers that ended their messages and are known only by their place on a connection, or
+ * puts them in doubt.
  *
  * <p>HTTP/1.1 matches a response with a request only by its place, so one response that comes twice
  * or late shifts all that follow. The first response on a connection belongs to its first call, and
  * a response that names its messages belongs to theirs, which says nothing about earlier ones: an
- * endpoint that works on several calls may respond in any order. Any other delivery is unconfirmed
- * until its call's deadline: if the response was not its own, its own comes by then on a connection
+ * endpoint that works on several calls may respond in any order. Any other answer is unconfirmed
+ * until its call's deadline: if it was not the call's own, its own comes by then on a connection
  * without a call, or in place of a later one. Such bytes prove that the connection is out of step.
- * All its unconfirmed deliveries are then in doubt, and so are those of other connections that have
+ * All its unconfirmed answers are then in doubt, and so are those of other connections that have
  * ended, on which nothing more can come.
  *
  * <p>A connection that was out of step is rarely the only one. Those to its endpoint are not reused
- * for some time. A delivery whose connection ends is in doubt at once if any connection was out of
+ * for some time. An answer whose connection ends is in doubt at once if any connection was out of
  * step lately, and otherwise if one proves to be before the message's deadline, since the cause may
  * lie between this courier and all endpoints.
  *
  * @param <C> identifies a call
  * @param <N> identifies a connection
  */
-public final class DeliveryConfirmation<C, N> {
+public final class AnswerConfirmation<C, N> {
   /** How long each call gets a connection of its own after one was out of step, us. */
   public static final long SUSPENSION_US = 60_000_000;
 
-  /**
-   * How long a connection that was out of step makes deliveries of other endpoints doubtful, us.
-   */
+  /** How long a connection that was out of step makes answers of other endpoints doubtful, us. */
   static final long COMMON_CAUSE_US = 10_000_000;
 
-  /** By connection; the connection with the earliest delivery is first. */
+  /** By connection; the connection with the earliest answer is first. */
   private final Map<N, Deque<Unconfirmed<C, N>>> unconfirmed = new LinkedHashMap<>();
 
-  /** The connections with unconfirmed deliveries that have ended. */
+  /** The connections with unconfirmed answers that have ended. */
   private final Set<N> ended = new LinkedHashSet<>();
 
   /** When a connection to an endpoint was last out of step. */
   private final Map<Long, Long> outOfStepUs = new HashMap<>();
 
-  /** A delivery that is confirmed at a time unless its connection proves to be out of step. */
+  /** An answer that is confirmed at a time unless its connection proves to be out of step. */
   private record Unconfirmed<C, N>(
       C call, N connection, long endpoint, long callDeadlineUs, long messageDeadlineUs) {}
 
   /**
-   * What becomes of deliveries whose time has come.
+   * What becomes of answers whose time has come.
    *
-   * @param confirmed the calls whose deliveries are confirmed
-   * @param toEnd the connections that have to be ended, which puts their deliveries in doubt
+   * @param confirmed the calls whose answers are confirmed
+   * @param toEnd the connections that have to be ended, which puts their answers in doubt
    */
   public record Resolution<C, N>(List<C> confirmed, Set<N> toEnd) {}
 
-  /** Creates an empty set of deliveries. */
-  public DeliveryConfirmation() {}
+  /** Creates an empty set of answers. */
+  public AnswerConfirmation() {}
 
   /**
-   * Adds an unconfirmed delivery.
+   * Adds an unconfirmed answer.
    *
    * @param callDeadlineUs when the call would have timed out
    * @param messageDeadlineUs until when it may be put in doubt if its connection ends: the message
@@ -83,18 +81,18 @@
         .add(new Unconfirmed<>(call, connection, endpoint, callDeadlineUs, messageDeadlineUs));
   }
 
-  /** Returns whether there are no unconfirmed deliveries. */
+  /** Returns whether there are no unconfirmed answers. */
   public boolean isEmpty() {
     return unconfirmed.isEmpty();
   }
 
-  /** Returns whether a connection has unconfirmed deliveries. */
+  /** Returns whether a connection has unconfirmed answers. */
   public boolean isUnconfirmed(final N connection) {
     return unconfirmed.containsKey(connection);
   }
 
   /**
-   * Confirms the earliest delivery of the connection that has had one for longest, for lack of
+   * Confirms the earliest answer of the connection that has had one for longest, for lack of
    * memory.
    */
   public C confirmOldest() {
@@ -118,7 +116,7 @@
   /**
    * Bytes came on a connection that do not belong to the call for which they were read.
    *
-   * @return the calls whose deliveries are in doubt
+   * @return the calls whose answers are in doubt
    */
   public List<C> onOutOfStep(final N connection, final long endpoint, final long nowUs) {
     outOfStepUs.values().removeIf(atUs -> atUs + SUSPENSION_US <= nowUs);
@@ -129,45 +127,45 @@
   }
 
   /**
-   * A connection has ended, so nothing more is learned about its deliveries.
+   * A connection has ended, so nothing more is learned about its answers.
    *
-   * @return the calls whose deliveries are in doubt
+   * @return the calls whose answers are in doubt
    */
   public List<C> onConnectionEnded(final N connection, final long nowUs) {
-    final Deque<Unconfirmed<C, N>> deliveries = unconfirmed.get(connection);
-    if (deliveries == null) {
+    final Deque<Unconfirmed<C, N>> answers = unconfirmed.get(connection);
+    if (answers == null) {
       return List.of();
     }
     ended.add(connection);
     final boolean inDoubt =
-        isReuseSuspended(deliveries.getFirst().endpoint(), nowUs) || wasAnyOutOfStep(nowUs);
+        isReuseSuspended(answers.getFirst().endpoint(), nowUs) || wasAnyOutOfStep(nowUs);
     return inDoubt ? takeAll(connection) : List.of();
   }
 
-  /** Resolves the deliveries whose calls would have timed out by now. */
+  /** Resolves the answers whose calls would have timed out by now. */
   public Resolution<C, N> resolveDue(final long nowUs) {
     return resolve(
-        delivery ->
+        answer ->
             nowUs
-                >= (ended.contains(delivery.connection())
-                    ? delivery.messageDeadlineUs()
-                    : delivery.callDeadlineUs()),
+                >= (ended.contains(answer.connection())
+                    ? answer.messageDeadlineUs()
+                    : answer.callDeadlineUs()),
         nowUs);
   }
 
-  /** Resolves all deliveries now, since this process will not learn more about them. */
+  /** Resolves all answers now, since this process will not learn more about them. */
   public Resolution<C, N> resolveAll(final long nowUs) {
-    return resolve(delivery -> true, nowUs);
+    return resolve(answer -> true, nowUs);
   }
 
   private Resolution<C, N> resolve(final Predicate<Unconfirmed<C, N>> due, final long nowUs) {
     final List<C> confirmed = new ArrayList<>();
     final Set<N> toEnd = new LinkedHashSet<>();
     for (final N connection : List.copyOf(unconfirmed.keySet())) {
-      final Deque<Unconfirmed<C, N>> deliveries = unconfirmed.get(connection);
-      if (!isReuseSuspended(deliveries.getFirst().endpoint(), nowUs)) {
+      final Deque<Unconfirmed<C, N>> answers = unconfirmed.get(connection);
+      if (!isReuseSuspended(answers.getFirst().endpoint(), nowUs)) {
         confirmed.addAll(take(connection, due));
-      } else if (deliveries.stream().anyMatch(due)) {
+      } else if (answers.stream().anyMatch(due)) {
         toEnd.add(connection);
       }
     }
@@ -175,18 +173,18 @@
   }
 
   private List<C> takeAll(final N connection) {
-    return take(connection, delivery -> true);
+    return take(connection, answer -> true);
   }
 
-  /** Removes and returns deliveries of a connection, which all have the same endpoint. */
+  /** Removes and returns answers of a connection, which all have the same endpoint. */
   private List<C> take(final N connection, final Predicate<Unconfirmed<C, N>> selected) {
     final List<C> calls = new ArrayList<>();
-    final Deque<Unconfirmed<C, N>> deliveries = unconfirmed.get(connection);
-    if (deliveries == null) {
+    final Deque<Unconfirmed<C, N>> answers = unconfirmed.get(connection);
+    if (answers == null) {
       return calls;
     }
-    deliveries.stream().filter(selected).map(Unconfirmed::call).forEach(calls::add);
-    deliveries.removeIf(selected);
+    answers.stream().filter(selected).map(Unconfirmed::call).forEach(calls::add);
+    answers.removeIf(selected);
     removeIfEmpty(connection);
     return calls;
   }
--- /dev/null
+++ b/decisions/src/main/java/thistleturn/decisions/pools/AnswerTreatment.java
@@ -0,0 +1,37 @@
+package thistleturn.decisions.pools;
+
+import thistleturn.decisions.model.MessageDisposition;
+
+/**
+ * What becomes of an answer that was read for a call. Every answer counts as the protocol states;
+ * what differs is what has to happen so that it can be taken back if it proves to be that of
+ * another call.
+ */
+public enum AnswerTreatment {
+  /** It is known to be that of the call. */
+  CERTAIN,
+  /**
+   * It ends its message. The connection stays open, since the call's own answer, if this was not
+   * it, would still come there and put it in doubt.
+   */
+  COUNTS_UNTIL_IN_DOUBT,
+  /**
+   * Its message is sent again. The connection ends before that, since the call may still be in
+   * flight if this was not its answer.
+   */
+  COUNTS_AFTER_CLOSE;
+
+  /**
+   * Decides on a complete answer.
+   *
+   * @param disposition what the answer says about its message
+   * @param identified whether the answer is known to be that of the call: it is the first one on
+   *     its connection, or it names the messages of the call
+   */
+  public static AnswerTreatment of(final MessageDisposition disposition, final boolean identified) {
+    if (identified) {
+      return CERTAIN;
+    }
+    return disposition == MessageDisposition.OVER ? COUNTS_UNTIL_IN_DOUBT : COUNTS_AFTER_CLOSE;
+  }
+}
