An answer that breaks off behind its status counts as the status says

Cause: only a 200 counted by its first line; any other answer whose rest was missing was a reset, so the message may have run and was sent again. On a connection used before, a 200 or 410 whose rest did not come within 0.5 s was put in doubt without any sign.

Change: the outcome that a status line states counts, whatever follows (for several messages a 200 still has to be whole). On a connection used before it is treated as a whole answer is; it is foreign only if something shows it: an invalid rest, or another response within its body (half of a longer copy). AnswerTreatment decides; the two methods for a partial delivery are one for a stated outcome.

--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.port.Dispatcher.Attempt;
@@ -18,6 +19,7 @@
 import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.pools.AnswerTreatment;
+import thistleturn.decisions.pools.AnswerTreatment.Completeness;
 import thistleturn.decisions.pools.ConnectionLoss;
 
 /**
@@ -26,8 +28,6 @@
  */
 final class EndpointConnection extends SimpleChannelInboundHandler<HttpObject>
     implements ResponseDecoder.Listener {
-  private static final String RESPONSE_START = "HTTP/";
-
   /** How long the rest of a response may take: its sender has all of it when it begins. */
   private static final long RESPONSE_COMPLETION_TIMEOUT_MS = 500;
 
@@ -210,10 +210,10 @@
 
   /** Bytes that do not begin like a response belong to the body of the previous one. */
   private static boolean beginsLikeResponse(final ByteBuf bytes) {
-    final int length = Math.min(bytes.readableBytes(), RESPONSE_START.length());
+    final int length = Math.min(bytes.readableBytes(), EndpointResponseParser.START.length());
     return bytes
         .toString(bytes.readerIndex(), length, StandardCharsets.US_ASCII)
-        .equals(RESPONSE_START.substring(0, length));
+        .equals(EndpointResponseParser.START.substring(0, length));
   }
 
   @Override
@@ -267,28 +267,38 @@
   // ---------------------------------------------------------------- outcomes
 
   /**
-   * True if the status line of the response shows that the call was delivered. A call with several
-   * messages needs the complete response.
+   * The outcome that the status line of an incomplete response states; empty if it states none. A
+   * delivery of several messages needs the complete response.
    */
-  boolean isDelivered(final HttpCall candidate) {
-    return candidate == call
+  Optional<DispatchOutcome> statedOutcome(final HttpCall candidate) {
+    return statesOutcome(candidate)
+        ? Optional.of(treat(candidate, Completeness.CUT_OFF))
+        : Optional.empty();
+  }
+
+  private boolean statesOutcome(final HttpCall candidate) {
+    return candidate != null
+        && candidate == call
         && candidate.isWritten()
-        && !candidate.isBulk()
-        && response.hasDeliveredStatus();
+        && response.hasFinalStatus()
+        && !(candidate.isBulk()
+            && response.receivedHead().status().code() == EndpointResponseParser.OK);
   }
 
-  /** The outcome of a delivery whose response may be incomplete. */
-  DispatchOutcome partialDelivery(final HttpCall delivered) {
-    final HttpResponse head = response.head();
+  /** Returns the outcome of a call that ends together with its connection. */
+  private DispatchOutcome treat(final HttpCall ended, final Completeness completeness) {
+    final HttpResponse head = response.receivedHead();
     final DispatchOutcome outcome =
-        head == null
-            ? new DispatchOutcome(AttemptResult.DELIVERED, true, 0, null)
-            : EndpointResponseParser.parse(head, EndpointResponseParser.retryAfterUs(head));
-    if (!isReused()) {
-      return outcome;
-    }
-    dispatcher.unconfirmedCalls().add(delivered, this);
-    return outcome.unconfirmed();
+        EndpointResponseParser.parse(head, EndpointResponseParser.retryAfterUs(head));
+    return switch (AnswerTreatment.of(completeness, outcome.disposition(), !isReused())) {
+      case CERTAIN -> outcome;
+      case COUNTS_UNTIL_IN_DOUBT -> {
+        dispatcher.unconfirmedCalls().add(ended, this);
+        yield outcome.unconfirmed();
+      }
+      case COUNTS_AFTER_CLOSE -> outcome.unconfirmed();
+      case FOREIGN -> IN_DOUBT;
+    };
   }
 
   private void onResponseComplete() {
@@ -311,7 +321,7 @@
 
   /** The response says the same of all messages of its call. */
   private void onSingleOutcome(final HttpCall completed, final DispatchOutcome outcome) {
-    switch (AnswerTreatment.of(outcome.disposition(), !isReused())) {
+    switch (AnswerTreatment.of(Completeness.COMPLETE, outcome.disposition(), !isReused())) {
       case CERTAIN -> {
         keepOrClose(completed);
         dispatcher.report(completed, outcome);
@@ -325,6 +335,7 @@
         closeChannel(EndpointCloseReason.UNCONFIRMED_REJECTION);
         dispatcher.report(completed, outcome.unconfirmed());
       }
+      case FOREIGN -> throw new IllegalStateException("a complete answer is not parts of two");
     }
   }
 
@@ -391,7 +402,7 @@
     removeFromPool();
     closeChannel(reason);
     final HttpCall interrupted = call;
-    final boolean delivered = interrupted != null && isDelivered(interrupted);
+    final boolean stated = statesOutcome(interrupted);
     final boolean outOfStep = provesOutOfStep(reason);
     call = null;
     if (outOfStep) {
@@ -406,17 +417,21 @@
     final long retryAfterUs = applyRetryAfter(interrupted.pool(), response.head());
     if (outOfStep) {
       dispatcher.report(interrupted, NOT_SENT);
-    } else if (delivered && isReused() && reason != EndpointCloseReason.ENDED_BY_ENDPOINT) {
-      // Part of a copy and the own response make one that is invalid or never complete.
-      dispatcher.report(interrupted, IN_DOUBT);
-    } else if (delivered) {
-      dispatcher.report(interrupted, partialDelivery(interrupted));
+    } else if (stated) {
+      dispatcher.report(interrupted, treat(interrupted, completeness(reason)));
     } else {
       final AttemptResult result = failedResult(interrupted, cause, answered);
       dispatcher.report(interrupted, new DispatchOutcome(result, false, retryAfterUs, null));
     }
   }
 
+  /** A response that ends in another one, or in what is none, may be parts of two. */
+  private Completeness completeness(final EndpointCloseReason reason) {
+    return reason == EndpointCloseReason.INVALID_RESPONSE || response.containsAnotherResponse()
+        ? Completeness.SPOILT
+        : Completeness.CUT_OFF;
+  }
+
   /**
    * Whether the calls and responses do not match: the connection carried a call before whose
    * response came again, or bytes are left over of a response that may be parts of two.
--- a/courier/src/main/java/thistleturn/courier/http/EndpointResponse.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointResponse.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 
 /** The response to one call, as far as it has been received. */
 final class EndpointResponse {
@@ -96,11 +97,23 @@
     return statusLine != null;
   }
 
-  /** True if the status line shows a delivery, whether or not the rest is received. */
-  boolean hasDeliveredStatus() {
+  /** True if a valid status line with a final status was received, whether or not the rest was. */
+  boolean hasFinalStatus() {
     return statusLine != null
-        && statusLine.status().code() == EndpointResponseParser.OK
-        && statusLine.protocolVersion().majorVersion() == 1;
+        && statusLine.protocolVersion().majorVersion() == 1
+        && statusLine.status().code() >= MIN_FINAL_STATUS
+        && statusLine.status().code() <= MAX_STATUS;
+  }
+
+  /** The head, or as much of it as was received; null if not even the status line was. */
+  HttpResponse receivedHead() {
+    return head == null ? statusLine : head;
+  }
+
+  /** Whether the body holds the beginning of another response, so that it is parts of two. */
+  boolean containsAnotherResponse() {
+    return body != null
+        && body.toString(StandardCharsets.ISO_8859_1).contains(EndpointResponseParser.START);
   }
 
   /** The complete head; null if it has not been received. */
--- a/courier/src/main/java/thistleturn/courier/http/EndpointResponseParser.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointResponseParser.java
@@ -10,6 +10,9 @@
 
 /** Parses the heads of endpoints' responses strictly: outcome, Retry-After and load report. */
 final class EndpointResponseParser {
+  /** How every response begins. */
+  static final String START = "HTTP/";
+
   static final int OK = 200;
   private static final int GONE = 410;
   private static final int TOO_MANY_REQUESTS = 429;
--- a/courier/src/main/java/thistleturn/courier/http/HttpCall.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCall.java
@@ -196,11 +196,9 @@
     }
   }
 
-  /** The delivery that an incomplete response already shows; empty if it shows none. */
-  Optional<Dispatcher.DispatchOutcome> partialDelivery() {
-    return connection != null && connection.isDelivered(this)
-        ? Optional.of(connection.partialDelivery(this))
-        : Optional.empty();
+  /** The outcome that an incomplete response already states; empty if it states none. */
+  Optional<Dispatcher.DispatchOutcome> statedOutcome() {
+    return connection == null ? Optional.empty() : connection.statedOutcome(this);
   }
 
   /** Shuts down the output if the call may have been executed; otherwise closes the connection. */
--- a/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
@@ -393,9 +393,9 @@
     if (!pending && call.isStarted()) {
       return;
     }
-    final Optional<DispatchOutcome> delivered = call.partialDelivery();
+    final Optional<DispatchOutcome> stated = call.statedOutcome();
     call.releaseConnection();
-    report(call, delivered.orElseGet(() -> failure(resultOfAbandoned(call, result))));
+    report(call, stated.orElseGet(() -> failure(resultOfAbandoned(call, result))));
   }
 
   private void abandonLater(final HttpCall call) {
--- a/decisions/src/main/java/thistleturn/decisions/pools/AnswerTreatment.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/AnswerTreatment.java
@@ -19,19 +19,37 @@
    * Its message is sent again. The connection ends before that, since the call may still be in
    * flight if this was not its answer.
    */
-  COUNTS_AFTER_CLOSE;
+  COUNTS_AFTER_CLOSE,
+  /** It is parts of two: its message may have run or not, and is sent again. */
+  FOREIGN;
+
+  /** What was received of an answer. */
+  public enum Completeness {
+    COMPLETE,
+    /** Its status, and not all of the rest. */
+    CUT_OFF,
+    /** Its status, and something that cannot be part of it. */
+    SPOILT
+  }
 
   /**
-   * Decides on a complete answer.
+   * Decides on an answer whose status was received.
    *
+   * @param completeness what else of it was received
    * @param disposition what the answer says about its message
    * @param identified whether the answer is known to be that of the call: it is the first one on
    *     its connection, or it names the messages of the call
    */
-  public static AnswerTreatment of(final MessageDisposition disposition, final boolean identified) {
+  public static AnswerTreatment of(
+      final Completeness completeness,
+      final MessageDisposition disposition,
+      final boolean identified) {
     if (identified) {
       return CERTAIN;
     }
+    if (completeness == Completeness.SPOILT) {
+      return FOREIGN;
+    }
     return disposition == MessageDisposition.OVER ? COUNTS_UNTIL_IN_DOUBT : COUNTS_AFTER_CLOSE;
   }
 }
