--- a/courier/src/main/java/thistleturn/courier/ForwardingRole.java
+++ b/courier/src/main/java/thistleturn/courier/ForwardingRole.java
@@ -74,7 +74,10 @@
         !outcome.completed() && outcome.result().neverExecuted() && !outcome.neverExecuted();
     return mayHaveRun
         ? new Dispatcher.DispatchOutcome(
-            AttemptResult.STALE, false, outcome.retryAfterUs(), outcome.loadReport())
+            AttemptResult.STALE,
+            outcome.disposition(),
+            outcome.retryAfterUs(),
+            outcome.loadReport())
         : outcome;
   }
 
--- a/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
+++ b/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
@@ -238,7 +238,8 @@
         measured ? nowUs - call.preparedUs() : NOT_MEASURED,
         outcome.retryAfterUs(),
         outcome.loadReport(),
-        outcome.certainty());
+        outcome.certainty(),
+        outcome.disposition() == MessageDisposition.NO_FURTHER_ATTEMPT);
   }
 
   /** Records that the platform has confirmed these final outcomes, which completes the messages. */
--- a/courier/src/main/java/thistleturn/courier/handover/PredecessorLine.java
+++ b/courier/src/main/java/thistleturn/courier/handover/PredecessorLine.java
@@ -7,6 +7,7 @@
 import thistleturn.courier.port.StoredMessage;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.LoadReport;
+import thistleturn.decisions.model.MessageDisposition;
 
 /** A line that the older process sends once its snapshot is complete. */
 sealed interface PredecessorLine extends HandoverLine {
@@ -66,6 +67,9 @@
     private static final String TYPE = "outcome";
     private static final String REMAINING_SHARE = "left";
 
+    /** Present if no further attempt may follow; an older process ignores it. */
+    private static final String LAST_ATTEMPT = "last";
+
     @Override
     public ObjectNode toJson() {
       final ObjectNode line =
@@ -75,6 +79,9 @@
               .put("result", outcome.result().name())
               .put("over", outcome.completed())
               .put("wait", outcome.retryAfterUs());
+      if (outcome.disposition() == MessageDisposition.NO_FURTHER_ATTEMPT) {
+        line.put(LAST_ATTEMPT, true);
+      }
       final LoadReport loadReport = outcome.loadReport();
       if (loadReport != null) {
         line.put(REMAINING_SHARE, loadReport.remainingShare())
@@ -93,12 +100,21 @@
           line.path("id").asText(),
           new Dispatcher.DispatchOutcome(
               AttemptResult.valueOf(line.path("result").asText()),
-              line.path("over").asBoolean(),
+              dispositionOf(line),
               line.path("wait").asLong(),
               loadReport));
     }
   }
 
+  private static MessageDisposition dispositionOf(final JsonNode line) {
+    if (line.path("over").asBoolean()) {
+      return MessageDisposition.OVER;
+    }
+    return line.path(CallOutcome.LAST_ATTEMPT).asBoolean()
+        ? MessageDisposition.NO_FURTHER_ATTEMPT
+        : MessageDisposition.OPEN;
+  }
+
   /**
    * Reads a line that follows a snapshot.
    *
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -16,8 +16,10 @@
 import thistleturn.courier.port.Dispatcher.Attempt;
 import thistleturn.courier.port.Dispatcher.DispatchOutcome;
 import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.GuardedTasks;
 import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.model.AttemptResult;
+import thistleturn.decisions.model.MessageDisposition;
 import thistleturn.decisions.pools.AnswerTreatment;
 import thistleturn.decisions.pools.AnswerTreatment.Completeness;
 import thistleturn.decisions.pools.ConnectionLoss;
@@ -31,6 +33,9 @@
   /** How long the rest of a response may take: its sender has all of it when it begins. */
   private static final long RESPONSE_COMPLETION_TIMEOUT_MS = 500;
 
+  /** How long a response has to be the only one if what it leads to cannot be taken back. */
+  private static final long CONFIRMATION_MS = 200;
+
   /** How long the response to an abandoned call is still read, for its Retry-After. */
   private static final long LINGER_MS = 500;
 
@@ -70,6 +75,9 @@
   /** Limits the wait for the rest of a response. */
   private Future<?> completionTimer;
 
+  /** Set while a complete response waits for another one that would contradict it. */
+  private Future<?> confirmationTimer;
+
   EndpointConnection(
       final HttpDispatcher dispatcher, final long number, final EventLoop loop, final Clock clock) {
     this.dispatcher = dispatcher;
@@ -151,6 +159,7 @@
     abandonedPool = call.pool();
     call = null;
     cancelCompletionTimer();
+    cancelConfirmationTimer();
     if (response.head() != null) {
       reportLateRetryAfter(response.head());
     }
@@ -195,11 +204,11 @@
     if (abandonedPool != null || closed) {
       return;
     }
-    if (call != null && call.isWritten()) {
+    if (call != null && call.isWritten() && confirmationTimer == null) {
       receivingResponse = true;
       return;
     }
-    // No call is in flight, or it is not fully written: the bytes belong to an earlier call.
+    // No call awaits a response, or it is not fully written: one response belongs to another call.
     log.unexpectedBytes(call, bytes, clock.nowUs());
     onConnectionBroken(
         AttemptResult.RESET,
@@ -264,6 +273,13 @@
     }
   }
 
+  private void cancelConfirmationTimer() {
+    if (confirmationTimer != null) {
+      confirmationTimer.cancel(false);
+      confirmationTimer = null;
+    }
+  }
+
   // ---------------------------------------------------------------- outcomes
 
   /**
@@ -291,7 +307,7 @@
     final DispatchOutcome outcome =
         EndpointResponseParser.parse(head, EndpointResponseParser.retryAfterUs(head));
     return switch (AnswerTreatment.of(completeness, outcome.disposition(), !isReused())) {
-      case CERTAIN -> outcome;
+      case CERTAIN, COUNTS_AFTER_SILENCE -> outcome;
       case COUNTS_UNTIL_IN_DOUBT -> {
         dispatcher.unconfirmedCalls().add(ended, this);
         yield outcome.unconfirmed();
@@ -302,6 +318,26 @@
   }
 
   private void onResponseComplete() {
+    if (needsConfirmation()) {
+      confirmationTimer =
+          loop.schedule(
+              GuardedTasks.guard("confirmation of a response", this::acceptResponse),
+              CONFIRMATION_MS,
+              TimeUnit.MILLISECONDS);
+    } else {
+      acceptResponse();
+    }
+  }
+
+  private boolean needsConfirmation() {
+    final HttpResponse head = response.head();
+    final MessageDisposition disposition = EndpointResponseParser.parse(head, 0).disposition();
+    return AnswerTreatment.of(Completeness.COMPLETE, disposition, !isReused())
+        == AnswerTreatment.COUNTS_AFTER_SILENCE;
+  }
+
+  private void acceptResponse() {
+    confirmationTimer = null;
     final HttpCall completed = call;
     call = null;
     log.onResponse(completed, response.head(), clock.nowUs());
@@ -322,7 +358,7 @@
   /** The response says the same of all messages of its call. */
   private void onSingleOutcome(final HttpCall completed, final DispatchOutcome outcome) {
     switch (AnswerTreatment.of(Completeness.COMPLETE, outcome.disposition(), !isReused())) {
-      case CERTAIN -> {
+      case CERTAIN, COUNTS_AFTER_SILENCE -> {
         keepOrClose(completed);
         dispatcher.report(completed, outcome);
       }
@@ -399,6 +435,7 @@
   private void onConnectionBroken(final AttemptResult cause, final EndpointCloseReason reason) {
     final boolean answered = receivingResponse || response.hasStatusLine();
     cancelCompletionTimer();
+    cancelConfirmationTimer();
     removeFromPool();
     closeChannel(reason);
     final HttpCall interrupted = call;
@@ -416,7 +453,7 @@
     // The head of an incomplete response may have a Retry-After.
     final long retryAfterUs = applyRetryAfter(interrupted.pool(), response.head());
     if (outOfStep) {
-      dispatcher.report(interrupted, NOT_SENT);
+      dispatcher.report(interrupted, interrupted.isWritten() ? IN_DOUBT : NOT_SENT);
     } else if (stated) {
       dispatcher.report(interrupted, treat(interrupted, completeness(reason)));
     } else {
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnectionLog.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnectionLog.java
@@ -82,20 +82,27 @@
    * Bytes came that belong to no call.
    *
    * @param bytes what was received
-   * @param partlyWritten the call that is not written completely; null if there is no call
+   * @param call the call that is not written completely, or has its response; null if there is none
    */
-  void unexpectedBytes(final HttpCall partlyWritten, final ByteBuf bytes, final long nowUs) {
+  void unexpectedBytes(final HttpCall call, final ByteBuf bytes, final long nowUs) {
     log(
         Event.ENDPOINT_BYTES_UNEXPECTED,
         nowUs,
         "while",
-        partlyWritten == null ? "idle" : "writing",
+        stateOf(call),
         "bytes",
         bytes.readableBytes(),
         "begin",
         beginning(bytes));
   }
 
+  private static String stateOf(final HttpCall call) {
+    if (call == null) {
+      return "idle";
+    }
+    return call.isWritten() ? "answered" : "writing";
+  }
+
   private static Supplier<String> beginning(final ByteBuf bytes) {
     return () ->
         bytes.toString(
--- a/decisions/src/main/java/thistleturn/decisions/OverloadController.java
+++ b/decisions/src/main/java/thistleturn/decisions/OverloadController.java
@@ -253,6 +253,9 @@
     message.endAttempt();
     overdueCalls.recordOutcome(call, message);
     recordEffect(message, call, outcome);
+    if (outcome.isLastAttempt()) {
+      message.exhaustAttempts();
+    }
     if (call.isComplete()) {
       callDispatcher.endCall(call);
     }
--- a/decisions/src/main/java/thistleturn/decisions/PendingMessage.java
+++ b/decisions/src/main/java/thistleturn/decisions/PendingMessage.java
@@ -38,6 +38,9 @@
   private int attempts;
   private EndpointHealth rejectedBy;
 
+  /** Whether an endpoint has answered that it has had all its attempts. */
+  private boolean attemptsExhausted;
+
   private boolean mayHaveExecuted;
   private long firstExecutionUs = OverloadController.NEVER;
   private String executionZone = "";
@@ -182,6 +185,15 @@
     call = null;
   }
 
+  boolean areAttemptsExhausted() {
+    return attemptsExhausted;
+  }
+
+  /** Records that no further attempt may follow, however many were made. */
+  void exhaustAttempts() {
+    attemptsExhausted = true;
+  }
+
   EndpointHealth rejectedBy() {
     return rejectedBy;
   }
--- a/decisions/src/main/java/thistleturn/decisions/RetryPolicy.java
+++ b/decisions/src/main/java/thistleturn/decisions/RetryPolicy.java
@@ -123,7 +123,8 @@
 
   /** Returns whether another attempt has no harmful effect and is within the maximum number. */
   boolean mayAttempt(final PendingMessage message) {
-    return message.attempts() < state.settings.limits().maxAttempts()
+    return !message.areAttemptsExhausted()
+        && message.attempts() < state.settings.limits().maxAttempts()
         && (!message.mayHaveExecuted() || mayRepeat(message));
   }
 
--- a/decisions/src/main/java/thistleturn/decisions/model/AttemptOutcome.java
+++ b/decisions/src/main/java/thistleturn/decisions/model/AttemptOutcome.java
@@ -9,6 +9,7 @@
  * @param retryAfterUs the Retry-After of the response, or 0
  * @param loadReport the load report of the destination, or null
  * @param certainty whether the response is known to be that of this attempt
+ * @param isLastAttempt whether no further attempt may follow, by the response
  */
 public record AttemptOutcome(
     String messageId,
@@ -18,7 +19,8 @@
     long durationUs,
     long retryAfterUs,
     LoadReport loadReport,
-    ResponseCertainty certainty) {
+    ResponseCertainty certainty,
+    boolean isLastAttempt) {
 
   /** Creates the outcome of an attempt whose response, if any, is known to be its own. */
   public AttemptOutcome(
@@ -37,7 +39,8 @@
         durationUs,
         retryAfterUs,
         loadReport,
-        ResponseCertainty.CERTAIN);
+        ResponseCertainty.CERTAIN,
+        false);
   }
 
   /** Returns whether the message certainly had no effect, so that a retry is safe. */
--- a/decisions/src/main/java/thistleturn/decisions/pools/AnswerTreatment.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/AnswerTreatment.java
@@ -15,6 +15,12 @@
    * it, would still come there and put it in doubt.
    */
   COUNTS_UNTIL_IN_DOUBT,
+  /**
+   * It ends the attempts of its message, whose outcome is reported, which cannot be taken back. So
+   * it counts once the connection has stayed silent for a moment: the call's own answer, if this
+   * was not it, would come there.
+   */
+  COUNTS_AFTER_SILENCE,
   /**
    * Its message is sent again. The connection ends before that, since the call may still be in
    * flight if this was not its answer.
@@ -50,6 +56,11 @@
     if (completeness == Completeness.SPOILT) {
       return FOREIGN;
     }
-    return disposition == MessageDisposition.OVER ? COUNTS_UNTIL_IN_DOUBT : COUNTS_AFTER_CLOSE;
+    return switch (disposition) {
+      case OVER -> COUNTS_UNTIL_IN_DOUBT;
+      case NO_FURTHER_ATTEMPT ->
+          completeness == Completeness.COMPLETE ? COUNTS_AFTER_SILENCE : COUNTS_AFTER_CLOSE;
+      case OPEN -> COUNTS_AFTER_CLOSE;
+    };
   }
 }
--- a/decisions/src/test/java/thistleturn/decisions/pools/AnswerTreatmentTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/pools/AnswerTreatmentTest.java
@@ -49,4 +49,19 @@
     assertEquals(
         AnswerTreatment.CERTAIN, AnswerTreatment.of(Completeness.SPOILT, disposition, true));
   }
+
+  /** Guards against a notice that cannot be taken back, for a message whose call still runs. */
+  @Test
+  void lastAttemptOnReusedConnection_countsAfterSilence() {
+    assertEquals(
+        AnswerTreatment.COUNTS_AFTER_SILENCE,
+        AnswerTreatment.of(Completeness.COMPLETE, MessageDisposition.NO_FURTHER_ATTEMPT, false));
+  }
+
+  @Test
+  void lastAttemptThatIsCutOff_hasNoConnectionToWaitFor() {
+    assertEquals(
+        AnswerTreatment.COUNTS_AFTER_CLOSE,
+        AnswerTreatment.of(Completeness.CUT_OFF, MessageDisposition.NO_FURTHER_ATTEMPT, false));
+  }
 }
