A 429 or 503 on a connection used before says that the message never ran

Keys in order were held for the settle delay after a plain 503.

Change: it counts as the protocol states. The connection still ends before the message is sent again. A takeover passes it on as rejected unless responses are suspect at that moment.

--- a/courier/src/main/java/thistleturn/courier/DecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/DecidingRole.java
@@ -165,6 +165,11 @@
     outcomes.reopen(delivery.id(), call);
   }
 
+  @Override
+  public void onRejectionInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
+    outcomes.recordPossibleExecution(delivery, call);
+  }
+
   @Override
   public void onInterruptionEnded(final PendingDelivery delivery) {
     if (delivery.hasEnded()) {
--- a/courier/src/main/java/thistleturn/courier/DecisionLoop.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoop.java
@@ -374,7 +374,10 @@
   }
 
   private void forwardTo(final Successor successor) {
-    role = role.handedOverTo(new ForwardingRole(context, successor, handedOverCalls));
+    role =
+        role.handedOverTo(
+            new ForwardingRole(
+                context, successor, handedOverCalls, ports.dispatcher()::areResponsesSuspect));
   }
 
   private HandoverSnapshot handoverSnapshot() {
--- a/courier/src/main/java/thistleturn/courier/DispatcherEvents.java
+++ b/courier/src/main/java/thistleturn/courier/DispatcherEvents.java
@@ -40,6 +40,11 @@
     role.get().onAnswerInDoubt(delivery(attempt), call);
   }
 
+  @Override
+  public void onRejectionInDoubt(final Dispatcher.Attempt attempt, final Dispatcher.Call call) {
+    role.get().onRejectionInDoubt(delivery(attempt), call);
+  }
+
   @Override
   public void onMessagesWritten(final int count) {
     counters.addMessagesWritten(count);
--- a/courier/src/main/java/thistleturn/courier/ForwardingRole.java
+++ b/courier/src/main/java/thistleturn/courier/ForwardingRole.java
@@ -1,6 +1,7 @@
 package thistleturn.courier;
 
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import thistleturn.courier.handover.HandoverSnapshot;
 import thistleturn.courier.handover.Successor;
 import thistleturn.courier.port.Dispatcher;
@@ -8,6 +9,7 @@
 import thistleturn.courier.port.StoredMessage;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.EndpointUpdate;
+import thistleturn.decisions.model.ResponseCertainty;
 
 /**
  * The role of a process after a handover: a newer process decides, and this one forwards its
@@ -17,12 +19,22 @@
   private final LoopContext context;
   private final Successor successor;
   private final HandedOverCalls handedOver;
+  private final BooleanSupplier responsesSuspect;
 
+  /**
+   * Creates the role.
+   *
+   * @param responsesSuspect returns whether responses that belong to no call have come lately
+   */
   ForwardingRole(
-      final LoopContext context, final Successor successor, final HandedOverCalls handedOver) {
+      final LoopContext context,
+      final Successor successor,
+      final HandedOverCalls handedOver,
+      final BooleanSupplier responsesSuspect) {
     this.context = context;
     this.successor = successor;
     this.handedOver = handedOver;
+    this.responsesSuspect = responsesSuspect;
   }
 
   @Override
@@ -67,11 +79,16 @@
     }
   }
 
-  /** The newer process is not told the certainty: an attempt that may have run is told as such. */
-  private static Dispatcher.DispatchOutcome withoutCertainty(
-      final Dispatcher.DispatchOutcome outcome) {
+  /**
+   * The newer process is not told of doubts that come later. While responses are suspect, it is
+   * told that a rejected attempt may have run unless the rejection is certain.
+   */
+  private Dispatcher.DispatchOutcome withoutCertainty(final Dispatcher.DispatchOutcome outcome) {
     final boolean mayHaveRun =
-        !outcome.completed() && outcome.result().neverExecuted() && !outcome.neverExecuted();
+        !outcome.completed()
+            && outcome.neverExecuted()
+            && outcome.certainty() == ResponseCertainty.UNCONFIRMED
+            && responsesSuspect.getAsBoolean();
     return mayHaveRun
         ? new Dispatcher.DispatchOutcome(
             AttemptResult.STALE,
--- a/courier/src/main/java/thistleturn/courier/InMemoryMessageStore.java
+++ b/courier/src/main/java/thistleturn/courier/InMemoryMessageStore.java
@@ -43,6 +43,12 @@
     message.endAttempt(neverRan);
   }
 
+  @Override
+  public void recordPossibleExecution(
+      final StoredMessage message, final long startedUs, final String zone) {
+    message.recordPossibleExecution(startedUs, zone);
+  }
+
   @Override
   public void recordFinalOutcome(
       final StoredMessage message, final StoredMessage.FinalOutcome outcome) {
--- a/courier/src/main/java/thistleturn/courier/LoopRole.java
+++ b/courier/src/main/java/thistleturn/courier/LoopRole.java
@@ -42,6 +42,9 @@
   /** The response to an unconfirmed delivery may belong to another call. */
   void onAnswerInDoubt(PendingDelivery delivery, Dispatcher.Call call);
 
+  /** The response that rejected an attempt may belong to another call. */
+  void onRejectionInDoubt(PendingDelivery delivery, Dispatcher.Call call);
+
   /** The attempt of an earlier process, whose outcome was not reported, counts as ended. */
   void onInterruptionEnded(PendingDelivery delivery);
 
--- a/courier/src/main/java/thistleturn/courier/NonDecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/NonDecidingRole.java
@@ -22,6 +22,11 @@
     // The outcome was passed on, or the journal keeps the attempt in flight.
   }
 
+  @Override
+  public void onRejectionInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
+    // The outcome was passed on, or the journal keeps what is known.
+  }
+
   @Override
   public void onAnswerInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
     // The outcome was passed on, or the journal keeps the attempt in flight.
--- a/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
+++ b/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
@@ -177,6 +177,19 @@
     scheduler.requestRound();
   }
 
+  /**
+   * Records that an attempt which was rejected may have run: the response may be that of another
+   * call. Only a message that is pending, or whose end may still be put in doubt, is concerned.
+   */
+  void recordPossibleExecution(final PendingDelivery rejected, final Dispatcher.Call call) {
+    final StoredMessage message = rejected.message();
+    final String zone = context.endpoints().zoneOf(call.endpoint());
+    logAttempt(Event.REJECTION_IN_DOUBT, rejected, call);
+    context.store().recordPossibleExecution(message, call.preparedUs(), zone);
+    controller.onPossibleExecution(context.clock().nowUs(), message.id(), call.preparedUs(), zone);
+    scheduler.requestRound();
+  }
+
   private void logInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
     final long nowUs = context.clock().nowUs();
     logAttempt(
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -309,14 +309,22 @@
     return switch (AnswerTreatment.of(completeness, outcome.disposition(), !isReused())) {
       case CERTAIN, COUNTS_AFTER_SILENCE -> outcome;
       case COUNTS_UNTIL_IN_DOUBT -> {
-        dispatcher.unconfirmedCalls().add(ended, this);
+        dispatcher.unconfirmedCalls().addEnd(ended, this);
         yield outcome.unconfirmed();
       }
-      case COUNTS_AFTER_CLOSE -> outcome.unconfirmed();
+      case COUNTS_AFTER_CLOSE -> unconfirmedRejection(ended, outcome);
       case FOREIGN -> IN_DOUBT;
     };
   }
 
+  private DispatchOutcome unconfirmedRejection(
+      final HttpCall rejected, final DispatchOutcome outcome) {
+    if (outcome.neverExecuted()) {
+      dispatcher.unconfirmedCalls().addRejection(rejected, this);
+    }
+    return outcome.unconfirmed();
+  }
+
   private void onResponseComplete() {
     if (needsConfirmation()) {
       confirmationTimer =
@@ -363,13 +371,13 @@
         dispatcher.report(completed, outcome);
       }
       case COUNTS_UNTIL_IN_DOUBT -> {
-        dispatcher.unconfirmedCalls().add(completed, this);
+        dispatcher.unconfirmedCalls().addEnd(completed, this);
         keepOrClose(completed);
         dispatcher.report(completed, outcome.unconfirmed());
       }
       case COUNTS_AFTER_CLOSE -> {
         closeChannel(EndpointCloseReason.UNCONFIRMED_REJECTION);
-        dispatcher.report(completed, outcome.unconfirmed());
+        dispatcher.report(completed, unconfirmedRejection(completed, outcome));
       }
       case FOREIGN -> throw new IllegalStateException("a complete answer is not parts of two");
     }
--- a/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
+++ b/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
@@ -27,10 +27,17 @@
   /** Beyond this size of all bodies the earliest answers count as confirmed. */
   private static final long MAX_BODY_BYTES = 4L << 20;
 
+  /**
+   * A call with its answer.
+   *
+   * @param endsMessages true if the answer ended the messages; false if it rejected them
+   */
+  private record AnsweredCall(HttpCall call, boolean endsMessages) {}
+
   private final EventLoop loop;
   private final Clock clock;
   private final Dispatcher.Listener listener;
-  private final AnswerConfirmation<HttpCall, EndpointConnection> answers =
+  private final AnswerConfirmation<AnsweredCall, EndpointConnection> answers =
       new AnswerConfirmation<>();
   private int messages;
   private long bodyBytes;
@@ -43,9 +50,19 @@
   }
 
   /** A call was answered as delivered or over, perhaps by the response of another call. */
-  void add(final HttpCall call, final EndpointConnection connection) {
+  void addEnd(final HttpCall call, final EndpointConnection connection) {
+    add(new AnsweredCall(call, true), connection);
+  }
+
+  /** A call was rejected, perhaps by the response of another call; its connection ends now. */
+  void addRejection(final HttpCall call, final EndpointConnection connection) {
+    add(new AnsweredCall(call, false), connection);
+  }
+
+  private void add(final AnsweredCall answered, final EndpointConnection connection) {
+    final HttpCall call = answered.call();
     answers.add(
-        call,
+        answered,
         connection,
         call.endpoint(),
         call.deadlineUs(),
@@ -110,7 +127,8 @@
     scheduleCheck();
   }
 
-  private void apply(final AnswerConfirmation.Resolution<HttpCall, EndpointConnection> resolution) {
+  private void apply(
+      final AnswerConfirmation.Resolution<AnsweredCall, EndpointConnection> resolution) {
     confirm(resolution.confirmed());
     for (final EndpointConnection connection : resolution.toEnd()) {
       if (connection.endIfIdle()) {
@@ -119,17 +137,26 @@
     }
   }
 
-  private void confirm(final List<HttpCall> calls) {
-    for (final HttpCall call : calls) {
-      release(call);
-      call.attempts().forEach(listener::onAnswerConfirmed);
+  private void confirm(final List<AnsweredCall> confirmed) {
+    for (final AnsweredCall answered : confirmed) {
+      release(answered.call());
+      if (answered.endsMessages()) {
+        answered.call().attempts().forEach(listener::onAnswerConfirmed);
+      }
     }
   }
 
-  private void putInDoubt(final List<HttpCall> calls) {
-    for (final HttpCall call : calls) {
+  private void putInDoubt(final List<AnsweredCall> doubtful) {
+    for (final AnsweredCall answered : doubtful) {
+      final HttpCall call = answered.call();
       release(call);
-      call.attempts().forEach(attempt -> listener.onAnswerInDoubt(attempt, call));
+      for (final Dispatcher.Attempt attempt : call.attempts()) {
+        if (answered.endsMessages()) {
+          listener.onAnswerInDoubt(attempt, call);
+        } else {
+          listener.onRejectionInDoubt(attempt, call);
+        }
+      }
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/journal/Journal.java
+++ b/courier/src/main/java/thistleturn/courier/journal/Journal.java
@@ -176,6 +176,15 @@
     unwritten.addAttemptOutcome(message.id(), neverRan);
   }
 
+  @Override
+  public void recordPossibleExecution(
+      final StoredMessage message, final long startedUs, final String zone) {
+    message.recordPossibleExecution(startedUs, zone);
+    if (pendingMessages.containsKey(message.id())) {
+      unwritten.addSnapshot(message);
+    }
+  }
+
   @Override
   public void recordFinalOutcome(
       final StoredMessage message, final StoredMessage.FinalOutcome outcome) {
--- a/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
@@ -114,9 +114,12 @@
       return disposition == MessageDisposition.OVER;
     }
 
-    /** Returns whether the message certainly had no effect, so that a retry is safe. */
+    /**
+     * Returns whether the message had no effect by the answer, so that a retry is safe. An answer
+     * that may belong to another call counts as well, until it is put in doubt.
+     */
     public boolean neverExecuted() {
-      return result.neverExecuted() && certainty == ResponseCertainty.CERTAIN;
+      return result.neverExecuted();
     }
 
     /** Returns whether it ends its message, and is to be confirmed or put in doubt. */
@@ -145,6 +148,12 @@
      */
     void onAnswerInDoubt(Attempt attempt, Call call);
 
+    /**
+     * The answer to an attempt, reported as a rejection that is not certain, may be that of another
+     * call: the message may have been executed.
+     */
+    void onRejectionInDoubt(Attempt attempt, Call call);
+
     /** A call with this many messages has been written completely. */
     void onMessagesWritten(int count);
   }
--- a/courier/src/main/java/thistleturn/courier/port/MessageStore.java
+++ b/courier/src/main/java/thistleturn/courier/port/MessageStore.java
@@ -57,6 +57,12 @@
    */
   void recordAttemptOutcome(StoredMessage message, boolean neverRan);
 
+  /**
+   * Records that an ended attempt of a pending message, which counted as one that never ran, may
+   * have run after all.
+   */
+  void recordPossibleExecution(StoredMessage message, long startedUs, String zone);
+
   /** Records that a message has ended and that only its final outcome is still to be reported. */
   void recordFinalOutcome(StoredMessage message, StoredMessage.FinalOutcome outcome);
 
--- a/courier/src/main/java/thistleturn/courier/port/StoredMessage.java
+++ b/courier/src/main/java/thistleturn/courier/port/StoredMessage.java
@@ -108,6 +108,12 @@
     attemptStartedUs = NEVER;
   }
 
+  /** Records that an ended attempt, which counted as one that never ran, may have run after all. */
+  public void recordPossibleExecution(final long startedUs, final String zone) {
+    firstExecutionUs = Math.min(firstExecutionUs, startedUs);
+    executionZone = zone;
+  }
+
   /** Restores the attempts that an earlier process recorded. */
   public void restoreAttempts(
       final int earlierAttempts, final long firstPossibleExecutionUs, final String zone) {
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -39,6 +39,8 @@
   ENDPOINT_REUSE_SUSPENDED("endpoint_reuse_suspended"),
   /** A response that counted as a delivery may belong to another call: the message is reopened. */
   DELIVERY_IN_DOUBT("delivery_in_doubt"),
+  /** A response that rejected a message may belong to another call: the message may have run. */
+  REJECTION_IN_DOUBT("rejection_in_doubt"),
   /** A connection to an endpoint ended, on either side. */
   ENDPOINT_CONNECTION_CLOSED("endpoint_connection_closed"),
   /** A connection to the platform was closed by this side, or with a request unanswered. */
--- a/courier/src/test/java/thistleturn/courier/http/DispatcherFixture.java
+++ b/courier/src/test/java/thistleturn/courier/http/DispatcherFixture.java
@@ -112,6 +112,11 @@
       // Not recorded: the tests wait for the outcome.
     }
 
+    @Override
+    public void onRejectionInDoubt(final Dispatcher.Attempt attempt, final Dispatcher.Call call) {
+      // Not recorded: the tests wait for the outcome.
+    }
+
     @Override
     public void onMessagesWritten(final int messages) {
       // Not recorded: the tests wait for the outcome.
--- a/decisions/src/main/java/thistleturn/decisions/HostedController.java
+++ b/decisions/src/main/java/thistleturn/decisions/HostedController.java
@@ -63,6 +63,14 @@
       long sentUs,
       boolean sameCall);
 
+  /**
+   * Reports that an ended attempt, which counted as one that never ran, may have run after all.
+   *
+   * @param sentUs when it was sent
+   * @param zone the zone of its endpoint
+   */
+  void onPossibleExecution(long nowUs, String messageId, long sentUs, String zone);
+
   /** Returns the state learned so far. */
   LearnedState learnedState();
 
--- a/decisions/src/main/java/thistleturn/decisions/OverloadController.java
+++ b/decisions/src/main/java/thistleturn/decisions/OverloadController.java
@@ -6,7 +6,6 @@
 import thistleturn.decisions.model.DeliverySettings;
 import thistleturn.decisions.model.Endpoint;
 import thistleturn.decisions.model.EndpointUpdate;
-import thistleturn.decisions.model.Idempotence;
 import thistleturn.decisions.model.Message;
 import thistleturn.decisions.model.PriorAttempts;
 
@@ -215,6 +214,22 @@
     }
   }
 
+  @Override
+  public void onPossibleExecution(
+      final long nowUs, final String messageId, final long sentUs, final String zone) {
+    state.nowUs = nowUs;
+    final PendingMessage message = messages.find(messageId);
+    if (message == null || message.hasEnded()) {
+      return;
+    }
+    message.recordPossibleExecution(sentUs, zone);
+    keyOrdering.beginSettleDelay(message);
+    if (message.isWaiting()) {
+      messages.dequeue(message);
+      messages.enqueue(message);
+    }
+  }
+
   @Override
   public void onCallAdopted(
       final long nowUs,
@@ -269,8 +284,7 @@
 
   private void recordEffect(
       final PendingMessage message, final InFlightCall call, final AttemptOutcome outcome) {
-    if (outcome.neverExecuted()
-        || (outcome.result().neverExecuted() && message.idempotence() == Idempotence.IDEMPOTENT)) {
+    if (outcome.neverExecuted()) {
       return;
     }
     message.recordPossibleExecution(call.sentUs(), call.endpoint().zone());
--- a/decisions/src/main/java/thistleturn/decisions/model/AttemptOutcome.java
+++ b/decisions/src/main/java/thistleturn/decisions/model/AttemptOutcome.java
@@ -43,8 +43,8 @@
         false);
   }
 
-  /** Returns whether the message certainly had no effect, so that a retry is safe. */
+  /** Returns whether the message had no effect by the response, so that a retry is safe. */
   public boolean neverExecuted() {
-    return result.neverExecuted() && certainty == ResponseCertainty.CERTAIN;
+    return result.neverExecuted();
   }
 }
