--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -9,14 +9,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.port.Dispatcher.Attempt;
 import thistleturn.courier.port.Dispatcher.DispatchOutcome;
 import thistleturn.courier.runtime.Clock;
-import thistleturn.courier.runtime.GuardedTasks;
 import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.MessageDisposition;
@@ -73,10 +70,10 @@
   private boolean receivingResponse;
 
   /** Limits the wait for the rest of a response. */
-  private Future<?> completionTimer;
+  private final RestartableTimer completionTimer;
 
-  /** Set while a complete response waits for another one that would contradict it. */
-  private Future<?> confirmationTimer;
+  /** Pending while a complete response waits for another one that would contradict it. */
+  private final RestartableTimer confirmationTimer;
 
   EndpointConnection(
       final HttpDispatcher dispatcher, final long number, final EventLoop loop, final Clock clock) {
@@ -84,6 +81,15 @@
     this.loop = loop;
     this.clock = clock;
     this.log = new EndpointConnectionLog(number);
+    this.completionTimer =
+        new RestartableTimer(
+            loop,
+            "completion of a response",
+            RESPONSE_COMPLETION_TIMEOUT_MS,
+            () -> onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.INCOMPLETE_RESPONSE));
+    this.confirmationTimer =
+        new RestartableTimer(
+            loop, "confirmation of a response", CONFIRMATION_MS, this::acceptResponse);
   }
 
   /** The number of this connection, unique within its dispatcher. */
@@ -158,8 +164,8 @@
   void abandonCall() {
     abandonedPool = call.pool();
     call = null;
-    cancelCompletionTimer();
-    cancelConfirmationTimer();
+    endReceiving();
+    confirmationTimer.cancel();
     if (response.head() != null) {
       reportLateRetryAfter(response.head());
     }
@@ -204,7 +210,7 @@
     if (abandonedPool != null || closed) {
       return;
     }
-    if (call != null && call.isWritten() && confirmationTimer == null) {
+    if (call != null && call.isWritten() && !confirmationTimer.isPending()) {
       receivingResponse = true;
       return;
     }
@@ -212,19 +218,11 @@
     log.unexpectedBytes(call, bytes, clock.nowUs());
     onConnectionBroken(
         AttemptResult.RESET,
-        beginsLikeResponse(bytes)
+        EndpointResponseParser.beginsLikeResponse(bytes)
             ? EndpointCloseReason.UNEXPECTED_RESPONSE
             : EndpointCloseReason.UNEXPECTED_BYTES);
   }
 
-  /** Bytes that do not begin like a response belong to the body of the previous one. */
-  private static boolean beginsLikeResponse(final ByteBuf bytes) {
-    final int length = Math.min(bytes.readableBytes(), EndpointResponseParser.START.length());
-    return bytes
-        .toString(bytes.readerIndex(), length, StandardCharsets.US_ASCII)
-        .equals(EndpointResponseParser.START.substring(0, length));
-  }
-
   @Override
   public void onStatusLine(final HttpResponse statusLine) {
     response.onStatusLine(statusLine);
@@ -244,7 +242,7 @@
       return;
     }
     if (part instanceof LastHttpContent) {
-      cancelCompletionTimer();
+      endReceiving();
     }
     if (response.isComplete()) {
       onResponseComplete();
@@ -254,30 +252,15 @@
   /** Starts the timer for the rest of a response; most responses arrive in a single read. */
   @Override
   public void channelReadComplete(final ChannelHandlerContext ctx) {
-    if (receivingResponse && completionTimer == null && call != null) {
-      completionTimer =
-          loop.schedule(
-              () ->
-                  onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.INCOMPLETE_RESPONSE),
-              RESPONSE_COMPLETION_TIMEOUT_MS,
-              TimeUnit.MILLISECONDS);
+    if (receivingResponse && call != null) {
+      completionTimer.start();
     }
     ctx.fireChannelReadComplete();
   }
 
-  private void cancelCompletionTimer() {
+  private void endReceiving() {
     receivingResponse = false;
-    if (completionTimer != null) {
-      completionTimer.cancel(false);
-      completionTimer = null;
-    }
-  }
-
-  private void cancelConfirmationTimer() {
-    if (confirmationTimer != null) {
-      confirmationTimer.cancel(false);
-      confirmationTimer = null;
-    }
+    completionTimer.cancel();
   }
 
   // ---------------------------------------------------------------- outcomes
@@ -327,11 +310,7 @@
 
   private void onResponseComplete() {
     if (needsConfirmation()) {
-      confirmationTimer =
-          loop.schedule(
-              GuardedTasks.guard("confirmation of a response", this::acceptResponse),
-              CONFIRMATION_MS,
-              TimeUnit.MILLISECONDS);
+      confirmationTimer.start();
     } else {
       acceptResponse();
     }
@@ -345,7 +324,6 @@
   }
 
   private void acceptResponse() {
-    confirmationTimer = null;
     final HttpCall completed = call;
     call = null;
     log.onResponse(completed, response.head(), clock.nowUs());
@@ -442,8 +420,8 @@
    */
   private void onConnectionBroken(final AttemptResult cause, final EndpointCloseReason reason) {
     final boolean answered = receivingResponse || response.hasStatusLine();
-    cancelCompletionTimer();
-    cancelConfirmationTimer();
+    endReceiving();
+    confirmationTimer.cancel();
     removeFromPool();
     closeChannel(reason);
     final HttpCall interrupted = call;
--- a/courier/src/main/java/thistleturn/courier/http/EndpointResponseParser.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointResponseParser.java
@@ -1,7 +1,9 @@
 package thistleturn.courier.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.regex.Pattern;
 import thistleturn.courier.port.Dispatcher.DispatchOutcome;
 import thistleturn.decisions.model.AttemptResult;
@@ -35,6 +37,14 @@
 
   private EndpointResponseParser() {}
 
+  /** Bytes that do not begin like a response belong to the body of the previous one. */
+  static boolean beginsLikeResponse(final ByteBuf bytes) {
+    final int length = Math.min(bytes.readableBytes(), START.length());
+    return bytes
+        .toString(bytes.readerIndex(), length, StandardCharsets.US_ASCII)
+        .equals(START.substring(0, length));
+  }
+
   /** The outcome of a call with one message whose response has this head. */
   static DispatchOutcome parse(final HttpResponse head, final long retryAfterUs) {
     final LoadReport load = parseLoadReport(head.headers().get("X-Server-Load"));
--- a/courier/src/test/java/thistleturn/courier/CopiedResponsesSoakTest.java
+++ b/courier/src/test/java/thistleturn/courier/CopiedResponsesSoakTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -38,6 +39,10 @@
   private static final double RATE = 150;
   private static final long TIMEOUT_MS = 4000;
   private static final double NOTICE_RESET_SHARE = 0.1;
+  private static final int ENDING_PERCENT = 8;
+  private static final Action[] ENDINGS = {
+    Action.GONE, Action.GONE_INCOMPLETE, Action.NO_MORE_ATTEMPTS
+  };
   private static final double[] SHARES = {0.01, 0.1, 0.5, 1};
   private static final long[] LONGEST_LAGS_MS = {3, 12, 60, 400, 3000};
 
@@ -51,18 +56,41 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void copiesAcrossRestarts_breakNoRule(final int seed) throws IOException {
+    play(seed, true, new Random(0), 0);
+  }
+
+  /**
+   * Guards against calls behind an answer that ended their message, whatever copies, resets and
+   * restarts come between; each second pair of seeds has no copies.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void endsAcrossRestarts_breakNoRule(final int seed) throws IOException {
+    play(seed, seed % 4 < 2, new Random(-seed), ENDING_PERCENT);
+  }
+
+  private void play(
+      final int seed, final boolean copies, final Random endings, final int endingPercent)
+      throws IOException {
     final Random random = new Random(seed);
     final Plan plan = randomPlan(random);
     final boolean killed = seed % 2 == 1;
     try (StandInWorld world = new StandInWorld(folder, seed)) {
       final ResponseCopier copier = new ResponseCopier(plan, random.nextLong());
       for (int index = 0; index < ENDPOINTS; index++) {
-        addEndpoint(world, 1 + index % DESTINATIONS, copier, random.nextLong());
+        final Random usual = new Random(random.nextLong());
+        final Random ending = new Random(endings.nextLong());
+        addEndpoint(
+            world,
+            1 + index % DESTINATIONS,
+            copies ? copier : null,
+            () -> randomBehavior(usual, ending, endingPercent));
+      }
+      final ResponseCopier confirmations =
+          new ResponseCopier(plan.ofStatus(204), random.nextLong());
+      if (copies) {
+        world.platform.server().copyResponses(confirmations, () -> {});
       }
-      world
-          .platform
-          .server()
-          .copyResponses(new ResponseCopier(plan.ofStatus(204), random.nextLong()), () -> {});
       world.platform.resetNotices(NOTICE_RESET_SHARE, random.nextLong());
       try (RestartedCourier courier =
           new RestartedCourier(world, world.environment(CourierFiles.Size.usual()), random)) {
@@ -72,21 +100,24 @@
           restart(courier, random, killed);
         }
         courier.waitUnderLoad(500);
-        final List<Violation> violations = world.stopLoadAndCheck(TIMEOUT_MS);
-        assertEquals(
-            List.of(),
-            violations,
-            () -> "seed " + seed + ", " + plan + courier.logExcerpt(violations));
-        if (!killed) {
-          assertEquals(
-              Set.of(),
-              courier.readButUnansweredIds(),
-              () -> "seed " + seed + courier.logExcerpt());
-        }
+        assertNoRuleBroken(world, courier, "seed " + seed + ", " + plan, killed);
       }
     }
   }
 
+  private static void assertNoRuleBroken(
+      final StandInWorld world,
+      final RestartedCourier courier,
+      final String played,
+      final boolean killed) {
+    final List<Violation> violations = world.stopLoadAndCheck(TIMEOUT_MS);
+    assertEquals(List.of(), violations, () -> played + courier.logExcerpt(violations));
+    assertEquals(List.of(), courier.lines("attempt_after_end"), played);
+    if (!killed) {
+      assertEquals(Set.of(), courier.readButUnansweredIds(), () -> played + courier.logExcerpt());
+    }
+  }
+
   private static void restart(
       final RestartedCourier courier, final Random random, final boolean killed)
       throws IOException {
@@ -118,14 +149,21 @@
       final StandInWorld world,
       final long destination,
       final ResponseCopier copier,
-      final long seed) {
-    final Random random = new Random(seed);
+      final Supplier<Behavior> behaviors) {
     final StandInEndpoint endpoint = world.endpoint(destination);
-    endpoint.setBehaviors(() -> randomBehavior(random));
+    endpoint.setBehaviors(behaviors);
     endpoint.copyResponses(copier);
     world.platform.announce(endpoint, "Ready", 1000);
   }
 
+  private static Behavior randomBehavior(
+      final Random random, final Random ending, final int endingPercent) {
+    final Behavior usual = randomBehavior(random);
+    return ending.nextInt(100) < endingPercent
+        ? new Behavior(ENDINGS[ending.nextInt(ENDINGS.length)], usual.delayMs(), 0)
+        : usual;
+  }
+
   private static Behavior randomBehavior(final Random random) {
     final long delayMs = 2L + random.nextInt(100);
     final int choice = random.nextInt(100);
--- a/courier/src/test/java/thistleturn/courier/RestartedCourier.java
+++ b/courier/src/test/java/thistleturn/courier/RestartedCourier.java
@@ -143,6 +143,14 @@
         + logExcerpt();
   }
 
+  /** Returns the lines of an event. */
+  List<String> lines(final String event) {
+    return processes.stream()
+        .flatMap(courier -> courier.lines().stream())
+        .filter(line -> line.contains("event=" + event + " "))
+        .toList();
+  }
+
   String logExcerpt() {
     return processes.stream()
         .flatMap(courier -> courier.lines().stream())
--- a/courier/src/test/java/thistleturn/courier/handover/HandoverLineFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/handover/HandoverLineFormatTest.java
@@ -20,6 +20,7 @@
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.EndpointState;
 import thistleturn.decisions.model.LoadReport;
+import thistleturn.decisions.model.MessageDisposition;
 
 /**
  * The exact text of the lines with which a courier hands over to its successor. The two processes
@@ -152,6 +153,18 @@
     assertEquals(outcome, readOutcome(line));
   }
 
+  @Test
+  void outcomeAfterWhichNoAttemptFollows_isThisLine() throws IOException {
+    final String line =
+        "{\"t\":\"outcome\",\"call\":11,\"id\":\"m1\",\"result\":\"NOT_SENT\",\"over\":false,"
+            + "\"wait\":0,\"last\":true}";
+    final Dispatcher.DispatchOutcome outcome =
+        new Dispatcher.DispatchOutcome(
+            AttemptResult.NOT_SENT, MessageDisposition.NO_FURTHER_ATTEMPT, 0, null);
+    assertEquals(line, new PredecessorLine.CallOutcome(11, "m1", outcome).toText());
+    assertEquals(outcome, readOutcome(line));
+  }
+
   @Test
   void results_areWrittenByTheseNames() throws IOException {
     final List<String> names =
