The wait in a 504 binds at once; only answers that end messages count when cut off

Cause, found by reading the change again: a 504 on a used connection is held for 0.2 s to be confirmed, and its Retry-After was held with it, while a wait runs from when its answer is written and allows 0.1 s.

Change: the Retry-After of a held answer is reported at once, and again with its outcome.

--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -167,7 +167,7 @@
     endReceiving();
     confirmationTimer.cancel();
     if (response.head() != null) {
-      reportLateRetryAfter(response.head());
+      reportRetryAfter(abandonedPool, response.head());
     }
     if (context.channel() instanceof SocketChannel socket) {
       socket.shutdownOutput();
@@ -176,10 +176,11 @@
     loop.schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
   }
 
-  private void reportLateRetryAfter(final HttpResponse head) {
-    final long retryAfterUs = applyRetryAfter(abandonedPool, head);
+  /** Reports the Retry-After of a response before, or without, the outcome of its call. */
+  private void reportRetryAfter(final EndpointConnectionPool source, final HttpResponse head) {
+    final long retryAfterUs = applyRetryAfter(source, head);
     if (retryAfterUs > 0) {
-      dispatcher.reportRetryAfter(abandonedPool, retryAfterUs);
+      dispatcher.reportRetryAfter(source, retryAfterUs);
     }
   }
 
@@ -232,7 +233,7 @@
   protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
     if (abandonedPool != null) {
       if (part instanceof HttpResponse head && part.decoderResult().isSuccess()) {
-        reportLateRetryAfter(head);
+        reportRetryAfter(abandonedPool, head);
       }
       return;
     }
@@ -266,20 +267,21 @@
   // ---------------------------------------------------------------- outcomes
 
   /**
-   * The outcome that the status line of an incomplete response states; empty if it states none. A
-   * delivery of several messages needs the complete response.
+   * The outcome that the status line of an incomplete response states; empty if it ends no message.
+   * A delivery of several messages needs the complete response.
    */
   Optional<DispatchOutcome> statedOutcome(final HttpCall candidate) {
-    return statesOutcome(candidate)
+    return statesEnd(candidate)
         ? Optional.of(treat(candidate, Completeness.CUT_OFF))
         : Optional.empty();
   }
 
-  private boolean statesOutcome(final HttpCall candidate) {
+  private boolean statesEnd(final HttpCall candidate) {
     return candidate != null
         && candidate == call
         && candidate.isWritten()
         && response.hasFinalStatus()
+        && EndpointResponseParser.parse(response.receivedHead(), 0).endsAttempts()
         && !(candidate.isBulk()
             && response.receivedHead().status().code() == EndpointResponseParser.OK);
   }
@@ -311,6 +313,7 @@
   private void onResponseComplete() {
     if (needsConfirmation()) {
       confirmationTimer.start();
+      reportRetryAfter(call.pool(), response.head());
     } else {
       acceptResponse();
     }
@@ -425,7 +428,7 @@
     removeFromPool();
     closeChannel(reason);
     final HttpCall interrupted = call;
-    final boolean stated = statesOutcome(interrupted);
+    final boolean stated = statesEnd(interrupted);
     final boolean outOfStep = provesOutOfStep(reason);
     call = null;
     if (outOfStep) {
--- a/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
@@ -114,6 +114,11 @@
       return disposition == MessageDisposition.OVER;
     }
 
+    /** Returns whether the answer says that no further attempt may follow. */
+    public boolean endsAttempts() {
+      return disposition != MessageDisposition.OPEN;
+    }
+
     /**
      * Returns whether the message had no effect by the answer, so that a retry is safe. An answer
      * that may belong to another call counts as well, until it is put in doubt.
@@ -134,8 +139,8 @@
     void onOutcome(Attempt attempt, Call call, DispatchOutcome outcome);
 
     /**
-     * An endpoint sent a Retry-After in an answer whose call had been abandoned. It applies as in
-     * any other answer.
+     * An endpoint sent a Retry-After in an answer whose call had been abandoned, or whose outcome
+     * is still to be reported. It applies as in any other answer.
      */
     void onRetryAfter(long endpoint, long retryAfterUs);
 
--- a/courier/src/test/java/thistleturn/courier/http/LateDispatchTest.java
+++ b/courier/src/test/java/thistleturn/courier/http/LateDispatchTest.java
@@ -160,6 +160,19 @@
     assertEquals(3 * SECOND_US / 2, fixture.awaitRetryAfterUs());
   }
 
+  /** Guards against a Retry-After that waits for the confirmation of its 504. */
+  @Test
+  void retryAfterOfLastAttemptOnReusedConnection_isReportedAtOnce() throws Exception {
+    fixture.call(attempt("answered"));
+    assertOutcome("answered", AttemptResult.DELIVERED);
+    fixture.call(attempt(UNANSWERED));
+    final HttpExchange exchange = unansweredExchanges.poll(TIMEOUT_S, TimeUnit.SECONDS);
+    exchange.answer(504, "", "Retry-After", "1.5");
+    assertEquals(3 * SECOND_US / 2, fixture.awaitRetryAfterUs(), "before the outcome");
+    assertOutcome(UNANSWERED, AttemptResult.NOT_SENT);
+    assertEquals(3 * SECOND_US / 2, fixture.awaitRetryAfterUs(), "with the outcome");
+  }
+
   /** The connection is lost after the head of the response. */
   @Test
   void retryAfterOfTruncatedResponse_isReported() throws Exception {
