Comment of OutcomeRecorder: a word too many

Cause: replacing a phrase left 'its end it may be put in doubt'. Change: that comment alone, no code. Result: spotless:check of courier green; nothing else run.

--- a/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
+++ b/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
@@ -140,7 +140,7 @@
     }
   }
 
-  /** Returns whether the journal keeps a message open because its end it may be put in doubt. */
+  /** Returns whether the journal keeps a message open because its end may be put in doubt. */
   boolean awaitsConfirmation() {
     return unconfirmed.hasUnrecorded();
   }
