--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -216,12 +216,14 @@
             writer.close()
 
 
-def request(message_id, class_name, dest, timeout_ms, key=None, body=b"x"):
+def request(message_id, class_name, dest, timeout_ms, key=None, body=b"x", retried=None):
     """The bytes of a client's request, in the form of the protocol page."""
     head = (f"POST /{class_name} HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: {message_id}\r\n"
             f"X-Priority-Class: {class_name}\r\nX-Timeout-Ms: {timeout_ms}\r\n")
     if key:
         head += f"Idempotency-Key: {key}\r\n"
+    if retried:
+        head += f"X-Retried: {retried}\r\n"
     head += f"Content-Length: {len(body)}\r\nX-Consignee: dest={dest}\r\n\r\n"
     return head.encode() + body
 
@@ -237,11 +239,12 @@
         self.record(self.name, "connected")
         return self
 
-    async def submit(self, message_id, class_name, dest, timeout_ms, key=None, body=b"x"):
+    async def submit(self, message_id, class_name, dest, timeout_ms, key=None, body=b"x",
+                     retried=None):
         """Hands in a message and returns the status of the answer; None if there was none."""
         self.record(self.name, "hands-in", id=message_id, cls=class_name, dest=dest,
-                    timeout_ms=timeout_ms, bytes=len(body))
-        self.writer.write(request(message_id, class_name, dest, timeout_ms, key, body))
+                    timeout_ms=timeout_ms, bytes=len(body), retried=retried or "no")
+        self.writer.write(request(message_id, class_name, dest, timeout_ms, key, body, retried))
         try:
             line, headers = await asyncio.wait_for(read_head(self.reader), 0.4)
         except (asyncio.TimeoutError, asyncio.IncompleteReadError, ConnectionError) as e:
