--- a/review/1/case.py
+++ b/review/1/case.py
@@ -38,7 +38,7 @@
         kept.append(sock)
     await asyncio.sleep(0.3)
     await world.start_courier(operator=rig.free_port())
-    await asyncio.sleep(0.3)
+    await asyncio.sleep(1.0)
 
     client = await rig.Client(world.record, "client", world.listen).connect()
     taken = []
