Unfinished input is bounded over all connections, and a lack of buffers ends only its own

Cause: Netty's decoders kept undecoded bytes in direct buffers of up to 64 KiB a connection, which nothing counted; the read that then failed ended the process, as every Error did. Evidence: "Cannot reserve 65536 bytes of direct buffer memory (allocated:...)"; the same class took the heap: 600 heads of 1,600 tiny lines ended with status 3.

Change: undecoded bytes are kept on the heap in their size; incomplete heads, bodies and waiting requests count together against an eighth of the heap, 2 KiB a connection free, who has paused longest makes room; the same for responses. A direct buffer that cannot be reserved ends its connection only; any other Error still ends the process. Gauges, two events, limits.

--- a/courier/src/main/java/thistleturn/courier/Shard.java
+++ b/courier/src/main/java/thistleturn/courier/Shard.java
@@ -288,7 +288,8 @@
 
   @Override
   public Dispatcher dispatcher(final Dispatcher.Listener listener) {
-    return new HttpDispatcher(config, eventLoop, clock, pollTracker, listener, descriptors);
+    return new HttpDispatcher(
+        config, eventLoop, clock, pollTracker, listener, descriptors, options);
   }
 
   @Override
--- a/courier/src/main/java/thistleturn/courier/handover/LineConnection.java
+++ b/courier/src/main/java/thistleturn/courier/handover/LineConnection.java
@@ -12,7 +12,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import thistleturn.courier.runtime.Json;
-import thistleturn.courier.runtime.Log;
+import thistleturn.courier.transport.CompactCumulator;
+import thistleturn.courier.transport.ConnectionFailures;
 
 /**
  * One end of the connection between the two processes. Frames, reads and writes lines; a line that
@@ -43,7 +44,9 @@
 
   /** Makes this the handler of a new channel. */
   final void addTo(final Channel channel) {
-    channel.pipeline().addLast(new LineBasedFrameDecoder(MAX_LINE_BYTES), this);
+    final LineBasedFrameDecoder lines = new LineBasedFrameDecoder(MAX_LINE_BYTES);
+    lines.setCumulator(CompactCumulator.INSTANCE);
+    channel.pipeline().addLast(lines, this);
   }
 
   /** Sends a line at once. */
@@ -85,9 +88,7 @@
 
   @Override
   public final void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
-    if (!(cause instanceof IOException)) {
-      Log.failure("handover", cause);
-    }
+    ConnectionFailures.report("handover", cause);
     ctx.close();
   }
 }
--- a/courier/src/main/java/thistleturn/courier/http/ClientConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/ClientConnection.java
@@ -5,20 +5,17 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.ReferenceCountUtil;
-import java.io.IOException;
 import java.net.SocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
+import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.transport.ConnectionFailures;
 import thistleturn.courier.transport.DirectRead;
 import thistleturn.decisions.admission.ConnectionEvictionRanking;
 
@@ -27,15 +24,9 @@
  * each exactly once. While it has no request for a while it hibernates: its pipeline then holds
  * neither codecs nor buffers.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements ReceiveBudget.Holder {
   private static final int MAX_QUEUED_REQUESTS = 16;
 
-  /** How long input is discarded after the last response, until the connection is closed. */
-  private static final long LINGER_MS = 500;
-
-  /** How much input is discarded after the last response, until the connection is closed. */
-  private static final int MAX_DISCARDED_BYTES = 1 << 18;
-
   /** A larger read wakes a hibernating connection at once, rather than being copied and queued. */
   private static final int MAX_DEFERRED_BYTES = 1 << 10;
 
@@ -46,12 +37,13 @@
 
   private final IngressContext ingress;
   private final ReceiveTimeBound receiveTime;
-  private final RequestAssembler assembler;
+  private final ReceiveBudget.Reservation reservation;
+  private final RequestAssembler assembler = new RequestAssembler();
   private final ScheduledCheck scheduledCheck = new ScheduledCheck(this);
-  private final Deque<QueuedRequest> queuedRequests = new ArrayDeque<>(1);
+  private final RequestQueue queuedRequests = new RequestQueue();
   private ChannelHandlerContext context;
   private HibernatingPipeline pipeline;
-  private int queuedBodyBytes;
+  private LingeringClose close;
 
   /** The request that is being served; null while none is. */
   private QueuedRequest currentRequest;
@@ -66,7 +58,6 @@
 
   private SelectorWatch selectorWatch = SelectorWatch.UNVERIFIED;
   private boolean hasSentRequest;
-  private int discardedBytes;
 
   /** When the connection was accepted, or its last request answered. */
   private long idleSinceUs;
@@ -82,7 +73,7 @@
   ClientConnection(final IngressContext ingress, final long earliestAcceptUs) {
     this.ingress = ingress;
     this.receiveTime = new ReceiveTimeBound(earliestAcceptUs);
-    this.assembler = new RequestAssembler(ingress.bodyBudget());
+    this.reservation = ingress.receiveBudget().open(this);
     this.idleSinceUs = ingress.clock().nowUs();
   }
 
@@ -209,6 +200,7 @@
   public void channelActive(final ChannelHandlerContext ctx) {
     context = ctx;
     pipeline = new HibernatingPipeline(ctx, this::onBytesReceived);
+    close = new LingeringClose(ctx);
     ingress.connections().onOpened(this);
   }
 
@@ -244,21 +236,34 @@
       if (part instanceof HttpObject object && !isClosing()) {
         onHttpObject(object);
       } else if (part instanceof ByteBuf bytes && phase == ConnectionPhase.CLOSING) {
-        discard(bytes);
+        close.discard(bytes);
       }
     } finally {
       ReferenceCountUtil.release(part);
     }
   }
 
-  /** Discards input, up to a limit, since a reset could destroy the last response. */
-  private void discard(final ByteBuf bytes) {
-    discardedBytes += bytes.readableBytes();
-    if (discardedBytes > MAX_DISCARDED_BYTES) {
-      context.close();
+  @Override
+  public void channelReadComplete(final ChannelHandlerContext ctx) {
+    updateReservation();
+    ctx.fireChannelReadComplete();
+  }
+
+  private void updateReservation() {
+    if (phase != ConnectionPhase.CLOSING) {
+      reservation.update(pipeline.heldBytes() + assembler.heldBytes() + queuedRequests.heldBytes());
     }
   }
 
+  /** Answers the request that is being served, if any, and rejects the rest of the input. */
+  @Override
+  public void onBudgetExceeded(final long reservedBytes) {
+    Log.event(Event.RECEIVE_BUDGET_EXCEEDED, "from", client(), "held", reservedBytes);
+    context.channel().config().setAutoRead(false);
+    dropInput();
+    reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+  }
+
   private void onHttpObject(final HttpObject part) {
     if (part instanceof HttpRequest && !part.decoderResult().isFailure()) {
       markRequestStarted();
@@ -278,7 +283,6 @@
         Math.max(receiveTime.earliestUs(), nowUs - SubmitRequest.CLIENT_TIMEOUT_US);
     final QueuedRequest request = assembler.take(receivedUs, requestStartedUs, nowUs);
     queuedRequests.add(request);
-    queuedBodyBytes += request.body().length;
     requestStartedUs = NO_REQUEST;
     if (queuedRequests.size() > MAX_QUEUED_REQUESTS) {
       reject(HttpResponseStatus.TOO_MANY_REQUESTS);
@@ -293,9 +297,7 @@
     while (currentRequest == null
         && !queuedRequests.isEmpty()
         && phase != ConnectionPhase.CLOSING) {
-      currentRequest = queuedRequests.poll();
-      queuedBodyBytes -= currentRequest.body().length;
-      ingress.bodyBudget().release(currentRequest.body().length);
+      currentRequest = queuedRequests.next();
       ingress.router().route(this, currentRequest);
     }
     if (phase == ConnectionPhase.FINISHING && !isProcessingRequest()) {
@@ -305,6 +307,7 @@
       receiveTime.onReadPaused(ingress.clock().nowUs());
     }
     context.channel().config().setAutoRead(queuedRequests.isEmpty());
+    updateReservation();
   }
 
   /** Records the reply that will answer the current request. */
@@ -343,7 +346,9 @@
 
   /** Serves the next request, unless the client does not read its responses. */
   private ChannelFuture continueAfter(final ChannelFuture written) {
-    if (!context.channel().isWritable()) {
+    if (written.cause() != null) {
+      exceptionCaught(context, written.cause());
+    } else if (!context.channel().isWritable()) {
       logClosed("does_not_read");
       context.close();
     } else if (!queuedRequests.isEmpty() || phase == ConnectionPhase.FINISHING) {
@@ -375,34 +380,22 @@
   private ChannelFuture respondAndClose(final DefaultFullHttpResponse response) {
     response.headers().set(HttpHeaderNames.CONNECTION, "close");
     phase = ConnectionPhase.CLOSING;
-    releaseQueuedRequests();
     final ChannelFuture written = context.writeAndFlush(response);
     closeOutputAfter(written);
     return written;
   }
 
-  private void releaseQueuedRequests() {
-    ingress.bodyBudget().release(queuedBodyBytes);
-    queuedBodyBytes = 0;
+  private void dropInput() {
+    assembler.discard();
     queuedRequests.clear();
+    pipeline.removeDecoder();
+    reservation.release();
   }
 
-  /**
-   * Shuts down the output after this write, and discards further input for a while: closing with
-   * unread input would reset the connection and destroy responses in flight. A client repeats
-   * discarded requests on another connection.
-   */
   private void closeOutputAfter(final ChannelFuture written) {
     phase = ConnectionPhase.CLOSING;
-    pipeline.removeDecoder();
-    context.channel().config().setAutoRead(true);
-    written.addListener(
-        done -> {
-          if (context.channel() instanceof SocketChannel socket && done.isSuccess()) {
-            socket.shutdownOutput();
-          }
-          context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
-        });
+    dropInput();
+    close.beginAfter(written);
   }
 
   // ---------------------------------------------------------------- closing
@@ -451,8 +444,7 @@
       ingress.connections().recordKeepAliveOutcome(false);
     }
     ingress.connections().onClosed(this);
-    assembler.discard();
-    releaseQueuedRequests();
+    dropInput();
     if (currentSubmission != null) {
       ClientConnectionLog.unanswered(
           client(),
@@ -489,9 +481,7 @@
 
   @Override
   public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
-    if (!(cause instanceof IOException)) {
-      Log.failure("client connection", cause);
-    }
+    ConnectionFailures.report("client connection", cause);
     logClosed(String.valueOf(cause));
     ctx.close();
   }
--- a/courier/src/main/java/thistleturn/courier/http/ClientListener.java
+++ b/courier/src/main/java/thistleturn/courier/http/ClientListener.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioChannelOption;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -24,6 +25,11 @@
   private static final int MAX_READ_BYTES = 1 << 14;
 
   private static final int BACKLOG = 256;
+
+  /** How much of its responses a client may leave unread, beyond what the system buffers. */
+  private static final WriteBufferWaterMark UNSENT_RESPONSES =
+      new WriteBufferWaterMark(1 << 11, 1 << 12);
+
   private static final ChannelOption<Boolean> REUSE_PORT =
       NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT);
 
@@ -93,6 +99,7 @@
             new AdaptiveRecvByteBufAllocator(
                     MAX_READ_BYTES / 16, MAX_READ_BYTES / 8, MAX_READ_BYTES)
                 .maxMessagesPerRead(1))
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNSENT_RESPONSES)
         .childHandler(
             new ChannelInitializer<Channel>() {
               @Override
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -8,13 +8,14 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.port.Dispatcher.Attempt;
 import thistleturn.courier.port.Dispatcher.DispatchOutcome;
 import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
+import thistleturn.courier.transport.ConnectionFailures;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.MessageDisposition;
 import thistleturn.decisions.pools.AnswerTreatment;
@@ -26,7 +27,7 @@
  * response and reports the outcome to the dispatcher.
  */
 final class EndpointConnection extends SimpleChannelInboundHandler<HttpObject>
-    implements ResponseDecoder.Listener {
+    implements ResponseDecoder.Listener, ReceiveBudget.Holder {
   /** How long the rest of a response may take: its sender has all of it when it begins. */
   private static final long RESPONSE_COMPLETION_TIMEOUT_MS = 500;
 
@@ -36,10 +37,6 @@
   /** How long the response to an abandoned call is still read, for its Retry-After. */
   private static final long LINGER_MS = 500;
 
-  /** The outcome of a call whose response is not known. It says nothing about the endpoint. */
-  private static final DispatchOutcome IN_DOUBT =
-      new DispatchOutcome(AttemptResult.STALE, false, 0, null);
-
   /** The outcome of a call that was not written completely when bytes of another call came. */
   private static final DispatchOutcome NOT_SENT =
       new DispatchOutcome(AttemptResult.NOT_SENT, false, 0, null);
@@ -48,6 +45,9 @@
   private final EventLoop loop;
   private final Clock clock;
   private final EndpointResponse response = new EndpointResponse();
+  private final IncompleteAnswer incompleteAnswer;
+  private final ResponseDecoder decoder = new ResponseDecoder(this);
+  private final ReceiveBudget.Reservation reservation;
   private final EndpointConnectionLog log;
   private ChannelHandlerContext context;
 
@@ -76,8 +76,14 @@
   private final RestartableTimer confirmationTimer;
 
   EndpointConnection(
-      final HttpDispatcher dispatcher, final long number, final EventLoop loop, final Clock clock) {
+      final HttpDispatcher dispatcher,
+      final ReceiveBudget receiveBudget,
+      final long number,
+      final EventLoop loop,
+      final Clock clock) {
     this.dispatcher = dispatcher;
+    this.incompleteAnswer = new IncompleteAnswer(response, dispatcher.unconfirmedCalls());
+    this.reservation = receiveBudget.open(this);
     this.loop = loop;
     this.clock = clock;
     this.log = new EndpointConnectionLog(number);
@@ -92,6 +98,11 @@
             loop, "confirmation of a response", CONFIRMATION_MS, this::acceptResponse);
   }
 
+  /** Decodes the responses; the first handler of the channel. */
+  ResponseDecoder decoder() {
+    return decoder;
+  }
+
   /** The number of this connection, unique within its dispatcher. */
   long number() {
     return log.connection();
@@ -126,6 +137,8 @@
             written -> {
               if (written.isSuccess()) {
                 dispatcher.onCallWritten(next);
+              } else if (ConnectionFailures.isBufferShortage(written.cause())) {
+                exceptionCaught(context, written.cause());
               }
             });
   }
@@ -153,6 +166,7 @@
   private void markClosed(final EndpointCloseReason reason) {
     if (!closed) {
       closed = true;
+      reservation.release();
       log.closed(reason, clock.nowUs());
     }
   }
@@ -256,9 +270,24 @@
     if (receivingResponse && call != null) {
       completionTimer.start();
     }
+    if (!closed) {
+      reservation.update(decoder.heldBytes() + response.heldBytes());
+    }
     ctx.fireChannelReadComplete();
   }
 
+  /** Gives the response up as one that cannot be used: it may have run. */
+  @Override
+  public void onBudgetExceeded(final long reservedBytes) {
+    Log.event(
+        Event.RECEIVE_BUDGET_EXCEEDED,
+        "from",
+        context.channel().remoteAddress(),
+        "held",
+        reservedBytes);
+    onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.INVALID_RESPONSE);
+  }
+
   private void endReceiving() {
     receivingResponse = false;
     completionTimer.cancel();
@@ -272,42 +301,12 @@
    */
   Optional<DispatchOutcome> statedOutcome(final HttpCall candidate) {
     return statesEnd(candidate)
-        ? Optional.of(treat(candidate, Completeness.CUT_OFF))
+        ? Optional.of(incompleteAnswer.outcomeOf(candidate, this, Completeness.CUT_OFF))
         : Optional.empty();
   }
 
   private boolean statesEnd(final HttpCall candidate) {
-    return candidate != null
-        && candidate == call
-        && candidate.isWritten()
-        && response.hasFinalStatus()
-        && EndpointResponseParser.parse(response.receivedHead(), 0).endsAttempts()
-        && !(candidate.isBulk()
-            && response.receivedHead().status().code() == EndpointResponseParser.OK);
-  }
-
-  /** Returns the outcome of a call that ends together with its connection. */
-  private DispatchOutcome treat(final HttpCall ended, final Completeness completeness) {
-    final HttpResponse head = response.receivedHead();
-    final DispatchOutcome outcome =
-        EndpointResponseParser.parse(head, EndpointResponseParser.retryAfterUs(head));
-    return switch (AnswerTreatment.of(completeness, outcome.disposition(), !isReused())) {
-      case CERTAIN, COUNTS_AFTER_SILENCE -> outcome;
-      case COUNTS_UNTIL_IN_DOUBT -> {
-        dispatcher.unconfirmedCalls().addEnd(ended, this);
-        yield outcome.unconfirmed();
-      }
-      case COUNTS_AFTER_CLOSE -> unconfirmedRejection(ended, outcome);
-      case FOREIGN -> IN_DOUBT;
-    };
-  }
-
-  private DispatchOutcome unconfirmedRejection(
-      final HttpCall rejected, final DispatchOutcome outcome) {
-    if (outcome.neverExecuted()) {
-      dispatcher.unconfirmedCalls().addRejection(rejected, this);
-    }
-    return outcome.unconfirmed();
+    return candidate != null && candidate == call && incompleteAnswer.statesEnd(candidate);
   }
 
   private void onResponseComplete() {
@@ -358,7 +357,8 @@
       }
       case COUNTS_AFTER_CLOSE -> {
         closeChannel(EndpointCloseReason.UNCONFIRMED_REJECTION);
-        dispatcher.report(completed, unconfirmedRejection(completed, outcome));
+        dispatcher.report(
+            completed, dispatcher.unconfirmedCalls().addOpen(completed, this, outcome));
       }
       case FOREIGN -> throw new IllegalStateException("a complete answer is not parts of two");
     }
@@ -369,7 +369,7 @@
     dispatcher.onBulkResponse(completed);
     if (isReused() && !bulk.identifies(completed)) {
       onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.UNEXPECTED_RESPONSE);
-      dispatcher.report(completed, IN_DOUBT);
+      dispatcher.report(completed, IncompleteAnswer.IN_DOUBT);
       return;
     }
     keepOrClose(completed);
@@ -384,6 +384,7 @@
     final EndpointCloseReason obstacle = obstacleToReuse(completed);
     if (obstacle == null) {
       idleSinceUs = clock.nowUs();
+      response.reset();
       dispatcher.addIdle(this, pool);
     } else {
       closeChannel(obstacle);
@@ -409,7 +410,7 @@
   }
 
   /** Whether the connection has carried an earlier call than the current or latest one. */
-  private boolean isReused() {
+  boolean isReused() {
     return log.calls() > 1;
   }
 
@@ -442,22 +443,18 @@
     // The head of an incomplete response may have a Retry-After.
     final long retryAfterUs = applyRetryAfter(interrupted.pool(), response.head());
     if (outOfStep) {
-      dispatcher.report(interrupted, interrupted.isWritten() ? IN_DOUBT : NOT_SENT);
+      dispatcher.report(
+          interrupted, interrupted.isWritten() ? IncompleteAnswer.IN_DOUBT : NOT_SENT);
     } else if (stated) {
-      dispatcher.report(interrupted, treat(interrupted, completeness(reason)));
+      dispatcher.report(
+          interrupted,
+          incompleteAnswer.outcomeOf(interrupted, this, incompleteAnswer.completeness(reason)));
     } else {
       final AttemptResult result = failedResult(interrupted, cause, answered);
       dispatcher.report(interrupted, new DispatchOutcome(result, false, retryAfterUs, null));
     }
   }
 
-  /** A response that ends in another one, or in what is none, may be parts of two. */
-  private Completeness completeness(final EndpointCloseReason reason) {
-    return reason == EndpointCloseReason.INVALID_RESPONSE || response.containsAnotherResponse()
-        ? Completeness.SPOILT
-        : Completeness.CUT_OFF;
-  }
-
   /**
    * Whether the calls and responses do not match: the connection carried a call before whose
    * response came again, or bytes are left over of a response that may be parts of two.
@@ -492,9 +489,7 @@
 
   @Override
   public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
-    if (!(cause instanceof IOException)) {
-      Log.failure("endpoint connection", cause);
-    }
+    ConnectionFailures.report("endpoint connection", cause);
     onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.ENDED_BY_ENDPOINT);
   }
 }
--- a/courier/src/main/java/thistleturn/courier/http/EndpointResponse.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointResponse.java
@@ -38,6 +38,11 @@
     complete = false;
   }
 
+  /** About how much memory the response takes. A growing body may take twice its size. */
+  int heldBytes() {
+    return LimitedHeaders.heldBytes(receivedHead()) + (body == null ? 0 : 2 * body.size());
+  }
+
   /** Records the status line, before the rest of the head is received. */
   void onStatusLine(final HttpResponse received) {
     statusLine = received;
--- a/courier/src/main/java/thistleturn/courier/http/EndpointResponseParser.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointResponseParser.java
@@ -45,6 +45,11 @@
         .equals(START.substring(0, length));
   }
 
+  /** The outcome of a call with one message whose response has this head, with its Retry-After. */
+  static DispatchOutcome parse(final HttpResponse head) {
+    return parse(head, retryAfterUs(head));
+  }
+
   /** The outcome of a call with one message whose response has this head. */
   static DispatchOutcome parse(final HttpResponse head, final long retryAfterUs) {
     final LoadReport load = parseLoadReport(head.headers().get("X-Server-Load"));
--- a/courier/src/main/java/thistleturn/courier/http/HibernatingPipeline.java
+++ b/courier/src/main/java/thistleturn/courier/http/HibernatingPipeline.java
@@ -16,6 +16,9 @@
   private final ChannelHandlerContext context;
   private final Consumer<ByteBuf> receiveListener;
 
+  /** Null while the connection hibernates, and once no further input is decoded. */
+  private RequestDecoder decoder;
+
   /** Writes encoded bytes; null while the connection hibernates. */
   private ChannelHandlerContext encoderContext;
 
@@ -45,17 +48,20 @@
     context.pipeline().remove(HttpResponseEncoder.class);
     context.pipeline().remove(HttpServerExpectContinueHandler.class);
     // Last: the decoder forwards the bytes of a partial request, which wakes the connection up.
-    context.pipeline().remove(RequestDecoder.class);
+    removeDecoder();
+  }
+
+  /** How many bytes are held of what is not decoded completely. */
+  int heldBytes() {
+    return decoder == null ? 0 : decoder.heldBytes();
   }
 
   /** Installs the codecs, and reads the bytes that have been received. */
   void wakeUpWith(final ByteBuf bytes) {
+    decoder = new RequestDecoder(receiveListener);
     context
         .pipeline()
-        .addFirst(
-            new RequestDecoder(receiveListener),
-            new HttpResponseEncoder(),
-            new HttpServerExpectContinueHandler());
+        .addFirst(decoder, new HttpResponseEncoder(), new HttpServerExpectContinueHandler());
     encoderContext = context.pipeline().context(HttpResponseEncoder.class);
     context.pipeline().fireChannelRead(bytes);
   }
@@ -92,8 +98,12 @@
 
   /** Decodes no further input. */
   void removeDecoder() {
-    if (context.pipeline().get(RequestDecoder.class) != null) {
-      context.pipeline().remove(RequestDecoder.class);
+    if (decoder != null) {
+      final RequestDecoder removed = decoder;
+      decoder = null;
+      if (!context.isRemoved()) {
+        context.pipeline().remove(removed);
+      }
     }
   }
 }
--- a/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
@@ -19,6 +19,7 @@
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.CourierConfig;
+import thistleturn.courier.runtime.CourierOptions;
 import thistleturn.courier.runtime.DescriptorBudget;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.GuardedTasks;
@@ -55,6 +56,7 @@
   private final long idleTimeoutUs;
   private final Listener listener;
   private final DescriptorBudget descriptors;
+  private final ReceiveBudget receiveBudget;
   private final Bootstrap bootstrapTemplate;
   private final Map<Long, EndpointConnectionPool> pools = new HashMap<>();
   private final IdleEndpointConnections idleConnections = new IdleEndpointConnections();
@@ -73,7 +75,8 @@
       final Clock clock,
       final PollTracker polls,
       final Listener listener,
-      final DescriptorBudget descriptors) {
+      final DescriptorBudget descriptors,
+      final CourierOptions options) {
     this.clock = clock;
     this.loop = loop;
     this.polls = polls;
@@ -82,6 +85,7 @@
         (long) (IDLE_TIMEOUT_FRACTION * config.settings().limits().idleTimeoutUs());
     this.listener = listener;
     this.descriptors = descriptors;
+    this.receiveBudget = ReceiveBudgets.forEndpoints(options, clock);
     this.bootstrapTemplate = bootstrapTemplate();
     this.unconfirmedCalls = new UnconfirmedCalls(loop, clock, listener);
     this.deadlines = new CallDeadlines(loop, clock, polls, this::expire);
@@ -102,8 +106,9 @@
               protected void initChannel(final Channel channel) {
                 connectionsOpened++;
                 final EndpointConnection connection =
-                    new EndpointConnection(HttpDispatcher.this, connectionsOpened, loop, clock);
-                channel.pipeline().addLast(new ResponseDecoder(connection), connection);
+                    new EndpointConnection(
+                        HttpDispatcher.this, receiveBudget, connectionsOpened, loop, clock);
+                channel.pipeline().addLast(connection.decoder(), connection);
               }
             });
   }
--- a/courier/src/main/java/thistleturn/courier/http/HttpIngress.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpIngress.java
@@ -51,7 +51,7 @@
             new RequestRouter(handler, this::isDraining),
             connections,
             new WakeUpQueue(loop, polls),
-            new RequestBodyBudget(),
+            ReceiveBudgets.forClients(options, clock),
             this::isDraining,
             clock,
             polls);
--- a/courier/src/main/java/thistleturn/courier/http/IngressContext.java
+++ b/courier/src/main/java/thistleturn/courier/http/IngressContext.java
@@ -12,7 +12,7 @@
  * @param router serves the requests of the connections
  * @param connections manages the lifetime of the connections
  * @param wakeUps throttles the wake-ups of hibernating connections
- * @param bodyBudget limits the memory that buffered request bodies use
+ * @param receiveBudget limits the memory that unserved input uses
  * @param draining true while each response ends its connection
  * @param clock the clock of all timestamps
  * @param polls when the event loop polled its sockets
@@ -22,7 +22,7 @@
     RequestRouter router,
     ClientConnectionManager connections,
     WakeUpQueue wakeUps,
-    RequestBodyBudget bodyBudget,
+    ReceiveBudget receiveBudget,
     BooleanSupplier draining,
     Clock clock,
     PollTracker polls) {}
--- a/courier/src/main/java/thistleturn/courier/http/QueuedRequest.java
+++ b/courier/src/main/java/thistleturn/courier/http/QueuedRequest.java
@@ -13,6 +13,11 @@
 record QueuedRequest(
     HttpRequest head, byte[] body, long receivedUs, long firstByteUs, long completedUs) {
 
+  /** About how much memory the request takes. */
+  int heldBytes() {
+    return LimitedHeaders.heldBytes(head) + body.length;
+  }
+
   /** The path of the request target, without its query. */
   String path() {
     final String target = head.uri();
--- a/courier/src/main/java/thistleturn/courier/http/RequestAssembler.java
+++ b/courier/src/main/java/thistleturn/courier/http/RequestAssembler.java
@@ -12,14 +12,13 @@
 import java.util.Optional;
 
 /**
- * Assembles the requests of one connection from the parts that the decoder emits, within the limits
- * of a single body and of the shared budget.
+ * Assembles the requests of one connection from the parts that the decoder emits, within the limit
+ * of a single body.
  */
 final class RequestAssembler {
   private static final int MAX_BODY_BYTES = 1 << 16;
   private static final byte[] NO_BODY = {};
 
-  private final RequestBodyBudget bodyBudget;
   private HttpRequest head;
 
   /** Null until body bytes are received, so that an idle connection holds no buffer. */
@@ -34,10 +33,6 @@
     COMPLETE
   }
 
-  RequestAssembler(final RequestBodyBudget bodyBudget) {
-    this.bodyBudget = bodyBudget;
-  }
-
   /**
    * Adds the next part.
    *
@@ -68,9 +63,6 @@
     if (bodySize() + size > MAX_BODY_BYTES) {
       return Optional.of(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
     }
-    if (!bodyBudget.tryReserve(size)) {
-      return Optional.of(HttpResponseStatus.SERVICE_UNAVAILABLE);
-    }
     if (size > 0) {
       final byte[] bytes = new byte[size];
       content.content().readBytes(bytes);
@@ -102,9 +94,12 @@
     return progress == Progress.COMPLETE;
   }
 
-  /**
-   * Takes the complete request. Its body stays reserved in the budget until the caller releases it.
-   */
+  /** How many bytes are held of the current request. A growing body may take twice its size. */
+  int heldBytes() {
+    return LimitedHeaders.heldBytes(head) + 2 * bodySize();
+  }
+
+  /** Takes the complete request. */
   QueuedRequest take(final long receivedUs, final long firstByteUs, final long completedUs) {
     final byte[] bytes = body == null ? NO_BODY : body.toByteArray();
     final QueuedRequest request =
@@ -113,9 +108,8 @@
     return request;
   }
 
-  /** Drops what has been received of the current request, and releases its bytes. */
+  /** Drops what has been received of the current request. */
   void discard() {
-    bodyBudget.release(bodySize());
     clear();
   }
 
--- a/courier/src/main/java/thistleturn/courier/http/RequestDecoder.java
+++ b/courier/src/main/java/thistleturn/courier/http/RequestDecoder.java
@@ -6,7 +6,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import java.util.List;
 import java.util.function.Consumer;
+import thistleturn.courier.transport.CompactCumulator;
 
 /**
  * Decodes requests strictly. Netty accepts a request with both Content-Length and Transfer-Encoding
@@ -23,10 +25,15 @@
           .setMaxHeaderSize(MAX_HEAD_BYTES)
           .setAllowDuplicateContentLengths(false)
           .setStrictLineParsing(true)
+          .setHeadersFactory(LimitedHeaders.FACTORY)
+          .setTrailersFactory(LimitedHeaders.TRAILERS_FACTORY)
           .setUseRfc9112TransferEncoding(true);
 
   private final Consumer<ByteBuf> receiveListener;
 
+  /** The request whose head is being received; null if none is. */
+  private HttpMessage incompleteHead;
+
   /**
    * Creates a decoder.
    *
@@ -35,6 +42,12 @@
   RequestDecoder(final Consumer<ByteBuf> receiveListener) {
     super(CONFIG);
     this.receiveListener = receiveListener;
+    setCumulator(CompactCumulator.INSTANCE);
+  }
+
+  /** How many bytes are held of what is not decoded completely. */
+  int heldBytes() {
+    return internalBuffer().capacity() + LimitedHeaders.heldBytes(incompleteHead);
   }
 
   @Override
@@ -46,6 +59,22 @@
     super.channelRead(context, input);
   }
 
+  @Override
+  protected HttpMessage createMessage(final String[] initialLine) throws Exception {
+    incompleteHead = super.createMessage(initialLine);
+    return incompleteHead;
+  }
+
+  @Override
+  protected void decode(
+      final ChannelHandlerContext context, final ByteBuf bytes, final List<Object> out)
+      throws Exception {
+    super.decode(context, bytes, out);
+    if (!out.isEmpty()) {
+      incompleteHead = null;
+    }
+  }
+
   @Override
   protected void handleTransferEncodingChunkedWithContentLength(final HttpMessage message) {
     throw new IllegalArgumentException("both Content-Length and Transfer-Encoding are present");
--- a/courier/src/main/java/thistleturn/courier/http/ResponseDecoder.java
+++ b/courier/src/main/java/thistleturn/courier/http/ResponseDecoder.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.List;
+import thistleturn.courier.transport.CompactCumulator;
 
 /**
  * Decodes responses strictly, and notifies a listener as early as possible: when a response begins,
@@ -33,8 +34,16 @@
             .setMaxInitialLineLength(MAX_STATUS_LINE_BYTES)
             .setMaxHeaderSize(MAX_HEAD_BYTES)
             .setAllowDuplicateContentLengths(false)
+            .setHeadersFactory(LimitedHeaders.FACTORY)
+            .setTrailersFactory(LimitedHeaders.TRAILERS_FACTORY)
             .setUseRfc9112TransferEncoding(true));
     this.listener = listener;
+    setCumulator(CompactCumulator.INSTANCE);
+  }
+
+  /** How many bytes are held of what is not decoded. */
+  int heldBytes() {
+    return internalBuffer().capacity();
   }
 
   @Override
--- a/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
+++ b/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.port.Dispatcher;
+import thistleturn.courier.port.Dispatcher.DispatchOutcome;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.GuardedTasks;
@@ -55,10 +56,24 @@
   }
 
   /** A call was rejected, perhaps by the response of another call; its connection ends now. */
-  void addRejection(final HttpCall call, final EndpointConnection connection) {
+  private void addRejection(final HttpCall call, final EndpointConnection connection) {
     add(new AnsweredCall(call, false), connection);
   }
 
+  /**
+   * Records an answer that leaves its messages open, or ends their attempts, if it says that they
+   * never ran.
+   *
+   * @return the outcome of the call until it is put in doubt
+   */
+  DispatchOutcome addOpen(
+      final HttpCall call, final EndpointConnection connection, final DispatchOutcome outcome) {
+    if (outcome.neverExecuted()) {
+      addRejection(call, connection);
+    }
+    return outcome.unconfirmed();
+  }
+
   private void add(final AnsweredCall answered, final EndpointConnection connection) {
     final HttpCall call = answered.call();
     answers.add(
--- a/courier/src/main/java/thistleturn/courier/operator/OperatorServer.java
+++ b/courier/src/main/java/thistleturn/courier/operator/OperatorServer.java
@@ -34,6 +34,7 @@
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.Metrics;
 import thistleturn.courier.transport.AcceptRetryHandler;
+import thistleturn.courier.transport.ConnectionFailures;
 import thistleturn.courier.transport.RetryingServerSocketChannel;
 
 /**
@@ -245,7 +246,7 @@
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
-      Log.failureIfError("operator connection", cause);
+      ConnectionFailures.reportError("operator connection", cause);
       context.close();
     }
   }
--- a/courier/src/main/java/thistleturn/courier/platform/PlatformSession.java
+++ b/courier/src/main/java/thistleturn/courier/platform/PlatformSession.java
@@ -4,13 +4,13 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpObject;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
 import thistleturn.courier.runtime.PollTracker;
+import thistleturn.courier.transport.ConnectionFailures;
 
 /**
  * The requests and responses on one connection to the platform, from connecting until it is closed.
@@ -108,9 +108,7 @@
 
   @Override
   public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
-    if (!(cause instanceof IOException)) {
-      Log.failure(logName, cause);
-    }
+    ConnectionFailures.report(logName, cause);
     close(ctx, cause.toString());
   }
 }
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -77,6 +77,13 @@
   SOCKET_FAILED("socket_failed"),
   /** An outgoing connection could not be made. */
   CONNECT_FAILED("connect_failed"),
+  /**
+   * The connections held more unserved input than their budget allows: one of them is rejected, or
+   * its response is given up.
+   */
+  RECEIVE_BUDGET_EXCEEDED("receive_budget_exceeded"),
+  /** A connection was closed, since no direct buffer could be reserved for it. */
+  BUFFER_SHORTAGE("buffer_shortage"),
   /** A connection could not be read or written for lack of memory; the transfer is retried. */
   TRANSFER_RETRIED("transfer_retried"),
   /** The journal cannot be written from now on. */
--- a/courier/src/main/java/thistleturn/courier/transport/AcceptRetryHandler.java
+++ b/courier/src/main/java/thistleturn/courier/transport/AcceptRetryHandler.java
@@ -37,7 +37,7 @@
   /** Does not pass the exception on: the next handler would stop the listener. */
   @Override
   public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
-    Log.failureIfError("listener", cause);
+    ConnectionFailures.reportError("listener", cause);
     failing = true;
     Log.event(
         Event.ACCEPT_FAILED,
--- a/courier/src/test/java/thistleturn/courier/CourierHarness.java
+++ b/courier/src/test/java/thistleturn/courier/CourierHarness.java
@@ -65,6 +65,9 @@
   int socketLimit = 1024;
   String extraSetting = "\"unheard_of\":[{\"x\":1}]";
 
+  /** Options of the process's Java machine, beside its heap. */
+  List<String> jvmOptions = List.of();
+
   /** The main class of the process. */
   String mainClass = "thistleturn.courier.Main";
 
@@ -195,15 +198,16 @@
 
   /** Starts the process with an existing configuration. */
   Process launch(final Path config) throws IOException {
-    final ProcessBuilder builder =
-        new ProcessBuilder(
-            System.getProperty("java.home") + "/bin/java",
-            "-Xmx64m",
-            "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1",
-            "-cp",
-            System.getProperty("java.class.path"),
-            mainClass);
+    final List<String> command =
+        new ArrayList<>(
+            List.of(
+                System.getProperty("java.home") + "/bin/java",
+                "-Xmx64m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1"));
+    command.addAll(jvmOptions);
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
+    final ProcessBuilder builder = new ProcessBuilder(command);
     builder.environment().put("PROXY_CONFIG", config.toString());
     if (operatorPortEnabled) {
       builder.environment().put("PROXY_OPERATOR", "127.0.0.1:0");
--- a/courier/src/test/java/thistleturn/courier/http/DispatcherFixture.java
+++ b/courier/src/test/java/thistleturn/courier/http/DispatcherFixture.java
@@ -18,6 +18,7 @@
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.CourierConfig;
+import thistleturn.courier.runtime.CourierOptions;
 import thistleturn.courier.runtime.DescriptorBudget;
 import thistleturn.courier.runtime.PollTracker;
 import thistleturn.decisions.model.AttemptResult;
@@ -69,7 +70,13 @@
         () -> {
           dispatcher =
               new HttpDispatcher(
-                  config, loop, clock, polls, new Recorder(), new DescriptorBudget(100, 100));
+                  config,
+                  loop,
+                  clock,
+                  polls,
+                  new Recorder(),
+                  new DescriptorBudget(100, 100),
+                  CourierOptions.platformDefaults());
           updateEndpoint(EndpointState.LISTED);
         });
   }
