A spoilt or silent answer proves a delivery at most, not that a message never ran

Cause: AnswerTreatment answered CERTAIN for the first answer on a connection before it looked at its completeness; "this answer is of this call" stood for "what it says is true". A head that does not end was read as cut off by a close, and a head cut off by a close as spoilt.

Change: completeness goes first, with silence on an open connection apart from a close. Of a spoilt or silent answer only the 200 of one message is believed; a 504 that is cut off by a close ends the attempts, and says no more that the message never ran; 410 cut off there is an end in each place.

--- a/courier/src/main/java/thistleturn/courier/http/ClientConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/ClientConnection.java
@@ -13,8 +13,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.SocketAddress;
 import java.util.Optional;
-import thistleturn.courier.runtime.Event;
-import thistleturn.courier.runtime.Log;
 import thistleturn.courier.transport.ConnectionFailures;
 import thistleturn.courier.transport.DirectRead;
 import thistleturn.decisions.admission.ConnectionEvictionRanking;
@@ -209,7 +207,7 @@
     lastReceivedUs = ingress.clock().nowUs();
     if (selectorWatch == SelectorWatch.READING_DIRECTLY) {
       selectorWatch = SelectorWatch.UNWATCHED;
-      ClientConnectionLog.unwatched(client(), lastReceivedUs - idleSinceUs);
+      ClientConnectionLog.unwatched(remoteAddress(), lastReceivedUs - idleSinceUs);
     }
     receiveTime.onRead(lastReceivedUs, ingress.polls().previousPollUs(), bytes.isWritable());
     if (hasSentRequest && isIdle()) {
@@ -257,8 +255,7 @@
 
   /** Answers the request that is being served, if any, and rejects the rest of the input. */
   @Override
-  public void onBudgetExceeded(final long reservedBytes) {
-    Log.event(Event.RECEIVE_BUDGET_EXCEEDED, "from", client(), "held", reservedBytes);
+  public void onBudgetExceeded() {
     context.channel().config().setAutoRead(false);
     dropInput();
     reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
@@ -360,7 +357,7 @@
   /** Stops reading requests, and sends this status once all earlier requests are answered. */
   void reject(final HttpResponseStatus status) {
     ClientConnectionLog.rejected(
-        client(), status.code(), currentMessageId(), queuedRequests.size());
+        remoteAddress(), status.code(), currentMessageId(), queuedRequests.size());
     finishWith(status);
     assembler.discard();
     if (!isProcessingRequest()) {
@@ -426,11 +423,12 @@
   private void logClosed(final String reason) {
     if (isProcessingRequest() || isReceivingRequest()) {
       ClientConnectionLog.closed(
-          client(), reason, currentMessageId(), queuedRequests.size(), isReceivingRequest());
+          remoteAddress(), reason, currentMessageId(), queuedRequests.size(), isReceivingRequest());
     }
   }
 
-  private SocketAddress client() {
+  @Override
+  public SocketAddress remoteAddress() {
     return context.channel().remoteAddress();
   }
 
@@ -447,7 +445,7 @@
     dropInput();
     if (currentSubmission != null) {
       ClientConnectionLog.unanswered(
-          client(),
+          remoteAddress(),
           currentSubmission.messageId(),
           ingress.clock().nowUs() - currentRequest.completedUs());
       withdraw(currentSubmission);
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -5,19 +5,19 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
+import java.net.SocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.port.Dispatcher.Attempt;
 import thistleturn.courier.port.Dispatcher.DispatchOutcome;
 import thistleturn.courier.runtime.Clock;
-import thistleturn.courier.runtime.Event;
-import thistleturn.courier.runtime.Log;
 import thistleturn.courier.transport.ConnectionFailures;
 import thistleturn.decisions.model.AttemptResult;
-import thistleturn.decisions.model.MessageDisposition;
 import thistleturn.decisions.pools.AnswerTreatment;
 import thistleturn.decisions.pools.AnswerTreatment.Completeness;
 import thistleturn.decisions.pools.ConnectionLoss;
@@ -251,6 +251,11 @@
       }
       return;
     }
+    if (part.decoderResult().cause() instanceof PrematureChannelClosureException) {
+      // The decoder reports the end of the connection within a head before the channel does.
+      onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.ENDED_BY_ENDPOINT);
+      return;
+    }
     if (call == null || part.decoderResult().isFailure() || !response.add(part)) {
       // The response belongs to no call or is invalid: the connection cannot be reused.
       onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.INVALID_RESPONSE);
@@ -276,15 +281,14 @@
     ctx.fireChannelReadComplete();
   }
 
+  @Override
+  public SocketAddress remoteAddress() {
+    return context.channel().remoteAddress();
+  }
+
   /** Gives the response up as one that cannot be used: it may have run. */
   @Override
-  public void onBudgetExceeded(final long reservedBytes) {
-    Log.event(
-        Event.RECEIVE_BUDGET_EXCEEDED,
-        "from",
-        context.channel().remoteAddress(),
-        "held",
-        reservedBytes);
+  public void onBudgetExceeded() {
     onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.INVALID_RESPONSE);
   }
 
@@ -295,20 +299,13 @@
 
   // ---------------------------------------------------------------- outcomes
 
-  /**
-   * The outcome that the status line of an incomplete response states; empty if it ends no message.
-   * A delivery of several messages needs the complete response.
-   */
+  /** What the status line states of a call that this side ends; empty if it may be false. */
   Optional<DispatchOutcome> statedOutcome(final HttpCall candidate) {
-    return statesEnd(candidate)
-        ? Optional.of(incompleteAnswer.outcomeOf(candidate, this, Completeness.CUT_OFF))
+    return candidate == call
+        ? incompleteAnswer.statedOutcome(candidate, this, Optional.empty())
         : Optional.empty();
   }
 
-  private boolean statesEnd(final HttpCall candidate) {
-    return candidate != null && candidate == call && incompleteAnswer.statesEnd(candidate);
-  }
-
   private void onResponseComplete() {
     if (needsConfirmation()) {
       confirmationTimer.start();
@@ -319,12 +316,15 @@
   }
 
   private boolean needsConfirmation() {
-    final HttpResponse head = response.head();
-    final MessageDisposition disposition = EndpointResponseParser.parse(head, 0).disposition();
-    return AnswerTreatment.of(Completeness.COMPLETE, disposition, !isReused())
+    return treatmentOfComplete(EndpointResponseParser.parse(response.head(), 0))
         == AnswerTreatment.COUNTS_AFTER_SILENCE;
   }
 
+  private AnswerTreatment treatmentOfComplete(final DispatchOutcome outcome) {
+    return AnswerTreatment.of(
+        Completeness.COMPLETE, outcome.result(), outcome.disposition(), !isReused());
+  }
+
   private void acceptResponse() {
     final HttpCall completed = call;
     call = null;
@@ -345,7 +345,7 @@
 
   /** The response says the same of all messages of its call. */
   private void onSingleOutcome(final HttpCall completed, final DispatchOutcome outcome) {
-    switch (AnswerTreatment.of(Completeness.COMPLETE, outcome.disposition(), !isReused())) {
+    switch (treatmentOfComplete(outcome)) {
       case CERTAIN, COUNTS_AFTER_SILENCE -> {
         keepOrClose(completed);
         dispatcher.report(completed, outcome);
@@ -360,7 +360,8 @@
         dispatcher.report(
             completed, dispatcher.unconfirmedCalls().addOpen(completed, this, outcome));
       }
-      case FOREIGN -> throw new IllegalStateException("a complete answer is not parts of two");
+      case ENDS_ATTEMPTS, MAY_HAVE_RUN, FOREIGN ->
+          throw new IllegalStateException("a complete answer counts as it says");
     }
   }
 
@@ -429,7 +430,6 @@
     removeFromPool();
     closeChannel(reason);
     final HttpCall interrupted = call;
-    final boolean stated = statesEnd(interrupted);
     final boolean outOfStep = provesOutOfStep(reason);
     call = null;
     if (outOfStep) {
@@ -445,14 +445,13 @@
     if (outOfStep) {
       dispatcher.report(
           interrupted, interrupted.isWritten() ? IncompleteAnswer.IN_DOUBT : NOT_SENT);
-    } else if (stated) {
-      dispatcher.report(
-          interrupted,
-          incompleteAnswer.outcomeOf(interrupted, this, incompleteAnswer.completeness(reason)));
-    } else {
-      final AttemptResult result = failedResult(interrupted, cause, answered);
-      dispatcher.report(interrupted, new DispatchOutcome(result, false, retryAfterUs, null));
+      return;
     }
+    final AttemptResult result = failedResult(interrupted, cause, answered);
+    final DispatchOutcome failure = new DispatchOutcome(result, false, retryAfterUs, null);
+    dispatcher.report(
+        interrupted,
+        incompleteAnswer.statedOutcome(interrupted, this, Optional.of(reason)).orElse(failure));
   }
 
   /**
@@ -490,6 +489,10 @@
   @Override
   public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
     ConnectionFailures.report("endpoint connection", cause);
-    onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.ENDED_BY_ENDPOINT);
+    onConnectionBroken(
+        AttemptResult.RESET,
+        cause instanceof IOException
+            ? EndpointCloseReason.ENDED_BY_ENDPOINT
+            : EndpointCloseReason.INCOMPLETE_RESPONSE);
   }
 }
--- a/courier/src/main/java/thistleturn/courier/http/IncompleteAnswer.java
+++ b/courier/src/main/java/thistleturn/courier/http/IncompleteAnswer.java
@@ -1,13 +1,14 @@
 package thistleturn.courier.http;
 
+import java.util.Optional;
 import thistleturn.courier.port.Dispatcher.DispatchOutcome;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.pools.AnswerTreatment;
 import thistleturn.decisions.pools.AnswerTreatment.Completeness;
 
 /**
- * What a response that was not received completely says of its call, by its status line alone. Used
- * on the event loop of its connection.
+ * What a response says of its call, by its status line alone, when the call ends before it counts
+ * as complete. Used on the event loop of its connection.
  */
 final class IncompleteAnswer {
   /** The outcome of a call whose response is not known. It says nothing about the endpoint. */
@@ -22,36 +23,63 @@
   }
 
   /**
-   * Whether the status line ends the attempts of the call's messages. A delivery of several
-   * messages needs the complete response.
+   * The outcome that the status line states for the call; empty if it ends no message, or if the
+   * rest shows that it may be false. A delivery of several messages needs the complete response.
+   *
+   * @param ended why the connection has ended; empty if it is this side that ends the call
    */
-  boolean statesEnd(final HttpCall call) {
+  Optional<DispatchOutcome> statedOutcome(
+      final HttpCall call,
+      final EndpointConnection connection,
+      final Optional<EndpointCloseReason> ended) {
+    return statesEnd(call)
+        ? Optional.ofNullable(treat(call, connection, completeness(ended)))
+        : Optional.empty();
+  }
+
+  private boolean statesEnd(final HttpCall call) {
     return call.isWritten()
         && response.hasFinalStatus()
         && EndpointResponseParser.parse(response.receivedHead(), 0).endsAttempts()
         && !(call.isBulk() && response.receivedHead().status().code() == EndpointResponseParser.OK);
   }
 
-  /** How much was received of the response when its connection ended for this reason. */
-  Completeness completeness(final EndpointCloseReason reason) {
-    // A response that ends in another one, or in what is none, may be parts of two.
-    return reason == EndpointCloseReason.INVALID_RESPONSE || response.containsAnotherResponse()
-        ? Completeness.SPOILT
-        : Completeness.CUT_OFF;
+  private Completeness completeness(final Optional<EndpointCloseReason> ended) {
+    if (response.containsAnotherResponse()
+        || ended.equals(Optional.of(EndpointCloseReason.INVALID_RESPONSE))) {
+      // A response that ends in another one, or in what is none, may be parts of two.
+      return Completeness.SPOILT;
+    }
+    if (response.isComplete()) {
+      return Completeness.COMPLETE;
+    }
+    return ended.equals(Optional.of(EndpointCloseReason.ENDED_BY_ENDPOINT))
+        ? Completeness.CUT_OFF
+        : Completeness.SILENT;
   }
 
-  /** The outcome of a call that ends together with its connection, and whose end is stated. */
-  DispatchOutcome outcomeOf(
+  /** Returns null if the status says nothing. The connection has ended, or ends now. */
+  private DispatchOutcome treat(
       final HttpCall call, final EndpointConnection connection, final Completeness completeness) {
     final DispatchOutcome outcome = EndpointResponseParser.parse(response.receivedHead());
-    final boolean identified = !connection.isReused();
-    return switch (AnswerTreatment.of(completeness, outcome.disposition(), identified)) {
-      case CERTAIN, COUNTS_AFTER_SILENCE -> outcome;
+    final AnswerTreatment treatment =
+        AnswerTreatment.of(
+            completeness, outcome.result(), outcome.disposition(), !connection.isReused());
+    return switch (treatment) {
+      case CERTAIN -> outcome;
       case COUNTS_UNTIL_IN_DOUBT -> {
         unconfirmedCalls.addEnd(call, connection);
         yield outcome.unconfirmed();
       }
-      case COUNTS_AFTER_CLOSE -> unconfirmedCalls.addOpen(call, connection, outcome);
+      case COUNTS_AFTER_SILENCE, COUNTS_AFTER_CLOSE ->
+          unconfirmedCalls.addOpen(call, connection, outcome);
+      case ENDS_ATTEMPTS ->
+          new DispatchOutcome(
+              AttemptResult.STALE,
+              outcome.disposition(),
+              outcome.retryAfterUs(),
+              outcome.loadReport());
+      case MAY_HAVE_RUN -> null;
       case FOREIGN -> IN_DOUBT;
     };
   }
--- a/courier/src/main/java/thistleturn/courier/http/ReceiveBudget.java
+++ b/courier/src/main/java/thistleturn/courier/http/ReceiveBudget.java
@@ -1,10 +1,13 @@
 package thistleturn.courier.http;
 
+import java.net.SocketAddress;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Gauge;
+import thistleturn.courier.runtime.Log;
 
 /**
  * Limits how many bytes of incomplete or unserved input all connections of one event loop hold
@@ -41,8 +44,11 @@
 
   /** A connection that holds received bytes. */
   interface Holder {
-    /** The connection has to drop its input, and to end its reservation. */
-    void onBudgetExceeded(long reservedBytes);
+    /** The address of the other side. */
+    SocketAddress remoteAddress();
+
+    /** The connection has to drop its input; its reservation has ended. */
+    void onBudgetExceeded();
   }
 
   /** What one connection holds. */
@@ -90,9 +96,14 @@
   private void enforceLimit(final Reservation latest) {
     while (heldBytes > limitBytes) {
       final Reservation victim = selectVictim(latest);
-      final int reservedBytes = ALLOWANCE_BYTES + victim.excessBytes;
+      Log.event(
+          Event.RECEIVE_BUDGET_EXCEEDED,
+          "from",
+          victim.holder.remoteAddress(),
+          "held",
+          ALLOWANCE_BYTES + victim.excessBytes);
       victim.release();
-      victim.holder.onBudgetExceeded(reservedBytes);
+      victim.holder.onBudgetExceeded();
     }
   }
 
--- a/courier/src/test/java/thistleturn/courier/FakeHttpServer.java
+++ b/courier/src/test/java/thistleturn/courier/FakeHttpServer.java
@@ -167,6 +167,15 @@
       }
     }
 
+    /** Ends the connection behind what was written. */
+    void end() {
+      try {
+        socket.shutdownOutput();
+      } catch (final IOException e) {
+        closedByPeer = true;
+      }
+    }
+
     /** Resets the connection. */
     void reset() {
       try {
--- a/courier/src/test/java/thistleturn/courier/http/ReceiveBudgetTest.java
+++ b/courier/src/test/java/thistleturn/courier/http/ReceiveBudgetTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -19,7 +21,18 @@
   private final List<String> dropped = new ArrayList<>();
 
   private ReceiveBudget.Reservation open(final String name) {
-    return budget.open(reservedBytes -> dropped.add(name + " " + reservedBytes));
+    return budget.open(
+        new ReceiveBudget.Holder() {
+          @Override
+          public SocketAddress remoteAddress() {
+            return InetSocketAddress.createUnresolved(name, 1);
+          }
+
+          @Override
+          public void onBudgetExceeded() {
+            dropped.add(name);
+          }
+        });
   }
 
   private static int excess(final int bytes) {
@@ -49,7 +62,7 @@
     open("stalled").update(excess(6000));
     awaitStall();
     open("active").update(excess(6000));
-    assertEquals(List.of("stalled " + excess(6000)), dropped);
+    assertEquals(List.of("stalled"), dropped);
     assertEquals(6000, held.value());
   }
 
@@ -59,7 +72,7 @@
     final ReceiveBudget.Reservation first = open("first");
     first.update(excess(6000));
     open("second").update(excess(6000));
-    assertEquals(List.of("second " + excess(6000)), dropped);
+    assertEquals(List.of("second"), dropped);
     first.release();
     open("third").update(excess(LIMIT_BYTES));
     assertEquals(1, dropped.size());
--- a/decisions/src/main/java/thistleturn/decisions/pools/AnswerTreatment.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/AnswerTreatment.java
@@ -1,14 +1,17 @@
 package thistleturn.decisions.pools;
 
+import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.MessageDisposition;
 
 /**
- * What becomes of an answer that was read for a call. Every answer counts as the protocol states;
- * what differs is what has to happen so that it can be taken back if it proves to be that of
- * another call.
+ * What becomes of an answer that was read for a call. A complete answer counts as the protocol
+ * states; what differs is what has to happen so that it can be taken back if it proves to be that
+ * of another call. Of an answer that is not complete only the status is known: that it is the
+ * call's own does not show that it is true. Where it may be false, its message counts as one that
+ * may have run.
  */
 public enum AnswerTreatment {
-  /** It is known to be that of the call. */
+  /** It is known to be that of the call, and counts as it says. */
   CERTAIN,
   /**
    * It ends its message. The connection stays open, since the call's own answer, if this was not
@@ -26,15 +29,21 @@
    * flight if this was not its answer.
    */
   COUNTS_AFTER_CLOSE,
+  /** It ends the attempts of its message, which may have run all the same. */
+  ENDS_ATTEMPTS,
+  /** It shows nothing but that its message may have run: the attempt has failed. */
+  MAY_HAVE_RUN,
   /** It is parts of two: its message may have run or not, and is sent again. */
   FOREIGN;
 
   /** What was received of an answer. */
   public enum Completeness {
     COMPLETE,
-    /** Its status, and not all of the rest. */
+    /** Its status, and not all of the rest: the endpoint has closed the connection. */
     CUT_OFF,
-    /** Its status, and something that cannot be part of it. */
+    /** The same, but the connection is open, and nothing more comes in time. */
+    SILENT,
+    /** Its status, and something that cannot be part of it, on an open connection. */
     SPOILT
   }
 
@@ -42,25 +51,52 @@
    * Decides on an answer whose status was received.
    *
    * @param completeness what else of it was received
-   * @param disposition what the answer says about its message
+   * @param result the result that the status states
+   * @param disposition what the status says about further attempts of its message
    * @param identified whether the answer is known to be that of the call: it is the first one on
    *     its connection, or it names the messages of the call
    */
   public static AnswerTreatment of(
       final Completeness completeness,
+      final AttemptResult result,
       final MessageDisposition disposition,
       final boolean identified) {
+    return switch (completeness) {
+      case COMPLETE -> ofComplete(disposition, identified);
+      case CUT_OFF -> ofCutOff(disposition, identified);
+      case SILENT -> result == AttemptResult.DELIVERED ? ofEnd(identified) : MAY_HAVE_RUN;
+      case SPOILT -> identified ? ofSpoilt(result) : FOREIGN;
+    };
+  }
+
+  private static AnswerTreatment ofComplete(
+      final MessageDisposition disposition, final boolean identified) {
     if (identified) {
       return CERTAIN;
     }
-    if (completeness == Completeness.SPOILT) {
-      return FOREIGN;
-    }
     return switch (disposition) {
       case OVER -> COUNTS_UNTIL_IN_DOUBT;
-      case NO_FURTHER_ATTEMPT ->
-          completeness == Completeness.COMPLETE ? COUNTS_AFTER_SILENCE : COUNTS_AFTER_CLOSE;
+      case NO_FURTHER_ATTEMPT -> COUNTS_AFTER_SILENCE;
       case OPEN -> COUNTS_AFTER_CLOSE;
     };
   }
+
+  /** A connection that ends behind a call leaves open whether it ran. */
+  private static AnswerTreatment ofCutOff(
+      final MessageDisposition disposition, final boolean identified) {
+    return switch (disposition) {
+      case OVER -> ofEnd(identified);
+      case NO_FURTHER_ATTEMPT -> ENDS_ATTEMPTS;
+      case OPEN -> MAY_HAVE_RUN;
+    };
+  }
+
+  private static AnswerTreatment ofEnd(final boolean identified) {
+    return identified ? CERTAIN : COUNTS_UNTIL_IN_DOUBT;
+  }
+
+  /** Of a spoilt answer only a delivery is true. */
+  private static AnswerTreatment ofSpoilt(final AttemptResult result) {
+    return result == AttemptResult.DELIVERED ? CERTAIN : MAY_HAVE_RUN;
+  }
 }
