A withdrawal names what was submitted, not whatever bears the message id now

Cause: the older process forwarded the withdrawal by id; the newer one, which had refused that offer, ended the pending message of another client.

The last release works on either side: its withdrawal means its latest offer of the id; to it one is sent once it has accepted the offer. Two test lines of the handover's bytes changed on purpose; one test offers what it withdraws.

--- a/courier/src/main/java/thistleturn/courier/DecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/DecidingRole.java
@@ -8,6 +8,7 @@
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.HostedController;
 import thistleturn.decisions.directives.Directive;
@@ -109,8 +110,8 @@
   }
 
   @Override
-  public void withdraw(final String messageId, final long destination) {
-    intake.withdraw(messageId);
+  public void withdraw(final Submission submission) {
+    intake.withdraw(submission);
   }
 
   @Override
--- a/courier/src/main/java/thistleturn/courier/DecisionLoop.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoop.java
@@ -21,6 +21,7 @@
 import thistleturn.courier.port.OutcomeNotifier;
 import thistleturn.courier.port.StateObserver;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.CourierConfig;
 import thistleturn.courier.runtime.Log;
@@ -304,8 +305,8 @@
   }
 
   @Override
-  public void withdraw(final String messageId, final long destination) {
-    role.withdraw(messageId, destination);
+  public void withdraw(final Submission submission) {
+    role.withdraw(submission);
   }
 
   private InterruptedAttempts interruptedAttempts(final EarlierProcesses processes) {
--- a/courier/src/main/java/thistleturn/courier/DecisionLoopReplacement.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoopReplacement.java
@@ -8,6 +8,7 @@
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StateObserver;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.model.AttemptResult;
 
@@ -53,8 +54,8 @@
   }
 
   @Override
-  public void withdraw(final String id, final long destination) {
-    current.withdraw(id, destination);
+  public void withdraw(final Submission submission) {
+    current.withdraw(submission);
   }
 
   @Override
--- a/courier/src/main/java/thistleturn/courier/ForwardingRole.java
+++ b/courier/src/main/java/thistleturn/courier/ForwardingRole.java
@@ -7,6 +7,7 @@
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.EndpointUpdate;
 import thistleturn.decisions.model.ResponseCertainty;
@@ -54,8 +55,8 @@
   }
 
   @Override
-  public void withdraw(final String messageId, final long destination) {
-    successor.withdraw(messageId, destination);
+  public void withdraw(final Submission submission) {
+    successor.withdraw(submission);
   }
 
   /** Keeps the endpoint table current: if the newer process ends, this one decides again. */
--- a/courier/src/main/java/thistleturn/courier/HaltedRole.java
+++ b/courier/src/main/java/thistleturn/courier/HaltedRole.java
@@ -5,6 +5,7 @@
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.decisions.model.EndpointUpdate;
 
 /**
@@ -36,8 +37,8 @@
   }
 
   @Override
-  public void withdraw(final String messageId, final long destination) {
-    previous.withdraw(messageId, destination);
+  public void withdraw(final Submission submission) {
+    previous.withdraw(submission);
   }
 
   @Override
--- a/courier/src/main/java/thistleturn/courier/LocalIngressHandler.java
+++ b/courier/src/main/java/thistleturn/courier/LocalIngressHandler.java
@@ -3,6 +3,7 @@
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.IngressHandler;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.decisions.model.MessageClass;
 
 /**
@@ -27,7 +28,7 @@
   }
 
   @Override
-  public void withdraw(final String id, final long destination) {
-    shard.decisionLoop().withdraw(id, destination);
+  public void withdraw(final Submission submission) {
+    shard.decisionLoop().withdraw(submission);
   }
 }
--- a/courier/src/main/java/thistleturn/courier/LoopRole.java
+++ b/courier/src/main/java/thistleturn/courier/LoopRole.java
@@ -6,6 +6,7 @@
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.decisions.directives.Directive;
 import thistleturn.decisions.model.EndpointUpdate;
 
@@ -27,7 +28,7 @@
   void submit(StoredMessage message, long deadlineUs, Ingress.Reply reply);
 
   /** A client disconnected before its message was answered. */
-  void withdraw(String messageId, long destination);
+  void withdraw(Submission submission);
 
   /** The endpoint list changed, or is unavailable. */
   void onEndpointUpdate(EndpointUpdate update, EndpointTable.AppliedUpdate applied);
--- a/courier/src/main/java/thistleturn/courier/MessageIntake.java
+++ b/courier/src/main/java/thistleturn/courier/MessageIntake.java
@@ -3,6 +3,7 @@
 import thistleturn.courier.port.EndpointDirectory;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.DeliveryController;
@@ -106,10 +107,14 @@
     scheduler.requestRound();
   }
 
-  /** Drops a message whose client went away before it was answered. */
-  void withdraw(final String messageId) {
+  /**
+   * Drops what a client submitted that went away before it was answered. A pending message of the
+   * same id that came by another submission stays: its client may rely on it.
+   */
+  void withdraw(final Submission submission) {
+    final String messageId = submission.messageId();
     final PendingDelivery delivery = context.pending().get(messageId);
-    if (delivery != null) {
+    if (delivery != null && delivery.cameBy(submission)) {
       context
           .ended()
           .record(
--- a/courier/src/main/java/thistleturn/courier/PendingDelivery.java
+++ b/courier/src/main/java/thistleturn/courier/PendingDelivery.java
@@ -3,6 +3,7 @@
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.decisions.model.Message;
 import thistleturn.decisions.model.MessageClass;
 
@@ -18,6 +19,10 @@
   private final StoredMessage message;
   private final MessageClass messageClass;
   private final long deadlineUs;
+
+  /** True if the client was answered before this delivery was created. */
+  private final boolean resumed;
+
   private Ingress.Reply reply;
   private Dispatcher.Call call;
   private boolean ended;
@@ -37,6 +42,13 @@
     this.messageClass = messageClass;
     this.deadlineUs = deadlineUs;
     this.reply = reply;
+    this.resumed = reply == null;
+  }
+
+  /** Returns whether the message came by this submission, here or in an earlier process. */
+  boolean cameBy(final Submission submission) {
+    return message.submission() == submission
+        || (resumed && submission.isSameAs(message.submission()));
   }
 
   StoredMessage message() {
--- a/courier/src/main/java/thistleturn/courier/PredecessorEvents.java
+++ b/courier/src/main/java/thistleturn/courier/PredecessorEvents.java
@@ -6,6 +6,7 @@
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.MessageTimeline;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.decisions.model.AttemptResult;
 
 /**
@@ -56,8 +57,8 @@
   }
 
   @Override
-  public void withdraw(final String messageId, final long destination) {
-    loop.withdraw(messageId, destination);
+  public void withdraw(final Submission submission) {
+    loop.withdraw(submission);
   }
 
   @Override
--- a/courier/src/main/java/thistleturn/courier/TakeoverWarmUp.java
+++ b/courier/src/main/java/thistleturn/courier/TakeoverWarmUp.java
@@ -14,6 +14,7 @@
 import thistleturn.courier.port.MessageStore;
 import thistleturn.courier.port.MessageTimeline;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.CourierConfig;
 import thistleturn.courier.runtime.Log;
@@ -183,7 +184,7 @@
     }
 
     @Override
-    public void withdraw(final String messageId, final long destination) {
+    public void withdraw(final Submission submission) {
       // There are no clients.
     }
 
--- a/courier/src/main/java/thistleturn/courier/UnansweredSubmissions.java
+++ b/courier/src/main/java/thistleturn/courier/UnansweredSubmissions.java
@@ -1,9 +1,7 @@
 package thistleturn.courier;
 
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -13,6 +11,7 @@
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.IngressHandler;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
@@ -51,10 +50,10 @@
 
   private final Successor successor;
   private final Clock clock;
-  private final Set<Submission> unanswered = new LinkedHashSet<>();
+  private final Set<UnansweredRequest> unanswered = new LinkedHashSet<>();
 
-  /** The destinations of withdrawn messages, by id, the latest last. */
-  private final Map<String, Long> withdrawals = new LinkedHashMap<>();
+  /** What was withdrawn, the latest last. */
+  private final Set<Submission> withdrawals = new LinkedHashSet<>();
 
   private State state = State.FORWARDING;
 
@@ -66,8 +65,8 @@
   @Override
   public void submit(
       final StoredMessage message, final long deadlineUs, final Ingress.Reply reply) {
-    final Submission submission =
-        new Submission(message, deadlineUs, reply, clock.nowUs(), state == State.FORWARDING);
+    final UnansweredRequest submission =
+        new UnansweredRequest(message, deadlineUs, reply, clock.nowUs(), state == State.FORWARDING);
     unanswered.add(submission);
     switch (state) {
       case FORWARDING -> successor.submit(message, deadlineUs, submission);
@@ -79,18 +78,18 @@
   }
 
   /**
-   * Forgets the client, which expects no answer any more; its message is withdrawn from the
-   * deciding process.
+   * Forgets the client, which expects no answer any more; what it submitted is withdrawn from the
+   * deciding process. Other clients that have submitted the same id keep theirs.
    */
   @Override
-  public void withdraw(final String messageId, final long destination) {
-    unanswered.removeIf(submission -> submission.message.id().equals(messageId));
-    withdrawals.put(messageId, destination);
+  public void withdraw(final Submission submission) {
+    unanswered.removeIf(request -> request.message.submission() == submission);
+    withdrawals.add(submission);
     if (withdrawals.size() > MAX_REMEMBERED_WITHDRAWALS) {
-      withdrawals.remove(withdrawals.keySet().iterator().next());
+      withdrawals.remove(withdrawals.iterator().next());
     }
     if (state == State.FORWARDING) {
-      successor.withdraw(messageId, destination);
+      successor.withdraw(submission);
     }
   }
 
@@ -145,12 +144,12 @@
     settle(history, this::reject);
   }
 
-  private void settle(final JournalHistory history, final Consumer<Submission> undecided) {
-    final List<Submission> submissions = List.copyOf(unanswered);
+  private void settle(final JournalHistory history, final Consumer<UnansweredRequest> undecided) {
+    final List<UnansweredRequest> submissions = List.copyOf(unanswered);
     if (!submissions.isEmpty()) {
       Log.info("the newer process ended with " + submissions.size() + " requests unanswered");
     }
-    for (final Submission submission : submissions) {
+    for (final UnansweredRequest submission : submissions) {
       switch (acceptanceOf(submission, history)) {
         case ACCEPTED -> submission.accepted();
         case NOT_ACCEPTED -> undecided.accept(submission);
@@ -160,13 +159,13 @@
   }
 
   private static JournalHistory.Acceptance acceptanceOf(
-      final Submission submission, final JournalHistory history) {
+      final UnansweredRequest submission, final JournalHistory history) {
     return submission.forwarded
         ? history.takeAcceptance(submission.message.id(), submission.submittedUs)
         : JournalHistory.Acceptance.NOT_ACCEPTED;
   }
 
-  private void reject(final Submission submission) {
+  private void reject(final UnansweredRequest submission) {
     Log.event(
         Event.REQUEST_REFUSED,
         "id",
@@ -179,7 +178,7 @@
   }
 
   /** A submitted message and the reply to its client; only the first answer is passed on. */
-  private final class Submission implements Ingress.Reply {
+  private final class UnansweredRequest implements Ingress.Reply {
     private final StoredMessage message;
     private final long deadlineUs;
     private final Ingress.Reply client;
@@ -188,7 +187,7 @@
     /** True if the newer process may have read it. */
     private final boolean forwarded;
 
-    private Submission(
+    private UnansweredRequest(
         final StoredMessage message,
         final long deadlineUs,
         final Ingress.Reply client,
--- a/courier/src/main/java/thistleturn/courier/handover/HandoverClient.java
+++ b/courier/src/main/java/thistleturn/courier/handover/HandoverClient.java
@@ -15,6 +15,7 @@
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.courier.transport.Connector;
 import thistleturn.courier.transport.SocketUnavailableException;
 import thistleturn.decisions.model.AttemptResult;
@@ -33,8 +34,8 @@
     /** A client has submitted a message at the older process. */
     void onMessageSubmitted(StoredMessage message, Ingress.Reply reply);
 
-    /** The client of a submitted message has disconnected before it received a reply. */
-    void withdraw(String id, long destination);
+    /** The client of a submission has disconnected before it received a reply. */
+    void withdraw(Submission submission);
 
     /** The outcome of one message in a call that the older process has in flight. */
     void onRemoteOutcome(String messageId, Dispatcher.DispatchOutcome outcome);
@@ -59,6 +60,7 @@
   }
 
   private final PredecessorConnection connection = new PredecessorConnection();
+  private final ReceivedOffers offers = new ReceivedOffers();
   private final SnapshotAssembler snapshotAssembler = new SnapshotAssembler();
   private final Consumer<HandoverSnapshot> onSnapshot;
   private final Runnable onFailure;
@@ -119,7 +121,7 @@
 
   private void onConnectCompleted(final ChannelFuture connecting) {
     if (connecting.isSuccess()) {
-      connection.send(new SuccessorLine.Hello(HandoverCodec.PROTOCOL_VERSION));
+      connection.send(new SuccessorLine.Hello(HandoverCodec.PROTOCOL_VERSION, true));
     } else {
       connection.onClosed();
     }
@@ -158,9 +160,13 @@
 
   private void dispatch(final PredecessorLine line) {
     if (line instanceof PredecessorLine.Offer offer) {
+      offers.add(offer);
       listener.onMessageSubmitted(offer.message(), new ForwardedReply(offer.offerNumber()));
     } else if (line instanceof PredecessorLine.Withdrawal withdrawal) {
-      listener.withdraw(withdrawal.messageId(), withdrawal.destination());
+      final Submission withdrawn = offers.remove(withdrawal);
+      if (withdrawn != null) {
+        listener.withdraw(withdrawn);
+      }
     } else if (line instanceof PredecessorLine.CallOutcome outcome) {
       listener.onRemoteOutcome(outcome.messageId(), outcome.outcome());
     }
--- a/courier/src/main/java/thistleturn/courier/handover/PredecessorLine.java
+++ b/courier/src/main/java/thistleturn/courier/handover/PredecessorLine.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.LoadReport;
 import thistleturn.decisions.model.MessageDisposition;
@@ -47,17 +48,38 @@
     }
   }
 
-  /** The client of an offered message has disconnected before it received a reply. */
-  record Withdrawal(String messageId, long destination) implements PredecessorLine {
+  /**
+   * The client of an offered message has disconnected before it received a reply. A process of the
+   * last release sends no offer number, and reads the id alone.
+   */
+  record Withdrawal(long offerNumber, String messageId, long destination)
+      implements PredecessorLine {
+    /** Offers are numbered from 1. */
+    static final long UNKNOWN_OFFER = 0;
+
     private static final String TYPE = "withdraw";
 
+    static Withdrawal of(final long offerNumber, final Submission submission) {
+      return new Withdrawal(offerNumber, submission.messageId(), submission.destination());
+    }
+
+    boolean namesOffer() {
+      return offerNumber != UNKNOWN_OFFER;
+    }
+
     @Override
     public ObjectNode toJson() {
-      return HandoverLine.ofType(TYPE).put("id", messageId).put("dest", destination);
+      return HandoverLine.ofType(TYPE)
+          .put("number", offerNumber)
+          .put("id", messageId)
+          .put("dest", destination);
     }
 
     private static Withdrawal fromJson(final JsonNode line) {
-      return new Withdrawal(line.path("id").asText(), line.path("dest").asLong());
+      return new Withdrawal(
+          line.path("number").asLong(UNKNOWN_OFFER),
+          line.path("id").asText(),
+          line.path("dest").asLong());
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/handover/SuccessorConnection.java
+++ b/courier/src/main/java/thistleturn/courier/handover/SuccessorConnection.java
@@ -2,11 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.util.HashMap;
-import java.util.Map;
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.courier.runtime.Log;
 
 /**
@@ -22,10 +21,7 @@
   private final HandoverServer server;
   private final HandoverSource source;
 
-  /** Clients that wait for the successor's reply, by the numbers of their offers. */
-  private final Map<Long, Ingress.Reply> pendingReplies = new HashMap<>();
-
-  private long lastOfferNumber;
+  private final SentOffers offers = new SentOffers();
 
   SuccessorConnection(final HandoverServer server, final HandoverSource source) {
     this.server = server;
@@ -45,6 +41,7 @@
     if (server.hasSuccessor()) {
       reject("another handover is in progress");
     } else if (isHelloOfThisVersion(json)) {
+      offers.setSuccessorReadsOfferNumbers(SuccessorLine.Hello.fromJson(json).readsOfferNumbers());
       handOver();
     } else {
       reject("the first line is not a hello of this version: " + json);
@@ -79,19 +76,12 @@
     } else if (line instanceof SuccessorLine.AbandonCall abandon) {
       source.abandonCall(abandon.callNumber(), abandon.result());
     } else if (line instanceof SuccessorLine.OfferReply reply) {
-      onReply(reply);
+      offers.onReply(reply).ifPresent(this::send);
     } else if (line instanceof SuccessorLine.Unknown unknown) {
       Log.info("handover: unknown line type " + unknown.type());
     }
   }
 
-  private void onReply(final SuccessorLine.OfferReply reply) {
-    final Ingress.Reply client = pendingReplies.remove(reply.offerNumber());
-    if (client != null) {
-      reply.sendTo(client);
-    }
-  }
-
   @Override
   public void submit(
       final StoredMessage message, final long deadlineUs, final Ingress.Reply reply) {
@@ -99,15 +89,13 @@
       reply.rejected(Ingress.RejectionReason.NO_ROOM, RETRY_AFTER_US);
       return;
     }
-    lastOfferNumber++;
-    pendingReplies.put(lastOfferNumber, reply);
-    send(new PredecessorLine.Offer(lastOfferNumber, message, deadlineUs));
+    send(offers.add(message, deadlineUs, reply));
   }
 
   @Override
-  public void withdraw(final String id, final long destination) {
+  public void withdraw(final Submission submission) {
     if (server.isSuccessor(this)) {
-      send(new PredecessorLine.Withdrawal(id, destination));
+      offers.withdraw(submission).ifPresent(this::send);
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/handover/SuccessorLine.java
+++ b/courier/src/main/java/thistleturn/courier/handover/SuccessorLine.java
@@ -8,17 +8,25 @@
 /** A line that the newer process sends. */
 sealed interface SuccessorLine extends HandoverLine {
 
-  /** Asks for the handover. Always the first line; a process of another version rejects it. */
-  record Hello(int version) implements SuccessorLine {
+  /**
+   * Asks for the handover. Always the first line; a process of another version rejects it.
+   *
+   * @param readsOfferNumbers whether a withdrawal is found by the number of its offer; the last
+   *     release finds it by the message id
+   */
+  record Hello(int version, boolean readsOfferNumbers) implements SuccessorLine {
     static final String TYPE = "hello";
+    private static final String READS_OFFER_NUMBERS = "offers";
 
     @Override
     public ObjectNode toJson() {
-      return HandoverLine.ofType(TYPE).put("version", version);
+      return HandoverLine.ofType(TYPE)
+          .put("version", version)
+          .put(READS_OFFER_NUMBERS, readsOfferNumbers);
     }
 
     static Hello fromJson(final JsonNode line) {
-      return new Hello(line.path("version").asInt());
+      return new Hello(line.path("version").asInt(), line.path(READS_OFFER_NUMBERS).asBoolean());
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/http/ClientConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/ClientConnection.java
@@ -312,9 +312,9 @@
     currentSubmission = reply;
   }
 
-  /** Withdraws a message whose client does not know whether it was accepted. */
-  void withdraw(final SubmitReply submission) {
-    ingress.handler().withdraw(submission.messageId(), submission.destination());
+  /** Withdraws what a client submitted that does not know whether it was accepted. */
+  void withdraw(final SubmitReply reply) {
+    ingress.handler().withdraw(reply.submission());
   }
 
   // ---------------------------------------------------------------- responding
@@ -466,7 +466,7 @@
     if (currentSubmission != null) {
       finishWith(HttpResponseStatus.SERVICE_UNAVAILABLE);
       // On another loop the first attempt may have begun: that loop's reply is awaited instead.
-      if (ingress.handler().isAnsweredOnThisLoop(currentSubmission.destination())) {
+      if (ingress.handler().isAnsweredOnThisLoop(currentSubmission.submission().destination())) {
         withdraw(currentSubmission);
         respond(HttpResponseStatus.SERVICE_UNAVAILABLE, HALF_CLOSED_RETRY_AFTER_US);
       }
--- a/courier/src/main/java/thistleturn/courier/http/RequestRouter.java
+++ b/courier/src/main/java/thistleturn/courier/http/RequestRouter.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.function.BooleanSupplier;
 import thistleturn.courier.port.IngressHandler;
+import thistleturn.courier.port.StoredMessage;
 import thistleturn.decisions.model.MessageClass;
 
 /** Routes the requests of clients by their path: to the health check or to a message class. */
@@ -53,8 +54,9 @@
       return;
     }
     final long deadlineUs = submission.deadlineUs(request, messageClass);
-    final SubmitReply reply = new SubmitReply(connection, request, submission);
+    final StoredMessage message = submission.toMessage(request, messageClass, deadlineUs);
+    final SubmitReply reply = new SubmitReply(connection, request, message.submission());
     connection.awaitReply(reply);
-    handler.submit(submission.toMessage(request, messageClass, deadlineUs), deadlineUs, reply);
+    handler.submit(message, deadlineUs, reply);
   }
 }
--- a/courier/src/main/java/thistleturn/courier/http/SubmitReply.java
+++ b/courier/src/main/java/thistleturn/courier/http/SubmitReply.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import thistleturn.courier.port.Ingress;
+import thistleturn.courier.port.Submission;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
 
@@ -12,25 +13,23 @@
 final class SubmitReply implements Ingress.Reply {
   private final ClientConnection connection;
   private final QueuedRequest request;
-  private final SubmitRequest submission;
+  private final Submission submission;
 
   SubmitReply(
-      final ClientConnection connection,
-      final QueuedRequest request,
-      final SubmitRequest submission) {
+      final ClientConnection connection, final QueuedRequest request, final Submission submission) {
     this.connection = connection;
     this.request = request;
     this.submission = submission;
   }
 
-  /** The id of the message. */
-  String messageId() {
-    return submission.id();
+  /** The submission that is answered. */
+  Submission submission() {
+    return submission;
   }
 
-  /** The destination of the message. */
-  long destination() {
-    return submission.destination();
+  /** The id of the message. */
+  String messageId() {
+    return submission.messageId();
   }
 
   @Override
@@ -64,7 +63,8 @@
 
   @Override
   public void invalid(final Ingress.InvalidReason reason) {
-    Log.event(Event.REQUEST_UNUSABLE, "id", messageId(), "dest", destination(), "why", reason);
+    Log.event(
+        Event.REQUEST_UNUSABLE, "id", messageId(), "dest", submission.destination(), "why", reason);
     respondIfCurrent(
         reason == Ingress.InvalidReason.NO_DESTINATION
             ? HttpResponseStatus.NOT_FOUND
--- a/courier/src/main/java/thistleturn/courier/port/IngressHandler.java
+++ b/courier/src/main/java/thistleturn/courier/port/IngressHandler.java
@@ -21,6 +21,9 @@
    */
   void submit(StoredMessage message, long deadlineUs, Ingress.Reply reply);
 
-  /** Withdraws a message whose client disconnected before it was answered. */
-  void withdraw(String messageId, long destination);
+  /**
+   * Withdraws what was submitted, since its client disconnected before it was answered. Another
+   * message of the same id is not concerned, and neither is one that has ended.
+   */
+  void withdraw(Submission submission);
 }
--- a/courier/src/main/java/thistleturn/courier/port/StoredMessage.java
+++ b/courier/src/main/java/thistleturn/courier/port/StoredMessage.java
@@ -20,6 +20,7 @@
   private final String idempotencyKey;
   private final long destination;
   private final long deadlineUs;
+  private final Submission submission;
   private byte[] body;
   private int attempts;
   private long firstExecutionUs = NEVER;
@@ -60,9 +61,15 @@
     this.idempotencyKey = idempotencyKey;
     this.destination = destination;
     this.deadlineUs = deadlineUs;
+    this.submission = new Submission(id, destination, deadlineUs);
     this.body = body;
   }
 
+  /** Returns the submission by which this message came. */
+  public Submission submission() {
+    return submission;
+  }
+
   /** Returns the message's id, which its client chose. */
   public String id() {
     return id;
--- a/courier/src/main/java/thistleturn/courier/shard/ShardedIngressHandler.java
+++ b/courier/src/main/java/thistleturn/courier/shard/ShardedIngressHandler.java
@@ -5,6 +5,7 @@
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.IngressHandler;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.decisions.model.MessageClass;
 import thistleturn.decisions.shards.ShardPlacement;
 
@@ -61,12 +62,12 @@
   }
 
   @Override
-  public void withdraw(final String messageId, final long destination) {
-    final int shard = ShardPlacement.shardOf(destination, handlers.size());
+  public void withdraw(final Submission submission) {
+    final int shard = ShardPlacement.shardOf(submission.destination(), handlers.size());
     if (shard == ownShard) {
-      handlers.get(ownShard).withdraw(messageId, destination);
+      handlers.get(ownShard).withdraw(submission);
     } else {
-      loops.get(shard).execute(() -> handlers.get(shard).withdraw(messageId, destination));
+      loops.get(shard).execute(() -> handlers.get(shard).withdraw(submission));
     }
   }
 
--- a/courier/src/test/java/thistleturn/courier/ScriptedSuccessorListener.java
+++ b/courier/src/test/java/thistleturn/courier/ScriptedSuccessorListener.java
@@ -4,6 +4,7 @@
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 
 /** The handover listener of a {@link ScriptedCourierProcess} as successor; prints each event. */
 final class ScriptedSuccessorListener implements HandoverClient.Listener {
@@ -16,8 +17,9 @@
   }
 
   @Override
-  public void withdraw(final String id, final long destination) {
-    ScriptedCourierProcess.print(ScriptedCourierProcess.EVENT + "withdrawn " + id);
+  public void withdraw(final Submission submission) {
+    ScriptedCourierProcess.print(
+        ScriptedCourierProcess.EVENT + "withdrawn " + submission.messageId());
   }
 
   @Override
--- a/courier/src/test/java/thistleturn/courier/handover/HandoverConversationFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/handover/HandoverConversationFormatTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
@@ -32,6 +34,7 @@
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.decisions.LearnedState;
 import thistleturn.decisions.model.AttemptResult;
 
@@ -109,8 +112,8 @@
     }
 
     @Override
-    public void withdraw(final String id, final long destination) {
-      events.add("withdraw " + id + " " + destination);
+    public void withdraw(final Submission submission) {
+      events.add("withdraw " + submission.messageId() + " " + submission.destination());
     }
 
     @Override
@@ -138,7 +141,7 @@
                   HandoverClient.requestHandover(loop, folder, received::complete, failed)));
       try (SocketChannel connection = server.accept();
           BufferedReader in = reader(connection)) {
-        assertEquals("{\"t\":\"hello\",\"version\":4}", in.readLine());
+        assertEquals("{\"t\":\"hello\",\"version\":4,\"offers\":true}", in.readLine());
         write(connection, EMPTY_SNAPSHOT_LINES.toArray(new String[0]));
         assertEquals(List.of(), received.get(TIMEOUT_S, TimeUnit.SECONDS).endpoints());
 
@@ -175,7 +178,8 @@
 
         write(
             connection,
-            "{\"t\":\"withdraw\",\"id\":\"m1\",\"dest\":57}",
+            "{\"t\":\"withdraw\",\"number\":1,\"id\":\"m1\",\"dest\":57}",
+            "{\"t\":\"withdraw\",\"number\":1,\"id\":\"m1\",\"dest\":57}",
             "{\"t\":\"outcome\",\"call\":11,\"id\":\"m2\",\"result\":\"NOT_SENT\","
                 + "\"over\":false,\"wait\":0}");
         assertEquals("withdraw m1 57", nextEvent(deciding.events));
@@ -255,7 +259,7 @@
     loop.execute(() -> new HandoverServer(serving).listen(loop, folder));
     try (SocketChannel connection = connectToOlderProcess();
         BufferedReader in = reader(connection)) {
-      write(connection, "{\"t\":\"hello\",\"version\":4}");
+      write(connection, "{\"t\":\"hello\",\"version\":4,\"offers\":true}");
       assertEquals(EMPTY_SNAPSHOT_LINES, read(in, 2));
 
       final Successor successor = serving.successor.get(TIMEOUT_S, TimeUnit.SECONDS);
@@ -267,7 +271,7 @@
             for (int offer = 1; offer <= 6; offer++) {
               successor.submit(message, 5_000_000, new RecordedReply(replies));
             }
-            successor.withdraw("m1", 57);
+            successor.withdraw(message.submission());
             successor.reportOutcome(
                 11, "m2", new Dispatcher.DispatchOutcome(AttemptResult.NOT_SENT, false, 0, null));
           });
@@ -275,7 +279,7 @@
       for (int number = 1; number <= 6; number++) {
         expected.add("{\"t\":\"offer\",\"number\":" + number + "," + OFFER_FIELDS);
       }
-      expected.add("{\"t\":\"withdraw\",\"id\":\"m1\",\"dest\":57}");
+      expected.add("{\"t\":\"withdraw\",\"number\":6,\"id\":\"m1\",\"dest\":57}");
       expected.add(
           "{\"t\":\"outcome\",\"call\":11,\"id\":\"m2\",\"result\":\"NOT_SENT\","
               + "\"over\":false,\"wait\":0}");
@@ -308,4 +312,54 @@
       assertEquals("abandon 11 CANCELLED", nextEvent(serving.events));
     }
   }
+
+  /** Guards against a withdrawal by id alone before the last release has accepted the offer. */
+  @Test
+  void olderProcess_withdrawsFromLastReleaseOnceOfferIsAccepted() throws Exception {
+    final ServingProcess serving = new ServingProcess();
+    loop.execute(() -> new HandoverServer(serving).listen(loop, folder));
+    try (SocketChannel connection = connectToOlderProcess();
+        BufferedReader in = reader(connection)) {
+      write(connection, "{\"t\":\"hello\",\"version\":4}");
+      assertEquals(EMPTY_SNAPSHOT_LINES, read(in, 2));
+      final Successor successor = serving.successor.get(TIMEOUT_S, TimeUnit.SECONDS);
+      final List<StoredMessage> messages = new ArrayList<>();
+      for (int number = 1; number <= 2; number++) {
+        messages.add(new StoredMessage("m1", "safe", null, 57, 4_000_000, new byte[] {1}));
+      }
+      loop.execute(
+          () -> {
+            for (final StoredMessage message : messages) {
+              successor.submit(message, 5_000_000, new RecordedReply(new LinkedBlockingQueue<>()));
+              successor.withdraw(message.submission());
+            }
+          });
+      read(in, 2);
+      write(
+          connection,
+          "{\"t\":\"reply\",\"number\":1,\"kind\":\"unusable\",\"why\":\"HELD_ALREADY\"}",
+          "{\"t\":\"reply\",\"number\":2,\"kind\":\"accepted\",\"retry\":0}");
+      assertEquals("{\"t\":\"withdraw\",\"number\":2,\"id\":\"m1\",\"dest\":57}", in.readLine());
+    }
+  }
+
+  /** Guards against a withdrawal of the last release that reaches more than its latest offer. */
+  @Test
+  void newerProcess_findsOfferOfLastReleaseById() {
+    final ReceivedOffers offers = new ReceivedOffers();
+    final List<PredecessorLine.Offer> sent = new ArrayList<>();
+    for (long number = 1; number <= 2; number++) {
+      sent.add(
+          new PredecessorLine.Offer(
+              number, new StoredMessage("m1", "safe", null, 57, 4_000_000, new byte[] {1}), 0));
+    }
+    sent.forEach(offers::add);
+    final PredecessorLine.Withdrawal byId =
+        new PredecessorLine.Withdrawal(PredecessorLine.Withdrawal.UNKNOWN_OFFER, "m1", 57);
+    assertSame(sent.get(1).message().submission(), offers.remove(byId));
+    final PredecessorLine.Withdrawal byNumber = new PredecessorLine.Withdrawal(1, "m1", 57);
+    assertSame(sent.get(0).message().submission(), offers.remove(byNumber));
+    assertNull(offers.remove(byNumber), "a withdrawal that comes again reaches nothing");
+    assertNull(offers.remove(byId));
+  }
 }
--- a/courier/src/test/java/thistleturn/courier/handover/HandoverProtocolTest.java
+++ b/courier/src/test/java/thistleturn/courier/handover/HandoverProtocolTest.java
@@ -34,6 +34,7 @@
 import thistleturn.courier.port.EndpointDirectory;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
+import thistleturn.courier.port.Submission;
 import thistleturn.decisions.LearnedState;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.EndpointState;
@@ -47,7 +48,7 @@
 @Timeout(60)
 final class HandoverProtocolTest {
   private static final int TIMEOUT_S = 20;
-  private static final String HELLO = "{\"t\":\"hello\",\"version\":4}";
+  private static final String HELLO = "{\"t\":\"hello\",\"version\":4,\"offers\":true}";
   private static final List<String> SNAPSHOT_LINES =
       List.of(
           "{\"t\":\"endpoint\",\"number\":4,\"name\":\"s-1\",\"condition\":\"DRAINING\","
@@ -271,8 +272,8 @@
     }
 
     @Override
-    public void withdraw(final String id, final long destination) {
-      events.add("withdraw " + id + " " + destination);
+    public void withdraw(final Submission submission) {
+      events.add("withdraw " + submission.messageId() + " " + submission.destination());
     }
 
     @Override
@@ -389,10 +390,14 @@
       try (RawPeer predecessor = new RawPeer(listener.accept())) {
         predecessor.readLine();
         writeSnapshot(predecessor);
+        predecessor.write(
+            "{\"t\":\"offer\",\"number\":1,\"id\":\"m1\",\"class\":\"safe\",\"key\":null,"
+                + "\"dest\":57,\"valid\":1001,\"body\":\"AP8H\"}");
         predecessor.write("{\"t\":\"withdraw\",\"id\":\"m1\",\"dest\":57}");
       }
       assertEquals("snapshot true", nextEvent());
       loop.submit(() -> client.setListener(new RecordingListener())).get();
+      assertEquals("offer m1 safe null 57 1001", nextEvent());
       assertEquals("withdraw m1 57", nextEvent());
       assertEquals("gone", nextEvent());
     }
