UnansweredSubmissions: its requests are named so, beside the new type Submission

Need: the type Submission names what is withdrawn; the requests of clients that wait here were still called submissions, two meanings of one word in a class. Change: variables only. Result: SuccessorDeathTest 18 and WithdrawalTest 10 green, formatter and linter clean.

--- a/courier/src/main/java/thistleturn/courier/UnansweredSubmissions.java
+++ b/courier/src/main/java/thistleturn/courier/UnansweredSubmissions.java
@@ -65,15 +65,15 @@
   @Override
   public void submit(
       final StoredMessage message, final long deadlineUs, final Ingress.Reply reply) {
-    final UnansweredRequest submission =
+    final UnansweredRequest request =
         new UnansweredRequest(message, deadlineUs, reply, clock.nowUs(), state == State.FORWARDING);
-    unanswered.add(submission);
+    unanswered.add(request);
     switch (state) {
-      case FORWARDING -> successor.submit(message, deadlineUs, submission);
+      case FORWARDING -> successor.submit(message, deadlineUs, request);
       case WAITING -> {
         // It is submitted or rejected once it is known which process decides.
       }
-      case SETTLED -> reject(submission);
+      case SETTLED -> reject(request);
     }
   }
 
@@ -107,8 +107,8 @@
   /** Returns the ids of the messages that the newer process may have accepted. */
   Set<String> forwardedIds() {
     return unanswered.stream()
-        .filter(submission -> submission.forwarded)
-        .map(submission -> submission.message.id())
+        .filter(request -> request.forwarded)
+        .map(request -> request.message.id())
         .collect(Collectors.toSet());
   }
 
@@ -119,9 +119,7 @@
   void rejectOverdue() {
     final long nowUs = clock.nowUs();
     List.copyOf(unanswered).stream()
-        .filter(
-            submission ->
-                !submission.forwarded && nowUs - submission.submittedUs >= MAX_UNSENT_WAIT_US)
+        .filter(request -> !request.forwarded && nowUs - request.submittedUs >= MAX_UNSENT_WAIT_US)
         .forEach(this::reject);
   }
 
@@ -133,9 +131,7 @@
   void settleBy(final JournalHistory history, final IngressHandler deciding) {
     state = State.SETTLED;
     withdrawals.forEach(deciding::withdraw);
-    settle(
-        history,
-        submission -> deciding.submit(submission.message, submission.deadlineUs, submission));
+    settle(history, request -> deciding.submit(request.message, request.deadlineUs, request));
   }
 
   /** Settles all messages when this process ends: those that were not accepted are rejected. */
@@ -145,36 +141,36 @@
   }
 
   private void settle(final JournalHistory history, final Consumer<UnansweredRequest> undecided) {
-    final List<UnansweredRequest> submissions = List.copyOf(unanswered);
-    if (!submissions.isEmpty()) {
-      Log.info("the newer process ended with " + submissions.size() + " requests unanswered");
+    final List<UnansweredRequest> requests = List.copyOf(unanswered);
+    if (!requests.isEmpty()) {
+      Log.info("the newer process ended with " + requests.size() + " requests unanswered");
     }
-    for (final UnansweredRequest submission : submissions) {
-      switch (acceptanceOf(submission, history)) {
-        case ACCEPTED -> submission.accepted();
-        case NOT_ACCEPTED -> undecided.accept(submission);
-        case UNKNOWN -> submission.failed();
+    for (final UnansweredRequest request : requests) {
+      switch (acceptanceOf(request, history)) {
+        case ACCEPTED -> request.accepted();
+        case NOT_ACCEPTED -> undecided.accept(request);
+        case UNKNOWN -> request.failed();
       }
     }
   }
 
   private static JournalHistory.Acceptance acceptanceOf(
-      final UnansweredRequest submission, final JournalHistory history) {
-    return submission.forwarded
-        ? history.takeAcceptance(submission.message.id(), submission.submittedUs)
+      final UnansweredRequest request, final JournalHistory history) {
+    return request.forwarded
+        ? history.takeAcceptance(request.message.id(), request.submittedUs)
         : JournalHistory.Acceptance.NOT_ACCEPTED;
   }
 
-  private void reject(final UnansweredRequest submission) {
+  private void reject(final UnansweredRequest request) {
     Log.event(
         Event.REQUEST_REFUSED,
         "id",
-        submission.message.id(),
+        request.message.id(),
         "class",
-        submission.message.className(),
+        request.message.className(),
         "why",
         "nobody_decides");
-    submission.rejected(Ingress.RejectionReason.NO_ROOM, RETRY_AFTER_US);
+    request.rejected(Ingress.RejectionReason.NO_ROOM, RETRY_AFTER_US);
   }
 
   /** A submitted message and the reply to its client; only the first answer is passed on. */
