WithdrawalTest asks the newer process only once the older one has closed its listener

Cause: the test stopped the older process while both still listened (100 ms in which connections are steered), and its client's connection waited in the stopped process's backlog, at the line that submits m2.

Change: the test waits until the older process is not ready any more, and uses a connection whose health check the newer one has answered; an older process that drains answers 503 there. No check or bound differs.

--- a/courier/src/test/java/thistleturn/courier/WithdrawalTest.java
+++ b/courier/src/test/java/thistleturn/courier/WithdrawalTest.java
@@ -30,6 +30,7 @@
 @Tag("operators")
 @Timeout(120)
 final class WithdrawalTest {
+  private static final String HEALTH_CHECK = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
   private static final String SHUT =
       "HTTP/1.1 429 x\r\nRetry-After: 0.300\r\nContent-Length: 0\r\n\r\n";
 
@@ -74,10 +75,34 @@
   /** Connects to the older process, which keeps the connection until its next response. */
   private Socket connectToOlder() throws IOException {
     final Socket socket = older.connect();
-    assertEquals(200, CourierHarness.send(socket, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status());
+    assertEquals(200, CourierHarness.send(socket, HEALTH_CHECK).status());
     return socket;
   }
 
+  private void startNewer() throws IOException {
+    newer.start();
+    older.await(
+        "the older process to leave new clients to the newer one",
+        () -> !older.sendOperatorRequest("GET", "/-/ready").startsWith("HTTP/1.1 200"));
+  }
+
+  /** Connects to the newer process: until the older one's listener is closed it may answer 503. */
+  private Socket connectToNewer() throws IOException {
+    while (true) {
+      final Socket socket = newer.connect();
+      if (CourierHarness.send(socket, HEALTH_CHECK).status() == 200) {
+        return socket;
+      }
+      socket.close();
+    }
+  }
+
+  private int sendToNewer(final String request) throws IOException {
+    try (Socket socket = connectToNewer()) {
+      return CourierHarness.send(socket, request).status();
+    }
+  }
+
   private static void write(final Socket socket, final String id) throws IOException {
     socket
         .getOutputStream()
@@ -126,8 +151,8 @@
   @EnumSource
   void clientWithIdOfAcceptedMessage_withdrawsNothing(final Behind behind) throws Exception {
     final Socket kept = connectToOlder();
-    newer.start();
-    assertEquals(202, newer.submit("m1", "safe").status());
+    startNewer();
+    assertEquals(202, sendToNewer(CourierHarness.submitRequest("m1", "safe")));
     newer.pause();
     write(kept, "m1");
     awaitRead();
@@ -164,7 +189,7 @@
   @ValueSource(booleans = {false, true})
   void clientThatGoes_hasItsOwnMessageWithdrawn(final boolean newerKilled) throws Exception {
     final Socket kept = connectToOlder();
-    newer.start();
+    startNewer();
     serving.set(true);
     newer.pause();
     write(kept, "m1");
@@ -182,7 +207,7 @@
   void clientWithIdOfUnansweredRequest_withdrawsOnlyItsOwn() throws Exception {
     final Socket first = connectToOlder();
     final Socket second = connectToOlder();
-    newer.start();
+    startNewer();
     newer.pause();
     write(first, "m1");
     awaitRead();
@@ -198,12 +223,13 @@
   @Test
   void clientThatComesAgain_isServedIfItsSecondRequestIsAccepted() throws Exception {
     final Socket kept = connectToOlder();
-    newer.start();
+    startNewer();
+    final Socket again = connectToNewer();
     newer.pause();
     write(kept, "m1");
     awaitRead();
     resetAndAwaitWithdrawal(kept, "m1");
-    try (Socket again = newer.connect()) {
+    try (again) {
       write(again, "m1");
       newer.resume();
       assertEquals(202, CourierHarness.readResponse(again.getInputStream()).status());
@@ -217,11 +243,14 @@
     older.firstEndpoint.script((request, connection) -> {});
     assertEquals(202, older.send(briefRequest("m1")).status());
     older.await("the call", () -> sentIds().contains("m1"));
-    newer.start();
-    older.pause();
-    assertEquals(202, newer.send(briefRequest("m2")).status());
-    newer.await("the end of a later message", () -> older.hasOutcomeReport("m2", ""));
-    assertEquals(409, newer.submit("m1", "safe").status(), "its call is still out");
+    startNewer();
+    try (Socket client = connectToNewer()) {
+      older.pause();
+      assertEquals(202, CourierHarness.send(client, briefRequest("m2")).status());
+      newer.await("the end of a later message", () -> older.hasOutcomeReport("m2", ""));
+      final String again = CourierHarness.submitRequest("m1", "safe");
+      assertEquals(409, CourierHarness.send(client, again).status(), "its call is still out");
+    }
     older.resume();
     newer.await("the end of the first message", () -> older.hasOutcomeReport("m1", ""));
     older.firstEndpoint.script(SentMessages::deliver);
