--- a/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
@@ -75,6 +75,8 @@
         courier_events_total{event="listener_unwatched"}
         courier_events_total{event="socket_failed"}
         courier_events_total{event="connect_failed"}
+        courier_events_total{event="receive_budget_exceeded"}
+        courier_events_total{event="buffer_shortage"}
         courier_events_total{event="transfer_retried"}
         courier_events_total{event="journal_unwritable"}
         courier_events_total{event="journal_write_failed"}
--- a/courier/src/test/java/thistleturn/courier/runtime/EventLineFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/runtime/EventLineFormatTest.java
@@ -75,7 +75,7 @@
             + " rejection_in_doubt endpoint_connection_closed platform_connection_closed list_line_ignored"
             + " message_over attempt_after_end message_ended message_ended_late end_told_unwritten accept_failed accept_recovered"
             + " accept_given_up steering_failed listener_unwatched"
-            + " socket_failed connect_failed transfer_retried"
+            + " socket_failed connect_failed receive_budget_exceeded buffer_shortage transfer_retried"
             + " journal_unwritable journal_write_failed journal_writable"
             + " journal_write_done_all_the_same journal_tail_dropped journal_record_unknown"
             + " journal_clock_began_anew journal_closed_unwritten journal_not_trimmed"
