--- a/courier/src/test/java/thistleturn/courier/EndingAnswersTest.java
+++ b/courier/src/test/java/thistleturn/courier/EndingAnswersTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import thistleturn.testkit.CourierFiles;
 import thistleturn.testkit.ResponseCopier;
@@ -40,6 +41,8 @@
   private static final long US_PER_MS = 1000;
   private static final double ENDING_SHARE = 0.05;
   private static final double TENTH = 0.1;
+  private static final double HUNDREDTH = 0.01;
+  private static final long SHORT_IDLE_TIMEOUT_MS = 200;
   private static final int MAX_LINES = 60;
 
   /** A courier that retries delivers all but those which endpoints end or reject twice. */
@@ -73,30 +76,67 @@
     }
   }
 
-  /** One play, whose copies of responses are null if there are none. */
-  record Case(OtherFaults others, Plan copies, int seed) {
+  /**
+   * One play.
+   *
+   * @param tooLongShare the share of the deliveries whose answers have more bytes than they say
+   * @param idleTimeoutMs after how long endpoints close idle connections; 0 for never
+   * @param copies the copies of responses; null if there are none
+   */
+  record Case(OtherFaults others, double tooLongShare, long idleTimeoutMs, Plan copies, int seed) {
     @Override
     public String toString() {
       return others
+          + (tooLongShare == 0 ? "" : ", some too long")
+          + (idleTimeoutMs == 0 ? "" : ", idle connections closed after " + idleTimeoutMs + " ms")
           + (copies == null ? "" : ", copies up to " + copies.maxLagMs() + " ms")
           + ", seed "
           + seed;
     }
   }
 
+  private static Stream<Integer> seeds() {
+    return IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS).boxed();
+  }
+
   static Stream<Case> plain() {
-    return IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS)
-        .boxed()
-        .flatMap(seed -> Stream.of(OtherFaults.values()).map(each -> new Case(each, null, seed)));
+    return seeds()
+        .flatMap(
+            seed -> Stream.of(OtherFaults.values()).map(each -> new Case(each, 0, 0, null, seed)));
   }
 
   static Stream<Case> copied() {
-    return IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS)
-        .boxed()
+    return seeds()
         .flatMap(
             seed ->
                 Stream.of(Plan.ofShare(TENTH, 4, 60), Plan.ofShare(TENTH, 200, 450).times(2))
-                    .map(plan -> new Case(OtherFaults.USUAL, plan, seed)));
+                    .map(plan -> new Case(OtherFaults.USUAL, 0, 0, plan, seed)));
+  }
+
+  static Stream<Case> fewCopies() {
+    final Plan plan = Plan.ofShare(HUNDREDTH, 4, 60);
+    return seeds()
+        .flatMap(
+            seed ->
+                Stream.of(
+                    new Case(OtherFaults.NONE, 0, SHORT_IDLE_TIMEOUT_MS, plan, seed),
+                    new Case(OtherFaults.USUAL, 0, 0, plan, seed),
+                    new Case(OtherFaults.USUAL, HUNDREDTH, 0, null, seed)));
+  }
+
+  static Stream<Arguments> broken() {
+    return seeds()
+        .flatMap(
+            seed ->
+                Stream.of(
+                        Action.GONE_UNFINISHED,
+                        Action.GONE_UNFINISHED_HEAD,
+                        Action.GONE_INVALID,
+                        Action.NO_MORE_ATTEMPTS_UNFINISHED,
+                        Action.NO_MORE_ATTEMPTS_INVALID)
+                    .map(
+                        ending ->
+                            Arguments.of(ending, new Case(OtherFaults.USUAL, 0, 0, null, seed))));
   }
 
   /** Guards against a message that is sent on after a 410 on a connection used before. */
@@ -127,6 +167,22 @@
     play(played, Action.GONE);
   }
 
+  /** Guards against calls behind a 410 or 504 that is silent or spoilt behind its status. */
+  @ParameterizedTest
+  @MethodSource("broken")
+  void brokenEnd_isFollowedByNoCall(final Action ending, final Case played) throws IOException {
+    play(played, ending);
+  }
+
+  /**
+   * Guards against calls behind a 410 of a connection that ended, put in doubt by one elsewhere.
+   */
+  @ParameterizedTest
+  @MethodSource("fewCopies")
+  void goneBesideFewSurplusResponses_isFollowedByNoCall(final Case played) throws IOException {
+    play(played, Action.GONE);
+  }
+
   private void play(final Case played, final Action ending) throws IOException {
     final Random random = new Random(played.seed());
     try (StandInWorld world = new StandInWorld(folder, played.seed())) {
@@ -144,6 +200,7 @@
         assertEquals(List.of(), violations, () -> describe(played, violations, courier));
         assertEquals(List.of(), lines(courier, "attempt_after_end"));
         assertEndedAndDelivered(world, ending, courier);
+        reportCost(played, ending, world);
       }
     }
   }
@@ -156,11 +213,17 @@
       final Random seeds) {
     final Random random = new Random(seeds.nextLong());
     final StandInEndpoint endpoint = world.endpoint(destination);
+    endpoint.server().closeIdleAfterMs(played.idleTimeoutMs());
     endpoint.setBehaviors(
         () -> {
           final long delayMs = 5L + random.nextInt(95);
           final boolean ends = random.nextDouble() < ENDING_SHARE;
-          return new Behavior(ends ? ending : played.others().next(random), delayMs, 0);
+          final Action usual = ends ? ending : played.others().next(random);
+          final boolean tooLong =
+              usual == Action.DELIVER
+                  && played.tooLongShare() > 0
+                  && random.nextDouble() < played.tooLongShare();
+          return new Behavior(tooLong ? Action.DELIVER_TOO_LONG : usual, delayMs, 0);
         });
     if (played.copies() != null) {
       endpoint.copyResponses(new ResponseCopier(played.copies(), seeds.nextLong()));
@@ -175,10 +238,27 @@
     assertTrue(
         outcomes.getOrDefault("delivered", 0) > all * DELIVERED_SHARE,
         () -> outcomes + ", " + String.join("\n", courier.lines()));
-    final String end = ending == Action.NO_MORE_ATTEMPTS ? "deferred" : "over";
+    final String end = ending.name().startsWith("NO_MORE") ? "deferred" : "over";
     assertTrue(outcomes.getOrDefault(end, 0) > 0, outcomes::toString);
   }
 
+  private static void reportCost(final Case played, final Action ending, final StandInWorld world) {
+    System.out.println(
+        ending
+            + ", "
+            + played
+            + ": "
+            + world.endpoints().stream().mapToLong(StandInEndpoint::calls).sum()
+            + " calls, "
+            + world.ruleChecker.callsOfDeliveredMessages()
+            + " of delivered messages, "
+            + world.endpoints().stream()
+                .mapToLong(endpoint -> endpoint.server().acceptedConnections())
+                .sum()
+            + " connections, "
+            + world.ruleChecker.outcomeCounts());
+  }
+
   /** Adds what the courier logged about the messages of the violations. */
   private static String describe(
       final Case played, final List<Violation> violations, final ChildProcess courier) {
--- a/testkit/src/main/java/thistleturn/testkit/HttpStandIn.java
+++ b/testkit/src/main/java/thistleturn/testkit/HttpStandIn.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * An HTTP/1.1 server on a loopback address, with a handler that the test provides. It records when
@@ -35,6 +36,8 @@
   private volatile boolean resetsAtFirstByte;
   private volatile boolean resetsReused;
   private volatile long readDelayMs;
+  private volatile long idleTimeoutMs;
+  private final AtomicLong acceptedConnections = new AtomicLong();
   private volatile ResponseCopier copier;
   private volatile Runnable copyListener = () -> {};
 
@@ -92,6 +95,16 @@
     readDelayMs = ms;
   }
 
+  /** Closes new connections that have been idle for this long since a response; 0 ends that. */
+  public void closeIdleAfterMs(final long ms) {
+    idleTimeoutMs = ms;
+  }
+
+  /** The number of connections that were accepted so far. */
+  public long acceptedConnections() {
+    return acceptedConnections.get();
+  }
+
   /** Starts listening, again at the address it had. */
   public void up() {
     final Channel bound =
@@ -163,6 +176,7 @@
 
   private void accept(final Channel channel) {
     connections.add(channel);
+    acceptedConnections.incrementAndGet();
     channel.closeFuture().addListener(closed -> connections.remove(channel));
     final FirstByte firstByte = new FirstByte();
     channel
@@ -171,6 +185,7 @@
             firstByte,
             new HttpServerCodec(),
             new HttpObjectAggregator(MAX_BODY_BYTES),
+            new IdleTimeoutHandler(idleTimeoutMs),
             new RequestReader(firstByte));
     final ResponseCopier current = copier;
     if (current != null) {
--- a/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
+++ b/testkit/src/main/java/thistleturn/testkit/RuleChecker.java
@@ -60,6 +60,8 @@
 
   private boolean responsesCopied;
 
+  private long callsOfDeliveredMessages;
+
   private final LateOutcomes lateOutcomes;
 
   private final CourierLifetimes lifetimes;
@@ -452,6 +454,9 @@
           firstByteUs,
           message + " for " + message.destination + " went to " + endpoint.destination);
     }
+    if (message.delivered) {
+      callsOfDeliveredMessages++;
+    }
     checkCopies(firstByteUs, message);
     message.connectionsInFlight.put(firstByteUs, connection);
     if (message.statedEnd != null) {
@@ -500,14 +505,14 @@
 
   /**
    * No call begins after an answer that ended its message, unless the process that was answered may
-   * not have read it, or the answer may have been a copy of another.
+   * not have read it.
    */
   private void checkCallAfterStatedEnd(final long firstByteUs, final Message message) {
     final StatedEnd end = message.statedEnd;
     final String what = message + end.describeLaterCall(firstByteUs);
     final boolean unread =
         mayBeUnread(new Delivery(end.callUs(), end.answeredUs(), Long.MAX_VALUE), firstByteUs);
-    if (unread || (responsesCopied && message.answeredOnReusedConnection)) {
+    if (unread) {
       allowedRepeats.add(what);
     } else {
       addViolation(Rule.ENDED, firstByteUs, what);
@@ -670,6 +675,11 @@
     }
   }
 
+  /** Returns how many calls carried a message that was delivered already. */
+  public synchronized long callsOfDeliveredMessages() {
+    return callsOfDeliveredMessages;
+  }
+
   /** Returns what an endpoint has answered that ended a message; null if none did. */
   public synchronized CallResult statedEnd(final String id) {
     final Message message = messages.get(id);
--- a/testkit/src/main/java/thistleturn/testkit/StandInEndpoint.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInEndpoint.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.AttributeKey;
 import java.io.IOException;
@@ -30,8 +31,14 @@
   private static final int NO_MORE = 504;
 
   /** Some of a body of which the head announces more. */
-  private static final byte[] INCOMPLETE_GONE =
-      "HTTP/1.1 410 Gone\r\nContent-Length: 20\r\n\r\nwithdr".getBytes(StandardCharsets.US_ASCII);
+  private static final String UNFINISHED_BODY = "Content-Length: 20\r\n\r\nwithdr";
+
+  private static final String UNFINISHED_HEAD = "X-Trace: 9b1f03";
+  private static final String INVALID_HEAD = "\u0000\u0013 Content-Le\u0001ngth\r\n: 0\r\n\r\n";
+
+  /** A complete response, and bytes that do not belong to it. */
+  private static final byte[] TOO_LONG_DELIVERY =
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok and more".getBytes(StandardCharsets.US_ASCII);
 
   private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -61,8 +68,20 @@
     GONE,
     /** The same; the connection ends within the body of the 410. */
     GONE_INCOMPLETE,
+    /** The same; the body of the 410 does not come to its end, and the connection stays open. */
+    GONE_UNFINISHED,
+    /** The same; the head of the 410 does not come to its end, and the connection stays open. */
+    GONE_UNFINISHED_HEAD,
+    /** The same; behind its status the 410 cannot be read, and the connection stays open. */
+    GONE_INVALID,
     /** 504 after the delay; {@code no_more} for some messages of a call with several. */
     NO_MORE_ATTEMPTS,
+    /** The same; the body of the 504 does not come to its end, and the connection stays open. */
+    NO_MORE_ATTEMPTS_UNFINISHED,
+    /** The same; behind its status the 504 cannot be read, and the connection stays open. */
+    NO_MORE_ATTEMPTS_INVALID,
+    /** 200 after the delay, with more bytes than its length says. */
+    DELIVER_TOO_LONG,
     /** Never answers. */
     NO_ANSWER,
     /** The connection is reset after the delay. */
@@ -247,11 +266,25 @@
         case GONE -> answerEach(RuleChecker.CallResult.GONE, GONE);
         case NO_MORE_ATTEMPTS -> answerEach(RuleChecker.CallResult.NO_MORE_ATTEMPTS, NO_MORE);
         case GONE_INCOMPLETE -> {
+          final ChannelFuture written =
+              breakOff(RuleChecker.CallResult.GONE, GONE, UNFINISHED_BODY);
+          if (written != null) {
+            written.addListener(done -> exchange.channel().close());
+          }
+        }
+        case GONE_UNFINISHED -> breakOff(RuleChecker.CallResult.GONE, GONE, UNFINISHED_BODY);
+        case GONE_UNFINISHED_HEAD -> breakOff(RuleChecker.CallResult.GONE, GONE, UNFINISHED_HEAD);
+        case GONE_INVALID -> breakOff(RuleChecker.CallResult.GONE, GONE, INVALID_HEAD);
+        case NO_MORE_ATTEMPTS_UNFINISHED ->
+            breakOff(RuleChecker.CallResult.NO_MORE_ATTEMPTS, NO_MORE, UNFINISHED_BODY);
+        case NO_MORE_ATTEMPTS_INVALID ->
+            breakOff(RuleChecker.CallResult.NO_MORE_ATTEMPTS, NO_MORE, INVALID_HEAD);
+        case DELIVER_TOO_LONG -> {
           if (bulk) {
-            answerEach(RuleChecker.CallResult.GONE, GONE);
+            answerEach(RuleChecker.CallResult.DELIVERED, OK);
           } else {
-            end(RuleChecker.CallResult.GONE);
-            exchange.raw(INCOMPLETE_GONE).addListener(written -> exchange.channel().close());
+            end(RuleChecker.CallResult.DELIVERED);
+            exchange.raw(TOO_LONG_DELIVERY);
           }
         }
         case FAIL -> {
@@ -277,6 +310,23 @@
       }
     }
 
+    /**
+     * Answers a call with one message by a status and what follows its line; one with several
+     * completely.
+     *
+     * @return null for a call with several messages
+     */
+    private ChannelFuture breakOff(
+        final RuleChecker.CallResult result, final int status, final String rest) {
+      if (bulk) {
+        answerEach(result, status);
+        return null;
+      }
+      end(result);
+      final String answer = "HTTP/1.1 " + status + " X\r\n" + rest;
+      return exchange.raw(answer.getBytes(StandardCharsets.US_ASCII));
+    }
+
     /** Answers a call with one message by a status, and one with several by a state for each. */
     private void answerEach(final RuleChecker.CallResult result, final int status) {
       if (!bulk) {
--- a/testkit/src/main/java/thistleturn/testkit/StandInWorld.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInWorld.java
@@ -108,6 +108,11 @@
     return endpoint;
   }
 
+  /** The endpoints that were added so far. */
+  public List<StandInEndpoint> endpoints() {
+    return List.copyOf(endpoints);
+  }
+
   /**
    * Resets the connections that a killed process had open at the endpoints, and waits until all of
    * them are gone. Unread data on them is dropped, also that of a connection that was only half
