A 410 or 504 that is not complete is followed by no call

Cause: since a silent or spoilt answer proved a delivery alone, so a 410 or 504 of that kind became "may have run", and a class that may be repeated was sent again. An answer to a call that had been given up was read for its Retry-After alone. What may follow was decided by believing or not believing the status, and everything not believed was sent again. Change: what follows is one table (decisions.retries.FollowUp: evidence, effect, time left), used by RetryPolicy and by the notices. A status of 410 or 504 ends the attempts whatever comes of the rest; the message, which may have run, ends by a notice: "a notice for a message that is over does no harm" (PROTOCOL). If it was false, it costs that delivery. States of a bulk answer that breaks off count as far as they can be read. Late 410s and 504s end their messages too. Events end_stated and response_incomplete; delivery_in_doubt says which end. A 410 in doubt is reported and not sent again, for the same reason.

--- a/courier/src/main/java/thistleturn/courier/DecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/DecidingRole.java
@@ -163,7 +163,7 @@
 
   @Override
   public void onAnswerInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
-    outcomes.reopen(delivery.id(), call);
+    outcomes.recordAnswerInDoubt(delivery.id(), call);
   }
 
   @Override
@@ -171,6 +171,11 @@
     outcomes.recordPossibleExecution(delivery, call);
   }
 
+  @Override
+  public void onEndStated(final PendingDelivery delivery, final Dispatcher.Call call) {
+    outcomes.recordEndStated(delivery, call);
+  }
+
   @Override
   public void onInterruptionEnded(final PendingDelivery delivery) {
     if (delivery.hasEnded()) {
--- a/courier/src/main/java/thistleturn/courier/DispatcherEvents.java
+++ b/courier/src/main/java/thistleturn/courier/DispatcherEvents.java
@@ -45,6 +45,11 @@
     role.get().onRejectionInDoubt(delivery(attempt), call);
   }
 
+  @Override
+  public void onEndStated(final Dispatcher.Attempt attempt, final Dispatcher.Call call) {
+    role.get().onEndStated(delivery(attempt), call);
+  }
+
   @Override
   public void onMessagesWritten(final int count) {
     counters.addMessagesWritten(count);
--- a/courier/src/main/java/thistleturn/courier/ForwardingRole.java
+++ b/courier/src/main/java/thistleturn/courier/ForwardingRole.java
@@ -10,6 +10,7 @@
 import thistleturn.courier.port.Submission;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.EndpointUpdate;
+import thistleturn.decisions.model.MessageDisposition;
 import thistleturn.decisions.model.ResponseCertainty;
 
 /**
@@ -17,6 +18,11 @@
  * clients' messages and the outcomes of the calls that were in flight at the handover.
  */
 final class ForwardingRole extends NonDecidingRole {
+  /** What is reported of an end that is stated in a response which is not complete. */
+  private static final Dispatcher.DispatchOutcome END_OF_ATTEMPTS =
+      new Dispatcher.DispatchOutcome(
+          AttemptResult.STALE, MessageDisposition.NO_FURTHER_ATTEMPT, 0, null);
+
   private final LoopContext context;
   private final Successor successor;
   private final HandedOverCalls handedOver;
@@ -74,9 +80,22 @@
       final Dispatcher.DispatchOutcome outcome) {
     context.stallDetector().recordActivity();
     delivery.endCall();
+    forward(delivery, call, withoutCertainty(outcome));
+  }
+
+  /** Reports the end at once, since the newer process does not find it in the journal. */
+  @Override
+  public void onEndStated(final PendingDelivery delivery, final Dispatcher.Call call) {
+    forward(delivery, call, END_OF_ATTEMPTS);
+  }
+
+  private void forward(
+      final PendingDelivery delivery,
+      final Dispatcher.Call call,
+      final Dispatcher.DispatchOutcome outcome) {
     final Long number = handedOver.numberOf(call);
     if (number != null && context.pending().remove(delivery.id())) {
-      successor.reportOutcome(number, delivery.id(), withoutCertainty(outcome));
+      successor.reportOutcome(number, delivery.id(), outcome);
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/InMemoryMessageStore.java
+++ b/courier/src/main/java/thistleturn/courier/InMemoryMessageStore.java
@@ -55,6 +55,12 @@
     pendingMessages.remove(message.id());
   }
 
+  @Override
+  public void recordStatedOutcome(
+      final StoredMessage message, final StoredMessage.FinalOutcome outcome) {
+    message.noteStatedOutcome(outcome);
+  }
+
   @Override
   public void recordCompleted(final StoredMessage message) {
     pendingMessages.remove(message.id());
--- a/courier/src/main/java/thistleturn/courier/LoopRole.java
+++ b/courier/src/main/java/thistleturn/courier/LoopRole.java
@@ -46,6 +46,12 @@
   /** The response that rejected an attempt may belong to another call. */
   void onRejectionInDoubt(PendingDelivery delivery, Dispatcher.Call call);
 
+  /**
+   * The answer to an attempt states that no further call of its message may follow, before its
+   * outcome is reported or after that.
+   */
+  void onEndStated(PendingDelivery delivery, Dispatcher.Call call);
+
   /** The attempt of an earlier process, whose outcome was not reported, counts as ended. */
   void onInterruptionEnded(PendingDelivery delivery);
 
--- a/courier/src/main/java/thistleturn/courier/MessageCompletion.java
+++ b/courier/src/main/java/thistleturn/courier/MessageCompletion.java
@@ -6,6 +6,9 @@
 import thistleturn.courier.port.StoredMessage.FinalOutcome;
 import thistleturn.courier.runtime.Event;
 import thistleturn.courier.runtime.Log;
+import thistleturn.decisions.retries.Evidence;
+import thistleturn.decisions.retries.FollowUp;
+import thistleturn.decisions.retries.TimeLeft;
 
 /**
  * Ends messages, each exactly once. A message whose client still waits ends with the answer to the
@@ -77,6 +80,13 @@
     effects.addRejection(reply::failed, context.clock().nowUs());
   }
 
+  /** Returns the outcome to report of a message that may be over. */
+  static FinalOutcome outcomeOfOver(final PendingDelivery delivery) {
+    final FollowUp notice =
+        FollowUp.of(Evidence.MAY_BE_OVER, delivery.messageClass(), TimeLeft.FOR_NOTICE);
+    return new FinalOutcome(notice == FollowUp.NOTICE_UNDELIVERABLE, 0);
+  }
+
   /** Ends an accepted message with an outcome, which the journal keeps until it is confirmed. */
   void finish(final PendingDelivery delivery, final FinalOutcome outcome) {
     end(delivery, outcome);
--- a/courier/src/main/java/thistleturn/courier/MessageEnd.java
+++ b/courier/src/main/java/thistleturn/courier/MessageEnd.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import thistleturn.decisions.model.MessageDisposition;
+import thistleturn.decisions.retries.Evidence;
 
 /** What ended a message. Nothing of it is sent from then on. */
 enum MessageEnd {
@@ -39,6 +40,15 @@
     };
   }
 
+  /** Returns what is known of a message once such an end is in doubt. */
+  Evidence evidenceInDoubt() {
+    return switch (this) {
+      case DELIVERED -> Evidence.MAY_BE_DELIVERED;
+      case OVER, NO_FURTHER_ATTEMPT -> Evidence.MAY_BE_OVER;
+      default -> throw new IllegalStateException(this + " was not stated by an endpoint");
+    };
+  }
+
   /** Returns whether the message was or may have been executed, so that it must not come again. */
   boolean mayHaveRun() {
     return mayHaveRun;
--- a/courier/src/main/java/thistleturn/courier/NonDecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/NonDecidingRole.java
@@ -32,6 +32,11 @@
     // The outcome was passed on, or the journal keeps the attempt in flight.
   }
 
+  @Override
+  public void onEndStated(final PendingDelivery delivery, final Dispatcher.Call call) {
+    // The process that decides next finds the attempt in the journal.
+  }
+
   @Override
   public final void onInterruptionEnded(final PendingDelivery delivery) {
     // The process that decides next finds the attempt in the journal.
--- a/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
+++ b/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
@@ -134,7 +134,9 @@
   private void complete(final PendingDelivery delivery, final Dispatcher.DispatchOutcome outcome) {
     if (outcome.isUnconfirmedEnd()) {
       completion.completeUnrecorded(delivery);
-      unconfirmed.add(delivery);
+      unconfirmed.add(
+          delivery,
+          outcome.result() == AttemptResult.DELIVERED ? MessageEnd.DELIVERED : MessageEnd.OVER);
     } else {
       completion.complete(delivery);
     }
@@ -151,18 +153,72 @@
   }
 
   /**
-   * Reopens a message whose end by an answer is in doubt: it may have been executed or not. It is
-   * sent again if its class allows that and time is left, and ends as failed otherwise.
+   * Records that the answer to an attempt states an end, before its outcome is known or after that:
+   * no call of its message follows, in this process or a later one.
    */
-  void reopen(final String messageId, final Dispatcher.Call call) {
-    final PendingDelivery delivery = unconfirmed.remove(messageId);
-    if (delivery == null) {
+  void recordEndStated(final PendingDelivery answered, final Dispatcher.Call call) {
+    final PendingDelivery delivery = context.pending().get(answered.id());
+    if (delivery == null || delivery.message() != answered.message()) {
       return;
     }
+    final long nowUs = context.clock().nowUs();
+    logAttempt(
+        Event.END_STATED,
+        delivery,
+        call,
+        "late",
+        answered.call() != call,
+        "after_us",
+        nowUs - call.preparedUs(),
+        "time_left_us",
+        delivery.deadlineUs() - nowUs);
+    context.ended().record(delivery.id(), MessageEnd.NO_FURTHER_ATTEMPT);
+    if (delivery.isAnswered()) {
+      context
+          .store()
+          .recordStatedOutcome(delivery.message(), MessageCompletion.outcomeOfOver(delivery));
+    }
+    controller.onAttemptsExhausted(nowUs, delivery.id());
+    scheduler.requestRound();
+  }
+
+  /**
+   * An answer that ended a message is in doubt: what follows depends on what it stated. A message
+   * that may be delivered is sent again if its class allows that and time is left; of one that may
+   * be over the outcome is reported.
+   */
+  void recordAnswerInDoubt(final String messageId, final Dispatcher.Call call) {
+    final UnconfirmedEnds.Unconfirmed doubtful = unconfirmed.remove(messageId);
+    if (doubtful == null) {
+      return;
+    }
+    logInDoubt(doubtful, call);
+    switch (doubtful.end().evidenceInDoubt()) {
+      case MAY_BE_DELIVERED -> reopen(doubtful.delivery());
+      case MAY_BE_OVER ->
+          finish(doubtful.delivery(), MessageCompletion.outcomeOfOver(doubtful.delivery()));
+      default -> throw new IllegalStateException("no evidence of an end: " + doubtful.end());
+    }
+  }
+
+  private void finish(final PendingDelivery delivery, final StoredMessage.FinalOutcome outcome) {
+    if (isStored(delivery.message())) {
+      completion.finish(delivery, outcome);
+    } else {
+      completion.finishUnrecorded(delivery, outcome);
+    }
+    scheduler.requestRound();
+  }
+
+  /** Records a message again unless the store still has it; returns false if it cannot. */
+  private boolean isStored(final StoredMessage message) {
+    return context.store().contains(message.id()) || context.store().recordReopened(message);
+  }
+
+  private void reopen(final PendingDelivery delivery) {
     final StoredMessage message = delivery.message();
-    context.ended().remove(messageId);
-    logInDoubt(delivery, call);
-    if (!context.store().contains(messageId) && !context.store().recordReopened(message)) {
+    context.ended().remove(message.id());
+    if (!isStored(message)) {
       completion.finishUnrecorded(delivery, UNDELIVERABLE);
       return;
     }
@@ -190,12 +246,15 @@
     scheduler.requestRound();
   }
 
-  private void logInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
+  private void logInDoubt(final UnconfirmedEnds.Unconfirmed doubtful, final Dispatcher.Call call) {
+    final PendingDelivery delivery = doubtful.delivery();
     final long nowUs = context.clock().nowUs();
     logAttempt(
         Event.DELIVERY_IN_DOUBT,
         delivery,
         call,
+        "end",
+        doubtful.end().label(),
         "after_us",
         nowUs - call.preparedUs(),
         "time_left_us",
--- a/courier/src/main/java/thistleturn/courier/PendingMessageRecovery.java
+++ b/courier/src/main/java/thistleturn/courier/PendingMessageRecovery.java
@@ -57,7 +57,8 @@
       if (context.pending().contains(message.id())) {
         continue;
       }
-      if (message.finalOutcome() != null) {
+      if (message.storedOutcome() != null) {
+        message.end(message.storedOutcome());
         notifier.enqueue(message);
       } else if (context.classes().contains(message.className())) {
         resume(message, interrupted);
@@ -155,7 +156,7 @@
 
   private boolean isInFlight(final StoredMessage message) {
     return context.classes().contains(message.className())
-        && message.finalOutcome() == null
+        && message.storedOutcome() == null
         && message.hasAttemptInFlight();
   }
 
--- a/courier/src/main/java/thistleturn/courier/UnconfirmedEnds.java
+++ b/courier/src/main/java/thistleturn/courier/UnconfirmedEnds.java
@@ -8,15 +8,17 @@
 import java.util.function.BooleanSupplier;
 import thistleturn.courier.port.StoredMessage;
 import thistleturn.courier.runtime.GuardedTasks;
+import thistleturn.decisions.retries.Evidence;
 
 /**
  * The messages that were ended by an answer which is not confirmed: it may belong to another call.
  * They have ended for the controller, and are kept to be reopened if it proves to be in doubt.
  *
- * <p>While responses are suspect, the journal keeps each as an attempt in flight for a short time,
- * in which most of what contradicts an answer arrives: a process that is killed then repeats the
- * attempt. Otherwise it is recorded as completed at once, so that a restart repeats nothing. Used
- * on the event loop.
+ * <p>While responses are suspect, the journal keeps each for a short time, in which most of what
+ * contradicts an answer arrives: a delivery as an attempt in flight, which the next process repeats
+ * if this one is killed; a message that is over with an outcome, which the next process reports.
+ * Otherwise it is recorded as completed at once, so that a restart repeats nothing. Used on the
+ * event loop.
  */
 final class UnconfirmedEnds {
   /** How long the journal keeps the attempt in flight, us: longer than most calls take. */
@@ -35,7 +37,7 @@
   private boolean checkScheduled;
 
   /** A message that has ended, and when. */
-  private record Unconfirmed(PendingDelivery delivery, long endedUs) {}
+  record Unconfirmed(PendingDelivery delivery, MessageEnd end, long endedUs) {}
 
   /**
    * Creates an empty set of messages.
@@ -53,27 +55,37 @@
     this.scheduler = scheduler;
   }
 
-  void add(final PendingDelivery delivery) {
-    ends.put(delivery.id(), new Unconfirmed(delivery, context.clock().nowUs()));
+  /**
+   * Adds a message.
+   *
+   * @param end what the answer stated
+   */
+  void add(final PendingDelivery delivery, final MessageEnd end) {
+    ends.put(delivery.id(), new Unconfirmed(delivery, end, context.clock().nowUs()));
     if (!suspect.getAsBoolean()) {
       recordCompleted(delivery.message());
       return;
     }
+    if (end.evidenceInDoubt() == Evidence.MAY_BE_OVER) {
+      context
+          .store()
+          .recordStatedOutcome(delivery.message(), MessageCompletion.outcomeOfOver(delivery));
+      scheduler.requestRound();
+    }
     scheduleCheck();
   }
 
   /** The end of a message is confirmed; nothing is left to do for it. */
   void confirm(final String messageId) {
-    final PendingDelivery delivery = remove(messageId);
-    if (delivery != null) {
-      recordCompleted(delivery.message());
+    final Unconfirmed confirmed = remove(messageId);
+    if (confirmed != null) {
+      recordCompleted(confirmed.delivery().message());
     }
   }
 
   /** Removes and returns a message that has ended; null if there is none of that message. */
-  PendingDelivery remove(final String messageId) {
-    final Unconfirmed removed = ends.remove(messageId);
-    return removed == null ? null : removed.delivery();
+  Unconfirmed remove(final String messageId) {
+    return ends.remove(messageId);
   }
 
   /** Returns whether the journal keeps an attempt of one of them in flight. */
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -11,7 +11,10 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.port.Dispatcher.Attempt;
 import thistleturn.courier.port.Dispatcher.DispatchOutcome;
@@ -54,8 +57,11 @@
   /** The current call; null while the connection is idle. */
   private HttpCall call;
 
-  /** The pool of the abandoned call; null if none was abandoned. No other call follows it. */
-  private EndpointConnectionPool abandonedPool;
+  /** The abandoned call; null if none was abandoned. No other call follows it. */
+  private HttpCall abandonedCall;
+
+  /** The attempts of the current or abandoned call whose stated ends were reported. */
+  private final Set<Attempt> reportedEnds = new HashSet<>();
 
   /** The pool in which the connection was last idle; null during its first call. */
   private EndpointConnectionPool pool;
@@ -130,6 +136,7 @@
     sentUs = clock.nowUs();
     log.onCallSent(call);
     call.setConnection(this, log.calls(), context.channel());
+    reportedEnds.clear();
     response.reset();
     context
         .writeAndFlush(CallRequestEncoder.encode(call, clock.nowUs()))
@@ -173,15 +180,16 @@
 
   /**
    * Abandons the call by shutting down the output. Its response may be unread or still on its way:
-   * input is read for a while, but only the Retry-After is used.
+   * input is read for a while, for its Retry-After and for what it states of the messages.
    */
   void abandonCall() {
-    abandonedPool = call.pool();
+    abandonedCall = call;
+    log.onInterrupted(call, response, EndpointCloseReason.CALL_ABANDONED, clock.nowUs());
     call = null;
     endReceiving();
     confirmationTimer.cancel();
     if (response.head() != null) {
-      reportRetryAfter(abandonedPool, response.head());
+      reportRetryAfter(abandonedCall.pool(), response.head());
     }
     if (context.channel() instanceof SocketChannel socket) {
       socket.shutdownOutput();
@@ -222,11 +230,14 @@
 
   @Override
   public void onBytesReceived(final ByteBuf bytes) {
-    if (abandonedPool != null || closed) {
+    if (abandonedCall != null || closed) {
       return;
     }
     if (call != null && call.isWritten() && !confirmationTimer.isPending()) {
-      receivingResponse = true;
+      if (!receivingResponse) {
+        receivingResponse = true;
+        log.onResponseBegan(clock.nowUs());
+      }
       return;
     }
     // No call awaits a response, or it is not fully written: one response belongs to another call.
@@ -245,10 +256,8 @@
 
   @Override
   protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
-    if (abandonedPool != null) {
-      if (part instanceof HttpResponse head && part.decoderResult().isSuccess()) {
-        reportRetryAfter(abandonedPool, head);
-      }
+    if (abandonedCall != null) {
+      readLateResponse(part);
       return;
     }
     if (part.decoderResult().cause() instanceof PrematureChannelClosureException) {
@@ -269,18 +278,41 @@
     }
   }
 
+  private void readLateResponse(final HttpObject part) {
+    if (part.decoderResult().isFailure() || !response.add(part)) {
+      return;
+    }
+    if (part instanceof HttpResponse head) {
+      reportRetryAfter(abandonedCall.pool(), head);
+    }
+  }
+
   /** Starts the timer for the rest of a response; most responses arrive in a single read. */
   @Override
   public void channelReadComplete(final ChannelHandlerContext ctx) {
     if (receivingResponse && call != null) {
       completionTimer.start();
     }
+    reportStatedEnd();
     if (!closed) {
       reservation.update(decoder.heldBytes() + response.heldHeadBytes(), response.heldBodyBytes());
     }
     ctx.fireChannelReadComplete();
   }
 
+  /**
+   * Reports that the response states an end of attempts, before its call has an outcome or after
+   * that: whatever else comes, no call follows.
+   */
+  private void reportStatedEnd() {
+    final HttpCall answered = call == null ? abandonedCall : call;
+    if (answered != null) {
+      final List<Attempt> ended =
+          incompleteAnswer.endedAttempts(answered).stream().filter(reportedEnds::add).toList();
+      dispatcher.reportStatedEnd(answered, ended);
+    }
+  }
+
   @Override
   public SocketAddress remoteAddress() {
     return context.channel().remoteAddress();
@@ -299,11 +331,12 @@
 
   // ---------------------------------------------------------------- outcomes
 
-  /** What the status line states of a call that this side ends; empty if it may be false. */
-  Optional<DispatchOutcome> statedOutcome(final HttpCall candidate) {
+  /** The outcomes of a call that this side ends, by what was received of its response. */
+  IncompleteAnswer.Outcomes outcomesOfEnded(
+      final HttpCall candidate, final DispatchOutcome failure) {
     return candidate == call
-        ? incompleteAnswer.statedOutcome(candidate, this, Optional.empty())
-        : Optional.empty();
+        ? incompleteAnswer.outcomes(candidate, this, Optional.empty(), failure)
+        : attempt -> failure;
   }
 
   private void onResponseComplete() {
@@ -370,7 +403,9 @@
     dispatcher.onBulkResponse(completed);
     if (isReused() && !bulk.identifies(completed)) {
       onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.UNEXPECTED_RESPONSE);
-      dispatcher.report(completed, IncompleteAnswer.IN_DOUBT);
+      dispatcher.report(
+          completed,
+          attempt -> bulk.statedEndOf(attempt.message().id()).orElse(IncompleteAnswer.IN_DOUBT));
       return;
     }
     keepOrClose(completed);
@@ -430,6 +465,9 @@
     removeFromPool();
     closeChannel(reason);
     final HttpCall interrupted = call;
+    if (interrupted != null) {
+      log.onInterrupted(interrupted, response, reason, clock.nowUs());
+    }
     final boolean outOfStep = provesOutOfStep(reason);
     call = null;
     if (outOfStep) {
@@ -444,14 +482,16 @@
     final long retryAfterUs = applyRetryAfter(interrupted.pool(), response.head());
     if (outOfStep) {
       dispatcher.report(
-          interrupted, interrupted.isWritten() ? IncompleteAnswer.IN_DOUBT : NOT_SENT);
+          interrupted,
+          interrupted.isWritten()
+              ? incompleteAnswer.outcomesOutOfStep(interrupted)
+              : attempt -> NOT_SENT);
       return;
     }
     final AttemptResult result = failedResult(interrupted, cause, answered);
     final DispatchOutcome failure = new DispatchOutcome(result, false, retryAfterUs, null);
     dispatcher.report(
-        interrupted,
-        incompleteAnswer.statedOutcome(interrupted, this, Optional.of(reason)).orElse(failure));
+        interrupted, incompleteAnswer.outcomes(interrupted, this, Optional.of(reason), failure));
   }
 
   /**
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnectionLog.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnectionLog.java
@@ -37,6 +37,7 @@
   private final Deque<AnsweredCall> recentCalls = new ArrayDeque<>(MAX_RECENT_CALLS);
   private String address = "";
   private int calls;
+  private long responseBeganUs;
 
   /** A call and the response that was taken for its own. */
   private record AnsweredCall(int number, String firstId, int messages, int status, long atUs) {
@@ -78,6 +79,41 @@
             nowUs));
   }
 
+  /** The first byte of the response to the current call was received. */
+  void onResponseBegan(final long nowUs) {
+    responseBeganUs = nowUs;
+  }
+
+  /** The current call ends before its response counts; logs what was received of that, if any. */
+  void onInterrupted(
+      final HttpCall call,
+      final EndpointResponse response,
+      final EndpointCloseReason reason,
+      final long nowUs) {
+    if (!response.hasStatusLine()) {
+      return;
+    }
+    log(
+        Event.RESPONSE_INCOMPLETE,
+        nowUs,
+        "id",
+        call.attempts().get(0).message().id(),
+        "messages",
+        call.attempts().size(),
+        "status",
+        response.receivedHead().status().code(),
+        "head",
+        response.head() != null,
+        "body_bytes",
+        response.body().length,
+        "complete",
+        response.isComplete(),
+        "waited_us",
+        nowUs - responseBeganUs,
+        "why",
+        reason.label());
+  }
+
   /**
    * Bytes came that belong to no call.
    *
--- a/courier/src/main/java/thistleturn/courier/http/HttpCall.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpCall.java
@@ -3,9 +3,9 @@
 import io.netty.channel.Channel;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.Future;
 import thistleturn.courier.port.Dispatcher;
+import thistleturn.courier.port.StoredMessage;
 import thistleturn.courier.transport.DirectRead;
 import thistleturn.decisions.index.TimeHeap;
 
@@ -104,6 +104,11 @@
     return attempts;
   }
 
+  /** Whether one of its messages is this one. */
+  boolean carries(final StoredMessage message) {
+    return attempts.stream().anyMatch(attempt -> attempt.message() == message);
+  }
+
   /** The size of the bodies of all messages. */
   long bodyBytes() {
     return attempts.stream().mapToLong(attempt -> attempt.message().body().length).sum();
@@ -196,9 +201,13 @@
     }
   }
 
-  /** The outcome that an incomplete response already states; empty if it states none. */
-  Optional<Dispatcher.DispatchOutcome> statedOutcome() {
-    return connection == null ? Optional.empty() : connection.statedOutcome(this);
+  /**
+   * The outcomes of the call if it ends now, by what was received of its response.
+   *
+   * @param failure the outcome of a message of which the response says nothing
+   */
+  IncompleteAnswer.Outcomes outcomesOfEnded(final Dispatcher.DispatchOutcome failure) {
+    return connection == null ? attempt -> failure : connection.outcomesOfEnded(this, failure);
   }
 
   /** Shuts down the output if the call may have been executed; otherwise closes the connection. */
--- a/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
@@ -12,7 +12,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -398,9 +397,10 @@
     if (!pending && call.isStarted()) {
       return;
     }
-    final Optional<DispatchOutcome> stated = call.statedOutcome();
+    final IncompleteAnswer.Outcomes outcomes =
+        call.outcomesOfEnded(failure(resultOfAbandoned(call, result)));
     call.releaseConnection();
-    report(call, stated.orElseGet(() -> failure(resultOfAbandoned(call, result))));
+    report(call, outcomes);
   }
 
   private void abandonLater(final HttpCall call) {
@@ -438,9 +438,29 @@
     return new DispatchOutcome(result, false, 0, null);
   }
 
-  /** Reports the outcome of all messages of a call. */
+  /** Reports the same outcome of all messages of a call. */
   void report(final HttpCall call, final DispatchOutcome outcome) {
-    call.attempts().forEach(attempt -> report(attempt, call, outcome));
+    report(call, attempt -> outcome);
+  }
+
+  /** Reports the outcome of each message of a call. */
+  void report(final HttpCall call, final IncompleteAnswer.Outcomes outcomes) {
+    call.attempts().forEach(attempt -> report(attempt, call, outcomes.of(attempt)));
+  }
+
+  /**
+   * Reports that a response states an end of attempts, and abandons further calls of the messages
+   * that are not written yet.
+   */
+  void reportStatedEnd(final HttpCall call, final List<Attempt> ended) {
+    for (final Attempt attempt : ended) {
+      listener.onEndStated(attempt, call);
+      for (final HttpCall other : List.copyOf(unwritten)) {
+        if (other.carries(attempt.message())) {
+          abandon(other, AttemptResult.NOT_SENT);
+        }
+      }
+    }
   }
 
   /**
--- a/courier/src/main/java/thistleturn/courier/http/IncompleteAnswer.java
+++ b/courier/src/main/java/thistleturn/courier/http/IncompleteAnswer.java
@@ -1,13 +1,16 @@
 package thistleturn.courier.http;
 
+import java.util.List;
 import java.util.Optional;
+import thistleturn.courier.port.Dispatcher.Attempt;
 import thistleturn.courier.port.Dispatcher.DispatchOutcome;
 import thistleturn.decisions.model.AttemptResult;
+import thistleturn.decisions.model.MessageDisposition;
 import thistleturn.decisions.pools.AnswerTreatment;
 import thistleturn.decisions.pools.AnswerTreatment.Completeness;
 
 /**
- * What a response says of its call, by its status line alone, when the call ends before it counts
+ * What a response says of its call, by what was received of it, when the call ends before it counts
  * as complete. Used on the event loop of its connection.
  */
 final class IncompleteAnswer {
@@ -17,31 +20,86 @@
   private final EndpointResponse response;
   private final UnconfirmedCalls unconfirmedCalls;
 
+  /** The outcome of each message of a call. */
+  @FunctionalInterface
+  interface Outcomes {
+    DispatchOutcome of(Attempt attempt);
+  }
+
   IncompleteAnswer(final EndpointResponse response, final UnconfirmedCalls unconfirmedCalls) {
     this.response = response;
     this.unconfirmedCalls = unconfirmedCalls;
   }
 
   /**
-   * The outcome that the status line states for the call; empty if it ends no message, or if the
-   * rest shows that it may be false. A delivery of several messages needs the complete response.
+   * The outcomes of a call, by what was received of its response.
    *
    * @param ended why the connection has ended; empty if it is this side that ends the call
+   * @param failure the outcome of a message of which the response says nothing
    */
-  Optional<DispatchOutcome> statedOutcome(
+  Outcomes outcomes(
       final HttpCall call,
       final EndpointConnection connection,
-      final Optional<EndpointCloseReason> ended) {
-    return statesEnd(call)
-        ? Optional.ofNullable(treat(call, connection, completeness(ended)))
-        : Optional.empty();
+      final Optional<EndpointCloseReason> ended,
+      final DispatchOutcome failure) {
+    if (call.isBulk() && isReadable(call) && isOk()) {
+      return bulkOutcomes(failure);
+    }
+    final DispatchOutcome stated =
+        statesOutcome(call) ? treat(call, connection, completeness(ended)) : null;
+    return attempt -> stated == null ? failure : stated;
+  }
+
+  /** The outcomes of a call whose connection proves to be out of step. */
+  Outcomes outcomesOutOfStep(final HttpCall call) {
+    if (call.isBulk() && isReadable(call) && isOk()) {
+      return bulkOutcomes(IN_DOUBT);
+    }
+    final DispatchOutcome outcome =
+        statesEndOfAttempts(call) ? endOfAttempts(Completeness.SPOILT) : IN_DOUBT;
+    return attempt -> outcome;
+  }
+
+  private Outcomes bulkOutcomes(final DispatchOutcome otherwise) {
+    final BulkResponseParser bulk =
+        new BulkResponseParser(
+            response.body(), EndpointResponseParser.parse(response.receivedHead()));
+    return attempt -> bulk.statedEndOf(attempt.message().id()).orElse(otherwise);
+  }
+
+  /**
+   * Whether the status states that no further attempt of the messages may follow, whatever comes of
+   * the rest.
+   */
+  boolean statesEndOfAttempts(final HttpCall call) {
+    return isReadable(call)
+        && !isOk()
+        && EndpointResponseParser.parse(response.receivedHead(), 0).endsAttempts();
+  }
+
+  /** The attempts of a call whose end the response states, as far as it was received. */
+  List<Attempt> endedAttempts(final HttpCall call) {
+    if (statesEndOfAttempts(call)) {
+      return call.attempts();
+    }
+    if (!call.isBulk() || !isReadable(call) || !isOk()) {
+      return List.of();
+    }
+    final Outcomes outcomes = bulkOutcomes(null);
+    return call.attempts().stream().filter(attempt -> outcomes.of(attempt) != null).toList();
   }
 
-  private boolean statesEnd(final HttpCall call) {
-    return call.isWritten()
-        && response.hasFinalStatus()
-        && EndpointResponseParser.parse(response.receivedHead(), 0).endsAttempts()
-        && !(call.isBulk() && response.receivedHead().status().code() == EndpointResponseParser.OK);
+  private boolean isReadable(final HttpCall call) {
+    return call.isWritten() && response.hasFinalStatus();
+  }
+
+  private boolean isOk() {
+    return response.receivedHead().status().code() == EndpointResponseParser.OK;
+  }
+
+  /** A delivery of several messages needs the complete response. */
+  private boolean statesOutcome(final HttpCall call) {
+    return isReadable(call) && (isOk() ? !call.isBulk() : statesEndOfAttempts(call));
   }
 
   private Completeness completeness(final Optional<EndpointCloseReason> ended) {
@@ -73,14 +131,19 @@
       }
       case COUNTS_AFTER_SILENCE, COUNTS_AFTER_CLOSE ->
           unconfirmedCalls.addOpen(call, connection, outcome);
-      case ENDS_ATTEMPTS ->
-          new DispatchOutcome(
-              AttemptResult.STALE,
-              outcome.disposition(),
-              outcome.retryAfterUs(),
-              outcome.loadReport());
+      case ENDS_ATTEMPTS -> endOfAttempts(completeness);
       case MAY_HAVE_RUN -> null;
       case FOREIGN -> IN_DOUBT;
     };
   }
+
+  /** An endpoint that leaves a response unfinished has failed; a connection may be lost. */
+  private DispatchOutcome endOfAttempts(final Completeness completeness) {
+    final DispatchOutcome stated = EndpointResponseParser.parse(response.receivedHead());
+    return new DispatchOutcome(
+        completeness == Completeness.CUT_OFF ? AttemptResult.STALE : AttemptResult.ERROR,
+        MessageDisposition.NO_FURTHER_ATTEMPT,
+        stated.retryAfterUs(),
+        stated.loadReport());
+  }
 }
--- a/courier/src/main/java/thistleturn/courier/journal/Journal.java
+++ b/courier/src/main/java/thistleturn/courier/journal/Journal.java
@@ -195,6 +195,15 @@
     unwritten.addFinalOutcome(message.id(), outcome);
   }
 
+  @Override
+  public void recordStatedOutcome(
+      final StoredMessage message, final StoredMessage.FinalOutcome outcome) {
+    message.noteStatedOutcome(outcome);
+    if (pendingMessages.containsKey(message.id())) {
+      unwritten.addFinalOutcome(message.id(), outcome);
+    }
+  }
+
   @Override
   public void recordCompleted(final StoredMessage message) {
     if (pendingMessages.remove(message.id()) != null) {
--- a/courier/src/main/java/thistleturn/courier/journal/RecordBuffer.java
+++ b/courier/src/main/java/thistleturn/courier/journal/RecordBuffer.java
@@ -125,8 +125,8 @@
     if (message.hasAttemptInFlight()) {
       addAttemptStarted(message.id(), message.attemptStartedUs(), message.attemptZone());
     }
-    if (message.finalOutcome() != null) {
-      addFinalOutcome(message.id(), message.finalOutcome());
+    if (message.storedOutcome() != null) {
+      addFinalOutcome(message.id(), message.storedOutcome());
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
@@ -159,6 +159,12 @@
      */
     void onRejectionInDoubt(Attempt attempt, Call call);
 
+    /**
+     * The answer to an attempt states that its message is over or has had all its attempts, and has
+     * not been reported as an outcome: it is not complete yet, or the call had been abandoned.
+     */
+    void onEndStated(Attempt attempt, Call call);
+
     /** A call with this many messages has been written completely. */
     void onMessagesWritten(int count);
   }
--- a/courier/src/main/java/thistleturn/courier/port/MessageStore.java
+++ b/courier/src/main/java/thistleturn/courier/port/MessageStore.java
@@ -66,6 +66,12 @@
   /** Records that a message has ended and that only its final outcome is still to be reported. */
   void recordFinalOutcome(StoredMessage message, StoredMessage.FinalOutcome outcome);
 
+  /**
+   * Records that an endpoint has stated an end of a message that has not ended here yet: a later
+   * process does not send it, and reports this outcome unless another one is recorded.
+   */
+  void recordStatedOutcome(StoredMessage message, StoredMessage.FinalOutcome outcome);
+
   /** Records that nothing is left to do for a message. */
   void recordCompleted(StoredMessage message);
 
--- a/courier/src/main/java/thistleturn/courier/port/StoredMessage.java
+++ b/courier/src/main/java/thistleturn/courier/port/StoredMessage.java
@@ -31,6 +31,10 @@
 
   private String attemptZone = "";
   private FinalOutcome finalOutcome;
+
+  /** What the store keeps as its final outcome while it has not ended; null if nothing. */
+  private FinalOutcome statedOutcome;
+
   private MessageTimeline timeline;
 
   /**
@@ -148,6 +152,19 @@
     return finalOutcome;
   }
 
+  /**
+   * Notes the outcome to report if this process ends before the message does: an endpoint has
+   * stated an end, so that no process sends it again.
+   */
+  public void noteStatedOutcome(final FinalOutcome outcome) {
+    statedOutcome = outcome;
+  }
+
+  /** Returns the outcome that a process reports which finds the message in the store, or null. */
+  public FinalOutcome storedOutcome() {
+    return finalOutcome == null ? statedOutcome : finalOutcome;
+  }
+
   /** Returns how many attempts have started. */
   public int attempts() {
     return attempts;
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -37,7 +37,10 @@
    * its own.
    */
   ENDPOINT_REUSE_SUSPENDED("endpoint_reuse_suspended"),
-  /** A response that counted as a delivery may belong to another call: the message is reopened. */
+  /**
+   * A response that counted as a delivery, or as an end stated by an endpoint, may belong to
+   * another call.
+   */
   DELIVERY_IN_DOUBT("delivery_in_doubt"),
   /** A response that rejected a message may belong to another call: the message may have run. */
   REJECTION_IN_DOUBT("rejection_in_doubt"),
@@ -52,6 +55,13 @@
    * from then on.
    */
   MESSAGE_OVER("message_over"),
+  /**
+   * An answer states that no further call of its message may follow, and is not complete yet or
+   * came for a call that had been abandoned.
+   */
+  END_STATED("end_stated"),
+  /** A call ended with a response of which only a part was received, or can be read. */
+  RESPONSE_INCOMPLETE("response_incomplete"),
   /** An attempt began after its message had ended; this shows a fault of the courier. */
   ATTEMPT_AFTER_END("attempt_after_end"),
   /** An accepted message was not delivered: the platform is notified of its outcome. */
--- a/courier/src/main/java/thistleturn/courier/runtime/Json.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Json.java
@@ -12,6 +12,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.StringWriter;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -50,6 +52,29 @@
     return parser.nextToken() == null ? MissingNode.getInstance() : readValue(parser, 0);
   }
 
+  /**
+   * The elements of an array as far as it can be read.
+   *
+   * @param isComplete whether the end of the array was read
+   */
+  public record ArrayPrefix(List<JsonNode> elements, boolean isComplete) {}
+
+  /** Reads the elements of an array until it ends or cannot be read any further. */
+  public static ArrayPrefix readArrayPrefix(final byte[] bytes) {
+    final List<JsonNode> elements = new ArrayList<>();
+    try (JsonParser parser = FACTORY.createParser(bytes)) {
+      if (parser.nextToken() != JsonToken.START_ARRAY) {
+        return new ArrayPrefix(elements, false);
+      }
+      while (parser.nextToken() != JsonToken.END_ARRAY) {
+        elements.add(readValue(parser, 1));
+      }
+      return new ArrayPrefix(elements, true);
+    } catch (final IOException e) {
+      return new ArrayPrefix(elements, false);
+    }
+  }
+
   private static JsonNode readValue(final JsonParser parser, final int depth) throws IOException {
     if (depth > MAX_DEPTH) {
       throw new JsonParseException(parser, "nested more than " + MAX_DEPTH + " levels deep");
--- a/courier/src/test/java/thistleturn/courier/http/DispatcherFixture.java
+++ b/courier/src/test/java/thistleturn/courier/http/DispatcherFixture.java
@@ -48,6 +48,7 @@
   private final EventLoop loop = group.next();
   private final BlockingQueue<ReportedOutcome> outcomes = new LinkedBlockingQueue<>();
   private final BlockingQueue<Long> retryAfterReports = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> statedEnds = new LinkedBlockingQueue<>();
   private final HttpStandIn server;
   private HttpDispatcher dispatcher;
 
@@ -124,6 +125,11 @@
       // Not recorded: the tests wait for the outcome.
     }
 
+    @Override
+    public void onEndStated(final Dispatcher.Attempt attempt, final Dispatcher.Call call) {
+      statedEnds.add(attempt.message().id());
+    }
+
     @Override
     public void onMessagesWritten(final int messages) {
       // Not recorded: the tests wait for the outcome.
@@ -190,6 +196,16 @@
     return outcomes.poll(TIMEOUT_S, TimeUnit.SECONDS);
   }
 
+  /** The id of the next message whose end is reported as stated; null if there is none in time. */
+  String awaitStatedEnd() throws InterruptedException {
+    return statedEnds.poll(TIMEOUT_S, TimeUnit.SECONDS);
+  }
+
+  /** Whether no end was reported as stated so far. */
+  boolean hasNoStatedEnd() {
+    return statedEnds.isEmpty();
+  }
+
   /** The next Retry-After that is reported, us; null if there is none in time. */
   Long awaitRetryAfterUs() throws InterruptedException {
     return retryAfterReports.poll(TIMEOUT_S, TimeUnit.SECONDS);
--- a/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
@@ -64,6 +64,8 @@
         courier_events_total{event="platform_connection_closed"}
         courier_events_total{event="list_line_ignored"}
         courier_events_total{event="message_over"}
+        courier_events_total{event="end_stated"}
+        courier_events_total{event="response_incomplete"}
         courier_events_total{event="attempt_after_end"}
         courier_events_total{event="message_ended"}
         courier_events_total{event="message_ended_late"}
--- a/decisions/src/main/java/thistleturn/decisions/HostedController.java
+++ b/decisions/src/main/java/thistleturn/decisions/HostedController.java
@@ -71,6 +71,12 @@
    */
   void onPossibleExecution(long nowUs, String messageId, long sentUs, String zone);
 
+  /**
+   * Reports that an endpoint has stated that no further attempt of a message may follow, while its
+   * attempt is still in flight or after that has ended.
+   */
+  void onAttemptsExhausted(long nowUs, String messageId);
+
   /** Returns the state learned so far. */
   LearnedState learnedState();
 
--- a/decisions/src/main/java/thistleturn/decisions/OverloadController.java
+++ b/decisions/src/main/java/thistleturn/decisions/OverloadController.java
@@ -230,6 +230,20 @@
     }
   }
 
+  @Override
+  public void onAttemptsExhausted(final long nowUs, final String messageId) {
+    state.nowUs = nowUs;
+    final PendingMessage message = messages.find(messageId);
+    if (message == null || message.hasEnded()) {
+      return;
+    }
+    message.exhaustAttempts();
+    if (message.isWaiting()) {
+      messages.dequeue(message);
+      messages.enqueue(message);
+    }
+  }
+
   @Override
   public void onCallAdopted(
       final long nowUs,
--- a/decisions/src/main/java/thistleturn/decisions/PendingMessage.java
+++ b/decisions/src/main/java/thistleturn/decisions/PendingMessage.java
@@ -5,6 +5,9 @@
 import thistleturn.decisions.model.Message;
 import thistleturn.decisions.model.MessageClass;
 import thistleturn.decisions.model.PriorAttempts;
+import thistleturn.decisions.retries.Evidence;
+import thistleturn.decisions.retries.FollowUp;
+import thistleturn.decisions.retries.TimeLeft;
 
 /**
  * An accepted message without a final outcome, or one whose last attempt is still in flight.
@@ -185,10 +188,6 @@
     call = null;
   }
 
-  boolean areAttemptsExhausted() {
-    return attemptsExhausted;
-  }
-
   /** Records that no further attempt may follow, however many were made. */
   void exhaustAttempts() {
     attemptsExhausted = true;
@@ -225,16 +224,26 @@
     executionZone = zone;
   }
 
+  /** Returns what may follow for it, by what is known of its attempts and the time left. */
+  FollowUp followUp(final TimeLeft timeLeft) {
+    return FollowUp.of(evidence(), messageClass, timeLeft);
+  }
+
+  private Evidence evidence() {
+    if (attemptsExhausted) {
+      return mayHaveExecuted ? Evidence.MAY_BE_OVER : Evidence.HAD_ALL_ATTEMPTS;
+    }
+    return mayHaveExecuted ? Evidence.MAY_HAVE_RUN : Evidence.NEVER_RAN;
+  }
+
   /** Returns whether its client may safely submit it again after it has been shed. */
   boolean mayShed() {
     return mayShed(messageClass, mayHaveExecuted);
   }
 
   static boolean mayShed(final MessageClass messageClass, final boolean mayHaveExecuted) {
-    return !mayHaveExecuted
-        || messageClass.idempotence() == Idempotence.IDEMPOTENT
-        || (messageClass.idempotence() == Idempotence.IDEMPOTENT_BY_KEY
-            && !messageClass.keyScopedToZone());
+    final Evidence evidence = mayHaveExecuted ? Evidence.MAY_HAVE_RUN : Evidence.NEVER_RAN;
+    return FollowUp.of(evidence, messageClass, TimeLeft.FOR_NOTICE) == FollowUp.NOTICE_DEFERRED;
   }
 
   /**
@@ -248,8 +257,12 @@
    * Returns until when it may be sent: until its deadline or the end of the window of a key in use.
    */
   long retryDeadlineUs() {
-    return Math.min(
-        message.validUntilUs(), messageClass.retryDeadlineUs(mayHaveExecuted, firstExecutionUs));
+    return Math.min(message.validUntilUs(), repeatableUntilUs());
+  }
+
+  /** Returns until when its key, if it is in use, is safely recognized. */
+  long repeatableUntilUs() {
+    return messageClass.retryDeadlineUs(mayHaveExecuted, firstExecutionUs);
   }
 
   // ---------------------------------------------------------------- end
--- a/decisions/src/main/java/thistleturn/decisions/RetryPolicy.java
+++ b/decisions/src/main/java/thistleturn/decisions/RetryPolicy.java
@@ -1,6 +1,8 @@
 package thistleturn.decisions;
 
 import thistleturn.decisions.model.Idempotence;
+import thistleturn.decisions.retries.FollowUp;
+import thistleturn.decisions.retries.TimeLeft;
 
 /**
  * Decides whether a message may be attempted, how long an attempt may take, and when a message
@@ -123,16 +125,9 @@
 
   /** Returns whether another attempt has no harmful effect and is within the maximum number. */
   boolean mayAttempt(final PendingMessage message) {
-    return !message.areAttemptsExhausted()
-        && message.attempts() < state.settings.limits().maxAttempts()
-        && (!message.mayHaveExecuted() || mayRepeat(message));
-  }
-
-  private boolean mayRepeat(final PendingMessage message) {
-    return switch (message.idempotence()) {
-      case IDEMPOTENT -> true;
-      case IDEMPOTENT_BY_KEY -> state.nowUs < message.retryDeadlineUs();
-      case NON_IDEMPOTENT -> false;
-    };
+    final boolean possible =
+        message.attempts() < state.settings.limits().maxAttempts()
+            && state.nowUs < message.repeatableUntilUs();
+    return message.followUp(possible ? TimeLeft.FOR_CALL : TimeLeft.FOR_NOTICE) == FollowUp.CALL;
   }
 }
--- a/decisions/src/main/java/thistleturn/decisions/pools/AnswerTreatment.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/AnswerTreatment.java
@@ -29,7 +29,10 @@
    * flight if this was not its answer.
    */
   COUNTS_AFTER_CLOSE,
-  /** It ends the attempts of its message, which may have run all the same. */
+  /**
+   * It ends the attempts of its message, which may have run all the same: what it states may be
+   * false, or said of another message.
+   */
   ENDS_ATTEMPTS,
   /** It shows nothing but that its message may have run: the attempt has failed. */
   MAY_HAVE_RUN,
@@ -64,8 +67,9 @@
     return switch (completeness) {
       case COMPLETE -> ofComplete(disposition, identified);
       case CUT_OFF -> ofCutOff(disposition, identified);
-      case SILENT -> result == AttemptResult.DELIVERED ? ofEnd(identified) : MAY_HAVE_RUN;
-      case SPOILT -> identified ? ofSpoilt(result) : FOREIGN;
+      case SILENT ->
+          result == AttemptResult.DELIVERED ? ofEnd(identified) : ofStatusAlone(disposition);
+      case SPOILT -> ofSpoilt(result, disposition, identified);
     };
   }
 
@@ -95,8 +99,18 @@
     return identified ? CERTAIN : COUNTS_UNTIL_IN_DOUBT;
   }
 
-  /** Of a spoilt answer only a delivery is true. */
-  private static AnswerTreatment ofSpoilt(final AttemptResult result) {
-    return result == AttemptResult.DELIVERED ? CERTAIN : MAY_HAVE_RUN;
+  /** Of a spoilt answer only a delivery is true; on a used connection it may be parts of two. */
+  private static AnswerTreatment ofSpoilt(
+      final AttemptResult result, final MessageDisposition disposition, final boolean identified) {
+    if (result == AttemptResult.DELIVERED) {
+      return identified ? CERTAIN : FOREIGN;
+    }
+    final AnswerTreatment treatment = ofStatusAlone(disposition);
+    return identified || treatment == ENDS_ATTEMPTS ? treatment : FOREIGN;
+  }
+
+  /** A status that may be false shows nothing of what has run. */
+  private static AnswerTreatment ofStatusAlone(final MessageDisposition disposition) {
+    return disposition == MessageDisposition.OPEN ? MAY_HAVE_RUN : ENDS_ATTEMPTS;
   }
 }
