--- a/testkit/src/main/java/thistleturn/testkit/StandInEndpoint.java
+++ b/testkit/src/main/java/thistleturn/testkit/StandInEndpoint.java
@@ -23,6 +23,8 @@
  * {@link Behavior} says, and reports them to the rule checker.
  */
 public final class StandInEndpoint implements AutoCloseable {
+  private static final long US_PER_MS = 1000;
+  private static final double MS_PER_S = 1000.0;
   private static final int OK = 200;
   private static final int ERROR = 500;
   private static final int BUSY = 429;
@@ -265,13 +267,8 @@
         case DELIVER -> answerEach(RuleChecker.CallResult.DELIVERED, OK);
         case GONE -> answerEach(RuleChecker.CallResult.GONE, GONE);
         case NO_MORE_ATTEMPTS -> answerEach(RuleChecker.CallResult.NO_MORE_ATTEMPTS, NO_MORE);
-        case GONE_INCOMPLETE -> {
-          final ChannelFuture written =
-              breakOff(RuleChecker.CallResult.GONE, GONE, UNFINISHED_BODY);
-          if (written != null) {
-            written.addListener(done -> exchange.channel().close());
-          }
-        }
+        case GONE_INCOMPLETE ->
+            closeWithin(breakOff(RuleChecker.CallResult.GONE, GONE, UNFINISHED_BODY));
         case GONE_UNFINISHED -> breakOff(RuleChecker.CallResult.GONE, GONE, UNFINISHED_BODY);
         case GONE_UNFINISHED_HEAD -> breakOff(RuleChecker.CallResult.GONE, GONE, UNFINISHED_HEAD);
         case GONE_INVALID -> breakOff(RuleChecker.CallResult.GONE, GONE, INVALID_HEAD);
@@ -279,37 +276,50 @@
             breakOff(RuleChecker.CallResult.NO_MORE_ATTEMPTS, NO_MORE, UNFINISHED_BODY);
         case NO_MORE_ATTEMPTS_INVALID ->
             breakOff(RuleChecker.CallResult.NO_MORE_ATTEMPTS, NO_MORE, INVALID_HEAD);
-        case DELIVER_TOO_LONG -> {
-          if (bulk) {
-            answerEach(RuleChecker.CallResult.DELIVERED, OK);
-          } else {
-            end(RuleChecker.CallResult.DELIVERED);
-            exchange.raw(TOO_LONG_DELIVERY);
-          }
-        }
-        case FAIL -> {
-          end(RuleChecker.CallResult.ERROR);
-          exchange.answer(ERROR, "");
-        }
-        case REJECT -> {
-          end(RuleChecker.CallResult.REJECTED);
-          if (current.retryAfterMs() > 0) {
-            ruleChecker.recordRetryAfter(clock.nowUs(), destination, current.retryAfterMs() * 1000);
-            exchange.answer(
-                BUSY, "", "Retry-After", Double.toString(current.retryAfterMs() / 1000.0));
-          } else {
-            exchange.answer(BUSY, "");
-          }
-        }
-        case UNAVAILABLE -> {
-          end(RuleChecker.CallResult.REJECTED);
-          exchange.answer(UNAVAILABLE, "");
-        }
+        case DELIVER_TOO_LONG -> deliverTooLong();
+        case FAIL -> refuse(RuleChecker.CallResult.ERROR, ERROR);
+        case REJECT -> reject(current.retryAfterMs());
+        case UNAVAILABLE -> refuse(RuleChecker.CallResult.REJECTED, UNAVAILABLE);
         case RESET -> exchange.reset();
         default -> throw new IllegalStateException("NO_ANSWER has nothing to perform");
       }
     }
 
+    private void refuse(final RuleChecker.CallResult result, final int status) {
+      end(result);
+      exchange.answer(status, "");
+    }
+
+    private void reject(final long retryAfterMs) {
+      if (retryAfterMs == 0) {
+        refuse(RuleChecker.CallResult.REJECTED, BUSY);
+        return;
+      }
+      end(RuleChecker.CallResult.REJECTED);
+      ruleChecker.recordRetryAfter(clock.nowUs(), destination, retryAfterMs * US_PER_MS);
+      exchange.answer(BUSY, "", "Retry-After", Double.toString(retryAfterMs / MS_PER_S));
+    }
+
+    private void deliverTooLong() {
+      if (bulk) {
+        answerEach(RuleChecker.CallResult.DELIVERED, OK);
+        return;
+      }
+      end(RuleChecker.CallResult.DELIVERED);
+      exchange.raw(TOO_LONG_DELIVERY);
+    }
+
+    /**
+     * Closes the connection behind the part of an answer.
+     *
+     * @param written null if the answer was complete
+     */
+    private void closeWithin(final ChannelFuture written) {
+      if (written != null) {
+        written.addListener(done -> exchange.channel().close());
+      }
+    }
+
     /**
      * Answers a call with one message by a status and what follows its line; one with several
      * completely.
