--- a/courier/src/main/java/thistleturn/courier/DecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/DecidingRole.java
@@ -162,8 +162,9 @@
   }
 
   @Override
-  public void onAnswerInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
-    outcomes.recordAnswerInDoubt(delivery.id(), call);
+  public void onAnswerInDoubt(
+      final PendingDelivery delivery, final Dispatcher.Call call, final boolean mayBeEnd) {
+    outcomes.recordAnswerInDoubt(delivery.id(), call, mayBeEnd);
   }
 
   @Override
--- a/courier/src/main/java/thistleturn/courier/DispatcherEvents.java
+++ b/courier/src/main/java/thistleturn/courier/DispatcherEvents.java
@@ -36,8 +36,9 @@
   }
 
   @Override
-  public void onAnswerInDoubt(final Dispatcher.Attempt attempt, final Dispatcher.Call call) {
-    role.get().onAnswerInDoubt(delivery(attempt), call);
+  public void onAnswerInDoubt(
+      final Dispatcher.Attempt attempt, final Dispatcher.Call call, final boolean mayBeEnd) {
+    role.get().onAnswerInDoubt(delivery(attempt), call, mayBeEnd);
   }
 
   @Override
--- a/courier/src/main/java/thistleturn/courier/LoopRole.java
+++ b/courier/src/main/java/thistleturn/courier/LoopRole.java
@@ -40,8 +40,12 @@
   /** The response to an unconfirmed delivery was its own. */
   void onAnswerConfirmed(PendingDelivery delivery);
 
-  /** The response to an unconfirmed delivery may belong to another call. */
-  void onAnswerInDoubt(PendingDelivery delivery, Dispatcher.Call call);
+  /**
+   * The answer to an attempt, reported as an unconfirmed end, may belong to another call.
+   *
+   * @param mayBeEnd whether the attempt's own answer may state an end of attempts
+   */
+  void onAnswerInDoubt(PendingDelivery delivery, Dispatcher.Call call, boolean mayBeEnd);
 
   /** The response that rejected an attempt may belong to another call. */
   void onRejectionInDoubt(PendingDelivery delivery, Dispatcher.Call call);
--- a/courier/src/main/java/thistleturn/courier/NonDecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/NonDecidingRole.java
@@ -28,7 +28,8 @@
   }
 
   @Override
-  public void onAnswerInDoubt(final PendingDelivery delivery, final Dispatcher.Call call) {
+  public void onAnswerInDoubt(
+      final PendingDelivery delivery, final Dispatcher.Call call, final boolean mayBeEnd) {
     // The outcome was passed on, or the journal keeps the attempt in flight.
   }
 
--- a/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
+++ b/courier/src/main/java/thistleturn/courier/OutcomeRecorder.java
@@ -13,6 +13,7 @@
 import thistleturn.decisions.model.AttemptOutcome;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.MessageDisposition;
+import thistleturn.decisions.retries.Evidence;
 
 /**
  * Records the outcomes of attempts in the journal, the metrics and the log, and passes each to the
@@ -186,14 +187,17 @@
    * An answer that ended a message is in doubt: what follows depends on what it stated. A message
    * that may be delivered is sent again if its class allows that and time is left; of one that may
    * be over the outcome is reported.
+   *
+   * @param mayBeEnd whether the attempt's own answer may state an end of attempts
    */
-  void recordAnswerInDoubt(final String messageId, final Dispatcher.Call call) {
+  void recordAnswerInDoubt(
+      final String messageId, final Dispatcher.Call call, final boolean mayBeEnd) {
     final UnconfirmedEnds.Unconfirmed doubtful = unconfirmed.remove(messageId);
     if (doubtful == null) {
       return;
     }
-    logInDoubt(doubtful, call);
-    switch (doubtful.end().evidenceInDoubt()) {
+    logInDoubt(doubtful, call, mayBeEnd);
+    switch (mayBeEnd ? Evidence.MAY_BE_OVER : doubtful.end().evidenceInDoubt()) {
       case MAY_BE_DELIVERED -> reopen(doubtful.delivery());
       case MAY_BE_OVER ->
           finish(doubtful.delivery(), MessageCompletion.outcomeOfOver(doubtful.delivery()));
@@ -246,7 +250,10 @@
     scheduler.requestRound();
   }
 
-  private void logInDoubt(final UnconfirmedEnds.Unconfirmed doubtful, final Dispatcher.Call call) {
+  private void logInDoubt(
+      final UnconfirmedEnds.Unconfirmed doubtful,
+      final Dispatcher.Call call,
+      final boolean mayBeEnd) {
     final PendingDelivery delivery = doubtful.delivery();
     final long nowUs = context.clock().nowUs();
     logAttempt(
@@ -255,6 +262,8 @@
         call,
         "end",
         doubtful.end().label(),
+        "own_may_be_end",
+        mayBeEnd,
         "after_us",
         nowUs - call.preparedUs(),
         "time_left_us",
--- /dev/null
+++ b/courier/src/main/java/thistleturn/courier/http/ConnectionAnswers.java
@@ -0,0 +1,156 @@
+package thistleturn.courier.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import thistleturn.courier.port.Dispatcher.DispatchOutcome;
+import thistleturn.courier.runtime.Clock;
+import thistleturn.decisions.model.AttemptResult;
+import thistleturn.decisions.pools.AnswerHistory;
+import thistleturn.decisions.pools.AnswerTreatment;
+import thistleturn.decisions.pools.AnswerTreatment.Completeness;
+import thistleturn.decisions.pools.ConnectionLoss;
+
+/**
+ * The responses that a connection has carried, and what follows from them for the next one: whether
+ * it is certainly that of its call. Used on the event loop of the connection.
+ */
+final class ConnectionAnswers {
+  private final UnconfirmedCalls unconfirmedCalls;
+  private final Clock clock;
+  private final AnswerHistory history = new AnswerHistory();
+  private int calls;
+
+  /** The connections to the endpoint; null before the first call. */
+  private EndpointConnectionPool pool;
+
+  private long sentUs;
+  private long answeredUs;
+
+  /** The last bytes of the latest body. */
+  private String endOfBody = "";
+
+  ConnectionAnswers(final UnconfirmedCalls unconfirmedCalls, final Clock clock) {
+    this.unconfirmedCalls = unconfirmedCalls;
+    this.clock = clock;
+  }
+
+  AnswerHistory history() {
+    return history;
+  }
+
+  /** A call is sent on the connection, which is idle. */
+  void onCallSent(final HttpCall call) {
+    settleIfSilent();
+    calls++;
+    pool = call.pool();
+    sentUs = clock.nowUs();
+  }
+
+  /** The response to the current call is complete. */
+  void onResponseComplete(final EndpointResponse response) {
+    answeredUs = clock.nowUs();
+    pool.recordResponse(answeredUs - sentUs);
+    endOfBody = response.endOfBody();
+  }
+
+  /**
+   * The result of a call whose connection was lost.
+   *
+   * @param answered whether a byte of its response had come
+   */
+  AttemptResult resultOfLoss(final HttpCall interrupted, final boolean answered) {
+    return new ConnectionLoss(
+            interrupted.isWritten(),
+            isReused(),
+            answered,
+            clock.nowUs() - sentUs,
+            pool.handshakeUs())
+        .result();
+  }
+
+  /** Whether the connection has carried an earlier call than the current or latest one. */
+  boolean isReused() {
+    return calls > 1;
+  }
+
+  /** Adds the response to the current call; returns its place. */
+  int add(final HttpResponse head) {
+    return history.add(EndpointResponseParser.kindOf(head), clock.nowUs(), responseDueUs());
+  }
+
+  /** Adds a response that came without a call and cannot be read. */
+  void addUnknownSurplus() {
+    history.addSurplus(AnswerHistory.Kind.UNKNOWN, clock.nowUs());
+  }
+
+  /** When the response to the current or latest call would have come. */
+  private long responseDueUs() {
+    final long dueUs = pool.responseDueUs();
+    return dueUs < Long.MAX_VALUE - sentUs ? sentUs + dueUs : Long.MAX_VALUE;
+  }
+
+  /** Whether the response to the current call is certainly its own. */
+  boolean isOwn(final HttpResponse head) {
+    return !isReused() || history.isOwn(EndpointResponseParser.kindOf(head));
+  }
+
+  /** Whether bytes that follow the latest response hold another one together with its body. */
+  boolean continuesAsResponse(final ByteBuf bytes) {
+    return EndpointResponseParser.continuesAsResponse(endOfBody, bytes);
+  }
+
+  /** Notes that the connection has been silent long enough; called while it carries no call. */
+  void settleIfSilent() {
+    if (isResponseDueWithin(clock.nowUs() - answeredUs)) {
+      history.settle();
+    }
+  }
+
+  /** Whether an own response would come in this time, by the latest responses of the endpoint. */
+  boolean isResponseDueWithin(final long us) {
+    return pool != null && pool.responseDueUs() <= us;
+  }
+
+  /** The treatment of a complete response to a call with the same outcome for all messages. */
+  AnswerTreatment treatmentOf(final EndpointResponse response) {
+    final DispatchOutcome outcome = EndpointResponseParser.parse(response.head(), 0);
+    final boolean own = isOwn(response.head());
+    return AnswerTreatment.of(
+        !own && response.containsAnotherResponse() ? Completeness.SPOILT : Completeness.COMPLETE,
+        outcome.result(),
+        outcome.disposition(),
+        own);
+  }
+
+  /**
+   * Whether a response counts only once nothing else has come for this time: what it leads to
+   * cannot be taken back, or it is a rejection while copies come.
+   */
+  boolean countsAfterSilence(final AnswerTreatment treatment, final long silenceUs) {
+    return treatment == AnswerTreatment.COUNTS_AFTER_SILENCE
+        || (treatment == AnswerTreatment.COUNTS_AFTER_CLOSE
+            && unconfirmedCalls.wasAnyOutOfStep()
+            && isResponseDueWithin(silenceUs));
+  }
+
+  /** Returns why no call can follow; null if one can, or if answers are still unconfirmed. */
+  EndpointCloseReason obstacleToReuse(
+      final HttpCall completed,
+      final EndpointResponse response,
+      final EndpointConnection connection) {
+    if (!response.isKeepAlive() || !completed.isWritten()) {
+      return EndpointCloseReason.CLOSE_REQUESTED;
+    }
+    if (pool.isRemoved()) {
+      return EndpointCloseReason.ENDPOINT_CHANGED;
+    }
+    if (unconfirmedCalls.isUnconfirmed(connection)) {
+      return null;
+    }
+    if (unconfirmedCalls.isReuseSuspended(completed.endpoint())) {
+      return EndpointCloseReason.REUSE_SUSPENDED;
+    }
+    // A class whose calls need connections of their own would leave one behind with each call.
+    return completed.needsOwnConnection() && pool.hasIdle() ? EndpointCloseReason.SURPLUS : null;
+  }
+}
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -11,10 +11,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.net.SocketAddress;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import thistleturn.courier.port.Dispatcher.Attempt;
 import thistleturn.courier.port.Dispatcher.DispatchOutcome;
@@ -22,8 +19,6 @@
 import thistleturn.courier.transport.ConnectionFailures;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.pools.AnswerTreatment;
-import thistleturn.decisions.pools.AnswerTreatment.Completeness;
-import thistleturn.decisions.pools.ConnectionLoss;
 
 /**
  * One connection to an endpoint, which carries one call at a time. It writes the call, reads its
@@ -40,9 +35,7 @@
   /** How long the response to an abandoned call is still read, for its Retry-After. */
   private static final long LINGER_MS = 500;
 
-  /** The outcome of a call that was not written completely when bytes of another call came. */
-  private static final DispatchOutcome NOT_SENT =
-      new DispatchOutcome(AttemptResult.NOT_SENT, false, 0, null);
+  private static final long US_PER_MS = 1000;
 
   private final HttpDispatcher dispatcher;
   private final EventLoop loop;
@@ -57,17 +50,15 @@
   /** The current call; null while the connection is idle. */
   private HttpCall call;
 
-  /** The abandoned call; null if none was abandoned. No other call follows it. */
-  private HttpCall abandonedCall;
-
-  /** The attempts of the current or abandoned call whose stated ends were reported. */
-  private final Set<Attempt> reportedEnds = new HashSet<>();
+  private final ConnectionAnswers answers;
+  private final SurplusResponses surplus;
+  private final StatedEnds statedEnds;
+  private final RetryAfters retryAfters;
 
   /** The pool in which the connection was last idle; null during its first call. */
   private EndpointConnectionPool pool;
 
   private long idleSinceUs;
-  private long sentUs;
 
   /** True once this side has closed the connection, or has noticed its end. */
   private boolean closed;
@@ -89,6 +80,17 @@
       final Clock clock) {
     this.dispatcher = dispatcher;
     this.incompleteAnswer = new IncompleteAnswer(response, dispatcher.unconfirmedCalls());
+    this.statedEnds = new StatedEnds(dispatcher, response, incompleteAnswer);
+    this.retryAfters = new RetryAfters(dispatcher);
+    this.answers = new ConnectionAnswers(dispatcher.unconfirmedCalls(), clock);
+    this.surplus =
+        new SurplusResponses(
+            answers.history(),
+            loop,
+            clock,
+            CONFIRMATION_MS,
+            () -> endSurplus(answers.isResponseDueWithin(CONFIRMATION_MS * US_PER_MS)),
+            () -> endSurplus(false));
     this.reservation = receiveBudget.open(this);
     this.loop = loop;
     this.clock = clock;
@@ -101,7 +103,7 @@
             () -> onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.INCOMPLETE_RESPONSE));
     this.confirmationTimer =
         new RestartableTimer(
-            loop, "confirmation of a response", CONFIRMATION_MS, this::acceptResponse);
+            loop, "confirmation of a response", CONFIRMATION_MS, this::acceptConfirmedResponse);
   }
 
   /** Decodes the responses; the first handler of the channel. */
@@ -128,15 +130,20 @@
     context = added;
   }
 
+  /** What was read on this connection so far. */
+  ConnectionAnswers answers() {
+    return answers;
+  }
+
   // ---------------------------------------------------------------- sending
 
   /** Sends a call over this connection, which is idle. */
   void send(final HttpCall next) {
+    answers.onCallSent(next);
     call = next;
-    sentUs = clock.nowUs();
     log.onCallSent(call);
     call.setConnection(this, log.calls(), context.channel());
-    reportedEnds.clear();
+    statedEnds.reset();
     response.reset();
     context
         .writeAndFlush(CallRequestEncoder.encode(call, clock.nowUs()))
@@ -152,7 +159,10 @@
 
   /** Closes the connection if it is idle. */
   void close(final EndpointCloseReason reason) {
-    if (call == null) {
+    if (surplus.isObserving()) {
+      endSurplus(false);
+    } else if (call == null) {
+      answers.settleIfSilent();
       removeFromPool();
       closeChannel(reason);
     }
@@ -183,14 +193,14 @@
    * input is read for a while, for its Retry-After and for what it states of the messages.
    */
   void abandonCall() {
-    abandonedCall = call;
+    statedEnds.onAbandoned(call);
     log.onInterrupted(call, response, EndpointCloseReason.CALL_ABANDONED, clock.nowUs());
-    call = null;
     endReceiving();
     confirmationTimer.cancel();
     if (response.head() != null) {
-      reportRetryAfter(abandonedCall.pool(), response.head());
+      retryAfters.report(call.pool(), response.head());
     }
+    call = null;
     if (context.channel() instanceof SocketChannel socket) {
       socket.shutdownOutput();
     }
@@ -198,28 +208,6 @@
     loop.schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
   }
 
-  /** Reports the Retry-After of a response before, or without, the outcome of its call. */
-  private void reportRetryAfter(final EndpointConnectionPool source, final HttpResponse head) {
-    final long retryAfterUs = applyRetryAfter(source, head);
-    if (retryAfterUs > 0) {
-      dispatcher.reportRetryAfter(source, retryAfterUs);
-    }
-  }
-
-  /**
-   * Abandons the unwritten calls to which the Retry-After of a response applies.
-   *
-   * @param head null if it was not received
-   * @return the time to wait, us; 0 if there is none
-   */
-  private long applyRetryAfter(final EndpointConnectionPool source, final HttpResponse head) {
-    final long retryAfterUs = head == null ? 0 : EndpointResponseParser.retryAfterUs(head);
-    if (retryAfterUs > 0) {
-      dispatcher.abandonUnwrittenCalls(source);
-    }
-    return retryAfterUs;
-  }
-
   private void removeFromPool() {
     if (pool != null) {
       dispatcher.removeIdle(this, pool);
@@ -230,7 +218,7 @@
 
   @Override
   public void onBytesReceived(final ByteBuf bytes) {
-    if (abandonedCall != null || closed) {
+    if (statedEnds.isAbandoned() || closed || surplus.isObserving()) {
       return;
     }
     if (call != null && call.isWritten() && !confirmationTimer.isPending()) {
@@ -240,13 +228,33 @@
       }
       return;
     }
-    // No call awaits a response, or it is not fully written: one response belongs to another call.
     log.unexpectedBytes(call, bytes, clock.nowUs());
-    onConnectionBroken(
-        AttemptResult.RESET,
-        EndpointResponseParser.beginsLikeResponse(bytes)
-            ? EndpointCloseReason.UNEXPECTED_RESPONSE
-            : EndpointCloseReason.UNEXPECTED_BYTES);
+    onUnexpectedBytes(
+        EndpointResponseParser.beginsLikeResponse(bytes), answers.continuesAsResponse(bytes));
+  }
+
+  /**
+   * No call awaits a response, or it is not fully written: one response belongs to another call.
+   */
+  private void onUnexpectedBytes(final boolean isResponse, final boolean continuesAsResponse) {
+    if (isResponse && call == null) {
+      removeFromPool();
+      surplus.begin();
+    } else if (isResponse || continuesAsResponse) {
+      if (confirmationTimer.isPending()) {
+        answers.add(response.head());
+      }
+      answers.addUnknownSurplus();
+      onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.UNEXPECTED_RESPONSE);
+    } else {
+      onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.UNEXPECTED_BYTES);
+    }
+  }
+
+  private void endSurplus(final boolean complete) {
+    surplus.end();
+    closeChannel(EndpointCloseReason.UNEXPECTED_RESPONSE);
+    dispatcher.unconfirmedCalls().onOutOfStep(this, pool, complete);
   }
 
   @Override
@@ -256,8 +264,12 @@
 
   @Override
   protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
-    if (abandonedCall != null) {
-      readLateResponse(part);
+    if (statedEnds.isAbandoned()) {
+      statedEnds.readLate(part, retryAfters);
+      return;
+    }
+    if (surplus.isObserving()) {
+      surplus.read(part);
       return;
     }
     if (part.decoderResult().cause() instanceof PrematureChannelClosureException) {
@@ -278,41 +290,19 @@
     }
   }
 
-  private void readLateResponse(final HttpObject part) {
-    if (part.decoderResult().isFailure() || !response.add(part)) {
-      return;
-    }
-    if (part instanceof HttpResponse head) {
-      reportRetryAfter(abandonedCall.pool(), head);
-    }
-  }
-
   /** Starts the timer for the rest of a response; most responses arrive in a single read. */
   @Override
   public void channelReadComplete(final ChannelHandlerContext ctx) {
     if (receivingResponse && call != null) {
       completionTimer.start();
     }
-    reportStatedEnd();
+    statedEnds.report(call);
     if (!closed) {
       reservation.update(decoder.heldBytes() + response.heldHeadBytes(), response.heldBodyBytes());
     }
     ctx.fireChannelReadComplete();
   }
 
-  /**
-   * Reports that the response states an end of attempts, before its call has an outcome or after
-   * that: whatever else comes, no call follows.
-   */
-  private void reportStatedEnd() {
-    final HttpCall answered = call == null ? abandonedCall : call;
-    if (answered != null) {
-      final List<Attempt> ended =
-          incompleteAnswer.endedAttempts(answered).stream().filter(reportedEnds::add).toList();
-      dispatcher.reportStatedEnd(answered, ended);
-    }
-  }
-
   @Override
   public SocketAddress remoteAddress() {
     return context.channel().remoteAddress();
@@ -340,25 +330,22 @@
   }
 
   private void onResponseComplete() {
-    if (needsConfirmation()) {
+    answers.onResponseComplete(response);
+    final AnswerTreatment treatment = answers.treatmentOf(response);
+    if (answers.countsAfterSilence(treatment, CONFIRMATION_MS * US_PER_MS)) {
       confirmationTimer.start();
-      reportRetryAfter(call.pool(), response.head());
+      retryAfters.report(call.pool(), response.head());
     } else {
-      acceptResponse();
+      acceptResponse(treatment);
     }
   }
 
-  private boolean needsConfirmation() {
-    return treatmentOfComplete(EndpointResponseParser.parse(response.head(), 0))
-        == AnswerTreatment.COUNTS_AFTER_SILENCE;
+  private void acceptConfirmedResponse() {
+    acceptResponse(AnswerTreatment.CERTAIN);
+    answers.history().settle();
   }
 
-  private AnswerTreatment treatmentOfComplete(final DispatchOutcome outcome) {
-    return AnswerTreatment.of(
-        Completeness.COMPLETE, outcome.result(), outcome.disposition(), !isReused());
-  }
-
-  private void acceptResponse() {
+  private void acceptResponse(final AnswerTreatment treatment) {
     final HttpCall completed = call;
     call = null;
     log.onResponse(completed, response.head(), clock.nowUs());
@@ -367,47 +354,55 @@
       return;
     }
     final HttpResponse head = response.head();
-    final long retryAfterUs = applyRetryAfter(completed.pool(), head);
+    final long retryAfterUs = retryAfters.apply(completed.pool(), head);
     final DispatchOutcome outcome = EndpointResponseParser.parse(head, retryAfterUs);
     if (completed.isBulk() && head.status().code() == EndpointResponseParser.OK) {
       onBulkResponse(completed, new BulkResponseParser(response.body(), outcome));
     } else {
-      onSingleOutcome(completed, outcome);
+      onSingleOutcome(completed, outcome, treatment);
     }
   }
 
   /** The response says the same of all messages of its call. */
-  private void onSingleOutcome(final HttpCall completed, final DispatchOutcome outcome) {
-    switch (treatmentOfComplete(outcome)) {
+  private void onSingleOutcome(
+      final HttpCall completed, final DispatchOutcome outcome, final AnswerTreatment treatment) {
+    final int place = answers.add(response.head());
+    switch (treatment) {
       case CERTAIN, COUNTS_AFTER_SILENCE -> {
         keepOrClose(completed);
         dispatcher.report(completed, outcome);
       }
       case COUNTS_UNTIL_IN_DOUBT -> {
-        dispatcher.unconfirmedCalls().addEnd(completed, this);
+        dispatcher.unconfirmedCalls().addEnd(completed, this, place);
         keepOrClose(completed);
         dispatcher.report(completed, outcome.unconfirmed());
       }
       case COUNTS_AFTER_CLOSE -> {
         closeChannel(EndpointCloseReason.UNCONFIRMED_REJECTION);
         dispatcher.report(
-            completed, dispatcher.unconfirmedCalls().addOpen(completed, this, outcome));
+            completed, dispatcher.unconfirmedCalls().addOpen(completed, this, place, outcome));
+      }
+      case ENDS_ATTEMPTS, MAY_HAVE_RUN, FOREIGN -> {
+        answers.addUnknownSurplus();
+        pool = completed.pool();
+        onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.UNEXPECTED_RESPONSE);
+        dispatcher.report(completed, incompleteAnswer.outcomesOutOfStep(completed));
       }
-      case ENDS_ATTEMPTS, MAY_HAVE_RUN, FOREIGN ->
-          throw new IllegalStateException("a complete answer counts as it says");
     }
   }
 
   /** The ids in a response to several messages show whether it belongs to the call. */
   private void onBulkResponse(final HttpCall completed, final BulkResponseParser bulk) {
     dispatcher.onBulkResponse(completed);
-    if (isReused() && !bulk.identifies(completed)) {
+    if (answers.isReused() && !bulk.identifies(completed)) {
+      answers.add(response.head());
       onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.UNEXPECTED_RESPONSE);
       dispatcher.report(
           completed,
           attempt -> bulk.statedEndOf(attempt.message().id()).orElse(IncompleteAnswer.IN_DOUBT));
       return;
     }
+    answers.history().addNamed(EndpointResponseParser.kindOf(response.head()));
     keepOrClose(completed);
     for (final Attempt attempt : completed.attempts()) {
       dispatcher.report(attempt, completed, bulk.outcomeOf(attempt.message().id()));
@@ -417,7 +412,7 @@
   /** Keeps the connection for further calls if they can use it, and closes it otherwise. */
   private void keepOrClose(final HttpCall completed) {
     pool = completed.pool();
-    final EndpointCloseReason obstacle = obstacleToReuse(completed);
+    final EndpointCloseReason obstacle = answers.obstacleToReuse(completed, response, this);
     if (obstacle == null) {
       idleSinceUs = clock.nowUs();
       response.reset();
@@ -427,29 +422,6 @@
     }
   }
 
-  /** Returns why no call can follow; null if one can, or if deliveries are still unconfirmed. */
-  private EndpointCloseReason obstacleToReuse(final HttpCall completed) {
-    if (!response.isKeepAlive() || !completed.isWritten()) {
-      return EndpointCloseReason.CLOSE_REQUESTED;
-    }
-    if (completed.pool().isRemoved()) {
-      return EndpointCloseReason.ENDPOINT_CHANGED;
-    }
-    if (dispatcher.unconfirmedCalls().isUnconfirmed(this)) {
-      return null;
-    }
-    if (dispatcher.unconfirmedCalls().isReuseSuspended(completed.endpoint())) {
-      return EndpointCloseReason.REUSE_SUSPENDED;
-    }
-    // A class whose calls need connections of their own would leave one behind with each call.
-    return completed.needsOwnConnection() && pool.hasIdle() ? EndpointCloseReason.SURPLUS : null;
-  }
-
-  /** Whether the connection has carried an earlier call than the current or latest one. */
-  boolean isReused() {
-    return log.calls() > 1;
-  }
-
   // ---------------------------------------------------------------- the end of the connection
 
   /**
@@ -473,62 +445,52 @@
     if (outOfStep) {
       dispatcher
           .unconfirmedCalls()
-          .onOutOfStep(this, interrupted == null ? pool : interrupted.pool());
+          .onOutOfStep(this, interrupted == null ? pool : interrupted.pool(), false);
     }
     if (interrupted == null || !dispatcher.removeCall(interrupted)) {
       return;
     }
     // The head of an incomplete response may have a Retry-After.
-    final long retryAfterUs = applyRetryAfter(interrupted.pool(), response.head());
+    final long retryAfterUs = retryAfters.apply(interrupted.pool(), response.head());
     if (outOfStep) {
-      dispatcher.report(
-          interrupted,
-          interrupted.isWritten()
-              ? incompleteAnswer.outcomesOutOfStep(interrupted)
-              : attempt -> NOT_SENT);
+      dispatcher.report(interrupted, incompleteAnswer.outcomesOutOfStep(interrupted));
       return;
     }
-    final AttemptResult result = failedResult(interrupted, cause, answered);
+    final AttemptResult result =
+        interrupted.isWritten() && cause != AttemptResult.RESET
+            ? cause
+            : answers.resultOfLoss(interrupted, answered);
     final DispatchOutcome failure = new DispatchOutcome(result, false, retryAfterUs, null);
     dispatcher.report(
         interrupted, incompleteAnswer.outcomes(interrupted, this, Optional.of(reason), failure));
   }
 
-  /**
-   * Whether the calls and responses do not match: the connection carried a call before whose
-   * response came again, or bytes are left over of a response that may be parts of two.
-   */
+  /** Whether a response came again that the connection had carried before. */
   private boolean provesOutOfStep(final EndpointCloseReason reason) {
-    return switch (reason) {
-      case UNEXPECTED_RESPONSE -> pool != null;
-      case UNEXPECTED_BYTES -> dispatcher.unconfirmedCalls().isUnconfirmed(this);
-      default -> false;
-    };
-  }
-
-  private AttemptResult failedResult(
-      final HttpCall interrupted, final AttemptResult cause, final boolean answered) {
-    if (interrupted.isWritten() && cause != AttemptResult.RESET) {
-      return cause;
-    }
-    return new ConnectionLoss(
-            interrupted.isWritten(),
-            pool != null,
-            answered,
-            clock.nowUs() - sentUs,
-            interrupted.pool().handshakeUs())
-        .result();
+    return reason == EndpointCloseReason.UNEXPECTED_RESPONSE && pool != null;
   }
 
   @Override
   public void channelInactive(final ChannelHandlerContext ctx) {
-    onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.ENDED_BY_ENDPOINT);
+    final boolean closedWhileIdle = !closed && call == null;
+    if (surplus.isObserving()) {
+      endSurplus(closedWhileIdle);
+    } else {
+      if (closedWhileIdle) {
+        answers.history().settle();
+      }
+      onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.ENDED_BY_ENDPOINT);
+    }
     dispatcher.unconfirmedCalls().onConnectionEnded(this);
   }
 
   @Override
   public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
     ConnectionFailures.report("endpoint connection", cause);
+    if (surplus.isObserving()) {
+      endSurplus(false);
+      return;
+    }
     onConnectionBroken(
         AttemptResult.RESET,
         cause instanceof IOException
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnectionPool.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnectionPool.java
@@ -20,6 +20,17 @@
   private InetSocketAddress address;
   private Availability availability;
   private double handshakeUs;
+  private double slowestResponseUs;
+  private int responses;
+
+  /** The part of the slowest response time that is kept with each later response. */
+  private static final double SLOWEST_RESPONSE_DECAY = 0.995;
+
+  /** A response counts as missing after this many times the slowest response time. */
+  private static final double SILENCE_FACTOR = 1.5;
+
+  /** From so many responses on, the slowest of them is meaningful. */
+  private static final int MIN_RESPONSES = 20;
 
   /** Whether calls may be sent to the endpoint. */
   private enum Availability {
@@ -87,6 +98,20 @@
     return handshakeUs;
   }
 
+  /** Records how long the endpoint took to respond to a call. */
+  void recordResponse(final long durationUs) {
+    responses++;
+    slowestResponseUs = Math.max((double) durationUs, SLOWEST_RESPONSE_DECAY * slowestResponseUs);
+  }
+
+  /**
+   * How long after a call, us, its response would have come, by the slowest responses of late;
+   * {@link Long#MAX_VALUE} while too few have come.
+   */
+  long responseDueUs() {
+    return responses < MIN_RESPONSES ? Long.MAX_VALUE : (long) (SILENCE_FACTOR * slowestResponseUs);
+  }
+
   boolean hasIdle() {
     return !idle.isEmpty();
   }
--- a/courier/src/main/java/thistleturn/courier/http/EndpointResponse.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointResponse.java
@@ -126,6 +126,13 @@
         && body.toString(StandardCharsets.ISO_8859_1).contains(EndpointResponseParser.START);
   }
 
+  /** The last bytes of the body, fewer than the beginning of a response has. */
+  String endOfBody() {
+    final String text = new String(body(), StandardCharsets.ISO_8859_1);
+    final int length = Math.min(text.length(), EndpointResponseParser.START.length() - 1);
+    return text.substring(text.length() - length);
+  }
+
   /** The complete head; null if it has not been received. */
   HttpResponse head() {
     return head;
--- a/courier/src/main/java/thistleturn/courier/http/EndpointResponseParser.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointResponseParser.java
@@ -9,6 +9,7 @@
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.model.LoadReport;
 import thistleturn.decisions.model.MessageDisposition;
+import thistleturn.decisions.pools.AnswerHistory;
 
 /** Parses the heads of endpoints' responses strictly: outcome, Retry-After and load report. */
 final class EndpointResponseParser {
@@ -45,6 +46,26 @@
         .equals(START.substring(0, length));
   }
 
+  /** Whether bytes that follow the end of a body hold the beginning of another response with it. */
+  static boolean continuesAsResponse(final String endOfBody, final ByteBuf bytes) {
+    final int length = Math.min(bytes.readableBytes(), START.length());
+    final String begin = bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1);
+    return (endOfBody + begin).contains(START);
+  }
+
+  /** Whether a response is not an informational one, which another one follows. */
+  static boolean isFinal(final HttpResponse head) {
+    return head.status().code() >= OK;
+  }
+
+  /** What a response states, as far as copies of it can be told from other responses. */
+  static AnswerHistory.Kind kindOf(final HttpResponse head) {
+    final DispatchOutcome outcome = parse(head, 0);
+    return new AnswerHistory.Kind(
+        head.status().code(),
+        outcome.endsAttempts() && outcome.result() != AttemptResult.DELIVERED);
+  }
+
   /** The outcome of a call with one message whose response has this head, with its Retry-After. */
   static DispatchOutcome parse(final HttpResponse head) {
     return parse(head, retryAfterUs(head));
--- a/courier/src/main/java/thistleturn/courier/http/IncompleteAnswer.java
+++ b/courier/src/main/java/thistleturn/courier/http/IncompleteAnswer.java
@@ -17,6 +17,10 @@
   /** The outcome of a call whose response is not known. It says nothing about the endpoint. */
   static final DispatchOutcome IN_DOUBT = new DispatchOutcome(AttemptResult.STALE, false, 0, null);
 
+  /** The outcome of a call that was not written completely. */
+  private static final DispatchOutcome NOT_SENT =
+      new DispatchOutcome(AttemptResult.NOT_SENT, false, 0, null);
+
   private final EndpointResponse response;
   private final UnconfirmedCalls unconfirmedCalls;
 
@@ -52,6 +56,9 @@
 
   /** The outcomes of a call whose connection proves to be out of step. */
   Outcomes outcomesOutOfStep(final HttpCall call) {
+    if (!call.isWritten()) {
+      return attempt -> NOT_SENT;
+    }
     if (call.isBulk() && isReadable(call) && isOk()) {
       return bulkOutcomes(IN_DOUBT);
     }
@@ -122,15 +129,20 @@
     final DispatchOutcome outcome = EndpointResponseParser.parse(response.receivedHead());
     final AnswerTreatment treatment =
         AnswerTreatment.of(
-            completeness, outcome.result(), outcome.disposition(), !connection.isReused());
+            completeness,
+            outcome.result(),
+            outcome.disposition(),
+            connection.answers().isOwn(response.receivedHead()));
     return switch (treatment) {
       case CERTAIN -> outcome;
       case COUNTS_UNTIL_IN_DOUBT -> {
-        unconfirmedCalls.addEnd(call, connection);
+        unconfirmedCalls.addEnd(
+            call, connection, connection.answers().add(response.receivedHead()));
         yield outcome.unconfirmed();
       }
       case COUNTS_AFTER_SILENCE, COUNTS_AFTER_CLOSE ->
-          unconfirmedCalls.addOpen(call, connection, outcome);
+          unconfirmedCalls.addOpen(
+              call, connection, connection.answers().add(response.receivedHead()), outcome);
       case ENDS_ATTEMPTS -> endOfAttempts(completeness);
       case MAY_HAVE_RUN -> null;
       case FOREIGN -> IN_DOUBT;
--- a/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
+++ b/courier/src/main/java/thistleturn/courier/http/UnconfirmedCalls.java
@@ -51,35 +51,35 @@
   }
 
   /** A call was answered as delivered or over, perhaps by the response of another call. */
-  void addEnd(final HttpCall call, final EndpointConnection connection) {
-    add(new AnsweredCall(call, true), connection);
-  }
-
-  /** A call was rejected, perhaps by the response of another call; its connection ends now. */
-  private void addRejection(final HttpCall call, final EndpointConnection connection) {
-    add(new AnsweredCall(call, false), connection);
+  void addEnd(final HttpCall call, final EndpointConnection connection, final int place) {
+    add(new AnsweredCall(call, true), connection, place);
   }
 
   /**
    * Records an answer that leaves its messages open, or ends their attempts, if it says that they
-   * never ran.
+   * never ran. Its connection ends now.
    *
    * @return the outcome of the call until it is put in doubt
    */
   DispatchOutcome addOpen(
-      final HttpCall call, final EndpointConnection connection, final DispatchOutcome outcome) {
+      final HttpCall call,
+      final EndpointConnection connection,
+      final int place,
+      final DispatchOutcome outcome) {
     if (outcome.neverExecuted()) {
-      addRejection(call, connection);
+      add(new AnsweredCall(call, false), connection, place);
     }
     return outcome.unconfirmed();
   }
 
-  private void add(final AnsweredCall answered, final EndpointConnection connection) {
+  private void add(
+      final AnsweredCall answered, final EndpointConnection connection, final int place) {
     final HttpCall call = answered.call();
     answers.add(
         answered,
         connection,
         call.endpoint(),
+        place,
         call.deadlineUs(),
         call.messageDeadlineUs() - NOTICE_TIME_US);
     messages += call.attempts().size();
@@ -104,12 +104,25 @@
     return answers.isUnconfirmed(connection);
   }
 
-  /** Bytes came on a connection that do not belong to the call for which they were read. */
-  void onOutOfStep(final EndpointConnection connection, final EndpointConnectionPool pool) {
+  /**
+   * A response came on a connection that does not belong to the call for which it was read.
+   *
+   * @param complete whether all responses to its calls have come
+   */
+  void onOutOfStep(
+      final EndpointConnection connection,
+      final EndpointConnectionPool pool,
+      final boolean complete) {
+    final boolean suspended = isReuseSuspended(pool.endpoint());
+    apply(
+        answers.onOutOfStep(
+            connection, pool.endpoint(), connection.answers().history(), complete, clock.nowUs()));
     if (!isReuseSuspended(pool.endpoint())) {
+      return;
+    }
+    if (!suspended) {
       Log.event(Event.ENDPOINT_REUSE_SUSPENDED, "to", pool.address());
     }
-    putInDoubt(answers.onOutOfStep(connection, pool.endpoint(), clock.nowUs()));
     // Connections that may still show whether their answers are in doubt stay open.
     pool.idleSnapshot().stream()
         .filter(idle -> !isUnconfirmed(idle))
@@ -118,7 +131,7 @@
 
   /** A connection has ended. */
   void onConnectionEnded(final EndpointConnection connection) {
-    putInDoubt(answers.onConnectionEnded(connection, clock.nowUs()));
+    apply(answers.onConnectionEnded(connection, connection.answers().history(), clock.nowUs()));
   }
 
   /** Resolves all answers now, since this process will not learn more about them. */
@@ -142,6 +155,11 @@
     scheduleCheck();
   }
 
+  private void apply(final AnswerConfirmation.Verdict<AnsweredCall> verdict) {
+    confirm(verdict.confirmed());
+    putInDoubt(verdict.inDoubt());
+  }
+
   private void apply(
       final AnswerConfirmation.Resolution<AnsweredCall, EndpointConnection> resolution) {
     confirm(resolution.confirmed());
@@ -161,16 +179,23 @@
     }
   }
 
-  private void putInDoubt(final List<AnsweredCall> doubtful) {
-    for (final AnsweredCall answered : doubtful) {
-      final HttpCall call = answered.call();
-      release(call);
-      for (final Dispatcher.Attempt attempt : call.attempts()) {
-        if (answered.endsMessages()) {
-          listener.onAnswerInDoubt(attempt, call);
-        } else {
-          listener.onRejectionInDoubt(attempt, call);
-        }
+  private void putInDoubt(final List<AnswerConfirmation.Doubtful<AnsweredCall>> doubtful) {
+    for (final AnswerConfirmation.Doubtful<AnsweredCall> each : doubtful) {
+      release(each.call().call());
+      putInDoubt(each.call(), each.mayBeEnd());
+    }
+  }
+
+  private void putInDoubt(final AnsweredCall answered, final boolean mayBeEnd) {
+    final HttpCall call = answered.call();
+    for (final Dispatcher.Attempt attempt : call.attempts()) {
+      if (answered.endsMessages()) {
+        listener.onAnswerInDoubt(attempt, call, mayBeEnd);
+        continue;
+      }
+      listener.onRejectionInDoubt(attempt, call);
+      if (mayBeEnd) {
+        listener.onEndStated(attempt, call);
       }
     }
   }
--- a/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/port/Dispatcher.java
@@ -150,8 +150,10 @@
     /**
      * The answer to an attempt, reported as an unconfirmed end, may be that of another call. The
      * connection has ended on this side, and the message may have been executed or not.
+     *
+     * @param mayBeEnd whether the attempt's own answer may state an end of attempts
      */
-    void onAnswerInDoubt(Attempt attempt, Call call);
+    void onAnswerInDoubt(Attempt attempt, Call call, boolean mayBeEnd);
 
     /**
      * The answer to an attempt, reported as a rejection that is not certain, may be that of another
--- a/decisions/src/main/java/thistleturn/decisions/pools/AnswerConfirmation.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/AnswerConfirmation.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongPredicate;
 import java.util.function.Predicate;
 
 /**
@@ -20,43 +21,94 @@
  * a response that names its messages belongs to theirs, which says nothing about earlier ones: an
  * endpoint that works on several calls may respond in any order. Any other answer is unconfirmed
  * until its call's deadline: if it was not the call's own, its own comes by then on a connection
- * without a call, or in place of a later one. Such bytes prove that the connection is out of step.
- * All its unconfirmed answers are then in doubt, and so are those of other connections that have
- * ended, on which nothing more can come.
+ * without a call, or in place of a later one. Such a response proves that the connection is out of
+ * step; its {@link AnswerHistory} shows which of its answers can be those of other calls.
  *
- * <p>A connection that was out of step is rarely the only one. Those to its endpoint are not reused
- * for some time. An answer whose connection ends is in doubt at once if any connection was out of
+ * <p>A connection that was out of step is rarely the only one. The answers of a connection that
+ * ends before it has shown whether it is in step are in doubt at once if any connection was out of
  * step lately, and otherwise if one proves to be before the message's deadline, since the cause may
- * lie between this courier and all endpoints.
+ * lie between this courier and all endpoints. An endpoint whose connections are out of step again
+ * and again gets a connection for each call for some time.
  *
  * @param <C> identifies a call
  * @param <N> identifies a connection
  */
 public final class AnswerConfirmation<C, N> {
-  /** How long each call gets a connection of its own after one was out of step, us. */
+  /** How long each call to an endpoint gets a connection of its own, us. */
   public static final long SUSPENSION_US = 60_000_000;
 
+  /** How long a connection that was out of step makes answers of its endpoint doubtful, us. */
+  static final long SAME_CAUSE_US = 60_000_000;
+
   /** How long a connection that was out of step makes answers of other endpoints doubtful, us. */
   static final long COMMON_CAUSE_US = 10_000_000;
 
+  /** Reuse is suspended once so many connections to an endpoint were out of step... */
+  static final int SUSPENDING_CONNECTIONS = 4;
+
+  /** ... within this time, us. */
+  static final long SUSPENDING_PERIOD_US = 2_000_000;
+
   /** By connection; the connection with the earliest answer is first. */
   private final Map<N, Deque<Unconfirmed<C, N>>> unconfirmed = new LinkedHashMap<>();
 
   /** The connections with unconfirmed answers that have ended. */
-  private final Set<N> ended = new LinkedHashSet<>();
+  private final Map<N, AnswerHistory> ended = new LinkedHashMap<>();
 
-  /** When a connection to an endpoint was last out of step. */
-  private final Map<Long, Long> outOfStepUs = new HashMap<>();
+  /** What is known of the endpoints whose connections were out of step lately. */
+  private final Map<Long, OutOfStep> outOfStep = new HashMap<>();
 
   /** An answer that is confirmed at a time unless its connection proves to be out of step. */
   private record Unconfirmed<C, N>(
-      C call, N connection, long endpoint, long callDeadlineUs, long messageDeadlineUs) {}
+      C call,
+      N connection,
+      long endpoint,
+      int place,
+      long callDeadlineUs,
+      long messageDeadlineUs) {}
+
+  /** When the connections to an endpoint were last out of step. */
+  private static final class OutOfStep {
+    private final Deque<Long> recentUs = new ArrayDeque<>();
+    private long latestUs;
+    private long suspendedUntilUs = Long.MIN_VALUE;
+
+    private void add(final long nowUs) {
+      latestUs = nowUs;
+      recentUs.addLast(nowUs);
+      while (recentUs.getFirst() <= nowUs - SUSPENDING_PERIOD_US) {
+        recentUs.removeFirst();
+      }
+      if (recentUs.size() >= SUSPENDING_CONNECTIONS) {
+        suspendedUntilUs = nowUs + SUSPENSION_US;
+      }
+    }
+
+    private boolean isOver(final long nowUs) {
+      return nowUs >= latestUs + SAME_CAUSE_US && nowUs >= suspendedUntilUs;
+    }
+  }
+
+  /**
+   * An answer in doubt.
+   *
+   * @param mayBeEnd whether the call's own answer may state an end of attempts
+   */
+  public record Doubtful<C>(C call, boolean mayBeEnd) {}
+
+  /**
+   * What becomes of answers.
+   *
+   * @param confirmed the calls whose answers are confirmed
+   * @param inDoubt those whose answers are in doubt
+   */
+  public record Verdict<C>(List<C> confirmed, List<Doubtful<C>> inDoubt) {}
 
   /**
    * What becomes of answers whose time has come.
    *
    * @param confirmed the calls whose answers are confirmed
-   * @param toEnd the connections that have to be ended, which puts their answers in doubt
+   * @param toEnd the connections that have to be ended, which may put their answers in doubt
    */
   public record Resolution<C, N>(List<C> confirmed, Set<N> toEnd) {}
 
@@ -66,6 +118,7 @@
   /**
    * Adds an unconfirmed answer.
    *
+   * @param place its place in the history of the connection
    * @param callDeadlineUs when the call would have timed out
    * @param messageDeadlineUs until when it may be put in doubt if its connection ends: the message
    *     can be sent again, or ended by a notice, until then
@@ -74,11 +127,14 @@
       final C call,
       final N connection,
       final long endpoint,
+      final int place,
       final long callDeadlineUs,
       final long messageDeadlineUs) {
     unconfirmed
         .computeIfAbsent(connection, unused -> new ArrayDeque<>())
-        .add(new Unconfirmed<>(call, connection, endpoint, callDeadlineUs, messageDeadlineUs));
+        .add(
+            new Unconfirmed<>(
+                call, connection, endpoint, place, callDeadlineUs, messageDeadlineUs));
   }
 
   /** Returns whether there are no unconfirmed answers. */
@@ -104,42 +160,87 @@
 
   /** Returns whether each call to an endpoint needs a connection of its own. */
   public boolean isReuseSuspended(final long endpoint, final long nowUs) {
-    final Long atUs = outOfStepUs.get(endpoint);
-    return atUs != null && nowUs < atUs + SUSPENSION_US;
+    final OutOfStep known = outOfStep.get(endpoint);
+    return known != null && nowUs < known.suspendedUntilUs;
   }
 
   /** Returns whether connections to any endpoint were out of step lately. */
   public boolean wasAnyOutOfStep(final long nowUs) {
-    return outOfStepUs.values().stream().anyMatch(atUs -> nowUs < atUs + COMMON_CAUSE_US);
+    return outOfStep.values().stream().anyMatch(each -> nowUs < each.latestUs + COMMON_CAUSE_US);
+  }
+
+  private boolean wasOutOfStep(final long endpoint, final long nowUs) {
+    final OutOfStep known = outOfStep.get(endpoint);
+    return known != null && nowUs < known.latestUs + SAME_CAUSE_US;
   }
 
   /**
-   * Bytes came on a connection that do not belong to the call for which they were read.
+   * A response came on a connection that does not belong to the call for which it was read.
    *
-   * @return the calls whose answers are in doubt
+   * @param history all that was read on the connection
+   * @param complete whether all responses to its calls have come
    */
-  public List<C> onOutOfStep(final N connection, final long endpoint, final long nowUs) {
-    outOfStepUs.values().removeIf(atUs -> atUs + SUSPENSION_US <= nowUs);
-    outOfStepUs.put(endpoint, nowUs);
-    final List<C> inDoubt = takeAll(connection);
-    List.copyOf(ended).forEach(other -> inDoubt.addAll(takeAll(other)));
-    return inDoubt;
+  public Verdict<C> onOutOfStep(
+      final N connection,
+      final long endpoint,
+      final AnswerHistory history,
+      final boolean complete,
+      final long nowUs) {
+    outOfStep.values().removeIf(each -> each.isOver(nowUs));
+    outOfStep.computeIfAbsent(endpoint, unused -> new OutOfStep()).add(nowUs);
+    final Verdict<C> verdict = judge(connection, history, complete);
+    Map.copyOf(ended)
+        .forEach(
+            (other, its) -> {
+              final Verdict<C> earlier = judge(other, its, false);
+              verdict.confirmed().addAll(earlier.confirmed());
+              verdict.inDoubt().addAll(earlier.inDoubt());
+            });
+    return verdict;
   }
 
   /**
    * A connection has ended, so nothing more is learned about its answers.
    *
-   * @return the calls whose answers are in doubt
+   * @param history all that was read on the connection
    */
-  public List<C> onConnectionEnded(final N connection, final long nowUs) {
+  public Verdict<C> onConnectionEnded(
+      final N connection, final AnswerHistory history, final long nowUs) {
     final Deque<Unconfirmed<C, N>> answers = unconfirmed.get(connection);
     if (answers == null) {
-      return List.of();
+      return new Verdict<>(List.of(), List.of());
+    }
+    if (wasOutOfStep(answers.getFirst().endpoint(), nowUs) || wasAnyOutOfStep(nowUs)) {
+      return judge(connection, history, false);
+    }
+    final List<C> confirmed =
+        take(connection, each -> history.doubtOf(each.place(), false) == AnswerHistory.Doubt.NONE);
+    if (unconfirmed.containsKey(connection)) {
+      ended.put(connection, history);
+    }
+    return new Verdict<>(confirmed, List.of());
+  }
+
+  /** Removes all answers of a connection: each is confirmed or in doubt. */
+  private Verdict<C> judge(
+      final N connection, final AnswerHistory history, final boolean complete) {
+    final Verdict<C> verdict = new Verdict<>(new ArrayList<>(), new ArrayList<>());
+    final Deque<Unconfirmed<C, N>> answers = unconfirmed.remove(connection);
+    ended.remove(connection);
+    if (answers == null) {
+      return verdict;
+    }
+    for (final Unconfirmed<C, N> answer : answers) {
+      final AnswerHistory.Doubt doubt = history.doubtOf(answer.place(), complete);
+      if (doubt == AnswerHistory.Doubt.NONE) {
+        verdict.confirmed().add(answer.call());
+      } else {
+        verdict
+            .inDoubt()
+            .add(new Doubtful<>(answer.call(), doubt == AnswerHistory.Doubt.MAY_BE_END));
+      }
     }
-    ended.add(connection);
-    final boolean inDoubt =
-        isReuseSuspended(answers.getFirst().endpoint(), nowUs) || wasAnyOutOfStep(nowUs);
-    return inDoubt ? takeAll(connection) : List.of();
+    return verdict;
   }
 
   /** Resolves the answers whose calls would have timed out by now. */
@@ -147,23 +248,24 @@
     return resolve(
         answer ->
             nowUs
-                >= (ended.contains(answer.connection())
+                >= (ended.containsKey(answer.connection())
                     ? answer.messageDeadlineUs()
                     : answer.callDeadlineUs()),
-        nowUs);
+        endpoint -> isReuseSuspended(endpoint, nowUs));
   }
 
   /** Resolves all answers now, since this process will not learn more about them. */
   public Resolution<C, N> resolveAll(final long nowUs) {
-    return resolve(answer -> true, nowUs);
+    return resolve(answer -> true, endpoint -> wasOutOfStep(endpoint, nowUs));
   }
 
-  private Resolution<C, N> resolve(final Predicate<Unconfirmed<C, N>> due, final long nowUs) {
+  private Resolution<C, N> resolve(
+      final Predicate<Unconfirmed<C, N>> due, final LongPredicate doubtful) {
     final List<C> confirmed = new ArrayList<>();
     final Set<N> toEnd = new LinkedHashSet<>();
     for (final N connection : List.copyOf(unconfirmed.keySet())) {
       final Deque<Unconfirmed<C, N>> answers = unconfirmed.get(connection);
-      if (!isReuseSuspended(answers.getFirst().endpoint(), nowUs)) {
+      if (!doubtful.test(answers.getFirst().endpoint())) {
         confirmed.addAll(take(connection, due));
       } else if (answers.stream().anyMatch(due)) {
         toEnd.add(connection);
@@ -172,17 +274,10 @@
     return new Resolution<>(confirmed, toEnd);
   }
 
-  private List<C> takeAll(final N connection) {
-    return take(connection, answer -> true);
-  }
-
   /** Removes and returns answers of a connection, which all have the same endpoint. */
   private List<C> take(final N connection, final Predicate<Unconfirmed<C, N>> selected) {
     final List<C> calls = new ArrayList<>();
     final Deque<Unconfirmed<C, N>> answers = unconfirmed.get(connection);
-    if (answers == null) {
-      return calls;
-    }
     answers.stream().filter(selected).map(Unconfirmed::call).forEach(calls::add);
     answers.removeIf(selected);
     removeIfEmpty(connection);
--- /dev/null
+++ b/decisions/src/main/java/thistleturn/decisions/pools/AnswerHistory.java
@@ -0,0 +1,169 @@
+package thistleturn.decisions.pools;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The answers of one connection that are known by their places alone, in the order in which they
+ * were read, and which of them can be those of other calls.
+ *
+ * <p>A copy repeats an answer that the connection has carried. From the call that read it on, a
+ * call may have read the answer to another one, and its own comes later, in any order: an endpoint
+ * that works on several calls may answer the shortest first. So an answer is in doubt only if an
+ * answer of its kind was read before, and if what came later, or did not come, in the time that the
+ * endpoint takes for a call, can be the call's own and is of another kind. Bytes that are no answer
+ * of this connection cannot be explained by copies and put nothing in doubt.
+ */
+public final class AnswerHistory {
+  /** How many of the latest answers are kept at least. */
+  private static final int MIN_KEPT = 128;
+
+  private static final int NONE = Integer.MAX_VALUE;
+
+  private final List<Answer> answers = new ArrayList<>();
+  private final Set<Kind> carried = new HashSet<>();
+
+  /** How many answers were read before the ones that are kept. */
+  private int dropped;
+
+  private int surplus;
+  private int firstPossibleCopy = NONE;
+
+  /** The first place that is not known to be in step. */
+  private int unsettledFrom;
+
+  /** An answer, when it was read, and by when the answer to its call comes. */
+  private record Answer(Kind kind, long readUs, long ownDueUs) {}
+
+  /**
+   * What an answer states.
+   *
+   * @param status its status
+   * @param endsAttempts whether it states that no further attempt of its message may follow, other
+   *     than by a delivery
+   */
+  public record Kind(int status, boolean endsAttempts) {
+    /** What an answer states that cannot be read. */
+    public static final Kind UNKNOWN = new Kind(-1, false);
+  }
+
+  /** What is known of an answer. */
+  public enum Doubt {
+    /** It is the call's own. */
+    NONE,
+    /** The call's own answer may be another one. */
+    MAY_BE_OTHER,
+    /** The call's own answer may be another one that states an end of attempts. */
+    MAY_BE_END
+  }
+
+  /** Creates the history of a connection that has carried no answer. */
+  public AnswerHistory() {}
+
+  /**
+   * Adds the answer that was read for a call.
+   *
+   * @param readUs when it was read
+   * @param ownDueUs by when the answer to the call comes, if this is that of another one
+   * @return its place
+   */
+  public int add(final Kind kind, final long readUs, final long ownDueUs) {
+    final int place = dropped + answers.size();
+    if (carried.contains(kind) && firstPossibleCopy == NONE) {
+      firstPossibleCopy = place;
+    }
+    append(new Answer(kind, readUs, ownDueUs));
+    return place;
+  }
+
+  /** Adds an answer that names its messages: it takes no place, and may be copied. */
+  public void addNamed(final Kind kind) {
+    carried.add(kind);
+  }
+
+  /**
+   * Adds an answer that was read without a call.
+   *
+   * @param readUs when it was read
+   */
+  public void addSurplus(final Kind kind, final long readUs) {
+    surplus++;
+    append(new Answer(kind, readUs, readUs));
+  }
+
+  private void append(final Answer answer) {
+    carried.add(answer.kind());
+    answers.add(answer);
+    if (answers.size() > 2 * MIN_KEPT) {
+      answers.subList(0, MIN_KEPT).clear();
+      dropped += MIN_KEPT;
+    }
+  }
+
+  /** How many answers were read without a call. */
+  public int surplus() {
+    return surplus;
+  }
+
+  /**
+   * All answers to the calls so far have come, and no other: the connection has been silent for
+   * longer than its endpoint takes, or the endpoint has closed it, which it does while it works on
+   * no call.
+   */
+  public void settle() {
+    if (surplus == 0) {
+      unsettledFrom = dropped + answers.size();
+      firstPossibleCopy = NONE;
+    }
+  }
+
+  /**
+   * Returns whether an answer read next is that of its call: no answer of its kind was read before,
+   * and none so far can have been a copy.
+   */
+  public boolean isOwn(final Kind kind) {
+    return firstPossibleCopy == NONE && !carried.contains(kind);
+  }
+
+  /**
+   * Returns what is known of an answer.
+   *
+   * @param complete whether all answers to the calls on the connection have come
+   */
+  public Doubt doubtOf(final int place, final boolean complete) {
+    if (place < Math.max(unsettledFrom, dropped) || place < firstPossibleCopy) {
+      return Doubt.NONE;
+    }
+    final int index = place - dropped;
+    final Answer read = answers.get(index);
+    final Set<Doubt> doubts = EnumSet.of(Doubt.NONE);
+    for (final Answer later : possibleOwn(index, complete)) {
+      if (!later.kind().equals(read.kind())) {
+        doubts.add(later.kind().endsAttempts() ? Doubt.MAY_BE_END : Doubt.MAY_BE_OTHER);
+      }
+    }
+    return doubts.contains(Doubt.MAY_BE_END)
+        ? Doubt.MAY_BE_END
+        : doubts.contains(Doubt.MAY_BE_OTHER) ? Doubt.MAY_BE_OTHER : Doubt.NONE;
+  }
+
+  /** The later answers that may be that of a call, one of an unknown kind if it has not come. */
+  private List<Answer> possibleOwn(final int index, final boolean complete) {
+    if (surplus == 0 && complete) {
+      return List.of();
+    }
+    final long dueUs = answers.get(index).ownDueUs();
+    final List<Answer> possible = new ArrayList<>();
+    answers.subList(index + 1, answers.size()).stream()
+        .filter(later -> later.readUs() <= dueUs)
+        .forEach(possible::add);
+    final long latestUs = answers.get(answers.size() - 1).readUs();
+    if (!complete && latestUs <= dueUs) {
+      possible.add(new Answer(Kind.UNKNOWN, latestUs, dueUs));
+    }
+    return possible;
+  }
+}
