An answer that waits for silence counts in doubts from when it was read

Cause: a rejection that waits 0.2 s for silence was added to the connection's history when the wait ended, not when it was read; by then the call before it counted as answered in time. Found beside it, by reading: the end of that wait settled the connection even where its endpoint takes longer than 0.2 s for a call. Change: AnswerHistory keeps the times of calls and answers itself; the wait settles only a connection that was silent for as long as the endpoint takes.

--- a/courier/src/main/java/thistleturn/courier/http/ConnectionAnswers.java
+++ b/courier/src/main/java/thistleturn/courier/http/ConnectionAnswers.java
@@ -24,7 +24,6 @@
   private EndpointConnectionPool pool;
 
   private long sentUs;
-  private long answeredUs;
 
   /** The last bytes of the latest body. */
   private String endOfBody = "";
@@ -44,12 +43,14 @@
     calls++;
     pool = call.pool();
     sentUs = clock.nowUs();
+    history.onCallSent(sentUs);
   }
 
   /** The response to the current call is complete. */
   void onResponseComplete(final EndpointResponse response) {
-    answeredUs = clock.nowUs();
-    pool.recordResponse(answeredUs - sentUs);
+    final long nowUs = clock.nowUs();
+    history.onAnswerComplete(nowUs);
+    pool.recordResponse(nowUs - sentUs);
     endOfBody = response.endOfBody();
   }
 
@@ -75,7 +76,7 @@
 
   /** Adds the response to the current call; returns its place. */
   int add(final HttpResponse head) {
-    return history.add(EndpointResponseParser.kindOf(head), clock.nowUs(), responseDueUs());
+    return history.add(EndpointResponseParser.kindOf(head), pool.responseDueUs());
   }
 
   /** Adds a response that came without a call and cannot be read. */
@@ -83,12 +84,6 @@
     history.addSurplus(AnswerHistory.Kind.UNKNOWN, clock.nowUs());
   }
 
-  /** When the response to the current or latest call would have come. */
-  private long responseDueUs() {
-    final long dueUs = pool.responseDueUs();
-    return dueUs < Long.MAX_VALUE - sentUs ? sentUs + dueUs : Long.MAX_VALUE;
-  }
-
   /** Whether the response to the current call is certainly its own. */
   boolean isOwn(final HttpResponse head) {
     return !isReused() || history.isOwn(EndpointResponseParser.kindOf(head));
@@ -99,10 +94,12 @@
     return EndpointResponseParser.continuesAsResponse(endOfBody, bytes);
   }
 
-  /** Notes that the connection has been silent long enough; called while it carries no call. */
+  /**
+   * Notes whether the connection has been silent long enough; called while no response is awaited.
+   */
   void settleIfSilent() {
-    if (isResponseDueWithin(clock.nowUs() - answeredUs)) {
-      history.settle();
+    if (pool != null) {
+      history.settleIfSilent(clock.nowUs(), pool.responseDueUs());
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -342,7 +342,7 @@
 
   private void acceptConfirmedResponse() {
     acceptResponse(AnswerTreatment.CERTAIN);
-    answers.history().settle();
+    answers.settleIfSilent();
   }
 
   private void acceptResponse(final AnswerTreatment treatment) {
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnectionPool.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnectionPool.java
@@ -13,6 +13,15 @@
   /** The weight of one handshake in the moving average. */
   private static final double HANDSHAKE_SMOOTHING = 0.2;
 
+  /** The part of the slowest response time that is kept with each later response. */
+  private static final double SLOWEST_RESPONSE_DECAY = 0.995;
+
+  /** A response counts as missing after this many times the slowest response time. */
+  private static final double SILENCE_FACTOR = 1.5;
+
+  /** From so many responses on, the slowest of them is meaningful. */
+  private static final int MIN_RESPONSES = 20;
+
   private final long endpoint;
   private final long destination;
   private final boolean separateRoute;
@@ -23,15 +32,6 @@
   private double slowestResponseUs;
   private int responses;
 
-  /** The part of the slowest response time that is kept with each later response. */
-  private static final double SLOWEST_RESPONSE_DECAY = 0.995;
-
-  /** A response counts as missing after this many times the slowest response time. */
-  private static final double SILENCE_FACTOR = 1.5;
-
-  /** From so many responses on, the slowest of them is meaningful. */
-  private static final int MIN_RESPONSES = 20;
-
   /** Whether calls may be sent to the endpoint. */
   private enum Availability {
     ACCEPTING_CALLS,
--- a/decisions/src/main/java/thistleturn/decisions/pools/AnswerHistory.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/AnswerHistory.java
@@ -35,6 +35,9 @@
   /** The first place that is not known to be in step. */
   private int unsettledFrom;
 
+  private long sentUs;
+  private long answeredUs;
+
   /** An answer, when it was read, and by when the answer to its call comes. */
   private record Answer(Kind kind, long readUs, long ownDueUs) {}
 
@@ -63,19 +66,30 @@
   /** Creates the history of a connection that has carried no answer. */
   public AnswerHistory() {}
 
+  /** A call is sent; the connection carries no other one. */
+  public void onCallSent(final long nowUs) {
+    sentUs = nowUs;
+  }
+
+  /** The answer that is read for the call is complete; it may be added later. */
+  public void onAnswerComplete(final long nowUs) {
+    answeredUs = nowUs;
+  }
+
   /**
-   * Adds the answer that was read for a call.
+   * Adds the answer that was read for the call. Of one that is not complete it is only known that
+   * the call was sent before.
    *
-   * @param readUs when it was read
-   * @param ownDueUs by when the answer to the call comes, if this is that of another one
+   * @param responseTimeUs how long the endpoint takes for a call at most
    * @return its place
    */
-  public int add(final Kind kind, final long readUs, final long ownDueUs) {
+  public int add(final Kind kind, final long responseTimeUs) {
     final int place = dropped + answers.size();
     if (carried.contains(kind) && firstPossibleCopy == NONE) {
       firstPossibleCopy = place;
     }
-    append(new Answer(kind, readUs, ownDueUs));
+    final long ownDueUs = sentUs + Math.min(responseTimeUs, Long.MAX_VALUE - sentUs);
+    append(new Answer(kind, Math.max(sentUs, answeredUs), ownDueUs));
     return place;
   }
 
@@ -108,6 +122,16 @@
     return surplus;
   }
 
+  /**
+   * Notes that nothing has come for as long as the endpoint takes for a call. The connection
+   * carries none, or one whose answer is complete.
+   */
+  public void settleIfSilent(final long nowUs, final long responseTimeUs) {
+    if (nowUs - answeredUs >= responseTimeUs) {
+      settle();
+    }
+  }
+
   /**
    * All answers to the calls so far have come, and no other: the connection has been silent for
    * longer than its endpoint takes, or the endpoint has closed it, which it does while it works on
--- a/decisions/src/test/java/thistleturn/decisions/pools/AnswerConfirmationTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/pools/AnswerConfirmationTest.java
@@ -33,7 +33,7 @@
         connection,
         unused -> {
           final AnswerHistory history = new AnswerHistory();
-          history.add(DELIVERED, 0, 0);
+          history.add(DELIVERED, 0);
           return history;
         });
   }
@@ -44,7 +44,7 @@
       final long endpoint,
       final long callDeadlineUs,
       final long messageDeadlineUs) {
-    final int place = history(connection).add(DELIVERED, 0, callDeadlineUs);
+    final int place = history(connection).add(DELIVERED, callDeadlineUs);
     deliveries.add(call, connection, endpoint, place, callDeadlineUs, messageDeadlineUs);
   }
 
@@ -139,7 +139,8 @@
     surplus("b", ENDPOINT, DELIVERED, SECOND);
     for (int call = 1; call <= 8; call++) {
       final long atUs = SECOND + call;
-      final int place = history("a").add(DELIVERED, atUs, atUs + 2);
+      history("a").onCallSent(atUs);
+      final int place = history("a").add(DELIVERED, 2);
       deliveries.add(call, "a", ENDPOINT, place, 20 * SECOND, MESSAGE_DEADLINE);
     }
     assertEquals(List.of(6, 7, 8), end("a", 2 * SECOND));
@@ -225,7 +226,7 @@
       for (int call = 1; open && call <= calls; call++) {
         // From the call after the copied one, each reads the response of the one before.
         read = call > copied ? call - 1 : call;
-        final int place = history.add(delivers[read] ? DELIVERED : REJECTED, call, 3 * SECOND);
+        final int place = history.add(delivers[read] ? DELIVERED : REJECTED, 3 * SECOND);
         if (!delivers[read]) {
           final var ended = played.onConnectionEnded("a", history, call);
           inDoubt.addAll(inDoubt(ended));
--- a/decisions/src/test/java/thistleturn/decisions/pools/AnswerHistoryTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/pools/AnswerHistoryTest.java
@@ -28,7 +28,8 @@
   private static AnswerHistory of(final Kind... kinds) {
     final AnswerHistory history = new AnswerHistory();
     for (int place = 0; place < kinds.length; place++) {
-      history.add(kinds[place], place, place + SLOWEST_US);
+      history.onCallSent(place);
+      history.add(kinds[place], SLOWEST_US);
     }
     return history;
   }
@@ -66,6 +67,17 @@
     assertEquals(Doubt.MAY_BE_OTHER, history.doubtOf(3, true));
   }
 
+  /** Guards against a lost message whose own answer is added late, after a wait for silence. */
+  @Test
+  void answerThatIsAddedLater_countsFromWhenItWasRead() {
+    final AnswerHistory history = of(DELIVERED, DELIVERED);
+    history.onCallSent(2);
+    history.onAnswerComplete(1 + SLOWEST_US);
+    history.add(REJECTED, SLOWEST_US);
+    history.addSurplus(Kind.UNKNOWN, 2 * SLOWEST_US);
+    assertEquals(Doubt.MAY_BE_OTHER, history.doubtOf(1, false));
+  }
+
   @Test
   void ownAnswerThatStatesAnEnd_isToldApart() {
     final AnswerHistory history = of(DELIVERED, DELIVERED);
@@ -94,7 +106,8 @@
     final AnswerHistory history = new AnswerHistory();
     int place = 0;
     for (int answer = 0; answer < 1000; answer++) {
-      place = history.add(DELIVERED, answer, answer + 1);
+      history.onCallSent(answer);
+      place = history.add(DELIVERED, 1);
     }
     history.addSurplus(REJECTED, 1000);
     assertEquals(999, place);
@@ -140,7 +153,9 @@
       final Response first = coming.remove();
       nowUs = first.arrivesUs();
       provedOwn[read.size()] = read.isEmpty() || history.isOwn(first.kind());
-      history.add(first.kind(), nowUs, sentUs + SLOWEST_US);
+      history.onCallSent(sentUs);
+      history.onAnswerComplete(nowUs);
+      history.add(first.kind(), SLOWEST_US);
       read.add(first.kind());
     }
 
@@ -152,9 +167,7 @@
         readSurplus();
       } else {
         nowUs += restUs;
-        if (restUs == SLOWEST_US) {
-          history.settle();
-        }
+        history.settleIfSilent(nowUs, SLOWEST_US);
       }
     }
 
