An end that is read behind another response of the same call is followed by no call

Cause: where two responses came for one call, only the first one's status was looked at; neither is certain, so the call was made again. In the logs: a half copy of a 200 with the call's own 504 behind it, decoded as one invalid head; a copied 503 that waited for silence, with the call's own 410 behind it; both in one read, where the copy closed the connection. Change: ResponseStarts reads the statuses of all responses that begin since a call was sent from the bytes themselves, each read once. If one of several states an end, the message may be over (FollowUp): no call, a notice. The same status is the kind of the surplus response for the other answers of the connection. The plain path: one pass over about a hundred bytes a response. The soaks' restart and checks stand once, in RestartedCourier; ShutdownSoakTest has the check attempt_after_end besides.

--- a/courier/src/main/java/thistleturn/courier/http/ConnectionAnswers.java
+++ b/courier/src/main/java/thistleturn/courier/http/ConnectionAnswers.java
@@ -15,6 +15,8 @@
  * it is certainly that of its call. Used on the event loop of the connection.
  */
 final class ConnectionAnswers {
+  private static final long US_PER_MS = 1000;
+
   private final UnconfirmedCalls unconfirmedCalls;
   private final Clock clock;
   private final AnswerHistory history = new AnswerHistory();
@@ -55,11 +57,16 @@
   }
 
   /**
-   * The result of a call whose connection was lost.
+   * The result of a call whose connection is broken.
    *
+   * @param cause {@link AttemptResult#RESET} if the connection was lost
    * @param answered whether a byte of its response had come
    */
-  AttemptResult resultOfLoss(final HttpCall interrupted, final boolean answered) {
+  AttemptResult resultOfLoss(
+      final HttpCall interrupted, final AttemptResult cause, final boolean answered) {
+    if (interrupted.isWritten() && cause != AttemptResult.RESET) {
+      return cause;
+    }
     return new ConnectionLoss(
             interrupted.isWritten(),
             isReused(),
@@ -79,9 +86,9 @@
     return history.add(EndpointResponseParser.kindOf(head), pool.responseDueUs());
   }
 
-  /** Adds a response that came without a call and cannot be read. */
-  void addUnknownSurplus() {
-    history.addSurplus(AnswerHistory.Kind.UNKNOWN, clock.nowUs());
+  /** Adds a response that came without a call, of which only the beginning was received. */
+  void addSurplus(final AnswerHistory.Kind kind) {
+    history.addSurplus(kind, clock.nowUs());
   }
 
   /** Whether the response to the current call is certainly its own. */
@@ -104,8 +111,8 @@
   }
 
   /** Whether an own response would come in this time, by the latest responses of the endpoint. */
-  boolean isResponseDueWithin(final long us) {
-    return pool != null && pool.responseDueUs() <= us;
+  boolean isResponseDueWithin(final long ms) {
+    return pool != null && pool.responseDueUs() <= ms * US_PER_MS;
   }
 
   /** The treatment of a complete response to a call with the same outcome for all messages. */
@@ -123,11 +130,11 @@
    * Whether a response counts only once nothing else has come for this time: what it leads to
    * cannot be taken back, or it is a rejection while copies come.
    */
-  boolean countsAfterSilence(final AnswerTreatment treatment, final long silenceUs) {
+  boolean countsAfterSilence(final AnswerTreatment treatment, final long silenceMs) {
     return treatment == AnswerTreatment.COUNTS_AFTER_SILENCE
         || (treatment == AnswerTreatment.COUNTS_AFTER_CLOSE
             && unconfirmedCalls.wasAnyOutOfStep()
-            && isResponseDueWithin(silenceUs));
+            && isResponseDueWithin(silenceMs));
   }
 
   /** Returns why no call can follow; null if one can, or if answers are still unconfirmed. */
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -35,10 +35,7 @@
   /** How long the response to an abandoned call is still read, for its Retry-After. */
   private static final long LINGER_MS = 500;
 
-  private static final long US_PER_MS = 1000;
-
   private final HttpDispatcher dispatcher;
-  private final EventLoop loop;
   private final Clock clock;
   private final EndpointResponse response = new EndpointResponse();
   private final IncompleteAnswer incompleteAnswer;
@@ -50,6 +47,7 @@
   /** The current call; null while the connection is idle. */
   private HttpCall call;
 
+  private final ResponseStarts starts = new ResponseStarts();
   private final ConnectionAnswers answers;
   private final SurplusResponses surplus;
   private final StatedEnds statedEnds;
@@ -79,7 +77,7 @@
       final EventLoop loop,
       final Clock clock) {
     this.dispatcher = dispatcher;
-    this.incompleteAnswer = new IncompleteAnswer(response, dispatcher.unconfirmedCalls());
+    this.incompleteAnswer = new IncompleteAnswer(response, starts, dispatcher.unconfirmedCalls());
     this.statedEnds = new StatedEnds(dispatcher, response, incompleteAnswer);
     this.retryAfters = new RetryAfters(dispatcher);
     this.answers = new ConnectionAnswers(dispatcher.unconfirmedCalls(), clock);
@@ -89,10 +87,8 @@
             loop,
             clock,
             CONFIRMATION_MS,
-            () -> endSurplus(answers.isResponseDueWithin(CONFIRMATION_MS * US_PER_MS)),
-            () -> endSurplus(false));
+            silent -> endSurplus(silent && answers.isResponseDueWithin(CONFIRMATION_MS)));
     this.reservation = receiveBudget.open(this);
-    this.loop = loop;
     this.clock = clock;
     this.log = new EndpointConnectionLog(number);
     this.completionTimer =
@@ -144,6 +140,7 @@
     log.onCallSent(call);
     call.setConnection(this, log.calls(), context.channel());
     statedEnds.reset();
+    starts.reset();
     response.reset();
     context
         .writeAndFlush(CallRequestEncoder.encode(call, clock.nowUs()))
@@ -197,15 +194,13 @@
     log.onInterrupted(call, response, EndpointCloseReason.CALL_ABANDONED, clock.nowUs());
     endReceiving();
     confirmationTimer.cancel();
-    if (response.head() != null) {
-      retryAfters.report(call.pool(), response.head());
-    }
+    retryAfters.report(call.pool(), response.head());
     call = null;
     if (context.channel() instanceof SocketChannel socket) {
       socket.shutdownOutput();
     }
     markClosed(EndpointCloseReason.CALL_ABANDONED);
-    loop.schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+    context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
   }
 
   private void removeFromPool() {
@@ -216,6 +211,13 @@
 
   // ---------------------------------------------------------------- reading
 
+  @Override
+  public void onRead(final ByteBuf bytes) {
+    if (call != null) {
+      starts.read(bytes);
+    }
+  }
+
   @Override
   public void onBytesReceived(final ByteBuf bytes) {
     if (statedEnds.isAbandoned() || closed || surplus.isObserving()) {
@@ -233,9 +235,7 @@
         EndpointResponseParser.beginsLikeResponse(bytes), answers.continuesAsResponse(bytes));
   }
 
-  /**
-   * No call awaits a response, or it is not fully written: one response belongs to another call.
-   */
+  /** No call awaits a response, or it is not fully written: one belongs to another call. */
   private void onUnexpectedBytes(final boolean isResponse, final boolean continuesAsResponse) {
     if (isResponse && call == null) {
       removeFromPool();
@@ -244,7 +244,7 @@
       if (confirmationTimer.isPending()) {
         answers.add(response.head());
       }
-      answers.addUnknownSurplus();
+      answers.addSurplus(starts.latest());
       onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.UNEXPECTED_RESPONSE);
     } else {
       onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.UNEXPECTED_BYTES);
@@ -332,7 +332,7 @@
   private void onResponseComplete() {
     answers.onResponseComplete(response);
     final AnswerTreatment treatment = answers.treatmentOf(response);
-    if (answers.countsAfterSilence(treatment, CONFIRMATION_MS * US_PER_MS)) {
+    if (answers.countsAfterSilence(treatment, CONFIRMATION_MS)) {
       confirmationTimer.start();
       retryAfters.report(call.pool(), response.head());
     } else {
@@ -378,19 +378,26 @@
         dispatcher.report(completed, outcome.unconfirmed());
       }
       case COUNTS_AFTER_CLOSE -> {
+        if (starts.statesEndOfAttempts()) {
+          onResponseInDoubt(completed);
+          return;
+        }
         closeChannel(EndpointCloseReason.UNCONFIRMED_REJECTION);
         dispatcher.report(
             completed, dispatcher.unconfirmedCalls().addOpen(completed, this, place, outcome));
       }
-      case ENDS_ATTEMPTS, MAY_HAVE_RUN, FOREIGN -> {
-        answers.addUnknownSurplus();
-        pool = completed.pool();
-        onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.UNEXPECTED_RESPONSE);
-        dispatcher.report(completed, incompleteAnswer.outcomesOutOfStep(completed));
-      }
+      case ENDS_ATTEMPTS, MAY_HAVE_RUN, FOREIGN -> onResponseInDoubt(completed);
     }
   }
 
+  /** Another response came with the one that was read for a call. */
+  private void onResponseInDoubt(final HttpCall completed) {
+    answers.addSurplus(starts.latest());
+    pool = completed.pool();
+    onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.UNEXPECTED_RESPONSE);
+    dispatcher.report(completed, incompleteAnswer.outcomesOutOfStep(completed));
+  }
+
   /** The ids in a response to several messages show whether it belongs to the call. */
   private void onBulkResponse(final HttpCall completed, final BulkResponseParser bulk) {
     dispatcher.onBulkResponse(completed);
@@ -440,7 +447,8 @@
     if (interrupted != null) {
       log.onInterrupted(interrupted, response, reason, clock.nowUs());
     }
-    final boolean outOfStep = provesOutOfStep(reason);
+    // A response came again that the connection had carried before.
+    final boolean outOfStep = reason == EndpointCloseReason.UNEXPECTED_RESPONSE && pool != null;
     call = null;
     if (outOfStep) {
       dispatcher
@@ -456,20 +464,12 @@
       dispatcher.report(interrupted, incompleteAnswer.outcomesOutOfStep(interrupted));
       return;
     }
-    final AttemptResult result =
-        interrupted.isWritten() && cause != AttemptResult.RESET
-            ? cause
-            : answers.resultOfLoss(interrupted, answered);
+    final AttemptResult result = answers.resultOfLoss(interrupted, cause, answered);
     final DispatchOutcome failure = new DispatchOutcome(result, false, retryAfterUs, null);
     dispatcher.report(
         interrupted, incompleteAnswer.outcomes(interrupted, this, Optional.of(reason), failure));
   }
 
-  /** Whether a response came again that the connection had carried before. */
-  private boolean provesOutOfStep(final EndpointCloseReason reason) {
-    return reason == EndpointCloseReason.UNEXPECTED_RESPONSE && pool != null;
-  }
-
   @Override
   public void channelInactive(final ChannelHandlerContext ctx) {
     final boolean closedWhileIdle = !closed && call == null;
--- a/courier/src/main/java/thistleturn/courier/http/EndpointResponseParser.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointResponseParser.java
@@ -60,10 +60,12 @@
 
   /** What a response states, as far as copies of it can be told from other responses. */
   static AnswerHistory.Kind kindOf(final HttpResponse head) {
-    final DispatchOutcome outcome = parse(head, 0);
-    return new AnswerHistory.Kind(
-        head.status().code(),
-        outcome.endsAttempts() && outcome.result() != AttemptResult.DELIVERED);
+    return kindOf(head.status().code());
+  }
+
+  /** The same of a response with this status. */
+  static AnswerHistory.Kind kindOf(final int status) {
+    return new AnswerHistory.Kind(status, status == GONE || status == GATEWAY_TIMEOUT);
   }
 
   /** The outcome of a call with one message whose response has this head, with its Retry-After. */
--- a/courier/src/main/java/thistleturn/courier/http/IncompleteAnswer.java
+++ b/courier/src/main/java/thistleturn/courier/http/IncompleteAnswer.java
@@ -22,6 +22,14 @@
       new DispatchOutcome(AttemptResult.NOT_SENT, false, 0, null);
 
   private final EndpointResponse response;
+
+  /**
+   * The outcome of a call behind whose response another one states an end: one of both is its own.
+   */
+  private static final DispatchOutcome MAY_BE_OVER =
+      new DispatchOutcome(AttemptResult.ERROR, MessageDisposition.NO_FURTHER_ATTEMPT, 0, null);
+
+  private final ResponseStarts starts;
   private final UnconfirmedCalls unconfirmedCalls;
 
   /** The outcome of each message of a call. */
@@ -30,8 +38,12 @@
     DispatchOutcome of(Attempt attempt);
   }
 
-  IncompleteAnswer(final EndpointResponse response, final UnconfirmedCalls unconfirmedCalls) {
+  IncompleteAnswer(
+      final EndpointResponse response,
+      final ResponseStarts starts,
+      final UnconfirmedCalls unconfirmedCalls) {
     this.response = response;
+    this.starts = starts;
     this.unconfirmedCalls = unconfirmedCalls;
   }
 
@@ -51,6 +63,10 @@
     }
     final DispatchOutcome stated =
         statesOutcome(call) ? treat(call, connection, completeness(ended)) : null;
+    final boolean isOpen = stated == null || stated == IN_DOUBT;
+    if (isOpen && mayBeOver(call)) {
+      return attempt -> MAY_BE_OVER;
+    }
     return attempt -> stated == null ? failure : stated;
   }
 
@@ -63,7 +79,9 @@
       return bulkOutcomes(IN_DOUBT);
     }
     final DispatchOutcome outcome =
-        statesEndOfAttempts(call) ? endOfAttempts(Completeness.SPOILT) : IN_DOUBT;
+        statesEndOfAttempts(call)
+            ? endOfAttempts(Completeness.SPOILT)
+            : mayBeOver(call) ? MAY_BE_OVER : IN_DOUBT;
     return attempt -> outcome;
   }
 
@@ -96,6 +114,11 @@
     return call.attempts().stream().filter(attempt -> outcomes.of(attempt) != null).toList();
   }
 
+  /** Whether any response that began since the call was sent states an end of its attempts. */
+  private boolean mayBeOver(final HttpCall call) {
+    return call.isWritten() && starts.statesEndOfAttempts();
+  }
+
   private boolean isReadable(final HttpCall call) {
     return call.isWritten() && response.hasFinalStatus();
   }
--- a/courier/src/main/java/thistleturn/courier/http/ResponseDecoder.java
+++ b/courier/src/main/java/thistleturn/courier/http/ResponseDecoder.java
@@ -19,7 +19,10 @@
 
   /** Notified of the progress of a response. */
   interface Listener {
-    /** Bytes were received; they must not be changed or kept. */
+    /** Bytes were read from the connection; they must not be changed or kept. */
+    void onRead(ByteBuf bytes);
+
+    /** Bytes are about to be decoded, some perhaps again; they must not be changed or kept. */
     void onBytesReceived(ByteBuf bytes);
 
     /** The status line of a response was received completely. */
@@ -49,6 +52,9 @@
   @Override
   public void channelRead(final ChannelHandlerContext context, final Object input)
       throws Exception {
+    if (input instanceof ByteBuf bytes) {
+      listener.onRead(bytes);
+    }
     super.channelRead(context, input);
     CompactCumulator.trim(internalBuffer());
   }
--- a/courier/src/main/java/thistleturn/courier/http/RetryAfters.java
+++ b/courier/src/main/java/thistleturn/courier/http/RetryAfters.java
@@ -10,7 +10,11 @@
     this.dispatcher = dispatcher;
   }
 
-  /** Reports the Retry-After of a response before, or without, the outcome of its call. */
+  /**
+   * Reports the Retry-After of a response before, or without, the outcome of its call.
+   *
+   * @param head null if it was not received
+   */
   void report(final EndpointConnectionPool source, final HttpResponse head) {
     final long retryAfterUs = apply(source, head);
     if (retryAfterUs > 0) {
--- a/courier/src/main/java/thistleturn/courier/http/SurplusResponses.java
+++ b/courier/src/main/java/thistleturn/courier/http/SurplusResponses.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.function.Consumer;
 import thistleturn.courier.runtime.Clock;
 import thistleturn.decisions.pools.AnswerHistory;
 
@@ -18,27 +19,27 @@
   private final AnswerHistory history;
   private final Clock clock;
   private final RestartableTimer silence;
-  private final Runnable onEnough;
+  private final Consumer<Boolean> onEnd;
   private boolean observing;
 
   /**
    * Creates the reader of one connection.
    *
    * @param silenceMs how long nothing may come until all has come
-   * @param onSilence called after that
-   * @param onEnough called when a response cannot be read, or there are too many
+   * @param onEnd called with true after that, and with false when a response cannot be read, or
+   *     there are too many
    */
   SurplusResponses(
       final AnswerHistory history,
       final EventLoop loop,
       final Clock clock,
       final long silenceMs,
-      final Runnable onSilence,
-      final Runnable onEnough) {
+      final Consumer<Boolean> onEnd) {
     this.history = history;
     this.clock = clock;
-    this.onEnough = onEnough;
-    this.silence = new RestartableTimer(loop, "surplus responses", silenceMs, onSilence);
+    this.onEnd = onEnd;
+    this.silence =
+        new RestartableTimer(loop, "surplus responses", silenceMs, () -> onEnd.accept(true));
   }
 
   /** A response has begun without a call; what comes from now on is read here. */
@@ -54,13 +55,13 @@
   /** Reads the next part. */
   void read(final HttpObject part) {
     if (part.decoderResult().isFailure()) {
-      onEnough.run();
+      onEnd.accept(false);
     } else if (part instanceof HttpResponse head && EndpointResponseParser.isFinal(head)) {
       history.addSurplus(EndpointResponseParser.kindOf(head), clock.nowUs());
       silence.cancel();
       silence.start();
       if (history.surplus() >= MAX_RESPONSES) {
-        onEnough.run();
+        onEnd.accept(false);
       }
     }
   }
--- a/courier/src/test/java/thistleturn/courier/CopiedResponsesSoakTest.java
+++ b/courier/src/test/java/thistleturn/courier/CopiedResponsesSoakTest.java
@@ -1,12 +1,8 @@
 package thistleturn.courier;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.Random;
-import java.util.Set;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import java.util.stream.IntStream;
@@ -22,7 +18,6 @@
 import thistleturn.testkit.StandInEndpoint.Action;
 import thistleturn.testkit.StandInEndpoint.Behavior;
 import thistleturn.testkit.StandInWorld;
-import thistleturn.testkit.Violation;
 
 /**
  * Responses of endpoints and of the platform that come twice, with resets and rejections, while the
@@ -97,43 +92,14 @@
         courier.start();
         world.startLoad(RATE, TIMEOUT_MS, 1, 2, DESTINATIONS);
         for (int restart = 0; restart < RESTARTS; restart++) {
-          restart(courier, random, killed);
+          courier.restart(killed, 200, 2200);
         }
         courier.waitUnderLoad(500);
-        assertNoRuleBroken(world, courier, "seed " + seed + ", " + plan, killed);
+        courier.assertNoRuleBroken("seed " + seed + ", " + plan, TIMEOUT_MS, killed);
       }
     }
   }
 
-  private static void assertNoRuleBroken(
-      final StandInWorld world,
-      final RestartedCourier courier,
-      final String played,
-      final boolean killed) {
-    final List<Violation> violations = world.stopLoadAndCheck(TIMEOUT_MS);
-    assertEquals(List.of(), violations, () -> played + courier.logExcerpt(violations));
-    assertEquals(List.of(), courier.lines("attempt_after_end"), played);
-    if (!killed) {
-      assertEquals(Set.of(), courier.readButUnansweredIds(), () -> played + courier.logExcerpt());
-    }
-  }
-
-  private static void restart(
-      final RestartedCourier courier, final Random random, final boolean killed)
-      throws IOException {
-    if (random.nextInt(3) == 0) {
-      courier.connectIdleClients();
-    }
-    courier.waitUnderLoad(200 + random.nextInt(2000));
-    courier.sendHangupSignals();
-    if (killed) {
-      courier.kill();
-    } else {
-      courier.shutDown();
-    }
-    courier.start();
-  }
-
   private static Plan randomPlan(final Random random) {
     final long longestMs = LONGEST_LAGS_MS[random.nextInt(LONGEST_LAGS_MS.length)];
     return new Plan(
--- a/courier/src/test/java/thistleturn/courier/CopyPositionTest.java
+++ b/courier/src/test/java/thistleturn/courier/CopyPositionTest.java
@@ -228,6 +228,35 @@
     assertEquals(1, callsOf("m2").size());
   }
 
+  /**
+   * Guards against a call behind a 410 or 504 that was read behind a copy, or behind half of one.
+   */
+  @ParameterizedTest
+  @CsvSource({"410, false, safe", "410, true, keyed", "504, false, keyed", "504, true, safe"})
+  void endBehindCopy_isReportedAndNotSentAgain(
+      final int status, final boolean half, final String className) throws IOException {
+    final String copied = half ? REJECTED.substring(0, REJECTED.length() / 2) : REJECTED;
+    final String ending =
+        String.format(Locale.ROOT, "HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n", status);
+    harness.firstEndpoint.script(
+        (request, connection) -> {
+          final String id = request.header("X-Request-ID");
+          final boolean first = callsOf(id).size() == 1;
+          if ("m1".equals(id) && first) {
+            connection.write(REJECTED);
+          } else {
+            connection.write("m2".equals(id) && first ? copied + ending : DELIVERED);
+          }
+        });
+    harness.operatorPortEnabled = true;
+    harness.start();
+    submitAndAwaitCalls("m1", "safe", 2);
+    awaitIdle();
+    submitAndAwaitCalls("m2", className, 1);
+    harness.await("the notice", () -> harness.hasOutcomeReport("m2", "deferred"));
+    assertEquals(1, callsOf("m2").size());
+  }
+
   /** The plain twin: what comes behind a 410 that no copy explains changes nothing. */
   @ParameterizedTest
   @ValueSource(strings = {"safe", "keyed"})
--- a/courier/src/test/java/thistleturn/courier/EndingAnswersSoakTest.java
+++ b/courier/src/test/java/thistleturn/courier/EndingAnswersSoakTest.java
@@ -1,13 +1,10 @@
 package thistleturn.courier;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.Random;
-import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Tag;
@@ -21,7 +18,6 @@
 import thistleturn.testkit.StandInEndpoint.Action;
 import thistleturn.testkit.StandInEndpoint.Behavior;
 import thistleturn.testkit.StandInWorld;
-import thistleturn.testkit.Violation;
 
 /**
  * Answers that end messages, complete and in every broken form, beside resets, rejections, early
@@ -80,44 +76,15 @@
         courier.start();
         world.startLoad(RATE, TIMEOUT_MS, 1, 2, DESTINATIONS);
         for (int restart = 0; restart < RESTARTS; restart++) {
-          restart(courier, random, killed);
+          courier.restart(killed, 500, 2000);
         }
         courier.waitUnderLoad(500);
-        assertNoRuleBroken(world, courier, "seed " + seed, killed);
+        courier.assertNoRuleBroken("seed " + seed, TIMEOUT_MS, killed);
+        assertFalse(courier.lines("end_stated").isEmpty(), "no end was broken");
       }
     }
   }
 
-  private static void restart(
-      final RestartedCourier courier, final Random random, final boolean killed)
-      throws IOException {
-    if (random.nextInt(3) == 0) {
-      courier.connectIdleClients();
-    }
-    courier.waitUnderLoad(500 + random.nextInt(1500));
-    courier.sendHangupSignals();
-    if (killed) {
-      courier.kill();
-    } else {
-      courier.shutDown();
-    }
-    courier.start();
-  }
-
-  private static void assertNoRuleBroken(
-      final StandInWorld world,
-      final RestartedCourier courier,
-      final String played,
-      final boolean killed) {
-    final List<Violation> violations = world.stopLoadAndCheck(TIMEOUT_MS);
-    assertEquals(List.of(), violations, () -> played + courier.logExcerpt(violations));
-    assertEquals(List.of(), courier.lines("attempt_after_end"), played);
-    assertTrue(!courier.lines("end_stated").isEmpty(), played + ": no end was broken");
-    if (!killed) {
-      assertEquals(Set.of(), courier.readButUnansweredIds(), () -> played + courier.logExcerpt());
-    }
-  }
-
   private static Behavior randomBehavior(final Random random) {
     final long delayMs = 2L + random.nextInt(100);
     if (random.nextInt(100) < ENDING_PERCENT) {
--- a/courier/src/test/java/thistleturn/courier/RestartedCourier.java
+++ b/courier/src/test/java/thistleturn/courier/RestartedCourier.java
@@ -1,6 +1,7 @@
 package thistleturn.courier;
 
 import static java.util.stream.Collectors.toSet;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.io.IOException;
@@ -16,6 +17,7 @@
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import thistleturn.testkit.StandInWorld;
+import thistleturn.testkit.Violation;
 import thistleturn.testkit.rig.ChildProcess;
 
 /**
@@ -70,7 +72,7 @@
   }
 
   /** Clients that never send anything. */
-  void connectIdleClients() throws IOException {
+  private void connectIdleClients() throws IOException {
     final String address = current().awaitReadyAddress();
     final int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
     for (int number = 0; number < IDLE_CLIENTS; number++) {
@@ -79,15 +81,45 @@
   }
 
   /** Sends up to three SIGHUPs in a row. */
-  void sendHangupSignals() throws IOException {
+  private void sendHangupSignals() throws IOException {
     for (int count = random.nextInt(4); count > 0; count--) {
       current().hangUp();
       waitUnderLoad(random.nextInt(30));
     }
   }
 
+  /**
+   * Restarts the process once it has worked for a time between the bounds: after up to three
+   * SIGHUPs, in some runs with many idle clients.
+   *
+   * @param killed whether by SIGKILL; else by SIGTERM
+   */
+  void restart(final boolean killed, final int minMs, final int maxMs) throws IOException {
+    if (random.nextInt(3) == 0) {
+      connectIdleClients();
+    }
+    waitUnderLoad(minMs + random.nextInt(maxMs - minMs));
+    sendHangupSignals();
+    if (killed) {
+      kill();
+    } else {
+      shutDown();
+    }
+    start();
+  }
+
+  /** Ends the load, and checks that no rule was broken. */
+  void assertNoRuleBroken(final String played, final long messageTimeoutMs, final boolean killed) {
+    final List<Violation> violations = world.stopLoadAndCheck(messageTimeoutMs);
+    assertEquals(List.of(), violations, () -> played + logExcerpt(violations));
+    assertEquals(List.of(), lines("attempt_after_end"), played);
+    if (!killed) {
+      assertEquals(Set.of(), readButUnansweredIds(), () -> played + logExcerpt());
+    }
+  }
+
   /** Sends SIGTERM, in some runs more signals, and checks that the process exits before SIGKILL. */
-  void shutDown() throws IOException {
+  private void shutDown() throws IOException {
     final long terminatedUs = world.clock.nowUs();
     world.ruleChecker.recordRestart(terminatedUs, false);
     current().terminate();
@@ -104,7 +136,7 @@
   }
 
   /** Sends SIGKILL. */
-  void kill() {
+  private void kill() {
     current().kill();
     recordEnd();
   }
@@ -119,7 +151,7 @@
    * Returns the ids of unanswered requests that a courier has logged. Requests that were under way
    * when an idle connection was closed were never read, so no courier has logged them.
    */
-  Set<String> readButUnansweredIds() {
+  private Set<String> readButUnansweredIds() {
     final Set<String> logged =
         processes.stream()
             .flatMap(courier -> courier.lines().stream())
--- a/courier/src/test/java/thistleturn/courier/ShutdownSoakTest.java
+++ b/courier/src/test/java/thistleturn/courier/ShutdownSoakTest.java
@@ -1,12 +1,8 @@
 package thistleturn.courier;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.Random;
-import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Tag;
@@ -54,21 +50,10 @@
         courier.start();
         world.startLoad(RATE, TIMEOUT_MS, 1, 2);
         for (int restart = 0; restart < RESTARTS; restart++) {
-          if (random.nextInt(3) == 0) {
-            courier.connectIdleClients();
-          }
-          courier.waitUnderLoad(500 + random.nextInt(1000));
-          courier.sendHangupSignals();
-          courier.shutDown();
-          courier.start();
+          courier.restart(false, 500, 1500);
         }
         courier.waitUnderLoad(500);
-        assertEquals(
-            List.of(),
-            world.stopLoadAndCheck(TIMEOUT_MS),
-            () -> "seed " + seed + courier.logExcerpt());
-        assertEquals(
-            Set.of(), courier.readButUnansweredIds(), () -> "seed " + seed + courier.logExcerpt());
+        courier.assertNoRuleBroken("seed " + seed, TIMEOUT_MS, false);
       }
     }
   }
