A connection's history keeps no answer that is settled

Cause: by reading, AnswerHistory kept up to 256 answers of each connection to an endpoint, also of idle ones: about 15 KB each, where the heap is 64 MB at most. Change: what is settled is dropped, since it is never judged again, and equal kinds are one object. What is in doubt is unchanged. The heap itself was not measured.

--- a/decisions/src/main/java/thistleturn/decisions/pools/AnswerHistory.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/AnswerHistory.java
@@ -2,8 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.EnumSet;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -24,17 +25,14 @@
   private static final int NONE = Integer.MAX_VALUE;
 
   private final List<Answer> answers = new ArrayList<>();
-  private final Set<Kind> carried = new HashSet<>();
+  private final Map<Kind, Kind> carried = new HashMap<>();
 
-  /** How many answers were read before the ones that are kept. */
+  /** How many answers were read before the ones that are kept; they are the calls' own. */
   private int dropped;
 
   private int surplus;
   private int firstPossibleCopy = NONE;
 
-  /** The first place that is not known to be in step. */
-  private int unsettledFrom;
-
   private long sentUs;
   private long answeredUs;
 
@@ -85,17 +83,17 @@
    */
   public int add(final Kind kind, final long responseTimeUs) {
     final int place = dropped + answers.size();
-    if (carried.contains(kind) && firstPossibleCopy == NONE) {
+    if (carried.containsKey(kind) && firstPossibleCopy == NONE) {
       firstPossibleCopy = place;
     }
     final long ownDueUs = sentUs + Math.min(responseTimeUs, Long.MAX_VALUE - sentUs);
-    append(new Answer(kind, Math.max(sentUs, answeredUs), ownDueUs));
+    append(kind, Math.max(sentUs, answeredUs), ownDueUs);
     return place;
   }
 
   /** Adds an answer that names its messages: it takes no place, and may be copied. */
   public void addNamed(final Kind kind) {
-    carried.add(kind);
+    carried.putIfAbsent(kind, kind);
   }
 
   /**
@@ -105,12 +103,12 @@
    */
   public void addSurplus(final Kind kind, final long readUs) {
     surplus++;
-    append(new Answer(kind, readUs, readUs));
+    append(kind, readUs, readUs);
   }
 
-  private void append(final Answer answer) {
-    carried.add(answer.kind());
-    answers.add(answer);
+  private void append(final Kind kind, final long readUs, final long ownDueUs) {
+    carried.putIfAbsent(kind, kind);
+    answers.add(new Answer(carried.get(kind), readUs, ownDueUs));
     if (answers.size() > 2 * MIN_KEPT) {
       answers.subList(0, MIN_KEPT).clear();
       dropped += MIN_KEPT;
@@ -139,7 +137,8 @@
    */
   public void settle() {
     if (surplus == 0) {
-      unsettledFrom = dropped + answers.size();
+      dropped += answers.size();
+      answers.clear();
       firstPossibleCopy = NONE;
     }
   }
@@ -149,7 +148,7 @@
    * and none so far can have been a copy.
    */
   public boolean isOwn(final Kind kind) {
-    return firstPossibleCopy == NONE && !carried.contains(kind);
+    return firstPossibleCopy == NONE && !carried.containsKey(kind);
   }
 
   /**
@@ -158,7 +157,7 @@
    * @param complete whether all answers to the calls on the connection have come
    */
   public Doubt doubtOf(final int place, final boolean complete) {
-    if (place < Math.max(unsettledFrom, dropped) || place < firstPossibleCopy) {
+    if (place < dropped || place < firstPossibleCopy) {
       return Doubt.NONE;
     }
     final int index = place - dropped;
--- a/decisions/src/test/java/thistleturn/decisions/pools/AnswerHistoryTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/pools/AnswerHistoryTest.java
@@ -101,6 +101,18 @@
     assertEquals(Doubt.MAY_BE_OTHER, history.doubtOf(2, false));
   }
 
+  @Test
+  void settledAnswers_areInNoDoubtAndKeepTheirPlaces() {
+    final AnswerHistory history = of(DELIVERED, DELIVERED);
+    history.settle();
+    history.onCallSent(2);
+    final int place = history.add(DELIVERED, SLOWEST_US);
+    history.addSurplus(REJECTED, 3);
+    assertEquals(2, place);
+    assertEquals(Doubt.NONE, history.doubtOf(1, true));
+    assertEquals(Doubt.MAY_BE_OTHER, history.doubtOf(2, true));
+  }
+
   @Test
   void manyAnswers_keepTheirPlaces() {
     final AnswerHistory history = new AnswerHistory();
