NodeTest waits until its stand-in has read the end of the unresponsive watch

Cause: each connection of FakeHttpServer is read by a thread of its own, and the test read closedByPeer of the first watch as soon as the thread of the second had its request. Which thread is first is not the courier's. Change: the test waits for the end, as ConfigurationReloadTest does. It still asks that the watch is closed, within the bound that all its waits have.

--- a/courier/src/test/java/thistleturn/courier/NodeTest.java
+++ b/courier/src/test/java/thistleturn/courier/NodeTest.java
@@ -391,7 +391,8 @@
     harness.start();
     harness.await("the watch", () -> harness.watchConnections.size() == 1);
     harness.await("the next watch", () -> harness.watchConnections.size() == 2);
-    assertTrue(harness.watchConnections.get(0).closedByPeer, "the unresponsive watch is closed");
+    harness.await(
+        "the end of the unresponsive watch", () -> harness.watchConnections.get(0).closedByPeer);
   }
 
   @Test
