The end of a response's body is read without decoding all of it

Cause: since each complete response decoded its whole body to text, up to 64 KiB on the event loop, for the last four bytes. Change: only these bytes are decoded. No result differs.

--- a/courier/src/main/java/thistleturn/courier/http/EndpointResponse.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointResponse.java
@@ -128,9 +128,9 @@
 
   /** The last bytes of the body, fewer than the beginning of a response has. */
   String endOfBody() {
-    final String text = new String(body(), StandardCharsets.ISO_8859_1);
-    final int length = Math.min(text.length(), EndpointResponseParser.START.length() - 1);
-    return text.substring(text.length() - length);
+    final byte[] bytes = body();
+    final int length = Math.min(bytes.length, EndpointResponseParser.START.length() - 1);
+    return new String(bytes, bytes.length - length, length, StandardCharsets.ISO_8859_1);
   }
 
   /** The complete head; null if it has not been received. */
