Review: a copy behind an answer loses the message of the next call

Change: case 7 is now this one (from the entry review/entry), with less than the entry needs: a copy 1 ms behind an answer and an idle connection that its endpoint closes, with 45 ms of latency. The stand-ins end without finalizers.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,71 +1,132 @@
-"""A wait is forgotten in an upgrade, after the first endpoint of its destination has been replaced."""
+"""A copy behind an answer ends the next message, whose call the endpoint never reads."""
 
 import asyncio
 import os
-import signal
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
 import standins as st  # noqa: E402
 
-WAIT_S = 9.0         # a shut partner tells how long to wait, until it opens
-SLACK_S = 0.1        # calls that come within 100 ms of the answer are let through
-SLOW_S = 7.5         # how long the call at the endpoint that is replaced takes
-CLASS = "tariff-order"
+LATENCY_S = 0.045    # one way between the buildings
+JITTER_S = 0.015     # a third of it
+WORK_S = 0.1
+TIMEOUT_MS = 5000
+
+
+class Relay:
+    """The network between the courier and an endpoint: what is sent arrives LATENCY_S later."""
+
+    def __init__(self, port):
+        self.to = port
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.to)
+        except OSError:
+            writer.transport.abort()
+            return
+
+        async def pump(source, target, jitter):
+            queue = asyncio.Queue()
+
+            async def deliver():
+                while True:
+                    due, data = await queue.get()
+                    await asyncio.sleep(max(0, due - st.now()))
+                    if not data:
+                        target.close()
+                        return
+                    target.write(data)
+
+            task = asyncio.create_task(deliver())
+            while True:
+                try:
+                    data = await source.read(65536)
+                except ConnectionError:
+                    data = b""
+                late = JITTER_S if jitter and data.startswith(COPY) else 0
+                await queue.put((st.now() + LATENCY_S + late, data))
+                if not data:
+                    break
+            await task
+
+        await asyncio.gather(pump(reader, far_writer, False), pump(far_reader, writer, True),
+                             return_exceptions=True)
+
+
+COPY = b"HTTP/1.1 200 OK\r\nX-Copy: 1\r\n"
 
 
 async def body(case):
     platform = st.Platform(case)
     await platform.start()
-    told = {}
-
-    async def handle(call):
-        case.record("call", endpoint=call.endpoint.name, ids=",".join(call.ids))
-        if told and told["at"] + SLACK_S < call.first_byte < told["until"]:
-            case.rule_broken("%s was called %d ms after the answer that told to wait %d ms" % (
-                call.endpoint.name, 1000 * (call.first_byte - told["at"]), 1000 * WAIT_S))
-        if call.endpoint.name == "s-1":
-            await asyncio.sleep(SLOW_S)
-            return 200, {}
-        if not told:
-            told.update(at=st.now(), until=st.now() + WAIT_S)
-            case.record("told to wait", endpoint=call.endpoint.name, seconds=WAIT_S)
-        if st.now() < told["until"]:
-            return 429, {"Retry-After": "%.3f" % (told["until"] - st.now())}
-        return 200, {}
-
-    endpoints = {}
-    for name, site in (("s-1", "east-building"), ("s-2", "west-building")):
-        endpoints[name] = st.Endpoint(case, name, handle)
-        await endpoints[name].start()
-        platform.add(name, endpoints[name].port, 7, kind="installer", site=site)
-    courier = st.Courier(case, "n0", platform, st.settings([st.keyed(), st.safe()]), operator=True)
-    old = await courier.start()
-    await asyncio.sleep(1)
+    ran = set()
+    troubles = []
+
+    class Closing(st.Endpoint):
+        async def serve(self, reader, writer):
+            served = 0
+            try:
+                while True:
+                    head = await st.read_head(reader)
+                    if head is None:
+                        return
+                    message_id = head[1].get("x-request-id")
+                    await st.read_body(reader, head[1])
+                    case.record("call", endpoint=self.name, id=message_id)
+                    await asyncio.sleep(WORK_S)
+                    ran.add(message_id)
+                    served += 1
+                    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                    writer.write(answer)
+                    await writer.drain()
+                    if case.trouble and served == 2 and len(troubles) < 4:
+                        # A second copy right behind the answer, while nothing else waits here;
+                        # then the endpoint closes the connection, which is idle.
+                        troubles.append(message_id)
+                        await asyncio.sleep(0.001)
+                        writer.write(COPY + b"Content-Length: 0\r\n\r\n")
+                        await writer.drain()
+                        case.record("copy and close", endpoint=self.name, id=message_id)
+                        return
+            except (ConnectionError, asyncio.IncompleteReadError):
+                pass
+            finally:
+                writer.close()
+
+    for name in ("s-1",):
+        endpoint = Closing(case, name, None)
+        await endpoint.start()
+        relay = Relay(endpoint.port)
+        await relay.start()
+        platform.add(name, relay.port, 7, kind="installer")
+    courier = st.Courier(case, "n0", platform, st.settings([st.keyed(), st.safe()], calls_out=3))
+    await courier.start()
     client = st.Client(case, courier)
+    ended = set()
+
+    def on_notice(notice):
+        case.record("notice", **notice)
+        ended.add(notice["id"])
 
-    async def hand_in():
-        if await client.hand_in(st.Message(7, CLASS, 16000, "%032x" % int(1e9 * st.now()))) != 202:
-            raise st.CannotRun("a message was not taken on")
-
-    await hand_in()              # goes to the near endpoint, which works on it
-    await asyncio.sleep(0.3)
-    # The near endpoint is replaced: it finishes what it has, and is removed from the list.
-    platform.change("s-1", "Terminating")
-    await asyncio.sleep(0.2)
-    if case.trouble:
-        platform.change("s-1", "Gone")
-        await asyncio.sleep(0.2)
-    await hand_in()              # goes to the other endpoint, which tells to wait
-    await asyncio.sleep(0.5)
-    if not told:
-        raise st.CannotRun("nobody was told to wait")
-    await courier.start()        # a new version beside the one that serves
-    courier.signal(signal.SIGTERM, old)
-    await asyncio.sleep(3.7)
-    if old.returncode is None:
-        courier.signal(signal.SIGKILL, old)
-    await asyncio.sleep(max(0, told["until"] - st.now()) + 3)
+    case.on_notice = on_notice
+    messages = []
+    for _ in range(16):
+        for _ in range(5):   # some wait, so that a connection is used again at once
+            message = st.Message(7, "schedule-update", TIMEOUT_MS)
+            messages.append(message)
+            await client.hand_in(message)
+        await asyncio.sleep(1.2)
+    await asyncio.sleep(TIMEOUT_MS / 1000 + 0.35)
+    for message in messages:
+        if message.status == 202 and message.id not in ran and message.id not in ended:
+            case.rule_broken("message %s was taken on, never ran, and has no notice %.0f ms after "
+                             "its time" % (message.id,
+                                           1000 * (st.now() - message.sent) - TIMEOUT_MS))
 
 
 st.run(__file__, body)
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import base64
 import json
 import os
 import secrets
@@ -518,4 +517,7 @@
         case.record("verdict", broken=len(case.broken))
         return 1 if case.broken else 0
 
-    sys.exit(asyncio.run(main()))
+    code = asyncio.run(main())
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)   # all processes have ended; nothing is left to be done by finalizers
