--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,71 +1,93 @@
-"""A wait is forgotten in an upgrade, after the first endpoint of its destination has been replaced."""
+"""A ban that is told during an upgrade is not known to the new process when it takes over."""
 
 import asyncio
 import os
+import secrets
 import signal
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
 import standins as st  # noqa: E402
 
-WAIT_S = 9.0         # a shut partner tells how long to wait, until it opens
-SLACK_S = 0.1        # calls that come within 100 ms of the answer are let through
-SLOW_S = 7.5         # how long the call at the endpoint that is replaced takes
-CLASS = "tariff-order"
+GRACE_S = 0.25       # guarantees.stop_sending_within
+SLACK_S = 0.05       # each time limit is 50 ms longer on sockets
+
+
+async def accepts(port):
+    try:
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+async def post(port, path):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(("POST %s HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+                  % path).encode())
+    head = await asyncio.wait_for(st.read_head(reader), 1)
+    writer.close()
+    return int(head[0].split(" ")[1])
 
 
 async def body(case):
     platform = st.Platform(case)
     await platform.start()
-    told = {}
+    banned = []
 
     async def handle(call):
-        case.record("call", endpoint=call.endpoint.name, ids=",".join(call.ids))
-        if told and told["at"] + SLACK_S < call.first_byte < told["until"]:
-            case.rule_broken("%s was called %d ms after the answer that told to wait %d ms" % (
-                call.endpoint.name, 1000 * (call.first_byte - told["at"]), 1000 * WAIT_S))
-        if call.endpoint.name == "s-1":
-            await asyncio.sleep(SLOW_S)
-            return 200, {}
-        if not told:
-            told.update(at=st.now(), until=st.now() + WAIT_S)
-            case.record("told to wait", endpoint=call.endpoint.name, seconds=WAIT_S)
-        if st.now() < told["until"]:
-            return 429, {"Retry-After": "%.3f" % (told["until"] - st.now())}
+        late = banned and call.endpoint.name == "s-1" and (
+            call.first_byte > banned[0] + GRACE_S + SLACK_S)
+        case.record("call", endpoint=call.endpoint.name,
+                    after_ban_ms=int(1000 * (call.first_byte - banned[0])) if banned else None)
+        if late:
+            case.rule_broken("s-1 was called %d ms after the courier said yes to its ban" % (
+                1000 * (call.first_byte - banned[0])))
+        await asyncio.sleep(0.08)
         return 200, {}
 
-    endpoints = {}
     for name, site in (("s-1", "east-building"), ("s-2", "west-building")):
-        endpoints[name] = st.Endpoint(case, name, handle)
-        await endpoints[name].start()
-        platform.add(name, endpoints[name].port, 7, kind="installer", site=site)
-    courier = st.Courier(case, "n0", platform, st.settings([st.keyed(), st.safe()]), operator=True)
+        endpoint = st.Endpoint(case, name, handle)
+        await endpoint.start()
+        platform.add(name, endpoint.port, 7, kind="installer", site=site, share=40.0)
+    its = st.settings([st.keyed(), st.safe()], calls_out=8)
+    its["guarantees"]["stop_sending_within"] = int(1e6 * GRACE_S)
+    courier = st.Courier(case, "n0", platform, its, operator=True)
     old = await courier.start()
-    await asyncio.sleep(1)
+    old_port = courier.operator_port
     client = st.Client(case, courier)
 
-    async def hand_in():
-        if await client.hand_in(st.Message(7, CLASS, 16000, "%032x" % int(1e9 * st.now()))) != 202:
-            raise st.CannotRun("a message was not taken on")
+    async def traffic():
+        while True:
+            asyncio.create_task(client.hand_in(
+                st.Message(7, "schedule-update", 5000)))
+            await asyncio.sleep(0.03)
+
+    flow = asyncio.create_task(traffic())
+    await asyncio.sleep(2)
+
+    async def ban_when_new_one_listens():
+        while courier.operator_port == old_port or not await accepts(courier.operator_port):
+            await asyncio.sleep(0.005)
+        case.record("the new process listens to operators")
+        status = await post(old_port, "/-/endpoints/s-1/disable")
+        banned.append(st.now())
+        case.record("ban", status=status)
+        if status >= 300:
+            raise st.CannotRun("the ban was answered %d" % status)
 
-    await hand_in()              # goes to the near endpoint, which works on it
-    await asyncio.sleep(0.3)
-    # The near endpoint is replaced: it finishes what it has, and is removed from the list.
-    platform.change("s-1", "Terminating")
-    await asyncio.sleep(0.2)
     if case.trouble:
-        platform.change("s-1", "Gone")
-        await asyncio.sleep(0.2)
-    await hand_in()              # goes to the other endpoint, which tells to wait
-    await asyncio.sleep(0.5)
-    if not told:
-        raise st.CannotRun("nobody was told to wait")
-    await courier.start()        # a new version beside the one that serves
+        ban = asyncio.create_task(ban_when_new_one_listens())
+        await courier.start()
+        await ban
+    else:
+        banned.append(st.now() if await post(old_port, "/-/endpoints/s-1/disable") < 300 else 0)
+        await courier.start()
     courier.signal(signal.SIGTERM, old)
     await asyncio.sleep(3.7)
-    if old.returncode is None:
-        courier.signal(signal.SIGKILL, old)
-    await asyncio.sleep(max(0, told["until"] - st.now()) + 3)
+    flow.cancel()
+    await asyncio.sleep(1)
 
 
 st.run(__file__, body)
