One isolated copy behind which the connection ends no longer ends a message

A copy of the answer before was read for its call, which found the connection closed. Cause: AnswerHistory.settle took the endpoint's close as proof that each call had been answered, also one that was still on its way; without an out-of-step connection elsewhere nothing else put the answer in doubt. Evidence: the copy is read 6 to 15 ms after its call, the endpoint's own answers take 110 to 190 ms, and the end of stream comes before an own answer would be due. Change: ResponseTimes keeps the earliest time of certain answers by endpoint and status; an answer before three quarters of it is marked, and is in doubt at once if the endpoint ends the connection before the call's own would be due. So is the latest answer of a connection that is reset without a call. Connections that stay open are treated as before.

--- a/courier/src/main/java/thistleturn/courier/http/ConnectionAnswers.java
+++ b/courier/src/main/java/thistleturn/courier/http/ConnectionAnswers.java
@@ -2,13 +2,18 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.HashMap;
+import java.util.Map;
 import thistleturn.courier.port.Dispatcher.DispatchOutcome;
 import thistleturn.courier.runtime.Clock;
+import thistleturn.courier.runtime.Event;
+import thistleturn.courier.runtime.Log;
 import thistleturn.decisions.model.AttemptResult;
 import thistleturn.decisions.pools.AnswerHistory;
 import thistleturn.decisions.pools.AnswerTreatment;
 import thistleturn.decisions.pools.AnswerTreatment.Completeness;
 import thistleturn.decisions.pools.ConnectionLoss;
+import thistleturn.decisions.pools.ResponseTimes;
 
 /**
  * The responses that a connection has carried, and what follows from them for the next one: whether
@@ -27,6 +32,12 @@
 
   private long sentUs;
 
+  /** When the response to the current call was complete; 0 before that. */
+  private long answeredUs;
+
+  /** The shortest response times since the history was last settled. */
+  private final Map<AnswerHistory.Kind, Long> earliestUnsettledUs = new HashMap<>();
+
   /** The last bytes of the latest body. */
   private String endOfBody = "";
 
@@ -45,24 +56,42 @@
     calls++;
     pool = call.pool();
     sentUs = clock.nowUs();
+    answeredUs = 0;
     history.onCallSent(sentUs);
   }
 
   /** The response to the current call is complete. */
   void onResponseComplete(final EndpointResponse response) {
-    final long nowUs = clock.nowUs();
-    history.onAnswerComplete(nowUs);
-    pool.recordResponse(nowUs - sentUs);
+    answeredUs = clock.nowUs();
+    history.onAnswerComplete(answeredUs);
+    pool.responseTimes().add(responseTimeUs());
+    if (isOwn(response.head())) {
+      pool.responseTimes().addOwn(EndpointResponseParser.kindOf(response.head()), responseTimeUs());
+    }
     endOfBody = response.endOfBody();
   }
 
+  /** How long after the current call its response was read. */
+  private long responseTimeUs() {
+    return (answeredUs == 0 ? clock.nowUs() : answeredUs) - sentUs;
+  }
+
   /**
-   * The result of a call whose connection is broken.
+   * The outcome of a call whose connection is broken.
    *
    * @param cause {@link AttemptResult#RESET} if the connection was lost
    * @param answered whether a byte of its response had come
    */
-  AttemptResult resultOfLoss(
+  DispatchOutcome outcomeOfLoss(
+      final HttpCall interrupted,
+      final AttemptResult cause,
+      final boolean answered,
+      final long retryAfterUs) {
+    return new DispatchOutcome(
+        resultOfLoss(interrupted, cause, answered), false, retryAfterUs, null);
+  }
+
+  private AttemptResult resultOfLoss(
       final HttpCall interrupted, final AttemptResult cause, final boolean answered) {
     if (interrupted.isWritten() && cause != AttemptResult.RESET) {
       return cause;
@@ -81,9 +110,34 @@
     return calls > 1;
   }
 
-  /** Adds the response to the current call; returns its place. */
-  int add(final HttpResponse head) {
-    return history.add(EndpointResponseParser.kindOf(head), pool.responseDueUs());
+  /** Adds the response that was read for the current call; returns its place. */
+  int add(final HttpCall call, final HttpResponse head) {
+    final AnswerHistory.Kind kind = EndpointResponseParser.kindOf(head);
+    final boolean own = isOwn(head);
+    final int place = history.add(kind, pool.responseTimes().dueUs());
+    if (!own && pool.responseTimes().isTooSoon(kind, responseTimeUs())) {
+      history.noteTooSoon();
+      logTooSoon(call, kind);
+    }
+    earliestUnsettledUs.merge(kind, responseTimeUs(), Math::min);
+    return place;
+  }
+
+  private void logTooSoon(final HttpCall call, final AnswerHistory.Kind kind) {
+    Log.event(
+        Event.ANSWER_TOO_SOON,
+        "id",
+        call.attempts().get(0).message().id(),
+        "endpoint",
+        call.endpoint(),
+        "status",
+        kind.status(),
+        "took_us",
+        responseTimeUs(),
+        "connection",
+        call.connection(),
+        "call",
+        call.numberOnConnection());
   }
 
   /** Adds a response that came without a call, of which only the beginning was received. */
@@ -106,13 +160,66 @@
    */
   void settleIfSilent() {
     if (pool != null) {
-      history.settleIfSilent(clock.nowUs(), pool.responseDueUs());
+      settleIfSilentFor(pool.responseTimes().dueUs());
+    }
+  }
+
+  private void settleIfSilentFor(final long responseTimeUs) {
+    if (history.settleIfSilent(clock.nowUs(), responseTimeUs)) {
+      recordSettled();
+    }
+  }
+
+  /**
+   * Notes that the endpoint has closed the connection. It closes one that is idle for it, or breaks
+   * off a call: an answer that came too soon for a call whose own is not due may be that of an
+   * earlier one.
+   *
+   * @param idle whether no call is in flight
+   */
+  void onClosedByEndpoint(final boolean idle) {
+    if (pool == null) {
+      return;
+    }
+    suspectTooSoon(idle);
+    if (idle && history.settleIfUnsuspected()) {
+      recordSettled();
+    }
+  }
+
+  /**
+   * Notes that the endpoint has reset the connection, as {@link #onClosedByEndpoint}. An idle one
+   * that it has just used it resets only if a call has come that was not read here as in flight.
+   *
+   * @param idle whether no call is in flight
+   */
+  void onResetByEndpoint(final boolean idle) {
+    if (pool == null) {
+      return;
+    }
+    settleIfSilentFor(pool.responseTimes().dueByAllUs());
+    suspectTooSoon(idle);
+    if (idle) {
+      history.suspectLatest();
+    }
+  }
+
+  /** Behind a further call, few response times do not suffice to tell one from the other. */
+  private void suspectTooSoon(final boolean idle) {
+    final ResponseTimes times = pool.responseTimes();
+    if (idle || times.isDueKnown()) {
+      history.suspectTooSoon(clock.nowUs() - times.dueByAllUs());
     }
   }
 
+  private void recordSettled() {
+    earliestUnsettledUs.forEach(pool.responseTimes()::addOwn);
+    earliestUnsettledUs.clear();
+  }
+
   /** Whether an own response would come in this time, by the latest responses of the endpoint. */
   boolean isResponseDueWithin(final long ms) {
-    return pool != null && pool.responseDueUs() <= ms * US_PER_MS;
+    return pool != null && pool.responseTimes().dueUs() <= ms * US_PER_MS;
   }
 
   /** The treatment of a complete response to a call with the same outcome for all messages. */
--- a/courier/src/main/java/thistleturn/courier/http/EndpointCloseReason.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointCloseReason.java
@@ -1,5 +1,6 @@
 package thistleturn.courier.http;
 
+import java.io.IOException;
 import java.util.Locale;
 
 /** Why a connection to an endpoint ended. */
@@ -33,6 +34,11 @@
   /** Its call was abandoned. */
   CALL_ABANDONED;
 
+  /** Returns why a connection ends on which reading failed. */
+  static EndpointCloseReason ofFailure(final Throwable cause) {
+    return cause instanceof IOException ? ENDED_BY_ENDPOINT : INCOMPLETE_RESPONSE;
+  }
+
   /** Returns whether it is part of normal operation: such ends are counted and not logged. */
   boolean isRoutine() {
     return switch (this) {
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -56,6 +55,7 @@
   /** The pool in which the connection was last idle; null during its first call. */
   private EndpointConnectionPool pool;
 
+  /** When the last call of this connection was completed, us. */
   private long idleSinceUs;
 
   /** True once this side has closed the connection, or has noticed its end. */
@@ -107,7 +107,7 @@
     return decoder;
   }
 
-  /** The number of this connection, unique within its dispatcher. */
+  /** Unique within its dispatcher. */
   long number() {
     return log.connection();
   }
@@ -116,7 +116,6 @@
     return context.channel().isActive();
   }
 
-  /** When the last call of this connection was completed, us. */
   long idleSinceUs() {
     return idleSinceUs;
   }
@@ -176,7 +175,6 @@
     context.close();
   }
 
-  /** Only the first reason counts. */
   private void markClosed(final EndpointCloseReason reason) {
     if (!closed) {
       closed = true;
@@ -242,7 +240,7 @@
       surplus.begin();
     } else if (isResponse || continuesAsResponse) {
       if (confirmationTimer.isPending()) {
-        answers.add(response.head());
+        answers.add(call, response.head());
       }
       answers.addSurplus(starts.latest());
       onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.UNEXPECTED_RESPONSE);
@@ -366,7 +364,7 @@
   /** The response says the same of all messages of its call. */
   private void onSingleOutcome(
       final HttpCall completed, final DispatchOutcome outcome, final AnswerTreatment treatment) {
-    final int place = answers.add(response.head());
+    final int place = answers.add(completed, response.head());
     switch (treatment) {
       case CERTAIN, COUNTS_AFTER_SILENCE -> {
         keepOrClose(completed);
@@ -402,7 +400,7 @@
   private void onBulkResponse(final HttpCall completed, final BulkResponseParser bulk) {
     dispatcher.onBulkResponse(completed);
     if (answers.isReused() && !bulk.identifies(completed)) {
-      answers.add(response.head());
+      answers.add(completed, response.head());
       onConnectionBroken(AttemptResult.ERROR, EndpointCloseReason.UNEXPECTED_RESPONSE);
       dispatcher.report(
           completed,
@@ -464,8 +462,8 @@
       dispatcher.report(interrupted, incompleteAnswer.outcomesOutOfStep(interrupted));
       return;
     }
-    final AttemptResult result = answers.resultOfLoss(interrupted, cause, answered);
-    final DispatchOutcome failure = new DispatchOutcome(result, false, retryAfterUs, null);
+    final DispatchOutcome failure =
+        answers.outcomeOfLoss(interrupted, cause, answered, retryAfterUs);
     dispatcher.report(
         interrupted, incompleteAnswer.outcomes(interrupted, this, Optional.of(reason), failure));
   }
@@ -476,8 +474,8 @@
     if (surplus.isObserving()) {
       endSurplus(closedWhileIdle);
     } else {
-      if (closedWhileIdle) {
-        answers.history().settle();
+      if (!closed) {
+        answers.onClosedByEndpoint(call == null);
       }
       onConnectionBroken(AttemptResult.RESET, EndpointCloseReason.ENDED_BY_ENDPOINT);
     }
@@ -491,10 +489,10 @@
       endSurplus(false);
       return;
     }
-    onConnectionBroken(
-        AttemptResult.RESET,
-        cause instanceof IOException
-            ? EndpointCloseReason.ENDED_BY_ENDPOINT
-            : EndpointCloseReason.INCOMPLETE_RESPONSE);
+    final EndpointCloseReason reason = EndpointCloseReason.ofFailure(cause);
+    if (reason == EndpointCloseReason.ENDED_BY_ENDPOINT && !closed) {
+      answers.onResetByEndpoint(call == null);
+    }
+    onConnectionBroken(AttemptResult.RESET, reason);
   }
 }
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnectionPool.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnectionPool.java
@@ -7,30 +7,21 @@
 import java.util.List;
 import thistleturn.decisions.model.Endpoint;
 import thistleturn.decisions.model.EndpointState;
+import thistleturn.decisions.pools.ResponseTimes;
 
-/** The idle connections to one endpoint, its address, its state and its handshake time. */
+/** The idle connections to one endpoint, its address, its state and its times. */
 final class EndpointConnectionPool {
   /** The weight of one handshake in the moving average. */
   private static final double HANDSHAKE_SMOOTHING = 0.2;
 
-  /** The part of the slowest response time that is kept with each later response. */
-  private static final double SLOWEST_RESPONSE_DECAY = 0.995;
-
-  /** A response counts as missing after this many times the slowest response time. */
-  private static final double SILENCE_FACTOR = 1.5;
-
-  /** From so many responses on, the slowest of them is meaningful. */
-  private static final int MIN_RESPONSES = 20;
-
   private final long endpoint;
   private final long destination;
   private final boolean separateRoute;
   private final Deque<EndpointConnection> idle = new ArrayDeque<>();
+  private final ResponseTimes responseTimes = new ResponseTimes();
   private InetSocketAddress address;
   private Availability availability;
   private double handshakeUs;
-  private double slowestResponseUs;
-  private int responses;
 
   /** Whether calls may be sent to the endpoint. */
   private enum Availability {
@@ -98,18 +89,9 @@
     return handshakeUs;
   }
 
-  /** Records how long the endpoint took to respond to a call. */
-  void recordResponse(final long durationUs) {
-    responses++;
-    slowestResponseUs = Math.max((double) durationUs, SLOWEST_RESPONSE_DECAY * slowestResponseUs);
-  }
-
-  /**
-   * How long after a call, us, its response would have come, by the slowest responses of late;
-   * {@link Long#MAX_VALUE} while too few have come.
-   */
-  long responseDueUs() {
-    return responses < MIN_RESPONSES ? Long.MAX_VALUE : (long) (SILENCE_FACTOR * slowestResponseUs);
+  /** How long the endpoint takes to respond to a call. */
+  ResponseTimes responseTimes() {
+    return responseTimes;
   }
 
   boolean hasIdle() {
--- a/courier/src/main/java/thistleturn/courier/http/IncompleteAnswer.java
+++ b/courier/src/main/java/thistleturn/courier/http/IncompleteAnswer.java
@@ -160,12 +160,12 @@
       case CERTAIN -> outcome;
       case COUNTS_UNTIL_IN_DOUBT -> {
         unconfirmedCalls.addEnd(
-            call, connection, connection.answers().add(response.receivedHead()));
+            call, connection, connection.answers().add(call, response.receivedHead()));
         yield outcome.unconfirmed();
       }
       case COUNTS_AFTER_SILENCE, COUNTS_AFTER_CLOSE ->
           unconfirmedCalls.addOpen(
-              call, connection, connection.answers().add(response.receivedHead()), outcome);
+              call, connection, connection.answers().add(call, response.receivedHead()), outcome);
       case ENDS_ATTEMPTS -> endOfAttempts(completeness);
       case MAY_HAVE_RUN -> null;
       case FOREIGN -> IN_DOUBT;
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -42,6 +42,11 @@
    * another call.
    */
   DELIVERY_IN_DOUBT("delivery_in_doubt"),
+  /**
+   * A response came sooner after its call than any of its endpoint, or its connection was reset
+   * right behind it: it is in doubt if the connection ends before the call's own one would come.
+   */
+  ANSWER_TOO_SOON("answer_too_soon"),
   /** A response that rejected a message may belong to another call: the message may have run. */
   REJECTION_IN_DOUBT("rejection_in_doubt"),
   /** A connection to an endpoint ended, on either side. */
--- a/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
@@ -59,6 +59,7 @@
         courier_events_total{event="endpoint_bytes_unexpected"}
         courier_events_total{event="endpoint_reuse_suspended"}
         courier_events_total{event="delivery_in_doubt"}
+        courier_events_total{event="answer_too_soon"}
         courier_events_total{event="rejection_in_doubt"}
         courier_events_total{event="endpoint_connection_closed"}
         courier_events_total{event="platform_connection_closed"}
--- a/courier/src/test/java/thistleturn/courier/runtime/EventLineFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/runtime/EventLineFormatTest.java
@@ -72,7 +72,7 @@
         "request_refused request_unusable request_unanswered connection_closed"
             + " connection_unwatched attempt_failed attempt_not_sent shared_call_expired"
             + " endpoint_bytes_unexpected endpoint_reuse_suspended delivery_in_doubt"
-            + " rejection_in_doubt endpoint_connection_closed platform_connection_closed list_line_ignored"
+            + " answer_too_soon rejection_in_doubt endpoint_connection_closed platform_connection_closed list_line_ignored"
             + " message_over end_stated response_incomplete attempt_after_end message_ended message_ended_late end_told_unwritten accept_failed accept_recovered"
             + " accept_given_up steering_failed listener_unwatched"
             + " socket_failed connect_failed receive_budget_exceeded buffer_shortage transfer_retried"
--- a/decisions/src/main/java/thistleturn/decisions/pools/AnswerConfirmation.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/AnswerConfirmation.java
@@ -24,6 +24,9 @@
  * without a call, or in place of a later one. Such a response proves that the connection is out of
  * step; its {@link AnswerHistory} shows which of its answers can be those of other calls.
  *
+ * <p>An answer that is suspect ({@link AnswerHistory#suspectLatest}) is in doubt as soon as its
+ * connection ends, since the call's own can no longer come there.
+ *
  * <p>A connection that was out of step is rarely the only one. The answers of a connection that
  * ends before it has shown whether it is in step are in doubt at once if any connection was out of
  * step lately, and otherwise if one proves to be before the message's deadline, since the cause may
@@ -213,12 +216,24 @@
     if (wasOutOfStep(answers.getFirst().endpoint(), nowUs) || wasAnyOutOfStep(nowUs)) {
       return judge(connection, history, false);
     }
+    final List<Doubtful<C>> inDoubt =
+        take(connection, each -> history.isSuspect(each.place())).stream()
+            .map(each -> doubtful(each, history.doubtOf(each.place(), false)))
+            .toList();
     final List<C> confirmed =
-        take(connection, each -> history.doubtOf(each.place(), false) == AnswerHistory.Doubt.NONE);
+        calls(
+            take(
+                connection,
+                each -> history.doubtOf(each.place(), false) == AnswerHistory.Doubt.NONE));
     if (unconfirmed.containsKey(connection)) {
       ended.put(connection, history);
     }
-    return new Verdict<>(confirmed, List.of());
+    return new Verdict<>(confirmed, inDoubt);
+  }
+
+  private static <C, N> Doubtful<C> doubtful(
+      final Unconfirmed<C, N> answer, final AnswerHistory.Doubt doubt) {
+    return new Doubtful<>(answer.call(), doubt == AnswerHistory.Doubt.MAY_BE_END);
   }
 
   /** Removes all answers of a connection: each is confirmed or in doubt. */
@@ -235,9 +250,7 @@
       if (doubt == AnswerHistory.Doubt.NONE) {
         verdict.confirmed().add(answer.call());
       } else {
-        verdict
-            .inDoubt()
-            .add(new Doubtful<>(answer.call(), doubt == AnswerHistory.Doubt.MAY_BE_END));
+        verdict.inDoubt().add(doubtful(answer, doubt));
       }
     }
     return verdict;
@@ -266,7 +279,7 @@
     for (final N connection : List.copyOf(unconfirmed.keySet())) {
       final Deque<Unconfirmed<C, N>> answers = unconfirmed.get(connection);
       if (!doubtful.test(answers.getFirst().endpoint())) {
-        confirmed.addAll(take(connection, due));
+        confirmed.addAll(calls(take(connection, due)));
       } else if (answers.stream().anyMatch(due)) {
         toEnd.add(connection);
       }
@@ -275,13 +288,20 @@
   }
 
   /** Removes and returns answers of a connection, which all have the same endpoint. */
-  private List<C> take(final N connection, final Predicate<Unconfirmed<C, N>> selected) {
-    final List<C> calls = new ArrayList<>();
+  private List<Unconfirmed<C, N>> take(
+      final N connection, final Predicate<Unconfirmed<C, N>> selected) {
     final Deque<Unconfirmed<C, N>> answers = unconfirmed.get(connection);
-    answers.stream().filter(selected).map(Unconfirmed::call).forEach(calls::add);
-    answers.removeIf(selected);
+    if (answers == null) {
+      return List.of();
+    }
+    final List<Unconfirmed<C, N>> taken = answers.stream().filter(selected).toList();
+    answers.removeAll(taken);
     removeIfEmpty(connection);
-    return calls;
+    return taken;
+  }
+
+  private List<C> calls(final List<Unconfirmed<C, N>> answers) {
+    return answers.stream().map(Unconfirmed::call).toList();
   }
 
   private void removeIfEmpty(final N connection) {
--- a/decisions/src/main/java/thistleturn/decisions/pools/AnswerHistory.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/AnswerHistory.java
@@ -36,8 +36,29 @@
   private long sentUs;
   private long answeredUs;
 
-  /** An answer, when it was read, and by when the answer to its call comes. */
-  private record Answer(Kind kind, long readUs, long ownDueUs) {}
+  /**
+   * An answer.
+   *
+   * @param sentUs when its call was sent
+   * @param readUs when it was read
+   * @param ownDueUs by when the answer to its call comes
+   * @param evidence what its circumstances say
+   */
+  private record Answer(
+      Kind kind, long sentUs, long readUs, long ownDueUs, Circumstances evidence) {
+    private Answer with(final Circumstances latest) {
+      return new Answer(kind, sentUs, readUs, ownDueUs, latest);
+    }
+  }
+
+  /** What the circumstances of an answer say about whose it is. */
+  private enum Circumstances {
+    USUAL,
+    /** It came much sooner than the endpoint ever answers. */
+    TOO_SOON,
+    /** Besides, or instead, the endpoint ended the connection before it can have answered. */
+    SUSPECT
+  }
 
   /**
    * What an answer states.
@@ -87,7 +108,7 @@
       firstPossibleCopy = place;
     }
     final long ownDueUs = sentUs + Math.min(responseTimeUs, Long.MAX_VALUE - sentUs);
-    append(kind, Math.max(sentUs, answeredUs), ownDueUs);
+    append(new Answer(kind, sentUs, Math.max(sentUs, answeredUs), ownDueUs, Circumstances.USUAL));
     return place;
   }
 
@@ -103,12 +124,12 @@
    */
   public void addSurplus(final Kind kind, final long readUs) {
     surplus++;
-    append(kind, readUs, readUs);
+    append(new Answer(kind, readUs, readUs, readUs, Circumstances.USUAL));
   }
 
-  private void append(final Kind kind, final long readUs, final long ownDueUs) {
-    carried.putIfAbsent(kind, kind);
-    answers.add(new Answer(carried.get(kind), readUs, ownDueUs));
+  private void append(final Answer answer) {
+    carried.putIfAbsent(answer.kind(), answer.kind());
+    answers.add(answer);
     if (answers.size() > 2 * MIN_KEPT) {
       answers.subList(0, MIN_KEPT).clear();
       dropped += MIN_KEPT;
@@ -120,27 +141,73 @@
     return surplus;
   }
 
+  /** The latest answer came much sooner after its call than the endpoint ever answers. */
+  public void noteTooSoon() {
+    answers.set(answers.size() - 1, answers.get(answers.size() - 1).with(Circumstances.TOO_SOON));
+  }
+
+  /**
+   * Notes that the endpoint has ended the connection, and may not have read or not have answered
+   * the calls that were sent since. An answer to one of them that came too soon is suspect.
+   */
+  public void suspectTooSoon(final long sentSinceUs) {
+    answers.replaceAll(
+        each ->
+            each.evidence() == Circumstances.TOO_SOON && each.sentUs() >= sentSinceUs
+                ? each.with(Circumstances.SUSPECT)
+                : each);
+  }
+
+  /**
+   * Notes that the endpoint has reset the connection, which carries no call: it does so to a call
+   * that it has begun to receive, for which another answer was read.
+   */
+  public void suspectLatest() {
+    if (!answers.isEmpty()) {
+      answers.set(answers.size() - 1, answers.get(answers.size() - 1).with(Circumstances.SUSPECT));
+    }
+  }
+
+  /** Returns whether an answer is suspect, and the call's own one may not have come. */
+  public boolean isSuspect(final int place) {
+    return place >= dropped
+        && answers.get(place - dropped).evidence() == Circumstances.SUSPECT
+        && doubtOf(place, false) != Doubt.NONE;
+  }
+
   /**
    * Notes that nothing has come for as long as the endpoint takes for a call. The connection
    * carries none, or one whose answer is complete.
+   *
+   * @return whether all answers so far are those of their calls
    */
-  public void settleIfSilent(final long nowUs, final long responseTimeUs) {
-    if (nowUs - answeredUs >= responseTimeUs) {
-      settle();
-    }
+  public boolean settleIfSilent(final long nowUs, final long responseTimeUs) {
+    return nowUs - answeredUs >= responseTimeUs && settle();
   }
 
   /**
-   * All answers to the calls so far have come, and no other: the connection has been silent for
-   * longer than its endpoint takes, or the endpoint has closed it, which it does while it works on
-   * no call.
+   * Notes that the endpoint has closed the connection, which carries no call. It does so while it
+   * works on no call, but one may have been on its way: then an earlier answer was read for it.
+   *
+   * @return whether all answers so far are those of their calls
+   */
+  public boolean settleIfUnsuspected() {
+    return answers.stream().noneMatch(each -> each.evidence() == Circumstances.SUSPECT) && settle();
+  }
+
+  /**
+   * All answers to the calls so far have come, and no other.
+   *
+   * @return false if an answer came without a call
    */
-  public void settle() {
-    if (surplus == 0) {
-      dropped += answers.size();
-      answers.clear();
-      firstPossibleCopy = NONE;
+  private boolean settle() {
+    if (surplus > 0) {
+      return false;
     }
+    dropped += answers.size();
+    answers.clear();
+    firstPossibleCopy = NONE;
+    return true;
   }
 
   /**
@@ -185,7 +252,7 @@
         .forEach(possible::add);
     final long latestUs = answers.get(answers.size() - 1).readUs();
     if (!complete && latestUs <= dueUs) {
-      possible.add(new Answer(Kind.UNKNOWN, latestUs, dueUs));
+      possible.add(new Answer(Kind.UNKNOWN, latestUs, latestUs, dueUs, Circumstances.USUAL));
     }
     return possible;
   }
--- a/decisions/src/test/java/thistleturn/decisions/pools/AnswerConfirmationTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/pools/AnswerConfirmationTest.java
@@ -111,12 +111,63 @@
     assertEquals(List.of(1), surplus("b", OTHER_ENDPOINT, DELIVERED, SECOND + 1));
   }
 
+  /** Adds an answer that came much sooner after its call than the endpoint ever answers. */
+  private void addTooSoon(final int call, final long sentUs) {
+    history("a").onCallSent(sentUs);
+    add(call, "a", ENDPOINT, 2 * SECOND, MESSAGE_DEADLINE);
+    history("a").noteTooSoon();
+  }
+
+  /** Guards against a lost message: one isolated copy was read for a call that was never read. */
+  @Test
+  void tooSoonAnswerOfConnectionThatEndsAtOnce_isInDoubt() {
+    addTooSoon(1, SECOND);
+    history("a").suspectTooSoon(SECOND);
+    assertFalse(history("a").settleIfUnsuspected());
+    assertEquals(List.of(1), end("a", SECOND));
+    assertTrue(deliveries.isEmpty());
+  }
+
+  /** The plain twin: the endpoint has had time to answer itself before it closed. */
+  @Test
+  void tooSoonAnswerOfConnectionThatEndsLater_isConfirmed() {
+    addTooSoon(1, SECOND - 1);
+    history("a").suspectTooSoon(SECOND);
+    assertTrue(history("a").settleIfUnsuspected());
+    assertEquals(List.of(1), deliveries.onConnectionEnded("a", history("a"), SECOND).confirmed());
+  }
+
+  /** The plain twin: only the suspect answer of a connection is in doubt. */
+  @Test
+  void otherDeliveriesOfConnectionWithSuspectOne_areConfirmedInTime() {
+    add(1, "a", ENDPOINT, 2 * SECOND, MESSAGE_DEADLINE);
+    addTooSoon(2, SECOND);
+    history("a").suspectTooSoon(SECOND);
+    assertEquals(List.of(2), end("a", SECOND));
+    assertEquals(List.of(1), deliveries.resolveDue(MESSAGE_DEADLINE).confirmed());
+  }
+
+  /** Guards against a lost message whose call was reset behind an isolated copy. */
+  @Test
+  void latestAnswerOfConnectionThatIsReset_isInDoubt() {
+    add(1, "a", ENDPOINT, 2 * SECOND, MESSAGE_DEADLINE);
+    history("a").suspectLatest();
+    assertEquals(List.of(1), end("a", SECOND));
+  }
+
+  /** The plain twin: an answer that came too soon on a connection that stays open counts. */
+  @Test
+  void tooSoonAnswerOfOpenConnection_isConfirmedAtDeadlineOfCall() {
+    addTooSoon(1, SECOND);
+    assertEquals(List.of(1), deliveries.resolveDue(2 * SECOND).confirmed());
+  }
+
   /** Guards against repeats of what an endpoint delivered before it closed its idle connection. */
   @Test
   void connectionThatEndsInStep_confirmsItsDeliveries() {
     surplus("b", ENDPOINT, DELIVERED, SECOND);
     add(1, "a", ENDPOINT, 2 * SECOND, MESSAGE_DEADLINE);
-    history("a").settle();
+    history("a").settleIfUnsuspected();
     assertEquals(
         List.of(1), deliveries.onConnectionEnded("a", history("a"), SECOND + 1).confirmed());
   }
--- a/decisions/src/test/java/thistleturn/decisions/pools/AnswerHistoryTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/pools/AnswerHistoryTest.java
@@ -44,7 +44,7 @@
   @Test
   void answerBehindSilence_isOwnUnlessItsKindWasCarried() {
     final AnswerHistory history = of(DELIVERED, DELIVERED);
-    history.settle();
+    history.settleIfUnsuspected();
     assertTrue(history.isOwn(GONE));
     assertFalse(history.isOwn(DELIVERED));
   }
@@ -104,7 +104,7 @@
   @Test
   void settledAnswers_areInNoDoubtAndKeepTheirPlaces() {
     final AnswerHistory history = of(DELIVERED, DELIVERED);
-    history.settle();
+    history.settleIfUnsuspected();
     history.onCallSent(2);
     final int place = history.add(DELIVERED, SLOWEST_US);
     history.addSurplus(REJECTED, 3);
