A process that takes over reads the configuration and disabled endpoints again

The file of the configuration was replaced and the serving process got SIGHUP while a newer one started; the newer one took over with the file as it was. Cause: both processes read the same things from outside, each at its own start, while changes are reported to one of them. Only a process that had the signal itself read the file again. Change: ExternalInputs: whoever begins to decide in place of another process and holds the state folder reads the file and the disabled endpoints again, also when a takeover is given back. SIGHUP to a process that has handed over is passed on: handover line "reload", sent only where the hello says "reloads" (the format tests name both on purpose). An unchanged file applies nothing. The time of a takeover was not measured.

--- a/courier/src/main/java/thistleturn/courier/CourierServer.java
+++ b/courier/src/main/java/thistleturn/courier/CourierServer.java
@@ -161,7 +161,11 @@
       throws ConfigurationException, IOException {
     final CourierServer server =
         new CourierServer(environment, extension == null ? new NoExtension() : extension, options);
-    final Startup startup = new Startup(server.context, server.disabledEndpoints);
+    final Startup startup =
+        new Startup(
+            server.context,
+            server.disabledEndpoints,
+            new ExternalInputs(server.disabledEndpoints, server.configurationReload));
     server.eventLoop().execute(startup::run);
     return server;
   }
--- a/courier/src/main/java/thistleturn/courier/DecidingRole.java
+++ b/courier/src/main/java/thistleturn/courier/DecidingRole.java
@@ -213,6 +213,11 @@
     controller.onConnectivityRestored(nowUs, cutOffSinceUs);
   }
 
+  @Override
+  public void onConfigurationReloaded() {
+    // No other process decides.
+  }
+
   @Override
   public void setDisabledEndpoints(final Set<String> names) {
     final Map<Long, Boolean> changed = context.endpoints().setDisabled(names);
--- a/courier/src/main/java/thistleturn/courier/DecisionLoop.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoop.java
@@ -476,6 +476,7 @@
             + (same ? "" : "; other changes of the configuration apply after a restart"));
     ports.directory().reload(fresh);
     ports.notifier().reload(fresh);
+    role.onConfigurationReloaded();
   }
 
   /** The process ends at this time, in microseconds: no call starts that cannot end by then. */
--- a/courier/src/main/java/thistleturn/courier/DecisionLoopReplacement.java
+++ b/courier/src/main/java/thistleturn/courier/DecisionLoopReplacement.java
@@ -64,6 +64,11 @@
     current.predecessorEvents().onRemoteOutcome(messageId, outcome);
   }
 
+  @Override
+  public void reloadConfiguration() {
+    // The current decision loop reloads it itself.
+  }
+
   @Override
   public void setListener(final HandoverClient.Listener listener) {
     // The listener is always the current decision loop.
--- a/courier/src/main/java/thistleturn/courier/ForwardingRole.java
+++ b/courier/src/main/java/thistleturn/courier/ForwardingRole.java
@@ -123,6 +123,11 @@
     // The newer process reads them from the same folder.
   }
 
+  @Override
+  public void onConfigurationReloaded() {
+    successor.reloadConfiguration();
+  }
+
   @Override
   public void prepareToStop(final long stopUs) {
     // No calls are decided here.
--- a/courier/src/main/java/thistleturn/courier/HaltedRole.java
+++ b/courier/src/main/java/thistleturn/courier/HaltedRole.java
@@ -60,6 +60,11 @@
     previous.setDisabledEndpoints(names);
   }
 
+  @Override
+  public void onConfigurationReloaded() {
+    previous.onConfigurationReloaded();
+  }
+
   @Override
   public void prepareToStop(final long stopUs) {
     previous.prepareToStop(stopUs);
--- a/courier/src/main/java/thistleturn/courier/LatestConfig.java
+++ b/courier/src/main/java/thistleturn/courier/LatestConfig.java
@@ -20,9 +20,9 @@
     return latest;
   }
 
-  /** Returns whether the configuration was reloaded since the start. */
-  boolean isReloaded() {
-    return latest != initial;
+  /** Returns whether the configuration differs from the one of the start. */
+  boolean isChanged() {
+    return !latest.equals(initial);
   }
 
   /** Replaces the configuration. */
--- a/courier/src/main/java/thistleturn/courier/LoopRole.java
+++ b/courier/src/main/java/thistleturn/courier/LoopRole.java
@@ -74,6 +74,9 @@
   /** Exactly these endpoints are administratively disabled from now on. */
   void setDisabledEndpoints(Set<String> names);
 
+  /** This process was told to reload the configuration. */
+  void onConfigurationReloaded();
+
   /** A subsystem issues a directive on a destination. */
   void applyDirective(long destination, Directive directive);
 
--- a/courier/src/main/java/thistleturn/courier/ShardHandoverSource.java
+++ b/courier/src/main/java/thistleturn/courier/ShardHandoverSource.java
@@ -30,6 +30,7 @@
   private final ServerContext context;
   private final Shard shard;
   private final DirectiveBroadcaster directives;
+  private final ExternalInputs externalInputs;
   private final Runnable reopenListeners;
 
   /** The messages that clients have submitted since the handover; null before it. */
@@ -38,10 +39,12 @@
   ShardHandoverSource(
       final ServerContext context,
       final DirectiveBroadcaster directives,
+      final ExternalInputs externalInputs,
       final Runnable reopenListeners) {
     this.context = context;
     this.shard = context.shards().first();
     this.directives = directives;
+    this.externalInputs = externalInputs;
     this.reopenListeners = reopenListeners;
   }
 
@@ -107,6 +110,7 @@
   }
 
   private void decideAgain(final JournalHistory history) throws IOException {
+    externalInputs.readAgain();
     final EarlierProcesses earlier = context.stateFolder().lock().earlierProcessesAfterTakeBack();
     context.shards().openJournals(context.stateFolder(), earlier);
     Log.info("the newer process has ended: this one takes up again");
--- a/courier/src/main/java/thistleturn/courier/Startup.java
+++ b/courier/src/main/java/thistleturn/courier/Startup.java
@@ -40,6 +40,7 @@
   private final ShardGroup shards;
   private final StartupProgress progress;
   private final DisabledEndpointRegistry disabledEndpoints;
+  private final ExternalInputs externalInputs;
   private final DirectiveBroadcaster directives;
   private final TakeoverCoordinator takeover;
   private final ClientListeners clientListeners;
@@ -47,8 +48,12 @@
   /** The directory that all shards follow. */
   private EndpointDirectory directory;
 
-  Startup(final ServerContext context, final DisabledEndpointRegistry disabledEndpoints) {
+  Startup(
+      final ServerContext context,
+      final DisabledEndpointRegistry disabledEndpoints,
+      final ExternalInputs externalInputs) {
     this.context = context;
+    this.externalInputs = externalInputs;
     this.config = context.config();
     this.eventLoop = context.eventLoop();
     this.shards = context.shards();
@@ -56,7 +61,8 @@
     this.disabledEndpoints = disabledEndpoints;
     this.directives = new DirectiveBroadcaster(shards, disabledEndpoints);
     this.takeover =
-        new TakeoverCoordinator(context, this::startFromHandover, this::startFromJournals);
+        new TakeoverCoordinator(
+            context, externalInputs, this::startFromHandover, this::startFromJournals);
     this.clientListeners = new ClientListeners(context, takeover, this::onListening);
   }
 
@@ -124,6 +130,7 @@
   private void startFromHandover(
       final HandoverSnapshot snapshot, final HandoverClient predecessor) {
     progress.serving().thenAccept(bound -> predecessor.announceListening());
+    predecessor.setReloadListener(externalInputs::onReloadRequested);
     startShards(shard -> shard.startFromHandover(snapshot, predecessor));
   }
 
@@ -189,8 +196,8 @@
       decisionLoop.setDisabledEndpoints(disabledEndpoints.endpoints());
     }
     final int resumed = start.applyAsInt(shard);
-    if (context.latestConfig().isReloaded()) {
-      // SIGHUP came before there was a decision loop to apply it to.
+    if (context.latestConfig().isChanged()) {
+      // It was reloaded before there was a decision loop to apply it to.
       shard.reload(context.latestConfig().get());
     }
     if (resumed > 0) {
@@ -231,7 +238,8 @@
     Log.info(config.name() + " is ready at " + bound + shardCount);
     context.lifecycle().onListening();
     if (context.hasOperators() && shards.size() == 1) {
-      new HandoverServer(new ShardHandoverSource(context, directives, clientListeners::open))
+      new HandoverServer(
+              new ShardHandoverSource(context, directives, externalInputs, clientListeners::open))
           .listen(eventLoop, config.stateFolder());
     }
     context.extension().onServing(bound);
--- a/courier/src/main/java/thistleturn/courier/TakeoverCoordinator.java
+++ b/courier/src/main/java/thistleturn/courier/TakeoverCoordinator.java
@@ -33,6 +33,7 @@
   private final EventLoop eventLoop;
   private final StartupProgress progress;
   private final StateFolder stateFolder;
+  private final ExternalInputs externalInputs;
   private final BiConsumer<HandoverSnapshot, HandoverClient> onHandover;
   private final Runnable onFolderFree;
   private ClientAddress clientAddress = ClientAddress.UNCONTESTED;
@@ -49,9 +50,11 @@
    */
   TakeoverCoordinator(
       final ServerContext context,
+      final ExternalInputs externalInputs,
       final BiConsumer<HandoverSnapshot, HandoverClient> onHandover,
       final Runnable onFolderFree) {
     this.context = context;
+    this.externalInputs = externalInputs;
     this.eventLoop = context.eventLoop();
     this.progress = context.progress();
     this.stateFolder = context.stateFolder();
@@ -81,6 +84,7 @@
       if (!stateFolder.tryLock()) {
         throw new IOException(context.config().stateFolder() + ": handed over, but still in use");
       }
+      externalInputs.readAgain();
       context
           .shards()
           .openJournals(stateFolder, stateFolder.lock().earlierProcessesAfterHandover());
@@ -101,6 +105,7 @@
         progress.retryAfter(HANDOVER_RETRY_MS, STEP_NAME, this::requestHandover);
         return;
       }
+      externalInputs.readAgain();
       context.shards().openJournals(stateFolder, stateFolder.lock().earlierProcesses());
     } catch (final IOException e) {
       stateFolder.unlock();
--- a/courier/src/main/java/thistleturn/courier/TakeoverWarmUp.java
+++ b/courier/src/main/java/thistleturn/courier/TakeoverWarmUp.java
@@ -193,5 +193,10 @@
         final long call, final String messageId, final Dispatcher.DispatchOutcome outcome) {
       // Outcomes are not needed.
     }
+
+    @Override
+    public void reloadConfiguration() {
+      // Its configuration is made up.
+    }
   }
 }
--- a/courier/src/main/java/thistleturn/courier/UnansweredSubmissions.java
+++ b/courier/src/main/java/thistleturn/courier/UnansweredSubmissions.java
@@ -93,6 +93,14 @@
     }
   }
 
+  /** A process that decides again instead reads the configuration then. */
+  @Override
+  public void reloadConfiguration() {
+    if (state == State.FORWARDING) {
+      successor.reloadConfiguration();
+    }
+  }
+
   @Override
   public void reportOutcome(
       final long call, final String messageId, final Dispatcher.DispatchOutcome outcome) {
--- a/courier/src/main/java/thistleturn/courier/handover/HandoverClient.java
+++ b/courier/src/main/java/thistleturn/courier/handover/HandoverClient.java
@@ -71,6 +71,9 @@
   private State state = State.REQUESTING;
   private Listener listener;
 
+  /** Called when the older process was told to reload the configuration. */
+  private Runnable reloadListener = () -> {};
+
   private HandoverClient(final Consumer<HandoverSnapshot> onSnapshot, final Runnable onFailure) {
     this.onSnapshot = onSnapshot;
     this.onFailure = onFailure;
@@ -121,7 +124,7 @@
 
   private void onConnectCompleted(final ChannelFuture connecting) {
     if (connecting.isSuccess()) {
-      connection.send(new SuccessorLine.Hello(HandoverCodec.PROTOCOL_VERSION, true));
+      connection.send(SuccessorLine.Hello.ofThisVersion());
     } else {
       connection.onClosed();
     }
@@ -141,6 +144,11 @@
     }
   }
 
+  /** Sets what is called when the older process was told to reload the configuration. */
+  public void setReloadListener(final Runnable newListener) {
+    reloadListener = newListener;
+  }
+
   /** Notifies the older process that this one accepts clients. */
   public void announceListening() {
     connection.send(new SuccessorLine.Listening());
@@ -169,6 +177,8 @@
       }
     } else if (line instanceof PredecessorLine.CallOutcome outcome) {
       listener.onRemoteOutcome(outcome.messageId(), outcome.outcome());
+    } else if (line instanceof PredecessorLine.ReloadRequest) {
+      reloadListener.run();
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/handover/PredecessorLine.java
+++ b/courier/src/main/java/thistleturn/courier/handover/PredecessorLine.java
@@ -128,6 +128,16 @@
     }
   }
 
+  /** The older process was told to reload the configuration: the newer one has to reload it too. */
+  record ReloadRequest() implements PredecessorLine {
+    private static final String TYPE = "reload";
+
+    @Override
+    public ObjectNode toJson() {
+      return HandoverLine.ofType(TYPE);
+    }
+  }
+
   private static MessageDisposition dispositionOf(final JsonNode line) {
     if (line.path("over").asBoolean()) {
       return MessageDisposition.OVER;
@@ -148,6 +158,7 @@
       case Offer.TYPE -> Offer.fromJson(line);
       case Withdrawal.TYPE -> Withdrawal.fromJson(line);
       case CallOutcome.TYPE -> CallOutcome.fromJson(line);
+      case ReloadRequest.TYPE -> new ReloadRequest();
       default -> throw new IOException("unknown line type " + type);
     };
   }
--- a/courier/src/main/java/thistleturn/courier/handover/Successor.java
+++ b/courier/src/main/java/thistleturn/courier/handover/Successor.java
@@ -18,4 +18,7 @@
 
   /** The outcome of one message in a call that was in flight at the handover. */
   void reportOutcome(long call, String messageId, Dispatcher.DispatchOutcome outcome);
+
+  /** The older process was told to reload the configuration, which is that of both. */
+  void reloadConfiguration();
 }
--- a/courier/src/main/java/thistleturn/courier/handover/SuccessorConnection.java
+++ b/courier/src/main/java/thistleturn/courier/handover/SuccessorConnection.java
@@ -23,6 +23,9 @@
 
   private final SentOffers offers = new SentOffers();
 
+  /** Whether the newer process reads {@link PredecessorLine.ReloadRequest}. */
+  private boolean successorReadsReloadRequests;
+
   SuccessorConnection(final HandoverServer server, final HandoverSource source) {
     this.server = server;
     this.source = source;
@@ -41,7 +44,9 @@
     if (server.hasSuccessor()) {
       reject("another handover is in progress");
     } else if (isHelloOfThisVersion(json)) {
-      offers.setSuccessorReadsOfferNumbers(SuccessorLine.Hello.fromJson(json).readsOfferNumbers());
+      final SuccessorLine.Hello hello = SuccessorLine.Hello.fromJson(json);
+      offers.setSuccessorReadsOfferNumbers(hello.readsOfferNumbers());
+      successorReadsReloadRequests = hello.readsReloadRequests();
       handOver();
     } else {
       reject("the first line is not a hello of this version: " + json);
@@ -107,6 +112,13 @@
     }
   }
 
+  @Override
+  public void reloadConfiguration() {
+    if (server.isSuccessor(this) && successorReadsReloadRequests) {
+      send(new PredecessorLine.ReloadRequest());
+    }
+  }
+
   @Override
   void onClosed() {
     if (server.isSuccessor(this)) {
--- a/courier/src/main/java/thistleturn/courier/handover/SuccessorLine.java
+++ b/courier/src/main/java/thistleturn/courier/handover/SuccessorLine.java
@@ -13,20 +13,33 @@
    *
    * @param readsOfferNumbers whether a withdrawal is found by the number of its offer; the last
    *     release finds it by the message id
+   * @param readsReloadRequests whether {@link PredecessorLine.ReloadRequest} is understood; the
+   *     last release closes the connection at a line that it does not know
    */
-  record Hello(int version, boolean readsOfferNumbers) implements SuccessorLine {
+  record Hello(int version, boolean readsOfferNumbers, boolean readsReloadRequests)
+      implements SuccessorLine {
     static final String TYPE = "hello";
     private static final String READS_OFFER_NUMBERS = "offers";
+    private static final String READS_RELOAD_REQUESTS = "reloads";
+
+    /** Returns the hello of this version. */
+    static Hello ofThisVersion() {
+      return new Hello(HandoverCodec.PROTOCOL_VERSION, true, true);
+    }
 
     @Override
     public ObjectNode toJson() {
       return HandoverLine.ofType(TYPE)
           .put("version", version)
-          .put(READS_OFFER_NUMBERS, readsOfferNumbers);
+          .put(READS_OFFER_NUMBERS, readsOfferNumbers)
+          .put(READS_RELOAD_REQUESTS, readsReloadRequests);
     }
 
     static Hello fromJson(final JsonNode line) {
-      return new Hello(line.path("version").asInt(), line.path(READS_OFFER_NUMBERS).asBoolean());
+      return new Hello(
+          line.path("version").asInt(),
+          line.path(READS_OFFER_NUMBERS).asBoolean(),
+          line.path(READS_RELOAD_REQUESTS).asBoolean());
     }
   }
 
--- a/courier/src/test/java/thistleturn/courier/CourierHarness.java
+++ b/courier/src/test/java/thistleturn/courier/CourierHarness.java
@@ -151,21 +151,29 @@
   /** Starts the process and waits until it is ready. */
   CourierHarness start() throws IOException {
     launch();
-    final List<String> before = List.copyOf(logLines);
-    await("ready", () -> readyLine(before.size()) != null);
-    final String ready = readyLine(before.size());
+    awaitReady(logLines.size());
+    return this;
+  }
+
+  /** Waits until the process, which was launched before, is ready. */
+  void awaitReady() {
+    awaitReady(0);
+  }
+
+  private void awaitReady(final int from) {
+    await("ready", () -> readyLine(from) != null);
+    final String ready = readyLine(from);
     // With several shards, their number follows the address.
     port = Integer.parseInt(ready.substring(ready.lastIndexOf(':') + 1).split(" ")[0]);
     if (operatorPortEnabled) {
       final String operatorLine =
           logLines.stream()
-              .skip(before.size())
+              .skip(from)
               .filter(line -> line.contains("listens to operators at"))
               .findFirst()
               .orElseThrow();
       operatorPort = Integer.parseInt(operatorLine.substring(operatorLine.lastIndexOf(':') + 1));
     }
-    return this;
   }
 
   /** Sends a request to the operator port, and returns the complete response. */
--- a/courier/src/test/java/thistleturn/courier/handover/HandoverConversationFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/handover/HandoverConversationFormatTest.java
@@ -31,6 +31,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import thistleturn.courier.port.Dispatcher;
 import thistleturn.courier.port.Ingress;
 import thistleturn.courier.port.StoredMessage;
@@ -141,7 +143,8 @@
                   HandoverClient.requestHandover(loop, folder, received::complete, failed)));
       try (SocketChannel connection = server.accept();
           BufferedReader in = reader(connection)) {
-        assertEquals("{\"t\":\"hello\",\"version\":4,\"offers\":true}", in.readLine());
+        assertEquals(
+            "{\"t\":\"hello\",\"version\":4,\"offers\":true,\"reloads\":true}", in.readLine());
         write(connection, EMPTY_SNAPSHOT_LINES.toArray(new String[0]));
         assertEquals(List.of(), received.get(TIMEOUT_S, TimeUnit.SECONDS).endpoints());
 
@@ -259,7 +262,7 @@
     loop.execute(() -> new HandoverServer(serving).listen(loop, folder));
     try (SocketChannel connection = connectToOlderProcess();
         BufferedReader in = reader(connection)) {
-      write(connection, "{\"t\":\"hello\",\"version\":4,\"offers\":true}");
+      write(connection, "{\"t\":\"hello\",\"version\":4,\"offers\":true,\"reloads\":true}");
       assertEquals(EMPTY_SNAPSHOT_LINES, read(in, 2));
 
       final Successor successor = serving.successor.get(TIMEOUT_S, TimeUnit.SECONDS);
@@ -313,6 +316,32 @@
     }
   }
 
+  /** Guards against a line that the last release cannot read, and one that this one misses. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void olderProcess_passesReloadOnIfItIsUnderstood(final boolean understood) throws Exception {
+    final ServingProcess serving = new ServingProcess();
+    loop.execute(() -> new HandoverServer(serving).listen(loop, folder));
+    try (SocketChannel connection = connectToOlderProcess();
+        BufferedReader in = reader(connection)) {
+      write(
+          connection,
+          "{\"t\":\"hello\",\"version\":4,\"offers\":true,\"reloads\":" + understood + "}");
+      assertEquals(EMPTY_SNAPSHOT_LINES, read(in, 2));
+      final Successor successor = serving.successor.get(TIMEOUT_S, TimeUnit.SECONDS);
+      loop.execute(
+          () -> {
+            successor.reloadConfiguration();
+            successor.reportOutcome(
+                11, "m2", new Dispatcher.DispatchOutcome(AttemptResult.NOT_SENT, false, 0, null));
+          });
+      if (understood) {
+        assertEquals("{\"t\":\"reload\"}", in.readLine());
+      }
+      assertTrue(in.readLine().startsWith("{\"t\":\"outcome\""));
+    }
+  }
+
   /** Guards against a withdrawal by id alone before the last release has accepted the offer. */
   @Test
   void olderProcess_withdrawsFromLastReleaseOnceOfferIsAccepted() throws Exception {
--- a/courier/src/test/java/thistleturn/courier/handover/HandoverProtocolTest.java
+++ b/courier/src/test/java/thistleturn/courier/handover/HandoverProtocolTest.java
@@ -48,7 +48,8 @@
 @Timeout(60)
 final class HandoverProtocolTest {
   private static final int TIMEOUT_S = 20;
-  private static final String HELLO = "{\"t\":\"hello\",\"version\":4,\"offers\":true}";
+  private static final String HELLO =
+      "{\"t\":\"hello\",\"version\":4,\"offers\":true,\"reloads\":true}";
   private static final List<String> SNAPSHOT_LINES =
       List.of(
           "{\"t\":\"endpoint\",\"number\":4,\"name\":\"s-1\",\"condition\":\"DRAINING\","
--- a/courier/src/test/java/thistleturn/courier/handover/ScriptedSuccessor.java
+++ b/courier/src/test/java/thistleturn/courier/handover/ScriptedSuccessor.java
@@ -97,7 +97,7 @@
 
   private void sendHello() throws IOException {
     connection = SocketChannel.open(UnixDomainSocketAddress.of(stateFolder.resolve("handover")));
-    send(new SuccessorLine.Hello(HandoverCodec.PROTOCOL_VERSION, true).toText() + "\n");
+    send(SuccessorLine.Hello.ofThisVersion().toText() + "\n");
   }
 
   private void send(final String text) throws IOException {
