WithdrawalTest waits for the withdrawal itself, not for the log line before it

Change: behind the log line the test has an operator's request answered by the older process. Its event loop does that after the step that sends the withdrawal, so the withdrawal is on the socket by then. All assertions are as before.

--- a/courier/src/test/java/thistleturn/courier/WithdrawalTest.java
+++ b/courier/src/test/java/thistleturn/courier/WithdrawalTest.java
@@ -121,6 +121,10 @@
     assertTrue(older.sendOperatorRequest("GET", "/-/metrics").startsWith("HTTP/1.1 200"));
   }
 
+  /**
+   * Returns once the older process has sent the withdrawal. It logs the end of the connection
+   * before that, in the same step of its event loop, which answers an operator behind it.
+   */
   private void resetAndAwaitWithdrawal(final Socket socket, final String id) throws IOException {
     reset(socket);
     older.await(
@@ -129,6 +133,7 @@
             older.logLines.stream()
                 .anyMatch(
                     line -> line.contains("request_unanswered") && line.contains("id=" + id)));
+    awaitRead();
   }
 
   private List<String> sentIds() {
