An endpoint at another destination or address is not taken for the former one

Cause: EndpointTable kept the id of a name whatever else its entry said, so the endpoint stayed in its former route; a connection that was in use did not know that its pool had another address meanwhile. A takeover already took such an endpoint for a different one. Change: a name that is listed for another destination is an endpoint of its own and the former one is gone. A connection, also one that is being established, is used only if it leads to the address that the list names now. At another address an endpoint keeps its id, and so its waits.

--- a/courier/src/main/java/thistleturn/courier/EndpointTable.java
+++ b/courier/src/main/java/thistleturn/courier/EndpointTable.java
@@ -21,12 +21,16 @@
 
 /**
  * The listed endpoints, with the ids that the controller and the dispatcher use for them. An
- * endpoint that is removed and listed again is a new one with a new id.
+ * endpoint that is removed and listed again is a new one with a new id, and so is one that is
+ * listed under the same name for another destination.
  */
 final class EndpointTable {
   /** The kind index of an endpoint of no known kind. */
   private static final int NO_KIND = -1;
 
+  /** No endpoint has this id. */
+  private static final long UNLISTED = 0;
+
   /** How many names are kept, so that operators may refer to endpoints after their removal. */
   private static final int MAX_REMEMBERED_NAMES = 10_000;
 
@@ -63,6 +67,7 @@
       removed.addAll(entries.keySet());
     }
     for (final EndpointDirectory.Entry entry : listed) {
+      removeIfOfOtherDestination(entry, changed, removed);
       final Endpoint endpoint = toEndpoint(entry);
       disabled.recordListed(entry.name());
       changed.add(endpoint);
@@ -76,6 +81,27 @@
     return new AppliedUpdate(changed, removed);
   }
 
+  /** Removes an endpoint whose name is listed for another destination from now on. */
+  private void removeIfOfOtherDestination(
+      final EndpointDirectory.Entry entry, final List<Endpoint> changed, final Set<Long> removed) {
+    final Endpoint before = entries.get(ids.getOrDefault(entry.name(), UNLISTED));
+    if (before == null
+        || before.destinationId() == entry.destination()
+        || entry.state() == EndpointState.GONE) {
+      return;
+    }
+    ids.remove(entry.name());
+    changed.add(
+        new Endpoint(
+            before.id(),
+            EndpointState.GONE,
+            before.zone(),
+            before.weight(),
+            before.kindIndex(),
+            before.destinationId()));
+    removed.add(before.id());
+  }
+
   private void put(
       final Endpoint endpoint, final InetSocketAddress address, final Dispatcher dispatcher) {
     final Endpoint before = entries.put(endpoint.id(), endpoint);
@@ -123,7 +149,7 @@
       destinations.endpointRemoved(before.destinationId());
     }
     addresses.remove(id);
-    ids.remove(names.remove(id));
+    ids.remove(names.remove(id), id);
   }
 
   /** Removes destinations that have had no endpoint for a long time. */
--- a/courier/src/main/java/thistleturn/courier/http/ConnectionAnswers.java
+++ b/courier/src/main/java/thistleturn/courier/http/ConnectionAnswers.java
@@ -252,7 +252,7 @@
     if (!response.isKeepAlive() || !completed.isWritten()) {
       return EndpointCloseReason.CLOSE_REQUESTED;
     }
-    if (pool.isRemoved()) {
+    if (pool.isRemoved() || !pool.address().equals(connection.remoteAddress())) {
       return EndpointCloseReason.ENDPOINT_CHANGED;
     }
     if (unconfirmedCalls.isUnconfirmed(connection)) {
--- a/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpDispatcher.java
@@ -369,10 +369,14 @@
     }
     if (!connecting.isSuccess() && calls.contains(call)) {
       onConnectFailed(call, connecting.cause());
-    } else if (retainSendable(call)) {
+    } else if (!retainSendable(call)) {
+      connecting.channel().close();
+    } else if (call.pool().address().equals(connecting.channel().remoteAddress())) {
       connecting.channel().pipeline().get(EndpointConnection.class).send(call);
     } else {
+      // The endpoint has moved meanwhile.
       connecting.channel().close();
+      dispatch(call);
     }
   }
 
