Input that is long in work takes a twentieth of an event loop's time at most

Cause: a read was bounded in bytes, not in work: 16 KiB are one part of a body, or 2,700 chunks or 3,200 header lines. Change: DecodingBudget: 64 parts of a read are free, each further one takes 20 us of an allowance that all client connections of a loop share, and its connection is not read until then (ReadThrottle, event read_paused). A pause loses nothing; the time limit of a request counts on. Red before: ReceiveFloodTest's two new guards ask for the pause, which does not know; their plain twin is green.

--- a/courier/src/main/java/thistleturn/courier/http/ClientConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/ClientConnection.java
@@ -36,6 +36,7 @@
   private final IngressContext ingress;
   private final ReceiveTimeBound receiveTime;
   private final ReceiveBudget.Reservation reservation;
+  private final ReadThrottle throttle;
   private final RequestAssembler assembler = new RequestAssembler();
   private final ScheduledCheck scheduledCheck = new ScheduledCheck(this);
   private final RequestQueue queuedRequests = new RequestQueue();
@@ -72,6 +73,7 @@
     this.ingress = ingress;
     this.receiveTime = new ReceiveTimeBound(earliestAcceptUs);
     this.reservation = ingress.receiveBudget().open(this);
+    this.throttle = new ReadThrottle(ingress, this::updateReading);
     this.idleSinceUs = ingress.clock().nowUs();
   }
 
@@ -244,6 +246,7 @@
   @Override
   public void channelReadComplete(final ChannelHandlerContext ctx) {
     updateReservation();
+    throttle.onReadComplete(ctx);
     ctx.fireChannelReadComplete();
   }
 
@@ -267,6 +270,7 @@
     if (part instanceof HttpRequest && !part.decoderResult().isFailure()) {
       markRequestStarted();
     }
+    throttle.onPart(part);
     final Optional<HttpResponseStatus> rejection = assembler.add(part);
     if (rejection.isPresent()) {
       reject(rejection.get());
@@ -302,11 +306,19 @@
     if (phase == ConnectionPhase.FINISHING && !isProcessingRequest()) {
       sendFinalResponse();
     }
-    if (!queuedRequests.isEmpty()) {
+    updateReading();
+    updateReservation();
+  }
+
+  private void updateReading() {
+    if (phase == ConnectionPhase.CLOSING) {
+      return;
+    }
+    final boolean reading = queuedRequests.isEmpty() && !throttle.isPaused();
+    if (!reading) {
       receiveTime.onReadPaused(ingress.clock().nowUs());
     }
-    context.channel().config().setAutoRead(queuedRequests.isEmpty());
-    updateReservation();
+    context.channel().config().setAutoRead(reading);
   }
 
   /** Records the reply that will answer the current request. */
--- a/courier/src/main/java/thistleturn/courier/http/HttpIngress.java
+++ b/courier/src/main/java/thistleturn/courier/http/HttpIngress.java
@@ -52,6 +52,7 @@
             connections,
             new WakeUpQueue(loop, polls),
             ReceiveBudgets.forClients(options, clock),
+            new DecodingBudget(),
             this::isDraining,
             clock,
             polls);
--- a/courier/src/main/java/thistleturn/courier/http/IngressContext.java
+++ b/courier/src/main/java/thistleturn/courier/http/IngressContext.java
@@ -13,6 +13,7 @@
  * @param connections manages the lifetime of the connections
  * @param wakeUps throttles the wake-ups of hibernating connections
  * @param receiveBudget limits the memory that unserved input uses
+ * @param decodingBudget limits the time that decoding takes
  * @param draining true while each response ends its connection
  * @param clock the clock of all timestamps
  * @param polls when the event loop polled its sockets
@@ -23,6 +24,7 @@
     ClientConnectionManager connections,
     WakeUpQueue wakeUps,
     ReceiveBudget receiveBudget,
+    DecodingBudget decodingBudget,
     BooleanSupplier draining,
     Clock clock,
     PollTracker polls) {}
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -18,6 +18,8 @@
    * after its response.
    */
   CONNECTION_UNWATCHED("connection_unwatched"),
+  /** A client's input is decoded into very many parts: it is not read for a time. */
+  READ_PAUSED("read_paused"),
   /** An attempt ended without a delivery. */
   ATTEMPT_FAILED("attempt_failed"),
   /** An attempt was not started, because the decision behind it was no longer valid. */
--- a/courier/src/test/java/thistleturn/courier/ReceiveFloodTest.java
+++ b/courier/src/test/java/thistleturn/courier/ReceiveFloodTest.java
@@ -1,9 +1,11 @@
 package thistleturn.courier;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -106,6 +108,62 @@
     assertTrue(harness.isRunning());
   }
 
+  private static String inChunks(final String id, final int chunkBytes) {
+    final String usual = CourierHarness.submitRequest(id, "safe", "");
+    final StringBuilder request =
+        new StringBuilder(usual.replace("Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n"));
+    final String chunk = Integer.toHexString(chunkBytes) + "\r\n" + "c".repeat(chunkBytes) + "\r\n";
+    return request.append(chunk.repeat(MAX_BODY_BYTES / chunkBytes)).append("0\r\n\r\n").toString();
+  }
+
+  private boolean hasPaused() {
+    return harness.logLines.stream().anyMatch(line -> line.contains("event=read_paused"));
+  }
+
+  /** Guards against late answers for others while bodies of tiny chunks are decoded. */
+  @Test
+  void bodyOfTinyChunks_isPausedAndAcceptedInTheEnd() throws IOException {
+    startWithDeployedMemory();
+    assertEquals(202, harness.send(inChunks("m1", 4)).status());
+    assertTrue(hasPaused());
+    assertUsualClientsAreAnswered("behind");
+  }
+
+  /** Guards against late answers for others while small requests come at full speed. */
+  @Test
+  void manyRequestsInOneWrite_arePausedAndAnswered() throws IOException {
+    startWithDeployedMemory();
+    final int requests = 2000;
+    try (Socket socket = harness.connect()) {
+      final Thread writer =
+          new Thread(
+              () -> {
+                try {
+                  socket
+                      .getOutputStream()
+                      .write(
+                          (HEAD + "\r\n").repeat(requests).getBytes(StandardCharsets.ISO_8859_1));
+                } catch (final IOException e) {
+                  throw new UncheckedIOException(e);
+                }
+              });
+      writer.start();
+      for (int count = 0; count < requests; count++) {
+        assertEquals(200, CourierHarness.readResponse(socket.getInputStream()).status());
+      }
+    }
+    assertTrue(hasPaused());
+  }
+
+  /** Plain twin: the largest body in chunks of a usual size is not paused. */
+  @Test
+  void bodyOfUsualChunks_isNotPaused() throws IOException {
+    startWithDeployedMemory();
+    assertEquals(202, harness.send(inChunks("m1", 1024)).status());
+    assertUsualClientsAreAnswered("beside");
+    assertFalse(hasPaused());
+  }
+
   /** Plain twin: a head with many lines, and the largest body in two parts, pass as before. */
   @Test
   void requestAtTheLimits_isAccepted() throws IOException {
--- a/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/operator/OperatorPageFormatTest.java
@@ -53,6 +53,7 @@
         courier_events_total{event="request_unanswered"}
         courier_events_total{event="connection_closed"}
         courier_events_total{event="connection_unwatched"}
+        courier_events_total{event="read_paused"}
         courier_events_total{event="attempt_failed"}
         courier_events_total{event="attempt_not_sent"}
         courier_events_total{event="shared_call_expired"}
--- a/courier/src/test/java/thistleturn/courier/runtime/EventLineFormatTest.java
+++ b/courier/src/test/java/thistleturn/courier/runtime/EventLineFormatTest.java
@@ -70,7 +70,7 @@
   void events_keepTheirLabels() {
     assertEquals(
         "request_refused request_unusable request_unanswered connection_closed"
-            + " connection_unwatched attempt_failed attempt_not_sent shared_call_expired"
+            + " connection_unwatched read_paused attempt_failed attempt_not_sent shared_call_expired"
             + " endpoint_bytes_unexpected endpoint_reuse_suspended delivery_in_doubt"
             + " answer_too_soon rejection_in_doubt endpoint_connection_closed platform_connection_closed list_line_ignored"
             + " message_over end_stated response_incomplete attempt_after_end message_ended message_ended_late end_told_unwritten accept_failed accept_recovered"
