A reset alone puts no delivery in doubt, nor a quick answer where work varies

Cause: the latest answer of a connection that was reset without a call was in doubt for 1.5 times the slowest answer, however plausible its time; and where work varies (5 to 100 ms) a quick answer is no sign of a copy for so long. Change: a reset alone proves nothing. An answer that came too soon is in doubt for 1.5 times the slowest answer only where that is up to twice the earliest, and else only if the end comes before any answer could have (ResponseTimes).

--- a/courier/src/main/java/thistleturn/courier/http/ConnectionAnswers.java
+++ b/courier/src/main/java/thistleturn/courier/http/ConnectionAnswers.java
@@ -13,7 +13,6 @@
 import thistleturn.decisions.pools.AnswerTreatment;
 import thistleturn.decisions.pools.AnswerTreatment.Completeness;
 import thistleturn.decisions.pools.ConnectionLoss;
-import thistleturn.decisions.pools.ResponseTimes;
 
 /**
  * The responses that a connection has carried, and what follows from them for the next one: whether
@@ -35,6 +34,9 @@
   /** When the response to the current call was complete; 0 before that. */
   private long answeredUs;
 
+  /** What the latest response stated. */
+  private AnswerHistory.Kind latestKind = AnswerHistory.Kind.UNKNOWN;
+
   /** The shortest response times since the history was last settled. */
   private final Map<AnswerHistory.Kind, Long> earliestUnsettledUs = new HashMap<>();
 
@@ -119,6 +121,7 @@
       history.noteTooSoon();
       logTooSoon(call, kind);
     }
+    latestKind = kind;
     earliestUnsettledUs.merge(kind, responseTimeUs(), Math::min);
     return place;
   }
@@ -159,13 +162,7 @@
    * Notes whether the connection has been silent long enough; called while no response is awaited.
    */
   void settleIfSilent() {
-    if (pool != null) {
-      settleIfSilentFor(pool.responseTimes().dueUs());
-    }
-  }
-
-  private void settleIfSilentFor(final long responseTimeUs) {
-    if (history.settleIfSilent(clock.nowUs(), responseTimeUs)) {
+    if (pool != null && history.settleIfSilent(clock.nowUs(), pool.responseTimes().dueUs())) {
       recordSettled();
     }
   }
@@ -178,37 +175,17 @@
    * @param idle whether no call is in flight
    */
   void onClosedByEndpoint(final boolean idle) {
-    if (pool == null) {
-      return;
-    }
-    suspectTooSoon(idle);
-    if (idle && history.settleIfUnsuspected()) {
+    onEndedByEndpoint(idle);
+    if (idle && pool != null && history.settleIfUnsuspected()) {
       recordSettled();
     }
   }
 
-  /**
-   * Notes that the endpoint has reset the connection, as {@link #onClosedByEndpoint}. An idle one
-   * that it has just used it resets only if a call has come that was not read here as in flight.
-   *
-   * @param idle whether no call is in flight
-   */
-  void onResetByEndpoint(final boolean idle) {
-    if (pool == null) {
-      return;
-    }
-    settleIfSilentFor(pool.responseTimes().dueByAllUs());
-    suspectTooSoon(idle);
-    if (idle) {
-      history.suspectLatest();
-    }
-  }
-
-  /** Behind a further call, few response times do not suffice to tell one from the other. */
-  private void suspectTooSoon(final boolean idle) {
-    final ResponseTimes times = pool.responseTimes();
-    if (idle || times.isDueKnown()) {
-      history.suspectTooSoon(clock.nowUs() - times.dueByAllUs());
+  /** Notes that the endpoint has closed or reset the connection. */
+  void onEndedByEndpoint(final boolean idle) {
+    // Behind a further call, few response times do not suffice to tell one from the other.
+    if (pool != null && (idle || pool.responseTimes().isDueKnown())) {
+      history.suspectTooSoon(clock.nowUs() - pool.responseTimes().unansweredWithinUs(latestKind));
     }
   }
 
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -491,7 +491,7 @@
     }
     final EndpointCloseReason reason = EndpointCloseReason.ofFailure(cause);
     if (reason == EndpointCloseReason.ENDED_BY_ENDPOINT && !closed) {
-      answers.onResetByEndpoint(call == null);
+      answers.onEndedByEndpoint(call == null);
     }
     onConnectionBroken(AttemptResult.RESET, reason);
   }
--- a/courier/src/main/java/thistleturn/courier/runtime/Event.java
+++ b/courier/src/main/java/thistleturn/courier/runtime/Event.java
@@ -45,8 +45,8 @@
    */
   DELIVERY_IN_DOUBT("delivery_in_doubt"),
   /**
-   * A response came sooner after its call than any of its endpoint, or its connection was reset
-   * right behind it: it is in doubt if the connection ends before the call's own one would come.
+   * A response came sooner after its call than any of its endpoint: it is in doubt if the endpoint
+   * ends the connection before the call's own one could have come.
    */
   ANSWER_TOO_SOON("answer_too_soon"),
   /** A response that rejected a message may belong to another call: the message may have run. */
--- a/decisions/src/main/java/thistleturn/decisions/pools/ResponseTimes.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/ResponseTimes.java
@@ -22,6 +22,9 @@
   /** The part of the earliest time below which a response is too soon: work varies a little. */
   private static final double TOO_SOON_FACTOR = 0.75;
 
+  /** Up to this multiple of the earliest time the slowest one shows that work varies little. */
+  private static final double STEADY_FACTOR = 2;
+
   /** By how much the earliest time rises with each later response that is not as early. */
   private static final double EARLIEST_RISE = 1.0005;
 
@@ -62,6 +65,17 @@
     return (long) (SILENCE_FACTOR * slowestUs);
   }
 
+  /**
+   * Returns how long after a call, us, the end of its connection shows that a response of this kind
+   * which came too soon was not its own. That is as long as the endpoint takes for a call if its
+   * work varies little. Otherwise a quick response may be the call's own, and only an end before
+   * any could have come shows that.
+   */
+  public long unansweredWithinUs(final AnswerHistory.Kind kind) {
+    final double earliest = earliestUs.getOrDefault(kind, 0.0);
+    return slowestUs <= STEADY_FACTOR * earliest ? dueByAllUs() : (long) earliest;
+  }
+
   /** Returns whether no response of this kind has come nearly as soon after its call. */
   public boolean isTooSoon(final AnswerHistory.Kind kind, final long durationUs) {
     return durationUs < TOO_SOON_FACTOR * earliestUs.getOrDefault(kind, 0.0);
--- a/decisions/src/test/java/thistleturn/decisions/pools/ResponseTimesTest.java
+++ b/decisions/src/test/java/thistleturn/decisions/pools/ResponseTimesTest.java
@@ -41,6 +41,16 @@
     assertFalse(times.isTooSoon(DELIVERED, 75));
   }
 
+  /** Guards against a repeat of a quick delivery whose connection is reset shortly after. */
+  @Test
+  void workThatVaries_leavesOnlyTheTimeBeforeAnyResponse() {
+    times.addOwn(DELIVERED, 100);
+    times.add(100);
+    assertEquals(150, times.unansweredWithinUs(DELIVERED));
+    times.add(201);
+    assertEquals(100, times.unansweredWithinUs(DELIVERED));
+  }
+
   @Test
   void slowerEndpoint_raisesEarliestTime() {
     times.addOwn(DELIVERED, 100);
