--- a/courier/src/main/java/thistleturn/courier/http/ConnectionAnswers.java
+++ b/courier/src/main/java/thistleturn/courier/http/ConnectionAnswers.java
@@ -13,6 +13,7 @@
 import thistleturn.decisions.pools.AnswerTreatment;
 import thistleturn.decisions.pools.AnswerTreatment.Completeness;
 import thistleturn.decisions.pools.ConnectionLoss;
+import thistleturn.decisions.pools.ResponseTimes;
 
 /**
  * The responses that a connection has carried, and what follows from them for the next one: whether
@@ -66,9 +67,10 @@
   void onResponseComplete(final EndpointResponse response) {
     answeredUs = clock.nowUs();
     history.onAnswerComplete(answeredUs);
-    pool.responseTimes().add(responseTimeUs());
+    final ResponseTimes times = pool.responseTimes();
+    times.add(responseTimeUs());
     if (isOwn(response.head())) {
-      pool.responseTimes().addOwn(EndpointResponseParser.kindOf(response.head()), responseTimeUs());
+      times.addOwn(EndpointResponseParser.kindOf(response.head()), responseTimeUs());
     }
     endOfBody = response.endOfBody();
   }
--- a/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
+++ b/courier/src/main/java/thistleturn/courier/http/EndpointConnection.java
@@ -55,7 +55,6 @@
   /** The pool in which the connection was last idle; null during its first call. */
   private EndpointConnectionPool pool;
 
-  /** When the last call of this connection was completed, us. */
   private long idleSinceUs;
 
   /** True once this side has closed the connection, or has noticed its end. */
@@ -107,7 +106,7 @@
     return decoder;
   }
 
-  /** Unique within its dispatcher. */
+  /** The number of this connection, unique within its dispatcher. */
   long number() {
     return log.connection();
   }
@@ -116,6 +115,7 @@
     return context.channel().isActive();
   }
 
+  /** When the last call of this connection was completed, us. */
   long idleSinceUs() {
     return idleSinceUs;
   }
@@ -175,6 +175,7 @@
     context.close();
   }
 
+  /** Only the first reason counts. */
   private void markClosed(final EndpointCloseReason reason) {
     if (!closed) {
       closed = true;
--- a/decisions/src/main/java/thistleturn/decisions/pools/AnswerConfirmation.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/AnswerConfirmation.java
@@ -24,7 +24,7 @@
  * without a call, or in place of a later one. Such a response proves that the connection is out of
  * step; its {@link AnswerHistory} shows which of its answers can be those of other calls.
  *
- * <p>An answer that is suspect ({@link AnswerHistory#suspectLatest}) is in doubt as soon as its
+ * <p>An answer that is suspect ({@link AnswerHistory#suspectTooSoon}) is in doubt as soon as its
  * connection ends, since the call's own can no longer come there.
  *
  * <p>A connection that was out of step is rarely the only one. The answers of a connection that
--- a/decisions/src/main/java/thistleturn/decisions/pools/AnswerHistory.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/AnswerHistory.java
@@ -108,7 +108,7 @@
       firstPossibleCopy = place;
     }
     final long ownDueUs = sentUs + Math.min(responseTimeUs, Long.MAX_VALUE - sentUs);
-    append(new Answer(kind, sentUs, Math.max(sentUs, answeredUs), ownDueUs, Circumstances.USUAL));
+    append(kind, sentUs, Math.max(sentUs, answeredUs), ownDueUs);
     return place;
   }
 
@@ -124,12 +124,13 @@
    */
   public void addSurplus(final Kind kind, final long readUs) {
     surplus++;
-    append(new Answer(kind, readUs, readUs, readUs, Circumstances.USUAL));
+    append(kind, readUs, readUs, readUs);
   }
 
-  private void append(final Answer answer) {
-    carried.putIfAbsent(answer.kind(), answer.kind());
-    answers.add(answer);
+  private void append(
+      final Kind kind, final long callSentUs, final long readUs, final long ownDueUs) {
+    carried.putIfAbsent(kind, kind);
+    answers.add(new Answer(carried.get(kind), callSentUs, readUs, ownDueUs, Circumstances.USUAL));
     if (answers.size() > 2 * MIN_KEPT) {
       answers.subList(0, MIN_KEPT).clear();
       dropped += MIN_KEPT;
--- a/decisions/src/main/java/thistleturn/decisions/pools/ResponseTimes.java
+++ b/decisions/src/main/java/thistleturn/decisions/pools/ResponseTimes.java
@@ -55,16 +55,16 @@
     return isDueKnown() ? dueByAllUs() : Long.MAX_VALUE;
   }
 
+  /** Returns the same by all responses so far, however few they are; 0 if there is none. */
+  long dueByAllUs() {
+    return (long) (SILENCE_FACTOR * slowestUs);
+  }
+
   /** Returns whether enough responses have come to say when one is missing. */
   public boolean isDueKnown() {
     return responses >= MIN_RESPONSES;
   }
 
-  /** Returns the same by all responses so far, however few they are; 0 if there is none. */
-  public long dueByAllUs() {
-    return (long) (SILENCE_FACTOR * slowestUs);
-  }
-
   /**
    * Returns how long after a call, us, the end of its connection shows that a response of this kind
    * which came too soon was not its own. That is as long as the endpoint takes for a call if its
